--- /dev/null
+++ b/internal/client/door.go
@@ -0,0 +1,147 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"ferryspar/internal/match"
+	"ferryspar/internal/problem"
+	"ferryspar/internal/replica"
+)
+
+type Door struct {
+	fleet     *atomic.Pointer[match.Fleet]
+	matcher   *match.Matcher
+	forwarder *replica.Forwarder
+	budget    *Budget
+	clock     func() time.Time
+	draw      func() float64
+	leaving   atomic.Bool
+	inside    atomic.Int64
+}
+
+func NewDoor(fleet *atomic.Pointer[match.Fleet], matcher *match.Matcher, forwarder *replica.Forwarder, budget *Budget, clock func() time.Time, draw func() float64) *Door {
+	return &Door{fleet: fleet, matcher: matcher, forwarder: forwarder, budget: budget, clock: clock, draw: draw}
+}
+
+func (d *Door) Leave()        { d.leaving.Store(true) }
+func (d *Door) Leaving() bool { return d.leaving.Load() }
+func (d *Door) Inside() int64 { return d.inside.Load() }
+
+func (d *Door) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	arrived := d.clock()
+	d.inside.Add(1)
+	defer d.inside.Add(-1)
+	if d.Leaving() {
+		writer.Header().Set("Connection", "close")
+	}
+	taken, err := d.take(request, arrived)
+	if err != nil {
+		if problem.Of(err).Kind == problem.LargeBody {
+			writer.Header().Set("Connection", "close")
+		}
+		problem.Write(writer, err)
+		return
+	}
+	d.budget.Arrived(arrived)
+	ctx, cancel := context.WithDeadline(request.Context(), taken.order.Deadline)
+	defer cancel()
+	serving := &service{door: d, intake: taken, writer: writer, ctx: ctx}
+	serving.run()
+}
+
+type service struct {
+	door    *Door
+	intake  *intake
+	writer  http.ResponseWriter
+	ctx     context.Context
+	headed  bool
+	sent    int
+	reached int
+	ran     bool
+	events  replica.Events
+}
+
+var outcomes = map[replica.Verdict]match.Outcome{
+	replica.VerdictFull:      match.OutcomeFull,
+	replica.VerdictMissing:   match.OutcomeMissing,
+	replica.VerdictGone:      match.OutcomeGone,
+	replica.VerdictUnreached: match.OutcomeUnreached,
+	replica.VerdictUnknown:   match.OutcomeBroken,
+}
+
+const unreachedBound = 4
+
+func (s *service) run() {
+	for {
+		order := s.intake.order
+		order.Excluded = s.intake.order.Excluded
+		command := s.door.matcher.Submit(s.ctx, &order)
+		if command.Problem != nil {
+			s.fail(command.Problem)
+			return
+		}
+		if s.sent > 0 && !s.door.budget.Take(s.door.clock(), s.door.fleet.Load().Edges) {
+			s.door.matcher.Report(command.Ticket, match.OutcomeCancelled)
+			s.fail(problem.Later(problem.NotExecuted, 100*time.Millisecond))
+			return
+		}
+		again, failure := s.dispatch(command)
+		if !again {
+			if failure != nil {
+				s.fail(failure)
+			}
+			return
+		}
+		s.intake.order.Excluded[command.Replica.ID] = true
+	}
+}
+
+func (s *service) dispatch(command match.Command) (bool, *problem.Problem) {
+	report := func(outcome match.Outcome) { s.door.matcher.Report(command.Ticket, outcome) }
+	job := s.intake.job
+	if s.headed {
+		job.LastEvent = s.events.LastID
+	}
+	answer, verdict := s.door.forwarder.Send(s.ctx, command.Replica.Address, command.Replica.ID, job)
+	if verdict == replica.VerdictUnreached {
+		s.reached++
+	} else {
+		s.sent++
+	}
+	if verdict != replica.VerdictAnswered {
+		if s.ctx.Err() != nil {
+			report(match.OutcomeCancelled)
+			return false, problem.New(problem.ReplicaSilent, "")
+		}
+		report(outcomes[verdict])
+		s.ran = s.ran || !replica.NeverRan[verdict]
+		return s.decide(replica.NeverRan[verdict])
+	}
+	return s.relay(answer, report)
+}
+
+func (s *service) decide(neverRan bool) (bool, *problem.Problem) {
+	if !neverRan && !s.intake.route.Repeatable() {
+		return false, problem.New(problem.ReplicaFailed, "")
+	}
+	if s.sent < max(s.intake.route.RetryCount, 1) && s.reached < unreachedBound {
+		return true, nil
+	}
+	if neverRan && !s.ran {
+		return false, problem.Later(problem.NotExecuted, 50*time.Millisecond)
+	}
+	return false, problem.New(problem.ReplicaFailed, "")
+}
+
+func (s *service) fail(failure *problem.Problem) {
+	if s.headed {
+		panic(http.ErrAbortHandler)
+	}
+	if s.ran && failure.Kind.Status() == http.StatusServiceUnavailable {
+		failure = problem.New(problem.ReplicaFailed, "")
+	}
+	problem.Write(s.writer, failure)
+}
--- /dev/null
+++ b/internal/client/intake.go
@@ -0,0 +1,111 @@
+package client
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/layout"
+	"ferryspar/internal/match"
+	"ferryspar/internal/problem"
+	"ferryspar/internal/replica"
+)
+
+type intake struct {
+	route *layout.Route
+	order match.Order
+	job   replica.Job
+}
+
+const attemptBound = 128
+
+func validAttempt(attempt string) bool {
+	if attempt == "" || len(attempt) > attemptBound {
+		return false
+	}
+	for _, letter := range attempt {
+		if letter <= ' ' || letter > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Door) take(request *http.Request, arrived time.Time) (*intake, error) {
+	fleet := d.fleet.Load()
+	attempt := request.Header.Get(replica.HeaderAttempt)
+	if !validAttempt(attempt) || len(request.Header.Values(replica.HeaderAttempt)) != 1 {
+		return nil, problem.New(problem.MissingAttempt, "")
+	}
+	if fleet.Table == nil {
+		return nil, problem.Later(problem.NoLayout, 200*time.Millisecond)
+	}
+	path, _, _ := strings.Cut(request.RequestURI, "?")
+	route, found := fleet.Table.Find(request.Host, path)
+	if !found {
+		return nil, problem.New(problem.UnknownRoute, "")
+	}
+	body, err := d.body(request, fleet.Table.Layout.Limits.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	patience := time.Duration(route.TimeoutMs * float64(time.Millisecond))
+	remaining := patience
+	if stated := request.Header.Get(replica.HeaderRemaining); stated != "" {
+		amount, err := strconv.ParseFloat(stated, 64)
+		if err != nil || amount < 0 || amount > 1e9 {
+			return nil, problem.New(problem.MalformedOrder, "%s is no number of milliseconds", replica.HeaderRemaining)
+		}
+		remaining = time.Duration(amount * float64(time.Millisecond))
+	}
+	prompt, output, valid := match.ParseTokens(request.Header.Get(replica.HeaderTokens))
+	if !valid {
+		return nil, problem.New(problem.MalformedOrder, "%s is malformed", replica.HeaderTokens)
+	}
+	parts, valid := match.ParsePrefix(request.Header.Get(replica.HeaderPrefix))
+	if !valid {
+		return nil, problem.New(problem.MalformedOrder, "%s is malformed", replica.HeaderPrefix)
+	}
+	backend := route.Pick(d.draw())
+	model := request.Header.Get(replica.HeaderModel)
+	deadline := arrived.Add(min(remaining, patience))
+	return &intake{
+		route: route,
+		order: match.Order{
+			Attempt: attempt, Backend: backend, Model: model, Parts: parts, Dialogues: match.Dialogues(parts), Prompt: prompt, Output: output,
+			Arrived: arrived, Deadline: deadline, Aim: time.Duration(route.TargetLatencyMs * float64(time.Millisecond)), Priority: route.Priority,
+			Excluded: map[string]bool{}, Returned: remaining < patience-returnedSlack,
+		},
+		job: replica.Job{
+			Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header, Body: body, Attempt: attempt,
+			Urgency: min(max(route.Priority, 0), 9), Deadline: deadline, LastEvent: request.Header.Get(replica.HeaderLastEvent),
+		},
+	}, nil
+}
+
+const (
+	returnedSlack = 20 * time.Millisecond
+	bodyBound     = 4 << 20
+)
+
+func (d *Door) body(request *http.Request, bound int64) ([]byte, error) {
+	if bound <= 0 {
+		bound = bodyBound
+	}
+	if request.ContentLength > bound {
+		return nil, problem.New(problem.LargeBody, "")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, bound))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, problem.New(problem.LargeBody, "")
+	}
+	if err != nil {
+		return nil, problem.New(problem.MalformedOrder, "body broke off")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/client/relay.go
@@ -0,0 +1,126 @@
+package client
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"ferryspar/internal/match"
+	"ferryspar/internal/problem"
+	"ferryspar/internal/replica"
+)
+
+const (
+	relayBuffer = 4 << 10
+	aliveEvery  = 250 * time.Millisecond
+)
+
+var promises = map[int]bool{
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
+func (s *service) relay(answer *http.Response, report func(match.Outcome)) (bool, *problem.Problem) {
+	defer answer.Body.Close()
+	if promises[answer.StatusCode] || answer.StatusCode >= 300 && s.headed {
+		report(match.OutcomeBroken)
+		s.ran = true
+		return s.decide(false)
+	}
+	resumable := s.intake.route.RouteType == "streaming" && s.intake.route.Resumable && answer.StatusCode < 300 &&
+		strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
+	first, lastTold := true, time.Time{}
+	buffer := make([]byte, relayBuffer)
+	for {
+		amount, err := answer.Body.Read(buffer)
+		if amount > 0 {
+			now := s.door.clock()
+			if first {
+				report(match.OutcomeFirst)
+				first, lastTold = false, now
+			} else if now.Sub(lastTold) > aliveEvery {
+				report(match.OutcomeAlive)
+				lastTold = now
+			}
+			if !s.pass(answer, buffer[:amount], resumable) {
+				report(match.OutcomeCancelled)
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if err == io.EOF {
+			return s.close(answer, report, resumable)
+		}
+		if err != nil {
+			return s.cut(report, resumable)
+		}
+	}
+}
+
+func (s *service) head(answer *http.Response) {
+	if s.headed {
+		return
+	}
+	s.headed = true
+	replica.AnswerHeader(s.writer.Header(), answer.Header)
+	if s.door.Leaving() {
+		s.writer.Header().Set("Connection", "close")
+	}
+	if answer.ContentLength >= 0 {
+		s.writer.Header().Set("Content-Length", answer.Header.Get("Content-Length"))
+	}
+	if _, dated := s.writer.Header()["Date"]; !dated {
+		s.writer.Header()["Date"] = nil
+	}
+	if _, typed := s.writer.Header()["Content-Type"]; !typed {
+		s.writer.Header()["Content-Type"] = nil
+	}
+	s.writer.WriteHeader(answer.StatusCode)
+}
+
+func (s *service) pass(answer *http.Response, content []byte, resumable bool) bool {
+	if resumable {
+		whole, sound := s.events.Feed(content)
+		if !sound {
+			return false
+		}
+		content = whole
+	}
+	if len(content) == 0 {
+		return true
+	}
+	s.head(answer)
+	if _, err := s.writer.Write(content); err != nil {
+		return false
+	}
+	return http.NewResponseController(s.writer).Flush() == nil
+}
+
+func (s *service) close(answer *http.Response, report func(match.Outcome), resumable bool) (bool, *problem.Problem) {
+	if resumable && !s.events.Whole() {
+		return s.cut(report, resumable)
+	}
+	s.head(answer)
+	if answer.StatusCode < 300 {
+		report(match.OutcomeServed)
+	} else {
+		report(match.OutcomeCancelled)
+	}
+	return false, nil
+}
+
+func (s *service) cut(report func(match.Outcome), resumable bool) (bool, *problem.Problem) {
+	if s.ctx.Err() != nil {
+		report(match.OutcomeCancelled)
+		if s.headed {
+			panic(http.ErrAbortHandler)
+		}
+		return false, problem.New(problem.ReplicaSilent, "")
+	}
+	report(match.OutcomeBroken)
+	s.ran = true
+	s.events.Reset()
+	if s.headed && !(resumable && s.events.LastID != "") {
+		panic(http.ErrAbortHandler)
+	}
+	return s.decide(false)
+}
--- /dev/null
+++ b/internal/controlplane/board.go
@@ -0,0 +1,90 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+)
+
+type Bulletin struct {
+	Version    uint64
+	Fresh      bool
+	Revision   int64
+	Document   json.RawMessage
+	Areas      map[string]partner.AreaState
+	AreaNumber uint64
+	Roster     uint64
+	RosterAt   time.Time
+	Replicas   []platform.Replica
+	Barred     []string
+	Holder     string
+	Control    []string
+	Edges      int
+	changed    chan struct{}
+}
+
+type Board struct {
+	lock    sync.Mutex
+	current *Bulletin
+}
+
+func NewBoard() *Board {
+	return &Board{current: &Bulletin{Version: 1, changed: make(chan struct{})}}
+}
+
+func (b *Board) Read() *Bulletin {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.current
+}
+
+func (b *Board) Change(update func(next *Bulletin) bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	next := *b.current
+	if !update(&next) {
+		return
+	}
+	next.Version++
+	next.changed = make(chan struct{})
+	close(b.current.changed)
+	b.current = &next
+}
+
+func (b *Board) Touch(update func(next *Bulletin)) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	next := *b.current
+	update(&next)
+	b.current = &next
+}
+
+func (b *Bulletin) News(poll partner.Poll, member, life string, now time.Time) partner.News {
+	news := partner.News{
+		Member: member, Life: life, Fresh: b.Fresh, Version: b.Version, Revision: b.Revision, AreaNumber: b.AreaNumber,
+		Roster: b.Roster, RosterAge: now.Sub(b.RosterAt).Milliseconds(), Edges: b.Edges, Holder: b.Holder, Control: b.Control,
+	}
+	if !b.Fresh {
+		return news
+	}
+	if b.AreaNumber > poll.AreaNumber {
+		news.Areas = b.Areas
+	}
+	if !poll.Wants {
+		return news
+	}
+	if b.Revision > poll.Revision {
+		news.Document = b.Document
+	}
+	if b.Roster != poll.Roster || poll.Life != life {
+		news.Replicas, news.Barred = b.Replicas, b.Barred
+	}
+	return news
+}
+
+func (b *Bulletin) Answers(poll partner.Poll, life string) bool {
+	return poll.Life != life || poll.Version != b.Version || poll.Wants && b.Fresh && b.Revision > poll.Revision
+}
--- /dev/null
+++ b/internal/controlplane/daemon.go
@@ -0,0 +1,190 @@
+package controlplane
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/operator"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+	"ferryspar/internal/watch"
+)
+
+const placementTenure = keystore.TenurePrefix + "placement"
+
+type Daemon struct {
+	settings env.Settings
+	path     string
+	self     string
+	life     string
+	clock    func() time.Time
+	session  *partner.Session
+	acceptor *keystore.Acceptor
+	journal  *keystore.Journal
+	store    *keystore.Store
+	board    *Board
+	applied  sync.Mutex
+	shown    map[string]keystore.Slot
+	watching sync.Mutex
+	edges    *watch.Register
+	controls *watch.Register
+	joining  map[string]partner.Greeting
+	list     *platform.List
+	warden   *Warden
+	roster   rosterState
+	shareNow chan struct{}
+	leaving  chan struct{}
+	started  time.Time
+}
+
+func nonce() uint64 {
+	var content [8]byte
+	_, _ = rand.Read(content[:])
+	return binary.BigEndian.Uint64(content[:])
+}
+
+const (
+	ringFiles    = 3
+	smallestRing = 1 << 20
+	largestRing  = 12 << 20
+)
+
+func ringBytes(diskMb float64) int64 {
+	return int64(min(max(diskMb*(1<<20)/8, smallestRing), largestRing))
+}
+
+func New(settings env.Settings, path string) (*Daemon, error) {
+	folder, err := keystore.NewFolder(settings.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	journal, err := keystore.OpenJournal(folder, ringFiles, ringBytes(settings.Limits.DiskMb))
+	if err != nil {
+		return nil, err
+	}
+	self := settings.PartnerAddress()
+	empty := len(journal.State()) == 0
+	fresh := empty && settings.Bootstrap
+	seeds := settings.SeedPartners()
+	founding := keystore.Members{Number: 1, Present: seeds}
+	if empty {
+		first := keystore.WipedSlots(nonce())
+		if fresh && founding.Has(self) {
+			first = keystore.FreshSlots(founding, nonce())
+		}
+		if err := journal.Append(first); err != nil {
+			return nil, errors.Wrap(err, "first write")
+		}
+	}
+	daemon := &Daemon{
+		settings: settings, path: path, self: self, life: time.Now().Format("150405.000000"), clock: time.Now, session: partner.NewSession(),
+		journal: journal, board: NewBoard(), shown: map[string]keystore.Slot{}, joining: map[string]partner.Greeting{},
+		edges: watch.NewRegister(10 * time.Second), controls: watch.NewRegister(30 * time.Second), leaving: make(chan struct{}), shareNow: make(chan struct{}, 1), started: time.Now(),
+	}
+	rules := keystore.Rules{Tenure: daemon.tenureLength(), Clock: time.Now}
+	daemon.acceptor = keystore.NewAcceptor(self, journal, rules, fresh)
+	members := daemon.acceptor.Members()
+	if members.Number == 0 && fresh {
+		members = founding
+	}
+	wire := &partner.Wire{Self: self, Session: daemon.session, Acceptor: daemon.acceptor}
+	daemon.store = keystore.NewStore(self, uint32(nonce()), wire, time.Now, members)
+	daemon.list = &platform.List{Address: settings.CloudAPI.Address, Client: &http.Client{Transport: partner.NewTransport(500*time.Millisecond, 1500*time.Millisecond, 2)}}
+	daemon.warden = NewWarden(daemon)
+	return daemon, nil
+}
+
+func (d *Daemon) tenureLength() time.Duration {
+	return max(env.Milliseconds(d.settings.TimingBounds.LeaseMs)/2, 500*time.Millisecond)
+}
+
+func (d *Daemon) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
+	var cleanup []func()
+	defer func() {
+		for position := len(cleanup) - 1; position >= 0; position-- {
+			cleanup[position]()
+		}
+	}()
+	cleanup = append(cleanup, cancel)
+	go d.acceptor.Run(ctx, d.journal)
+	inner, err := net.Listen("tcp", d.self)
+	if err != nil {
+		return errors.Wrap(err, "internal address")
+	}
+	cleanup = append(cleanup, func() { inner.Close() })
+	outer, err := net.Listen("tcp", d.settings.BindAddresses.ControlPlane)
+	if err != nil {
+		return errors.Wrap(err, "control plane address")
+	}
+	cleanup = append(cleanup, func() { outer.Close() })
+	for _, slot := range d.acceptor.Durable() {
+		if slot.Key == keystore.MembersKey {
+			d.applyOwnMembers(slot)
+		}
+	}
+	failures := make(chan error, 2)
+	go func() { failures <- (&http.Server{Handler: d.partnerRoutes(), IdleTimeout: time.Minute}).Serve(inner) }()
+	go func() {
+		failures <- (&http.Server{Handler: operator.Routes(d), IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}).Serve(outer)
+	}()
+	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run, d.settingsLoop}
+	for _, loop := range loops {
+		go loop(ctx)
+	}
+	logrus.WithFields(logrus.Fields{"control_plane": outer.Addr().String(), "partner": d.self, "members": d.store.Members().Present}).Info("control plane listens")
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-parent.Done():
+		return nil
+	case err := <-failures:
+		return err
+	case <-stop:
+		close(d.leaving)
+		logrus.Info("leaving")
+		time.Sleep(400 * time.Millisecond)
+		return nil
+	}
+}
+
+func (d *Daemon) settingsLoop(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	schedule := time.NewTicker(2 * time.Second)
+	defer schedule.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-schedule.C:
+		}
+		if fresh, err := env.Load(d.path); err == nil && fresh.Check("control") == nil {
+			d.noteControls(fresh.SeedPartners())
+		}
+	}
+}
+
+func (d *Daemon) noteControls(addresses []string) {
+	d.watching.Lock()
+	defer d.watching.Unlock()
+	for _, address := range addresses {
+		if address != d.self {
+			d.controls.Note(address, watch.Beat{At: d.clock().Add(-5 * time.Second)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlplane/orders.go
@@ -0,0 +1,324 @@
+package controlplane
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/layout"
+	"ferryspar/internal/place"
+	"ferryspar/internal/platform"
+	"ferryspar/internal/replica"
+)
+
+const (
+	reportLag     = 250 * time.Millisecond
+	unknownPause  = 1500 * time.Millisecond
+	busyPause     = 250 * time.Millisecond
+	refusedPause  = 4 * time.Second
+	barTime       = 220 * time.Millisecond
+	diskShare     = 0.2
+	longestExpect = 60 * time.Second
+)
+
+func references(models []platform.Held) map[string]bool {
+	found := map[string]bool{}
+	for _, held := range models {
+		found[held.Name] = true
+		for _, adapter := range held.Adapters {
+			found[place.Reference(held.Name, adapter)] = true
+		}
+	}
+	return found
+}
+
+func (w *Warden) currentTable(bulletin *Bulletin) *layout.Table {
+	if bulletin.Revision == 0 {
+		return nil
+	}
+	if w.table == nil || w.table.Layout.Revision != bulletin.Revision {
+		if read, err := layout.Decode(bulletin.Document); err == nil {
+			w.table = layout.Build(read, nil)
+		}
+	}
+	return w.table
+}
+
+func (w *Warden) step(ctx context.Context) {
+	now := w.daemon.clock()
+	bulletin := w.daemon.board.Read()
+	table := w.currentTable(bulletin)
+	if table == nil || bulletin.RosterAt.IsZero() || now.Sub(bulletin.RosterAt) > 3*time.Second {
+		return
+	}
+	w.follow(w.daemon.roster.listed())
+	view := &place.View{Now: now, Table: table, Pressure: w.copyDemand(), Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: w.tokens(now, table)}
+	for area, state := range bulletin.Areas {
+		view.Drained[area] = state.Drained
+	}
+	for id, one := range w.charges {
+		if backend, _, found := table.Backend(one.listed.Backend); !found || backend.Runtime == nil {
+			continue
+		}
+		w.look(ctx, id, one, now)
+		if one.pending != nil && one.pending.Load {
+			view.Loading[place.Key(one.listed.Backend, one.pending.Model)]++
+		}
+		view.Servers = append(view.Servers, w.server(id, one, now))
+	}
+	sort.Slice(view.Servers, func(left, right int) bool { return view.Servers[left].ID < view.Servers[right].ID })
+	for _, action := range place.Plan(view) {
+		w.begin(ctx, action, now)
+	}
+	for _, server := range view.Servers {
+		w.charges[server.ID].intent = server.Intent
+	}
+}
+
+func (w *Warden) server(id string, one *charge, now time.Time) *place.Server {
+	server := &place.Server{
+		ID: id, Backend: one.listed.Backend, Area: one.listed.Area, Draining: one.listed.State == platform.Draining, Models: map[string]bool{},
+		Held: w.heldOnce[one.listed.Address], Intent: one.intent, Ready: one.known && one.pending == nil && !one.asking && !now.Before(one.blocked),
+	}
+	for reference := range one.models {
+		server.Models[reference] = true
+	}
+	return server
+}
+
+func (w *Warden) copyDemand() map[string]*place.Pressure {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	copied := make(map[string]*place.Pressure, len(w.demand))
+	for name, demand := range w.demand {
+		one := *demand
+		copied[name] = &one
+	}
+	return copied
+}
+
+func (w *Warden) tokens(now time.Time, table *layout.Table) float64 {
+	span := env.Seconds(w.daemon.settings.TimingBounds.OriginPeriodS)
+	kept := w.loads[:0]
+	for _, at := range w.loads {
+		if now.Sub(at) < span+time.Second {
+			kept = append(kept, at)
+		}
+	}
+	w.loads = kept
+	rate := 0.0
+	for _, backend := range table.Layout.Backends {
+		if backend.Runtime != nil {
+			rate = max(rate, backend.Runtime.LoadsPerS)
+		}
+	}
+	return rate*span.Seconds() + 1 - float64(len(w.loads))
+}
+
+func (w *Warden) follow(listed []platform.Replica) {
+	present := map[string]bool{}
+	for _, one := range listed {
+		present[one.ID] = true
+		if w.charges[one.ID] == nil {
+			w.charges[one.ID] = &charge{models: references(one.Models), barred: map[string]bool{}}
+		}
+		w.charges[one.ID].listed = one
+		w.notice(one)
+	}
+	for id := range w.charges {
+		if !present[id] {
+			delete(w.charges, id)
+		}
+	}
+}
+
+func (w *Warden) notice(listed platform.Replica) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.remember(listed.Address, references(listed.Models))
+}
+
+func (w *Warden) showOverlays() {
+	shown := map[string]overlay{}
+	for id, one := range w.charges {
+		next := overlay{at: one.overlayAt, models: held(one.models)}
+		for name := range one.barred {
+			next.barred = append(next.barred, name)
+		}
+		shown[id] = next
+	}
+	w.lock.Lock()
+	w.overlays = shown
+	w.lock.Unlock()
+	w.daemon.publishRoster()
+	w.daemon.shareSoon()
+}
+
+func held(models map[string]bool) []platform.Held {
+	adapters := map[string][]string{}
+	for reference := range models {
+		model, adapter, _ := strings.Cut(reference, "/")
+		if adapters[model] == nil {
+			adapters[model] = []string{}
+		}
+		if adapter != "" {
+			adapters[model] = append(adapters[model], adapter)
+		}
+	}
+	var list []platform.Held
+	for model, names := range adapters {
+		sort.Strings(names)
+		list = append(list, platform.Held{Name: model, Revision: 1, Adapters: names})
+	}
+	sort.Slice(list, func(left, right int) bool { return list[left].Name < list[right].Name })
+	return list
+}
+
+func (w *Warden) remember(address string, models map[string]bool) {
+	if w.heldOnce[address] == nil {
+		w.heldOnce[address] = map[string]bool{}
+	}
+	for reference := range models {
+		w.heldOnce[address][reference] = true
+	}
+}
+
+func (w *Warden) look(ctx context.Context, id string, one *charge, now time.Time) {
+	due := !one.known || one.pending != nil
+	if one.asking || !due || now.Before(one.lookAt) || now.Before(one.blocked) {
+		return
+	}
+	one.asking = true
+	address := one.listed.Address
+	go func() {
+		state, err := w.commander.Report(ctx, address, id)
+		w.results <- func() { w.looked(one, state, err) }
+	}()
+}
+
+func (w *Warden) looked(one *charge, state replica.State, err error) {
+	now := w.daemon.clock()
+	one.asking = false
+	one.lookAt = now.Add(busyPause)
+	if err != nil {
+		one.lookAt = now.Add(2 * busyPause)
+		return
+	}
+	if state.Busy || state.Sequence < one.sequence {
+		return
+	}
+	if one.pending != nil && now.Sub(one.began) < reportLag && one.pending.Load != references(state.Models)[one.pending.Model] {
+		return
+	}
+	one.models = references(state.Models)
+	one.overlayAt = now
+	one.sequence = state.Sequence
+	one.known = true
+	one.pending = nil
+	one.barred = map[string]bool{}
+	w.lock.Lock()
+	w.remember(one.listed.Address, one.models)
+	w.lock.Unlock()
+	w.showOverlays()
+}
+
+func (w *Warden) begin(ctx context.Context, action place.Action, now time.Time) {
+	one := w.charges[action.Server]
+	one.pending = &action
+	one.began = now
+	one.lookAt = now.Add(longestExpect)
+	if action.Load && action.Stored && !strings.Contains(action.Model, "/") {
+		w.loads = append(w.loads, now)
+	}
+	pause := time.Duration(0)
+	if !action.Load {
+		one.barred[action.Server+" "+action.Model] = true
+		for reference := range one.models {
+			if strings.HasPrefix(reference, action.Model+"/") {
+				one.barred[action.Server+" "+reference] = true
+			}
+		}
+		w.showOverlays()
+		pause = barTime
+	}
+	address := one.listed.Address
+	go func() {
+		sleepFor(ctx, pause)
+		hold := w.hold.Load()
+		if !hold.Allows(w.daemon.clock(), orderNeeds) {
+			w.results <- func() { w.ordered(one, action, 0, nil) }
+			return
+		}
+		model, adapter, _ := strings.Cut(action.Model, "/")
+		operation := replica.OperationUnload
+		if action.Load {
+			operation = replica.OperationLoad
+		}
+		status, err := w.commander.Order(ctx, address, action.Server, replica.Instruction{
+			Operation: operation, Model: model, Adapter: adapter, Holder: hold.Record.Holder, Fence: hold.Record.Fence,
+		})
+		w.results <- func() { w.ordered(one, action, status, err) }
+	}()
+}
+
+type consequence func(w *Warden, one *charge, action place.Action, now time.Time)
+
+var consequences = map[int]consequence{
+	http.StatusAccepted: (*Warden).accepted,
+	http.StatusOK: func(w *Warden, one *charge, action place.Action, now time.Time) {
+		one.lookAt = now.Add(reportLag)
+	},
+	http.StatusConflict: func(w *Warden, one *charge, action place.Action, now time.Time) {
+		one.pending, one.known, one.lookAt = nil, false, now.Add(busyPause)
+	},
+	http.StatusPreconditionFailed: func(w *Warden, one *charge, action place.Action, now time.Time) {
+		one.pending, one.blocked = nil, now.Add(refusedPause)
+	},
+	http.StatusBadRequest: func(w *Warden, one *charge, action place.Action, now time.Time) {
+		one.pending, one.known, one.blocked = nil, false, now.Add(refusedPause)
+	},
+	http.StatusMisdirectedRequest: func(w *Warden, one *charge, action place.Action, now time.Time) {
+		one.pending, one.known, one.blocked = nil, false, now.Add(refusedPause)
+	},
+	0: func(w *Warden, one *charge, action place.Action, now time.Time) {
+		one.pending, one.known, one.lookAt = nil, false, now.Add(unknownPause)
+	},
+}
+
+func (w *Warden) ordered(one *charge, action place.Action, status int, err error) {
+	w.log(action, status, err)
+	if err != nil {
+		status = 0
+	}
+	follow, known := consequences[status]
+	if !known {
+		follow = consequences[0]
+	}
+	follow(w, one, action, w.daemon.clock())
+}
+
+func (w *Warden) accepted(one *charge, action place.Action, now time.Time) {
+	one.sequence++
+	one.began = now
+	model, adapter, _ := strings.Cut(action.Model, "/")
+	expected := reportLag
+	if found, ok := w.modelOf(one.listed.Backend, model); ok && adapter == "" && action.Load {
+		expected = env.Seconds(found.LoadTimeS)
+		if !action.Stored {
+			expected = time.Duration(float64(expected) * diskShare)
+		}
+		expected += 100 * time.Millisecond
+	}
+	one.lookAt = now.Add(max(expected, reportLag))
+}
+
+func (w *Warden) modelOf(backend, name string) (*layout.Model, bool) {
+	_, index, found := w.table.Backend(backend)
+	if !found {
+		return nil, false
+	}
+	return w.table.Model(index, name)
+}
--- /dev/null
+++ b/internal/controlplane/records.go
@@ -0,0 +1,115 @@
+package controlplane
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/tenure"
+)
+
+type taken struct {
+	Revision int64  `json:"revision"`
+	Mark     string `json:"mark"`
+}
+
+type layoutRecord struct {
+	Revision int64           `json:"revision"`
+	Document json.RawMessage `json:"document"`
+	Taken    []taken         `json:"taken"`
+}
+
+type areaRecord struct {
+	Number  uint64 `json:"number"`
+	Drained bool   `json:"drained"`
+}
+
+const takenBound = 400
+
+func mark(method, condition string, body []byte) string {
+	sum := sha256.New()
+	sum.Write([]byte(method + " " + condition + "\n"))
+	sum.Write(body)
+	return hex.EncodeToString(sum.Sum(nil)[:16])
+}
+
+func (r layoutRecord) has(wanted string) bool {
+	for _, one := range r.Taken {
+		if one.Mark == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) apply(slot keystore.Slot) {
+	d.applied.Lock()
+	defer d.applied.Unlock()
+	if held, known := d.shown[slot.Key]; known && !slot.Newer(held) {
+		return
+	}
+	switch {
+	case slot.Key == keystore.LayoutKey:
+		d.applyLayout(slot)
+	case slot.Key == keystore.MembersKey:
+		var members keystore.Members
+		if json.Unmarshal(slot.Value, &members) == nil && d.store.Adopt(members) {
+			logrus.WithFields(logrus.Fields{"number": members.Number, "present": members.Present, "next": members.Next}).Info("members adopted")
+		}
+	case slot.Key == placementTenure:
+		var record tenure.Record
+		if json.Unmarshal(slot.Value, &record) == nil {
+			d.board.Change(func(next *Bulletin) bool {
+				changed := next.Holder != record.Address
+				next.Holder = record.Address
+				return changed
+			})
+		}
+	case strings.HasPrefix(slot.Key, keystore.AreaPrefix):
+		d.applyArea(slot)
+	}
+	d.shown[slot.Key] = slot.Bare()
+}
+
+func (d *Daemon) applyLayout(slot keystore.Slot) {
+	var record layoutRecord
+	if json.Unmarshal(slot.Value, &record) != nil {
+		return
+	}
+	d.board.Change(func(next *Bulletin) bool {
+		if record.Revision <= next.Revision {
+			return false
+		}
+		next.Revision, next.Document = record.Revision, record.Document
+		return true
+	})
+}
+
+func (d *Daemon) applyArea(slot keystore.Slot) {
+	var record areaRecord
+	area := strings.TrimPrefix(slot.Key, keystore.AreaPrefix)
+	if json.Unmarshal(slot.Value, &record) != nil {
+		return
+	}
+	d.board.Change(func(next *Bulletin) bool {
+		if record.Number <= next.Areas[area].Number {
+			return false
+		}
+		areas := map[string]partner.AreaState{area: {Number: record.Number, Drained: record.Drained}}
+		for name, state := range next.Areas {
+			if name != area {
+				areas[name] = state
+			}
+		}
+		next.Areas, next.AreaNumber = areas, 0
+		for _, state := range areas {
+			next.AreaNumber += state.Number
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/controlplane/roster.go
@@ -0,0 +1,222 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+)
+
+type rosterState struct {
+	lock     sync.Mutex
+	replicas []platform.Replica
+	at       time.Time
+	shared   map[string]string
+	from     string
+}
+
+func (r *rosterState) listed() []platform.Replica {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.replicas
+}
+
+func (r *rosterState) set(replicas []platform.Replica, at time.Time) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.replicas, r.at = replicas, at
+}
+
+func (r *rosterState) own() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.from = ""
+}
+
+func (r *rosterState) age(now time.Time) time.Duration {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return now.Sub(r.at)
+}
+
+const (
+	listEvery = 450 * time.Millisecond
+	staleList = 1300 * time.Millisecond
+)
+
+func (d *Daemon) rosterLoop(ctx context.Context) {
+	pause := max(listEvery, time.Duration(float64(3*time.Second)/max(d.settings.CloudAPI.RatePerS, 0.1)))
+	schedule := time.NewTicker(pause)
+	defer schedule.Stop()
+	for {
+		holding := d.warden.Holding()
+		if holding || d.roster.age(d.clock()) > staleList {
+			began := d.clock()
+			replicas, err := d.list.Read(ctx)
+			if err == nil {
+				sort.Slice(replicas, func(left, right int) bool { return replicas[left].ID < replicas[right].ID })
+				d.roster.set(replicas, began)
+				d.roster.own()
+				d.publishRoster()
+			} else {
+				logrus.WithError(err).Debug("platform list not read")
+			}
+		}
+		if holding {
+			d.shareRoster(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-schedule.C:
+		case <-d.shareNow:
+			if d.warden.Holding() {
+				d.shareRoster(ctx)
+			}
+			continue
+		}
+	}
+}
+
+func (d *Daemon) shareSoon() {
+	select {
+	case d.shareNow <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) publishRoster() {
+	d.roster.lock.Lock()
+	replicas, at := d.roster.replicas, d.roster.at
+	d.roster.lock.Unlock()
+	var barred []string
+	if d.warden.Holding() {
+		replicas, barred = d.warden.overlay(replicas, at)
+	}
+	d.post(replicas, barred, at)
+}
+
+func (d *Daemon) post(replicas []platform.Replica, barred []string, at time.Time) {
+	same := false
+	d.board.Change(func(next *Bulletin) bool {
+		same = sameReplicas(next.Replicas, replicas) && reflect.DeepEqual(next.Barred, barred)
+		if same {
+			return false
+		}
+		next.Roster++
+		next.Replicas, next.Barred, next.RosterAt = replicas, barred, at
+		return true
+	})
+	if same {
+		d.board.Touch(func(next *Bulletin) { next.RosterAt = at })
+	}
+}
+
+func sameReplicas(left, right []platform.Replica) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	for index := range left {
+		one, other := left[index], right[index]
+		one.ColdRemainingMs, other.ColdRemainingMs = float64(int(one.ColdRemainingMs+999)/1000), float64(int(other.ColdRemainingMs+999)/1000)
+		one.TimeLeftMs, other.TimeLeftMs = nil, nil
+		if !reflect.DeepEqual(one, other) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *Warden) overlay(replicas []platform.Replica, at time.Time) ([]platform.Replica, []string) {
+	lag := env.Milliseconds(w.daemon.settings.CloudAPI.MaxLagMs)
+	result := make([]platform.Replica, len(replicas))
+	var barred []string
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for index, listed := range replicas {
+		result[index] = listed
+		over, known := w.overlays[listed.ID]
+		if !known {
+			continue
+		}
+		barred = append(barred, over.barred...)
+		if !over.at.IsZero() && at.Add(-lag).Before(over.at) {
+			result[index].Models = over.models
+		}
+	}
+	sort.Strings(barred)
+	return result, barred
+}
+
+func (d *Daemon) shareRoster(ctx context.Context) {
+	bulletin := d.board.Read()
+	share := partner.RosterShare{Member: d.self, AgeMs: d.clock().Sub(bulletin.RosterAt).Milliseconds(), Replicas: bulletin.Replicas, Barred: bulletin.Barred}
+	content, _ := json.Marshal(share.Replicas)
+	stamp := mark("", "", content) + mark("", "", []byte(join(share.Barred)))
+	for _, address := range d.otherControls() {
+		one := share
+		d.roster.lock.Lock()
+		if d.roster.shared == nil {
+			d.roster.shared = map[string]string{}
+		}
+		if d.roster.shared[address] == stamp {
+			one.Replicas, one.Barred = nil, nil
+			one.Same = true
+		}
+		d.roster.lock.Unlock()
+		go func() {
+			var reply rosterReply
+			err := d.session.Ask(ctx, "roster", address, one, &reply)
+			d.roster.lock.Lock()
+			defer d.roster.lock.Unlock()
+			delete(d.roster.shared, address)
+			if err == nil && reply.Has {
+				d.roster.shared[address] = stamp
+			}
+		}()
+	}
+}
+
+type rosterReply struct {
+	Has bool `json:"has"`
+}
+
+func join(list []string) string {
+	content, _ := json.Marshal(list)
+	return string(content)
+}
+
+func (d *Daemon) hearRoster(ctx context.Context, share partner.RosterShare) rosterReply {
+	d.warden.heardHolder()
+	now := d.clock()
+	at := now.Add(-time.Duration(share.AgeMs) * time.Millisecond)
+	if share.Same {
+		d.roster.lock.Lock()
+		from := d.roster.from
+		d.roster.lock.Unlock()
+		if from != share.Member {
+			return rosterReply{}
+		}
+		bulletin := d.board.Read()
+		d.roster.set(bulletin.Replicas, at)
+		d.post(bulletin.Replicas, bulletin.Barred, at)
+		return rosterReply{Has: true}
+	}
+	d.roster.set(share.Replicas, at)
+	d.roster.lock.Lock()
+	d.roster.from = share.Member
+	d.roster.lock.Unlock()
+	for _, one := range share.Replicas {
+		d.warden.notice(one)
+	}
+	d.post(share.Replicas, share.Barred, at)
+	return rosterReply{Has: true}
+}
--- /dev/null
+++ b/internal/controlplane/warden.go
@@ -0,0 +1,275 @@
+package controlplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/layout"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/place"
+	"ferryspar/internal/platform"
+	"ferryspar/internal/replica"
+	"ferryspar/internal/tenure"
+)
+
+type charge struct {
+	listed    platform.Replica
+	models    map[string]bool
+	sequence  int64
+	known     bool
+	asking    bool
+	pending   *place.Action
+	began     time.Time
+	lookAt    time.Time
+	blocked   time.Time
+	overlayAt time.Time
+	intent    string
+	barred    map[string]bool
+}
+
+type overlay struct {
+	at     time.Time
+	models []platform.Held
+	barred []string
+}
+
+type told struct {
+	at       time.Time
+	pressure partner.Pressure
+}
+
+type Warden struct {
+	daemon    *Daemon
+	keeper    *tenure.Tenure
+	hold      atomic.Pointer[tenure.Hold]
+	commander *replica.Commander
+	lock      sync.Mutex
+	told      map[string]told
+	demand    map[string]*place.Pressure
+	counted   map[string]float64
+	heldOnce  map[string]map[string]bool
+	nudge     chan struct{}
+	results   chan func()
+	charges   map[string]*charge
+	loads     []time.Time
+	table     *layout.Table
+	lastRate  time.Time
+	heardFrom time.Time
+	overlays  map[string]overlay
+}
+
+func NewWarden(daemon *Daemon) *Warden {
+	bounds := daemon.settings.TimingBounds
+	return &Warden{
+		daemon: daemon,
+		keeper: &tenure.Tenure{
+			Key: placementTenure, Holder: daemon.settings.NodeName, Address: daemon.self, Length: daemon.tenureLength(),
+			Settle: env.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Keeper: daemon.store, Clock: daemon.clock,
+		},
+		commander: &replica.Commander{Client: &http.Client{Transport: partner.NewTransport(400*time.Millisecond, time.Second, 2)}},
+		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, heldOnce: map[string]map[string]bool{},
+		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, lastRate: daemon.clock(),
+	}
+}
+
+func (w *Warden) Holding() bool {
+	hold := w.hold.Load()
+	return hold != nil && w.daemon.clock().Before(hold.Until)
+}
+
+func (w *Warden) hearPressure(ctx context.Context, pressure partner.Pressure) partner.Outlook {
+	now := w.daemon.clock()
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.told[pressure.Daemon] = told{now, pressure}
+	waiting := false
+	for _, model := range pressure.Models {
+		name := place.Key(model.Backend, model.Model)
+		w.counted[name] += float64(model.Arrivals)
+		waiting = waiting || model.Waiting > 0
+	}
+	if waiting {
+		select {
+		case w.nudge <- struct{}{}:
+		default:
+		}
+	}
+	outlook := partner.Outlook{Replicas: map[string]partner.ReplicaPressure{}}
+	for edge, other := range w.told {
+		if edge == pressure.Daemon || now.Sub(other.at) > 2*time.Second {
+			continue
+		}
+		for id, one := range other.pressure.Replicas {
+			sum := outlook.Replicas[id]
+			sum.Running += one.Running
+			sum.Tokens += one.Tokens
+			sum.Prefill += one.Prefill
+			outlook.Replicas[id] = sum
+		}
+	}
+	return outlook
+}
+
+const (
+	renewEvery = 300 * time.Millisecond
+	planEvery  = 100 * time.Millisecond
+	orderNeeds = 800 * time.Millisecond
+)
+
+func (w *Warden) Run(ctx context.Context) {
+	go w.keepTenure(ctx)
+	schedule := time.NewTicker(planEvery)
+	defer schedule.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-schedule.C:
+		case <-w.nudge:
+		case done := <-w.results:
+			done()
+			continue
+		}
+		w.measure()
+		if w.hold.Load().Allows(w.daemon.clock(), orderNeeds) {
+			w.step(ctx)
+		} else if len(w.charges) > 0 && !w.Holding() {
+			w.charges = map[string]*charge{}
+			w.showOverlays()
+		}
+	}
+}
+
+func (w *Warden) keepTenure(ctx context.Context) {
+	patience := time.Duration(rand.IntN(200)) * time.Millisecond
+	for index, seed := range w.daemon.settings.SeedPartners() {
+		if seed == w.daemon.self {
+			patience += time.Duration(index) * 250 * time.Millisecond
+		}
+	}
+	sleepFor(ctx, patience)
+	schedule := time.NewTicker(renewEvery)
+	defer schedule.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.daemon.leaving:
+			return
+		case <-schedule.C:
+		}
+		if hold := w.hold.Load(); hold != nil {
+			w.hold.Store(w.keeper.Renew(ctx, hold))
+			continue
+		}
+		if !w.mayTry() {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
+		hold, err := w.keeper.Seize(bounded)
+		cancel()
+		if err != nil {
+			sleepFor(ctx, time.Duration(rand.IntN(300))*time.Millisecond)
+			continue
+		}
+		w.hold.Store(hold)
+	}
+}
+
+func (w *Warden) mayTry() bool {
+	if !w.daemon.acceptor.Self().Voting || !w.daemon.board.Read().Fresh || !w.daemon.store.Members().Has(w.daemon.self) {
+		return false
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.daemon.clock().Sub(w.heardFrom) > w.keeper.Length+200*time.Millisecond
+}
+
+func (w *Warden) heardHolder() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.heardFrom = w.daemon.clock()
+}
+
+func sleepFor(ctx context.Context, pause time.Duration) {
+	schedule := time.NewTimer(pause)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+	case <-ctx.Done():
+	}
+}
+
+const rateSpan = 8.0
+
+func (w *Warden) measure() {
+	now := w.daemon.clock()
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	span := now.Sub(w.lastRate).Seconds()
+	if span < 0.25 {
+		w.gather(now)
+		return
+	}
+	w.lastRate = now
+	share := min(span/rateSpan, 1)
+	for name, amount := range w.counted {
+		if w.demand[name] == nil {
+			w.demand[name] = &place.Pressure{}
+		}
+		if amount > 0 {
+			w.demand[name].LastSeen = now
+		}
+	}
+	for name, demand := range w.demand {
+		demand.Rate += share * (w.counted[name]/span - demand.Rate)
+		if demand.Rate < 0.003 {
+			demand.Rate = 0
+		}
+	}
+	w.counted = map[string]float64{}
+	w.gather(now)
+}
+
+func (w *Warden) gather(now time.Time) {
+	for _, demand := range w.demand {
+		demand.Waiting, demand.OldestMs, demand.Running = 0, 0, 0
+	}
+	for edge, one := range w.told {
+		age := now.Sub(one.at)
+		if age > 10*time.Second {
+			delete(w.told, edge)
+		}
+		if age > 1500*time.Millisecond {
+			continue
+		}
+		for _, model := range one.pressure.Models {
+			name := place.Key(model.Backend, model.Model)
+			if w.demand[name] == nil {
+				w.demand[name] = &place.Pressure{}
+			}
+			demand := w.demand[name]
+			demand.Waiting += model.Waiting
+			demand.Running += float64(model.Running)
+			demand.Aim = max(demand.Aim, model.Aim)
+			if model.Waiting > 0 {
+				demand.OldestMs = max(demand.OldestMs, model.OldestMs)
+				demand.LastSeen = now
+			}
+		}
+	}
+}
+
+func (w *Warden) log(action place.Action, status int, err error) {
+	logrus.WithFields(logrus.Fields{
+		"replica": action.Server, "load": action.Load, "model": action.Model, "why": action.Why, "status": status,
+		"problem": err,
+	}).Info("placement order")
+}
--- /dev/null
+++ b/internal/dataplane/daemon.go
@@ -0,0 +1,177 @@
+package dataplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/client"
+	"ferryspar/internal/env"
+	"ferryspar/internal/match"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/problem"
+	"ferryspar/internal/replica"
+)
+
+type Daemon struct {
+	settings   env.Settings
+	path       string
+	fleet      atomic.Pointer[match.Fleet]
+	matcher    *match.Matcher
+	desk       *Desk
+	listener   *Listener
+	door       *client.Door
+	session    *partner.Session
+	forwarder  *replica.Forwarder
+	leaving    atomic.Bool
+	placeKnown bool
+}
+
+func New(settings env.Settings, path string) *Daemon {
+	daemon := &Daemon{settings: settings, path: path, session: partner.NewSession()}
+	bounds := settings.TimingBounds
+	parameters := match.DefaultParameters()
+	daemon.fleet.Store(&match.Fleet{})
+	daemon.matcher = match.NewMatcher(parameters, settings.Area, time.Now, &daemon.fleet)
+	daemon.desk = NewDesk(settings, time.Now, &daemon.fleet, daemon.matcher.Changed)
+	daemon.listener = NewListener(settings, daemon.session, time.Now, daemon.desk)
+	daemon.forwarder = replica.NewForwarder(time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
+	budget := client.NewBudget(env.Seconds(bounds.BudgetPeriodS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
+	daemon.door = client.NewDoor(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
+	return daemon
+}
+
+func (d *Daemon) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
+	var cleanup []func()
+	defer func() {
+		for position := len(cleanup) - 1; position >= 0; position-- {
+			cleanup[position]()
+		}
+	}()
+	cleanup = append(cleanup, cancel)
+	go d.matcher.Run(ctx)
+	d.listener.Follow(ctx, d.settings.SeedPartners())
+	go d.desk.Run(ctx, d.listener)
+	go d.tellPressure(ctx)
+	go d.watchSettings(ctx)
+
+	door, err := net.Listen("tcp", d.settings.BindAddresses.DataPlane)
+	if err != nil {
+		return errors.Wrap(err, "data plane address")
+	}
+	cleanup = append(cleanup, func() { door.Close() })
+	readiness, err := net.Listen("tcp", d.settings.BindAddresses.Readiness)
+	if err != nil {
+		return errors.Wrap(err, "readiness address")
+	}
+	cleanup = append(cleanup, func() { readiness.Close() })
+	server := &http.Server{Handler: d.door, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, ErrorLog: quietLog()}
+	failures := make(chan error, 2)
+	go func() { failures <- server.Serve(door) }()
+	go func() { failures <- http.Serve(readiness, d.readinessRoutes()) }()
+	logrus.WithFields(logrus.Fields{"data_plane": door.Addr().String(), "zone": d.settings.Area}).Info("data plane listens")
+
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-parent.Done():
+		return nil
+	case err := <-failures:
+		return err
+	case <-stop:
+		d.leave(server)
+		return nil
+	}
+}
+
+func (d *Daemon) readinessRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
+		if d.leaving.Load() {
+			problem.Write(writer, problem.New(problem.Leaving, ""))
+			return
+		}
+		if !d.desk.Ready() {
+			problem.Write(writer, problem.New(problem.NoLayout, ""))
+			return
+		}
+		writer.WriteHeader(http.StatusOK)
+	})
+	return router
+}
+
+const noticeTime = 2300 * time.Millisecond
+
+func (d *Daemon) leave(server *http.Server) {
+	logrus.Info("leaving: not ready from now on")
+	d.leaving.Store(true)
+	d.door.Leave()
+	began := time.Now()
+	grace := env.Seconds(d.settings.TimingBounds.GraceS) - 300*time.Millisecond
+	time.Sleep(min(noticeTime, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		logrus.WithField("inside", d.door.Inside()).Warn("grace is over with requests inside")
+		server.Close()
+	}
+	logrus.WithField("took_ms", time.Since(began).Milliseconds()).Info("left")
+}
+
+func (d *Daemon) tellPressure(ctx context.Context) {
+	schedule := time.NewTicker(300 * time.Millisecond)
+	defer schedule.Stop()
+	quiet := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-schedule.C:
+		case <-d.matcher.Nudge:
+		}
+		holder := d.desk.Holder()
+		if holder == "" {
+			continue
+		}
+		told := d.matcher.Pressure(ctx)
+		told.Daemon = d.settings.NodeName
+		empty := len(told.Models) == 0 && len(told.Replicas) == 0
+		if empty && quiet {
+			continue
+		}
+		quiet = empty
+		var outlook partner.Outlook
+		if d.session.Ask(ctx, "pressure", holder, told, &outlook) == nil {
+			d.desk.outlook <- outlook
+		}
+	}
+}
+
+func (d *Daemon) watchSettings(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	schedule := time.NewTicker(2 * time.Second)
+	defer schedule.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-schedule.C:
+		}
+		if fresh, err := env.Load(d.path); err == nil && fresh.Check("edge") == nil {
+			d.listener.Follow(ctx, fresh.SeedPartners())
+		}
+	}
+}
--- /dev/null
+++ b/internal/dataplane/desk.go
@@ -0,0 +1,221 @@
+package dataplane
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/layout"
+	"ferryspar/internal/match"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+)
+
+type source struct {
+	fresh     bool
+	heardAt   time.Time
+	revision  int64
+	edges     int
+	holder    string
+	roster    uint64
+	life      string
+	replicas  []platform.Replica
+	barred    []string
+	fetchedAt time.Time
+	sameArea  bool
+}
+
+type Desk struct {
+	settings env.Settings
+	clock    func() time.Time
+	fleet    *atomic.Pointer[match.Fleet]
+	wants    wants
+	sources  map[string]*source
+	areas    map[string]partner.AreaState
+	table    *layout.Table
+	outlook  chan partner.Outlook
+	others   partner.Outlook
+	othersAt time.Time
+	holder   atomic.Pointer[string]
+	notify   func()
+	shown    time.Time
+	usedFrom string
+	usedAs   uint64
+	usedLife string
+}
+
+func NewDesk(settings env.Settings, clock func() time.Time, fleet *atomic.Pointer[match.Fleet], notify func()) *Desk {
+	desk := &Desk{
+		settings: settings, clock: clock, fleet: fleet, sources: map[string]*source{}, areas: map[string]partner.AreaState{},
+		outlook: make(chan partner.Outlook, 4), notify: notify,
+	}
+	fleet.Store(&match.Fleet{})
+	nobody := ""
+	desk.holder.Store(&nobody)
+	desk.wants.primary.Store(&nobody)
+	return desk
+}
+
+func (d *Desk) fill(poll *partner.Poll, address string) {
+	poll.Revision = d.wants.revision.Load()
+	poll.AreaNumber = d.wants.areas.Load()
+	primary := *d.wants.primary.Load()
+	poll.Wants = primary == "" || primary == address
+}
+
+func (d *Desk) Ready() bool { return d.fleet.Load().Table != nil }
+
+func (d *Desk) Holder() string { return *d.holder.Load() }
+
+func (d *Desk) Run(ctx context.Context, listener *Listener) {
+	schedule := time.NewTicker(100 * time.Millisecond)
+	defer schedule.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case one := <-listener.news:
+			if d.hear(one) {
+				d.publish()
+			}
+			if !one.failed {
+				listener.Follow(ctx, one.news.Control)
+			}
+		case outlook := <-d.outlook:
+			d.others, d.othersAt = outlook, d.clock()
+			d.publish()
+		case <-schedule.C:
+			d.choose()
+		}
+	}
+}
+
+func (d *Desk) hear(one heard) bool {
+	held := d.sources[one.address]
+	if held == nil {
+		held = &source{}
+		d.sources[one.address] = held
+	}
+	if one.failed {
+		held.fresh = false
+		d.choose()
+		return false
+	}
+	news := one.news
+	held.fresh, held.heardAt, held.revision, held.edges = news.Fresh, one.at, news.Revision, news.Edges
+	if news.Holder != "" && news.Fresh {
+		d.holder.Store(&news.Holder)
+	}
+	changed := false
+	if news.Fresh {
+		changed = d.adopt(news)
+	}
+	if held.life != news.Life {
+		held.life, held.replicas = news.Life, nil
+	}
+	if len(news.Replicas) > 0 {
+		held.replicas, held.barred, held.roster = news.Replicas, news.Barred, news.Roster
+	}
+	if held.replicas != nil && held.roster == news.Roster {
+		held.fetchedAt = one.at.Add(-time.Duration(news.RosterAge) * time.Millisecond)
+	}
+	d.choose()
+	return d.pickRoster(one.address, held) || changed
+}
+
+func (d *Desk) pickRoster(address string, held *source) bool {
+	if held.replicas == nil || held.fetchedAt.Before(d.shown) {
+		return false
+	}
+	d.shown = held.fetchedAt
+	if d.usedFrom == address && d.usedAs == held.roster && d.usedLife == held.life {
+		return false
+	}
+	d.usedFrom, d.usedAs, d.usedLife = address, held.roster, held.life
+	return true
+}
+
+func (d *Desk) adopt(news partner.News) bool {
+	changed := false
+	if len(news.Document) > 0 && news.Revision > d.wants.revision.Load() {
+		read, err := layout.Decode(news.Document)
+		if err != nil {
+			logrus.WithError(err).Error("layout from control daemon cannot be read")
+			return false
+		}
+		d.table = layout.Build(read, nil)
+		d.wants.revision.Store(read.Revision)
+		logrus.WithField("revision", read.Revision).Info("layout adopted")
+		changed = true
+	}
+	total := uint64(0)
+	for area, state := range news.Areas {
+		if state.Number > d.areas[area].Number {
+			d.areas[area] = state
+			changed = true
+			logrus.WithFields(logrus.Fields{"zone": area, "drained": state.Drained}).Info("zone evacuation followed")
+		}
+	}
+	for _, state := range d.areas {
+		total += state.Number
+	}
+	d.wants.areas.Store(total)
+	return changed
+}
+
+const distrustAfter = 1700 * time.Millisecond
+
+func (d *Desk) choose() {
+	now := d.clock()
+	current := *d.wants.primary.Load()
+	newest := d.wants.revision.Load()
+	usable := func(held *source) bool { return held != nil && held.fresh && now.Sub(held.heardAt) < distrustAfter }
+	best, bestRank := "", -1
+	for address, held := range d.sources {
+		if !usable(held) {
+			continue
+		}
+		rank := 0
+		if held.revision > newest {
+			rank += 4
+		}
+		if d.near(address) {
+			rank += 2
+		}
+		if address == current {
+			rank++
+		}
+		if rank > bestRank {
+			best, bestRank = address, rank
+		}
+	}
+	if best != current {
+		d.wants.primary.Store(&best)
+	}
+}
+
+func (d *Desk) near(address string) bool { return sameNetwork(address, d.settings.IPAddress) }
+
+func (d *Desk) publish() {
+	fleet := &match.Fleet{Table: d.table, Drained: map[string]bool{}, Edges: 1, Fetched: d.shown, Others: d.others.Replicas, OthersAt: d.othersAt}
+	for area, state := range d.areas {
+		fleet.Drained[area] = state.Drained
+	}
+	for _, held := range d.sources {
+		fleet.Edges = max(fleet.Edges, held.edges)
+	}
+	if held := d.sources[d.usedFrom]; held != nil {
+		barred := map[string]bool{}
+		for _, one := range held.barred {
+			barred[one] = true
+		}
+		for index, listed := range held.replicas {
+			fleet.Replicas = append(fleet.Replicas, match.NewReplica(index, listed, held.fetchedAt, barred))
+		}
+	}
+	d.fleet.Store(fleet)
+	d.notify()
+}
--- /dev/null
+++ b/internal/dataplane/listener.go
@@ -0,0 +1,108 @@
+package dataplane
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/partner"
+)
+
+type heard struct {
+	address string
+	news    partner.News
+	at      time.Time
+	failed  bool
+}
+
+type Listener struct {
+	settings env.Settings
+	session  *partner.Session
+	news     chan heard
+	clock    func() time.Time
+	desk     *Desk
+	lock     sync.Mutex
+	known    map[string]context.CancelFunc
+}
+
+func NewListener(settings env.Settings, session *partner.Session, clock func() time.Time, desk *Desk) *Listener {
+	return &Listener{settings: settings, session: session, news: make(chan heard, 32), clock: clock, desk: desk, known: map[string]context.CancelFunc{}}
+}
+
+func (l *Listener) Follow(ctx context.Context, addresses []string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	for _, address := range addresses {
+		if address == "" || l.known[address] != nil {
+			continue
+		}
+		own, cancel := context.WithCancel(ctx)
+		l.known[address] = cancel
+		logrus.WithField("control", address).Info("following control daemon")
+		go l.follow(own, address)
+	}
+}
+
+func (l *Listener) Drop(address string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if cancel := l.known[address]; cancel != nil {
+		cancel()
+		delete(l.known, address)
+	}
+}
+
+const (
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+)
+
+func (l *Listener) follow(ctx context.Context, address string) {
+	poll := partner.Poll{Daemon: l.settings.NodeName, Area: l.settings.Area}
+	pause := firstPause
+	for ctx.Err() == nil {
+		l.desk.fill(&poll, address)
+		poll.HoldMs = int64(l.settings.HeartbeatMs)
+		var news partner.News
+		err := l.session.Ask(ctx, "news", address, poll, &news)
+		now := l.clock()
+		select {
+		case l.news <- heard{address: address, news: news, at: now, failed: err != nil}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			sleep(ctx, pause)
+			pause = min(pause*2, lastPause)
+			poll.HoldMs = 1
+			continue
+		}
+		pause = firstPause
+		poll.Life, poll.Version = news.Life, news.Version
+		if len(news.Replicas) > 0 {
+			poll.Roster = news.Roster
+		}
+		if !news.Fresh {
+			sleep(ctx, firstPause)
+		}
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	schedule := time.NewTimer(pause)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+	case <-ctx.Done():
+	}
+}
+
+type wants struct {
+	revision atomic.Int64
+	areas    atomic.Uint64
+	primary  atomic.Pointer[string]
+}
--- /dev/null
+++ b/internal/env/settings.go
@@ -0,0 +1,198 @@
+package env
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/knadh/koanf/parsers/toml/v2"
+	"github.com/knadh/koanf/providers/rawbytes"
+	"github.com/knadh/koanf/v2"
+	"github.com/pkg/errors"
+)
+
+const PathVariable = "FERRYSPAR_SETTINGS"
+
+type Settings struct {
+	NodeName       string            `koanf:"nodeName"`
+	Role           string            `koanf:"role"`
+	MachineClass   string            `koanf:"machineClass"`
+	Serves         []string          `koanf:"serves"`
+	IPAddress      string            `koanf:"ipAddress"`
+	Area           string            `koanf:"zone"`
+	Region         string            `koanf:"region"`
+	InternalPorts  []int             `koanf:"internalPorts"`
+	SeedNodes      []string          `koanf:"seedNodes"`
+	Bootstrap      bool              `koanf:"bootstrap"`
+	QuorumMember   bool              `koanf:"quorumMember"`
+	DataDir        string            `koanf:"dataDir"`
+	HeartbeatMs    float64           `koanf:"heartbeatMs"`
+	Areas          map[string]string `koanf:"zones"`
+	BindAddresses  BindAddresses     `koanf:"bindAddresses"`
+	Limits         Limits            `koanf:"limits"`
+	FaultTolerance FaultTolerance    `koanf:"faultTolerance"`
+	TimingBounds   TimingBounds      `koanf:"timingBounds"`
+	CloudAPI       CloudAPI          `koanf:"cloudApi"`
+}
+
+type BindAddresses struct {
+	DataPlane    string `koanf:"dataPlane"`
+	Readiness    string `koanf:"readiness"`
+	ControlPlane string `koanf:"controlPlane"`
+}
+
+type Limits struct {
+	CPUShare float64 `koanf:"cpuShare"`
+	CPUCores int     `koanf:"cpuCores"`
+	MemoryMb float64 `koanf:"memoryMb"`
+	MaxFds   int     `koanf:"maxFds"`
+	LinkMbps float64 `koanf:"linkMbps"`
+	DiskMb   float64 `koanf:"diskMb"`
+}
+
+type FaultTolerance struct {
+	MachineLoss int `koanf:"machineLoss"`
+	Areas       int `koanf:"zones"`
+	RegionLoss  int `koanf:"regionLoss"`
+}
+
+type TimingBounds struct {
+	SeedLagS         float64 `koanf:"seedLagS"`
+	AddrReuseS       float64 `koanf:"addrReuseS"`
+	ContactMs        float64 `koanf:"contactMs"`
+	AckTimeoutMs     float64 `koanf:"ackTimeoutMs"`
+	SyncTimeS        float64 `koanf:"syncTimeS"`
+	DrainMs          float64 `koanf:"drainMs"`
+	GraceS           float64 `koanf:"graceS"`
+	LossSlackMs      float64 `koanf:"lossSlackMs"`
+	ConfigApplyMs    float64 `koanf:"configApplyMs"`
+	RollbackSlackMs  float64 `koanf:"rollbackSlackMs"`
+	MaxStretchMs     float64 `koanf:"maxStretchMs"`
+	RetryBudgetRatio float64 `koanf:"retryBudgetRatio"`
+	BudgetPeriodS    float64 `koanf:"budgetPeriodS"`
+	RetryBudgetSlack float64 `koanf:"retryBudgetSlack"`
+	ColdOverage      float64 `koanf:"coldOverage"`
+	ColdSlack        float64 `koanf:"coldSlack"`
+	EvacuateMs       float64 `koanf:"evacuateMs"`
+	RecoveryS        float64 `koanf:"recoveryS"`
+	StepTimeMs       float64 `koanf:"stepTimeMs"`
+	Fencing          bool    `koanf:"fencing"`
+	LeaseMs          float64 `koanf:"leaseMs"`
+	ThawSlackMs      float64 `koanf:"thawSlackMs"`
+	OriginPeriodS    float64 `koanf:"originPeriodS"`
+	OriginOverage    float64 `koanf:"originOverage"`
+}
+
+type CloudAPI struct {
+	Address  string   `koanf:"address"`
+	RatePerS float64  `koanf:"ratePerS"`
+	Duties   []string `koanf:"duties"`
+	MaxLagMs float64  `koanf:"maxLagMs"`
+}
+
+func Milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
+
+func Seconds(value float64) time.Duration { return Milliseconds(value * 1000) }
+
+func Load(path string) (Settings, error) {
+	if path == "" {
+		path = os.Getenv(PathVariable)
+	}
+	if path == "" {
+		return Settings{}, errors.Errorf("no settings file: name one with --settings or in %s", PathVariable)
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings file")
+	}
+	return Parse(content)
+}
+
+func Parse(content []byte) (Settings, error) {
+	tree := koanf.New("\x00")
+	if err := tree.Load(rawbytes.Provider(content), toml.Parser()); err != nil {
+		return Settings{}, errors.Wrap(err, "settings cannot be read")
+	}
+	settings := defaults()
+	if err := tree.Unmarshal("", &settings); err != nil {
+		return Settings{}, errors.Wrap(err, "settings cannot be read")
+	}
+	return settings, nil
+}
+
+func defaults() Settings {
+	return Settings{
+		HeartbeatMs: 1000,
+		TimingBounds: TimingBounds{
+			ContactMs: 3000, AckTimeoutMs: 4000, DrainMs: 3000, GraceS: 8, ConfigApplyMs: 2000,
+			BudgetPeriodS: 10, ColdOverage: 1, EvacuateMs: 5000, LeaseMs: 3000, OriginPeriodS: 5, OriginOverage: 1,
+		},
+		CloudAPI: CloudAPI{RatePerS: 10, MaxLagMs: 1000},
+	}
+}
+
+type check struct {
+	wrong   bool
+	message string
+}
+
+func (s Settings) Check(serves string) error {
+	checks := []check{
+		{s.NodeName == "", "nodeName is missing"},
+		{net.ParseIP(s.IPAddress) == nil, fmt.Sprintf("ipAddress %q is no IP address", s.IPAddress)},
+		{len(s.InternalPorts) != 2, "internalPorts must name a first and a last port"},
+		{len(s.SeedNodes) == 0, "seedNodes names no daemon"},
+		{s.Area == "", "zone is missing"},
+		{s.CloudAPI.Address == "", "cloudApi.address is missing"},
+		{s.TimingBounds.LeaseMs <= 0, "timingBounds.leaseMs must be above 0"},
+		{s.TimingBounds.ContactMs <= 0, "timingBounds.contactMs must be above 0"},
+		{s.HeartbeatMs <= 0, "heartbeatMs must be above 0"},
+		{serves == "edge" && s.BindAddresses.DataPlane == "", "bindAddresses.dataPlane is missing"},
+		{serves == "edge" && s.BindAddresses.Readiness == "", "bindAddresses.readiness is missing"},
+		{serves == "control" && s.BindAddresses.ControlPlane == "", "bindAddresses.controlPlane is missing"},
+		{serves == "control" && s.DataDir == "", "dataDir is missing"},
+	}
+	if len(s.InternalPorts) == 2 && (s.InternalPorts[0] <= 0 || s.InternalPorts[1] < s.InternalPorts[0] || s.InternalPorts[1] > 65535) {
+		checks = append(checks, check{true, "internalPorts must rise and lie between 1 and 65535"})
+	}
+	for _, seed := range s.SeedNodes {
+		_, _, err := net.SplitHostPort(seed)
+		checks = append(checks, check{err != nil, fmt.Sprintf("seedNodes: %q is no address", seed)})
+	}
+	var wrong []string
+	for _, one := range checks {
+		if one.wrong {
+			wrong = append(wrong, one.message)
+		}
+	}
+	if len(wrong) > 0 {
+		return errors.New("settings: " + strings.Join(wrong, "; "))
+	}
+	return nil
+}
+
+func (s Settings) PartnerAddress() string {
+	return net.JoinHostPort(s.IPAddress, fmt.Sprint(s.InternalPorts[0]))
+}
+
+func (s Settings) PartnerOf(controlAddress string) string {
+	host, _, err := net.SplitHostPort(controlAddress)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, fmt.Sprint(s.InternalPorts[0]))
+}
+
+func (s Settings) SeedPartners() []string {
+	var partners []string
+	for _, seed := range s.SeedNodes {
+		if partner := s.PartnerOf(seed); partner != "" {
+			partners = append(partners, partner)
+		}
+	}
+	return partners
+}
--- /dev/null
+++ b/internal/keystore/read.go
@@ -0,0 +1,107 @@
+package keystore
+
+import (
+	"context"
+	"encoding/json"
+)
+
+func (s *Store) Read(ctx context.Context, name string) (Slot, error) {
+	key := s.key(name)
+	if err := key.enter(ctx); err != nil {
+		return Slot{}, err
+	}
+	defer key.leave()
+	if key.held && s.confirm(ctx, key, name) == nil {
+		return key.slot, nil
+	}
+	if found, ok := s.agreed(ctx)[name]; ok {
+		if whole, err := s.Fetch(ctx, found); err == nil {
+			return whole, nil
+		}
+	}
+	if err := s.takeWithin(ctx, key, name); err != nil {
+		return Slot{}, err
+	}
+	return key.slot, nil
+}
+
+func (s *Store) agreed(ctx context.Context) map[string]Slot {
+	committed, _ := s.Digest(ctx)
+	return committed
+}
+
+func (s *Store) Digest(ctx context.Context) (map[string]Slot, error) {
+	replies, members := s.ask(ctx, Message{Operation: OperationDigest}, granted(s.Members()))
+	if !granted(members)(replies) {
+		return nil, ErrNoMajority
+	}
+	newest := map[string]Slot{}
+	for _, reply := range replies {
+		for _, slot := range reply.Slots {
+			if slot.Newer(newest[slot.Key]) {
+				newest[slot.Key] = slot
+			}
+		}
+	}
+	committed := map[string]Slot{}
+	for name, slot := range newest {
+		agreed := map[string]bool{}
+		for address, reply := range replies {
+			for _, other := range reply.Slots {
+				agreed[address] = agreed[address] || reply.Granted && other.Key == name && other.Same(slot)
+			}
+		}
+		if members.Quorum(agreed) {
+			committed[name] = slot
+		}
+	}
+	return committed, nil
+}
+
+func (s *Store) Fetch(ctx context.Context, wanted Slot) (Slot, error) {
+	message := Message{Operation: OperationFetch, Key: wanted.Key}
+	found := func(replies map[string]Reply) bool {
+		for _, reply := range replies {
+			if reply.Granted && reply.Slot.Same(wanted) {
+				return true
+			}
+		}
+		return false
+	}
+	replies, _ := s.ask(ctx, message, found)
+	for _, reply := range replies {
+		if reply.Granted && reply.Slot.Same(wanted) {
+			return reply.Slot, nil
+		}
+	}
+	return Slot{}, ErrNoMajority
+}
+
+
+func (s *Store) Seize(ctx context.Context, name string, decide func(current Slot) json.RawMessage) (Slot, error) {
+	key := s.key(name)
+	if err := key.enter(ctx); err != nil {
+		return Slot{}, err
+	}
+	defer key.leave()
+	if err := s.take(ctx, key, name); err != nil {
+		return Slot{}, err
+	}
+	next := key.slot
+	next.Sequence++
+	next.Value = decide(key.slot)
+	if err := s.commit(ctx, key, next); err != nil {
+		return Slot{}, err
+	}
+	key.slot = next
+	return next, nil
+}
+
+func (s *Store) Renew(ctx context.Context, name string) error {
+	key := s.key(name)
+	if err := key.enter(ctx); err != nil {
+		return err
+	}
+	defer key.leave()
+	return s.confirm(ctx, key, name)
+}
--- /dev/null
+++ b/internal/launch/launch.go
@@ -0,0 +1,97 @@
+package launch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/env"
+)
+
+const Version = "0.1.0"
+
+const (
+	ExitGood     = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+type Program struct {
+	Name   string
+	Short  string
+	Serves string
+	Run    func(ctx context.Context, settings env.Settings, path string) error
+}
+
+type options struct {
+	Settings string `short:"s" long:"settings" description:"path of the settings file (default: FERRYSPAR_SETTINGS)"`
+	Check    bool   `long:"check" description:"check the settings and end"`
+	Level    string `long:"log-level" default:"info" description:"debug, info, warning or error"`
+	Version  bool   `long:"version" description:"print the version and end"`
+}
+
+func Main(program Program) int {
+	var chosen options
+	parser := flags.NewNamedParser(program.Name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = program.Short
+	parser.LongDescription = program.Name + " " + program.Short + "."
+	if _, err := parser.AddGroup("Options", "", &chosen); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	rest, err := parser.Parse()
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return ExitGood
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %s\n", program.Name, err)
+		return ExitUsage
+	}
+	if chosen.Version {
+		fmt.Println(program.Name, Version)
+		return ExitGood
+	}
+	level, err := logrus.ParseLevel(chosen.Level)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: --log-level: %s\n", program.Name, err)
+		return ExitUsage
+	}
+	logrus.SetFormatter(&logrus.JSONFormatter{})
+	logrus.SetOutput(os.Stdout)
+	logrus.SetLevel(level)
+	settings, err := env.Load(chosen.Settings)
+	if err == nil {
+		err = settings.Check(program.Serves)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %s\n", program.Name, err)
+		return ExitSettings
+	}
+	if chosen.Check {
+		fmt.Println("settings are sound")
+		return ExitGood
+	}
+	obey(settings.Limits)
+	if err := program.Run(context.Background(), settings, chosen.Settings); err != nil {
+		logrus.WithError(err).Error("stopped")
+		return ExitFailed
+	}
+	return ExitGood
+}
+
+func obey(limits env.Limits) {
+	runtime.GOMAXPROCS(max(limits.CPUCores, 1))
+	if limits.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(limits.MemoryMb * 0.8 * (1 << 20)))
+	}
+}
--- /dev/null
+++ b/internal/layout/check.go
@@ -0,0 +1,90 @@
+package layout
+
+import (
+	"strings"
+
+	"ferryspar/internal/problem"
+)
+
+func invalid(format string, arguments ...any) error {
+	return problem.New(problem.InvalidLayout, format, arguments...)
+}
+
+func (l Layout) Check() error {
+	if l.Revision <= 0 {
+		return invalid("revision must be above 0")
+	}
+	services := make(map[string]bool, len(l.Backends))
+	for position, backend := range l.Backends {
+		if err := backend.check(position, services); err != nil {
+			return err
+		}
+		services[backend.Name] = true
+	}
+	names := make(map[string]bool, len(l.Routes))
+	places := make(map[string]string, len(l.Routes))
+	for position, route := range l.Routes {
+		if err := route.check(position, services, names); err != nil {
+			return err
+		}
+		place := strings.ToLower(route.Hostname) + " " + route.PathPrefix
+		if other, taken := places[place]; taken {
+			return invalid("routeTable %q: hostname and pathPrefix are those of %q", route.Name, other)
+		}
+		names[route.Name] = true
+		places[place] = route.Name
+	}
+	return nil
+}
+
+func (b Backend) check(position int, services map[string]bool) error {
+	if b.Name == "" {
+		return invalid("backends[%d]: name is missing", position)
+	}
+	if services[b.Name] {
+		return invalid("backends %q: name stands twice", b.Name)
+	}
+	if b.Runtime == nil {
+		return nil
+	}
+	models := map[string]bool{}
+	for _, model := range b.Runtime.Models {
+		if model.Name == "" || models[model.Name] {
+			return invalid("backends %q: runtime.modelList names %q twice or not at all", b.Name, model.Name)
+		}
+		models[model.Name] = true
+	}
+	return nil
+}
+
+func (r Route) check(position int, services, names map[string]bool) error {
+	if r.Name == "" {
+		return invalid("routeTable[%d]: name is missing", position)
+	}
+	if names[r.Name] {
+		return invalid("routeTable %q: name stands twice", r.Name)
+	}
+	if r.Hostname == "" {
+		return invalid("routeTable %q: hostname is missing", r.Name)
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		return invalid("routeTable %q: pathPrefix must start and end with a slash", r.Name)
+	}
+	if r.TimeoutMs <= 0 {
+		return invalid("routeTable %q: timeoutMs must be above 0", r.Name)
+	}
+	total := 0.0
+	for _, split := range r.Splits() {
+		if !services[split.Backend] {
+			return invalid("routeTable %q: unknown backend %q", r.Name, split.Backend)
+		}
+		if split.Weight < 0 {
+			return invalid("routeTable %q: trafficSplit has a weight below 0", r.Name)
+		}
+		total += split.Weight
+	}
+	if total <= 0 {
+		return invalid("routeTable %q: trafficSplit weights sum to 0", r.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/layout/layout.go
@@ -0,0 +1,116 @@
+package layout
+
+import (
+	"encoding/json"
+
+	jsonparser "github.com/knadh/koanf/parsers/json"
+	"github.com/knadh/koanf/providers/rawbytes"
+	"github.com/knadh/koanf/v2"
+
+	"ferryspar/internal/problem"
+)
+
+const (
+	Idempotent    = "idempotent"
+	NonIdempotent = "non_idempotent"
+	Streaming     = "streaming"
+)
+
+type Layout struct {
+	Revision int64     `json:"revision" koanf:"revision"`
+	Routes   []Route   `json:"routeTable" koanf:"routeTable"`
+	Backends []Backend `json:"backends" koanf:"backends"`
+	Limits   Limits    `json:"limits" koanf:"limits"`
+}
+
+type Route struct {
+	Name            string   `json:"name" koanf:"name"`
+	Hostname        string   `json:"hostname" koanf:"hostname"`
+	PathPrefix      string   `json:"pathPrefix" koanf:"pathPrefix"`
+	RouteType       string   `json:"routeType" koanf:"routeType"`
+	TimeoutMs       float64  `json:"timeoutMs" koanf:"timeoutMs"`
+	TargetLatencyMs float64  `json:"targetLatencyMs" koanf:"targetLatencyMs"`
+	Priority        int      `json:"priority" koanf:"priority"`
+	Backend         string   `json:"backend" koanf:"backend"`
+	TrafficSplit    []Split  `json:"trafficSplit" koanf:"trafficSplit"`
+	RetryCount      int      `json:"retryCount" koanf:"retryCount"`
+	Sticky          bool     `json:"sticky" koanf:"sticky"`
+	Resumable       bool     `json:"resumable" koanf:"resumable"`
+	TokenGapMs      float64  `json:"tokenGapMs" koanf:"tokenGapMs"`
+	AllowedRegions  []string `json:"allowedRegions" koanf:"allowedRegions"`
+}
+
+type Split struct {
+	Backend string  `json:"backend" koanf:"backend"`
+	Weight  float64 `json:"weight" koanf:"weight"`
+}
+
+type Backend struct {
+	Name       string   `json:"name" koanf:"name"`
+	HealthPath string   `json:"healthPath" koanf:"healthPath"`
+	MaxConns   int      `json:"maxConns" koanf:"maxConns"`
+	ColdStartS float64  `json:"coldStartS" koanf:"coldStartS"`
+	ColdPerS   float64  `json:"coldPerS" koanf:"coldPerS"`
+	Runtime    *Runtime `json:"runtime" koanf:"runtime"`
+}
+
+type Runtime struct {
+	Slots           int     `json:"slots" koanf:"slots"`
+	KvCacheTokens   float64 `json:"kvCacheTokens" koanf:"kvCacheTokens"`
+	KvTokenBytes    float64 `json:"kvTokenBytes" koanf:"kvTokenBytes"`
+	StepSize        float64 `json:"stepSize" koanf:"stepSize"`
+	Models          []Model `json:"modelList" koanf:"modelList"`
+	WeightSizeMb    float64 `json:"weightSizeMb" koanf:"weightSizeMb"`
+	AdapterCapacity int     `json:"adapterCapacity" koanf:"adapterCapacity"`
+	LoadsPerS       float64 `json:"loadsPerS" koanf:"loadsPerS"`
+}
+
+type Model struct {
+	Name          string  `json:"name" koanf:"name"`
+	WeightSizeMb  float64 `json:"weightSizeMb" koanf:"weightSizeMb"`
+	LoadTimeS     float64 `json:"loadTimeS" koanf:"loadTimeS"`
+	Adapters      int     `json:"adapterList" koanf:"adapterList"`
+	AdapterSizeMb float64 `json:"adapterSizeMb" koanf:"adapterSizeMb"`
+}
+
+type Limits struct {
+	MaxHeaderBytes  int     `json:"maxHeaderBytes" koanf:"maxHeaderBytes"`
+	MaxBodyBytes    int64   `json:"maxBodyBytes" koanf:"maxBodyBytes"`
+	HeaderTimeoutMs float64 `json:"headerTimeoutMs" koanf:"headerTimeoutMs"`
+	IdleTimeoutMs   float64 `json:"idleTimeoutMs" koanf:"idleTimeoutMs"`
+}
+
+func (r Route) Repeatable() bool {
+	return r.RouteType == Idempotent || r.RouteType == Streaming && r.Resumable
+}
+
+func (r Route) Splits() []Split {
+	if len(r.TrafficSplit) > 0 {
+		return r.TrafficSplit
+	}
+	return []Split{{Backend: r.Backend, Weight: 1}}
+}
+
+func Read(document []byte) (Layout, error) {
+	var read Layout
+	if !json.Valid(document) {
+		return read, problem.New(problem.InvalidLayout, "not whole JSON")
+	}
+	tree := koanf.New("\x00")
+	if err := tree.Load(rawbytes.Provider(document), jsonparser.Parser()); err != nil {
+		return read, problem.New(problem.InvalidLayout, "not a JSON object")
+	}
+	if !tree.Exists("revision") {
+		return read, problem.New(problem.InvalidLayout, "revision is missing")
+	}
+	if err := tree.Unmarshal("", &read); err != nil {
+		return read, problem.New(problem.InvalidLayout, "%s", err.Error())
+	}
+	return read, read.Check()
+}
+
+func Decode(document []byte) (Layout, error) {
+	var read Layout
+	err := json.Unmarshal(document, &read)
+	return read, err
+}
--- /dev/null
+++ b/internal/layout/table.go
@@ -0,0 +1,108 @@
+package layout
+
+import (
+	"net"
+	"strconv"
+	"strings"
+)
+
+type Table struct {
+	Layout   Layout
+	Document []byte
+	hosts    map[string]map[string]int
+	backends map[string]int
+	models   []map[string]int
+}
+
+func Build(source Layout, document []byte) *Table {
+	table := &Table{Layout: source, Document: document, hosts: map[string]map[string]int{}, backends: map[string]int{}}
+	for index, route := range source.Routes {
+		host := strings.ToLower(route.Hostname)
+		if table.hosts[host] == nil {
+			table.hosts[host] = map[string]int{}
+		}
+		table.hosts[host][route.PathPrefix] = index
+	}
+	table.models = make([]map[string]int, len(source.Backends))
+	for index, backend := range source.Backends {
+		table.backends[backend.Name] = index
+		table.models[index] = map[string]int{}
+		if backend.Runtime == nil {
+			continue
+		}
+		for position, model := range backend.Runtime.Models {
+			table.models[index][model.Name] = position
+		}
+	}
+	return table
+}
+
+func (t *Table) Find(hostHeader, path string) (*Route, bool) {
+	host := strings.ToLower(hostHeader)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	prefixes := t.hosts[host]
+	if prefixes == nil {
+		return nil, false
+	}
+	for end := len(path); end > 0; end-- {
+		if path[end-1] != '/' {
+			continue
+		}
+		if index, found := prefixes[path[:end]]; found {
+			return &t.Layout.Routes[index], true
+		}
+	}
+	return nil, false
+}
+
+func (t *Table) Backend(name string) (*Backend, int, bool) {
+	index, found := t.backends[name]
+	if !found {
+		return nil, -1, false
+	}
+	return &t.Layout.Backends[index], index, true
+}
+
+func (t *Table) KnowsModel(backend int, reference string) bool {
+	model, adapter, _ := strings.Cut(reference, "/")
+	position, found := t.models[backend][model]
+	if !found {
+		return false
+	}
+	if adapter == "" {
+		return true
+	}
+	number, err := strconv.Atoi(strings.TrimPrefix(adapter, "a"))
+	return err == nil && number >= 1 && number <= t.Layout.Backends[backend].Runtime.Models[position].Adapters
+}
+
+func (t *Table) Model(backend int, name string) (*Model, bool) {
+	position, found := t.models[backend][name]
+	if !found {
+		return nil, false
+	}
+	return &t.Layout.Backends[backend].Runtime.Models[position], true
+}
+
+func (r *Route) Pick(draw float64) string {
+	splits := r.Splits()
+	total := 0.0
+	for _, split := range splits {
+		total += split.Weight
+	}
+	left := draw * total
+	for _, split := range splits {
+		if left < split.Weight {
+			return split.Backend
+		}
+		left -= split.Weight
+	}
+	for position := len(splits) - 1; position >= 0; position-- {
+		if splits[position].Weight > 0 {
+			return splits[position].Backend
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/match/assign.go
@@ -0,0 +1,136 @@
+package match
+
+import (
+	"sort"
+	"time"
+
+	"ferryspar/internal/problem"
+)
+
+func (m *Matcher) assign(orders []*Order, now time.Time) {
+	replicas := m.fleet.Replicas
+	capacity := make([]int, len(replicas))
+	room := make([]float64, len(replicas))
+	for index, replica := range replicas {
+		capacity[index], room[index] = m.free(replica, now)
+	}
+	cost := make([][]float64, len(orders))
+	pairs := make([][]pair, len(orders))
+	for row, order := range orders {
+		cost[row] = make([]float64, len(replicas))
+		pairs[row] = make([]pair, len(replicas))
+		order.unplaced = true
+		for column, replica := range replicas {
+			cost[row][column] = forbidden
+			if !replica.Serves(order) || order.Excluded[replica.ID] || m.fleet.Drained[replica.Area] {
+				continue
+			}
+			held := m.bank(replica.ID)
+			if until, missing := held.missing[order.Model]; missing && now.Before(until) {
+				continue
+			}
+			order.unplaced = false
+			if capacity[column] <= 0 || order.Tokens() > room[column] {
+				continue
+			}
+			scored := m.score(order, replica, now)
+			if scored.weight < 0 {
+				continue
+			}
+			pairs[row][column] = scored
+			cost[row][column] = -scored.weight * rankWeight(order, now)
+		}
+	}
+	m.dispatch(orders, pairs, Assign(cost, capacity), room, now)
+}
+
+func (m *Matcher) dispatch(orders []*Order, pairs [][]pair, chosen []int, room []float64, now time.Time) {
+	sequence := make([]int, 0, len(orders))
+	for row, column := range chosen {
+		if column >= 0 {
+			sequence = append(sequence, row)
+		}
+	}
+	sort.SliceStable(sequence, func(left, right int) bool {
+		return orders[sequence[left]].Priority < orders[sequence[right]].Priority
+	})
+	for _, row := range sequence {
+		order, column := orders[row], chosen[row]
+		if order.Tokens() > room[column] {
+			continue
+		}
+		room[column] -= order.Tokens()
+		replica, scored := m.fleet.Replicas[column], pairs[row][column]
+		ticket := &Ticket{
+			order: order, replica: replica.ID, features: scored.features, predicted: scored.predicted, kept: scored.kept,
+			uncached: scored.uncached, pace: scored.pace, sent: now,
+		}
+		held := m.bank(replica.ID)
+		held.running++
+		held.tokens += order.Tokens()
+		held.pending += scored.uncached * scored.pace
+		held.unanswered[ticket] = true
+		held.noteSend(now)
+		m.running[[2]string{order.Backend, order.Model}]++
+		m.ledger.Note(replica.ID, order.Model, order.Dialogues, order.Parts, now)
+		m.answer(order, Command{Replica: replica, Ticket: ticket})
+	}
+}
+
+func (m *Matcher) free(replica *Replica, now time.Time) (int, float64) {
+	held := m.bank(replica.ID)
+	backend, _, known := m.fleet.Table.Backend(replica.Backend)
+	if !known || replica.Draining || held.suspected(now) || now.Before(held.fullUntil) {
+		return 0, 0
+	}
+	others := m.fleet.Others[replica.ID]
+	memory := 1e12
+	if backend.Runtime != nil && backend.Runtime.KvCacheTokens > 0 {
+		memory = backend.Runtime.KvCacheTokens
+	}
+	slots := replica.Slots - held.running - others.Running
+	room := memory - held.tokens - others.Tokens
+	if now.Sub(m.fleet.OthersAt) > othersLife {
+		share := max(1, 2*replica.Slots/max(m.fleet.Edges, 1))
+		slots = min(share, replica.Slots) - held.running
+		room = memory*float64(share)/float64(max(replica.Slots, 1)) - held.tokens
+		room = max(room, memory/4-held.tokens)
+	}
+	if held.running == 0 {
+		room = max(room, memory)
+	}
+	if now.Before(replica.ColdUntil) && backend.ColdPerS > 0 {
+		if !held.coldRoom(now, backend.ColdPerS, m.fleet.Edges) {
+			return 0, 0
+		}
+		slots = min(slots, 1)
+	}
+	return max(slots, 0), room
+}
+
+const othersLife = 3 * time.Second
+
+func (m *Matcher) expire(order *Order, now time.Time) {
+	waited := now.Sub(order.Arrived)
+	total := order.Deadline.Sub(order.Arrived)
+	bound := order.Aim / 5
+	kind := problem.Overloaded
+	if order.unplaced || order.Returned {
+		bound = time.Duration(0.45 * float64(total))
+	}
+	if order.unplaced {
+		kind = problem.Unplaced
+	}
+	if order.Aim > patientAim && !order.unplaced {
+		bound = max(bound, order.Aim/2)
+	}
+	if waited >= bound {
+		m.answer(order, Command{Problem: problem.Later(kind, m.comeBack(order))})
+	}
+}
+
+const patientAim = 2 * time.Second
+
+func (m *Matcher) comeBack(order *Order) time.Duration {
+	return min(max(order.Aim/4, 50*time.Millisecond), time.Second)
+}
--- /dev/null
+++ b/internal/match/order.go
@@ -0,0 +1,68 @@
+package match
+
+import (
+	"time"
+
+	"ferryspar/internal/problem"
+)
+
+type Order struct {
+	Attempt   string
+	Backend   string
+	Model     string
+	Parts     []Part
+	Dialogues []uint64
+	Prompt    float64
+	Output    float64
+	Arrived   time.Time
+	Deadline  time.Time
+	Aim       time.Duration
+	Priority  int
+	Excluded  map[string]bool
+	Returned  bool
+	Answer    chan Command
+	unplaced  bool
+	told      bool
+	settled   bool
+}
+
+func (o *Order) Tokens() float64 { return o.Prompt + o.Output }
+
+type Command struct {
+	Replica *Replica
+	Ticket  *Ticket
+	Problem *problem.Problem
+}
+
+type Ticket struct {
+	order     *Order
+	replica   string
+	area      bool
+	features  Features
+	predicted float64
+	kept      float64
+	uncached  float64
+	pace      float64
+	sent      time.Time
+	answered  bool
+}
+
+type Outcome int
+
+const (
+	OutcomeFirst Outcome = iota
+	OutcomeServed
+	OutcomeBroken
+	OutcomeCancelled
+	OutcomeFull
+	OutcomeMissing
+	OutcomeGone
+	OutcomeUnreached
+	OutcomeAlive
+)
+
+type Report struct {
+	Ticket  *Ticket
+	Outcome Outcome
+	At      time.Time
+}
--- /dev/null
+++ b/internal/match/score.go
@@ -0,0 +1,91 @@
+package match
+
+import (
+	"math"
+	"time"
+)
+
+type Parameters struct {
+	BatchSize    int
+	BatchWait    time.Duration
+	Delta        float64
+	TokenPrice   float64
+	CrossPrice   float64
+	LateWorth    float64
+	QueueBound   int
+	LedgerBound  int
+	LedgerLife   time.Duration
+	LatencyBound float64
+	HitAffinity  float64
+	HitMargin    float64
+}
+
+func DefaultParameters() Parameters {
+	return Parameters{
+		BatchSize: 16, BatchWait: 10 * time.Millisecond, Delta: 0.7, TokenPrice: 0.00002, CrossPrice: 0.03, LateWorth: 0.4,
+		QueueBound: 512, LedgerBound: 20000, LatencyBound: 0.6, HitAffinity: 0.5, HitMargin: 40,
+	}
+}
+
+type pair struct {
+	weight    float64
+	features  Features
+	predicted float64
+	kept      float64
+	uncached  float64
+	pace      float64
+}
+
+func (m *Matcher) score(order *Order, replica *Replica, now time.Time) pair {
+	held := m.bank(replica.ID)
+	kept := m.ledger.Kept(replica.ID, order.Model, order.Dialogues, order.Parts, now)
+	uncached := max(order.Prompt-kept, 0)
+	others := m.fleet.Others[replica.ID]
+	running := float64(held.running + others.Running)
+	slots := float64(max(replica.Slots, 1))
+	pace := m.pace(order.Model)
+	affinity := kept / max(1, order.Prompt)
+	features := Features{1, uncached / 1000 * pace, running / slots, (held.pending + others.Prefill) / 1000, running / slots * pace, affinity}
+	predicted := held.predictor.Latency(features)
+	aim := max(float64(order.Aim.Milliseconds()), 1)
+	elapsed := float64(now.Sub(order.Arrived).Milliseconds())
+	remaining := float64(order.Deadline.Sub(now).Milliseconds())
+	inTime := 1 / (1 + math.Exp((elapsed+predicted-aim*0.9)/(aim*0.12)))
+	quality := held.predictor.Quality() * (m.parameters.LateWorth + (1-m.parameters.LateWorth)*inTime)
+	if predicted > remaining {
+		quality = 0
+	}
+	price := m.parameters.TokenPrice * uncached * pace
+	if replica.Area != m.area {
+		price += m.parameters.CrossPrice
+	}
+	value := m.parameters.Delta*quality - (1-m.parameters.Delta)*min(predicted/aim, m.parameters.LatencyBound)
+	return pair{weight: value - price, features: features, predicted: predicted, kept: kept, uncached: uncached, pace: pace}
+}
+
+func rankWeight(order *Order, now time.Time) float64 {
+	weight := 1 + 1/float64(order.Priority+1)
+	if order.Aim > 0 {
+		weight += min(float64(now.Sub(order.Arrived))/float64(order.Aim), 1)
+	}
+	return weight
+}
+
+const (
+	paceRate    = 0.08
+	smallestPay = 0.02
+)
+
+func (m *Matcher) pace(model string) float64 {
+	if learned, known := m.paces[BaseModel(model)]; known {
+		return learned
+	}
+	return 1
+}
+
+func (m *Matcher) learnPace(model string, ratio float64) {
+	base := BaseModel(model)
+	current := m.pace(model)
+	bounded := math.Min(math.Max(ratio, 0.3), 3)
+	m.paces[base] = math.Min(math.Max(current*math.Pow(bounded, paceRate), smallestPay), 5)
+}
--- /dev/null
+++ b/internal/match/settle.go
@@ -0,0 +1,134 @@
+package match
+
+import (
+	"sort"
+	"time"
+
+	"ferryspar/internal/partner"
+)
+
+type settler func(m *Matcher, held *bank, report Report)
+
+var settlers = map[Outcome]settler{
+	OutcomeFirst:     (*Matcher).first,
+	OutcomeAlive:     func(m *Matcher, held *bank, report Report) { held.trust(report.At) },
+	OutcomeServed:    func(m *Matcher, held *bank, report Report) { held.predictor.Outcome(true) },
+	OutcomeBroken:    (*Matcher).brokenOff,
+	OutcomeCancelled: func(m *Matcher, held *bank, report Report) {},
+	OutcomeFull:      func(m *Matcher, held *bank, report Report) { held.fullUntil = report.At.Add(fullPause) },
+	OutcomeMissing: func(m *Matcher, held *bank, report Report) {
+		held.missing[report.Ticket.order.Model] = report.At.Add(missingPause)
+	},
+	OutcomeGone:      func(m *Matcher, held *bank, report Report) { held.gone = true },
+	OutcomeUnreached: func(m *Matcher, held *bank, report Report) { held.distrust(report.At) },
+}
+
+var unfinished = map[Outcome]bool{OutcomeFirst: true, OutcomeAlive: true}
+var neverRan = map[Outcome]bool{OutcomeFull: true, OutcomeMissing: true, OutcomeGone: true, OutcomeUnreached: true}
+
+func (m *Matcher) settle(report Report) {
+	ticket := report.Ticket
+	held := m.bank(ticket.replica)
+	settlers[report.Outcome](m, held, report)
+	if unfinished[report.Outcome] {
+		return
+	}
+	m.answeredFirst(held, ticket)
+	held.running--
+	held.tokens -= ticket.order.Tokens()
+	key := [2]string{ticket.order.Backend, ticket.order.Model}
+	if m.running[key]--; m.running[key] <= 0 {
+		delete(m.running, key)
+	}
+	if neverRan[report.Outcome] {
+		m.ledger.Miss(ticket.replica, ticket.order.Model, ticket.order.Dialogues)
+	}
+	if len(m.waiting) > 0 && m.fresh == 0 {
+		m.emit()
+	}
+}
+
+func (m *Matcher) answeredFirst(held *bank, ticket *Ticket) {
+	if !held.unanswered[ticket] {
+		return
+	}
+	delete(held.unanswered, ticket)
+	held.pending = max(held.pending-ticket.uncached*ticket.pace, 0)
+}
+
+func (m *Matcher) brokenOff(held *bank, report Report) {
+	held.predictor.Outcome(false)
+	held.distrust(report.At)
+}
+
+func (m *Matcher) first(held *bank, report Report) {
+	ticket := report.Ticket
+	if ticket.answered {
+		return
+	}
+	ticket.answered = true
+	held.trust(report.At)
+	m.answeredFirst(held, ticket)
+	observed := float64(report.At.Sub(ticket.sent).Microseconds()) / 1000
+	held.predictor.Observe(ticket.features, observed)
+	m.learnPace(ticket.order.Model, observed/max(ticket.predicted, 1))
+	if ticket.kept/max(1, ticket.order.Prompt) < m.parameters.HitAffinity {
+		return
+	}
+	cold := ticket.features
+	cold[1] = ticket.order.Prompt / 1000 * ticket.pace
+	cold[5] = 0
+	missed := held.predictor.Latency(cold)
+	if missed-ticket.predicted > m.parameters.HitMargin && observed > missed {
+		m.ledger.Miss(ticket.replica, ticket.order.Model, ticket.order.Dialogues)
+		m.ledger.Note(ticket.replica, ticket.order.Model, ticket.order.Dialogues, ticket.order.Parts, report.At)
+	}
+}
+
+func (m *Matcher) pressure() partner.Pressure {
+	now := m.clock()
+	told := partner.Pressure{Area: m.area, Replicas: map[string]partner.ReplicaPressure{}}
+	models := map[[2]string]*partner.ModelPressure{}
+	at := func(key [2]string) *partner.ModelPressure {
+		if models[key] == nil {
+			models[key] = &partner.ModelPressure{Backend: key[0], Model: key[1], Aim: m.aims[key]}
+		}
+		return models[key]
+	}
+	for key, amount := range m.arrivals {
+		at(key).Arrivals = amount
+	}
+	for key, amount := range m.running {
+		at(key).Running = amount
+	}
+	for _, order := range m.waiting {
+		model := at([2]string{order.Backend, order.Model})
+		model.Waiting++
+		model.OldestMs = max(model.OldestMs, float64(now.Sub(order.Arrived).Milliseconds()))
+	}
+	m.arrivals = map[[2]string]int{}
+	for _, model := range models {
+		told.Models = append(told.Models, *model)
+	}
+	sort.Slice(told.Models, func(left, right int) bool {
+		if told.Models[left].Backend != told.Models[right].Backend {
+			return told.Models[left].Backend < told.Models[right].Backend
+		}
+		return told.Models[left].Model < told.Models[right].Model
+	})
+	listed := map[string]bool{}
+	for _, replica := range m.fleet.Replicas {
+		listed[replica.ID] = true
+		if held := m.banks[replica.ID]; held != nil && held.running > 0 {
+			told.Replicas[replica.ID] = partner.ReplicaPressure{Running: held.running, Tokens: held.tokens, Prefill: held.pending}
+		}
+	}
+	for id, held := range m.banks {
+		if !listed[id] && held.running == 0 && len(m.fleet.Replicas) > 0 {
+			delete(m.banks, id)
+		}
+	}
+	return told
+}
+
+func (m *Matcher) Now() time.Time { return m.clock() }
--- /dev/null
+++ b/internal/operator/calls.go
@@ -0,0 +1,109 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/problem"
+)
+
+type State interface {
+	ReplaceLayout(ctx context.Context, condition int64, method string, body []byte) error
+	PatchLayout(ctx context.Context, condition int64, method string, body []byte) error
+	ReadLayout(ctx context.Context) (json.RawMessage, error)
+	DrainArea(ctx context.Context, area string, drained bool) error
+}
+
+type handler func(state State, request *http.Request) ([]byte, error)
+
+type call struct {
+	method string
+	path   string
+	handle handler
+}
+
+var calls = []call{
+	{http.MethodPut, "/ferryspar/config", put},
+	{http.MethodPatch, "/ferryspar/config", patch},
+	{http.MethodGet, "/ferryspar/config", get},
+	{http.MethodPost, "/ferryspar/drain-zone/{area}", drain(true)},
+	{http.MethodDelete, "/ferryspar/drain-zone/{area}", drain(false)},
+}
+
+func Routes(state State) http.Handler {
+	router := chi.NewRouter()
+	router.NotFound(func(writer http.ResponseWriter, request *http.Request) {
+		problem.Write(writer, problem.New(problem.UnknownPath, "%s", request.URL.Path))
+	})
+	router.MethodNotAllowed(func(writer http.ResponseWriter, request *http.Request) {
+		problem.Write(writer, problem.New(problem.WrongMethod, "%s", request.Method))
+	})
+	for _, one := range calls {
+		router.MethodFunc(one.method, one.path, func(writer http.ResponseWriter, request *http.Request) {
+			content, err := one.handle(state, request)
+			if err != nil {
+				problem.Write(writer, err)
+				return
+			}
+			if len(content) == 0 {
+				content = []byte("{}")
+			}
+			writer.Header().Set("Content-Type", "application/json")
+			writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
+			_, _ = writer.Write(content)
+		})
+	}
+	return router
+}
+
+const documentBound = 32 << 20
+
+func read(request *http.Request) (int64, []byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, documentBound))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return 0, nil, problem.New(problem.LargeBody, "")
+	}
+	if err != nil {
+		return 0, nil, problem.New(problem.MalformedOrder, "body broke off")
+	}
+	stated := strings.Trim(strings.TrimSpace(request.Header.Get("If-Match")), `"`)
+	condition, err := strconv.ParseInt(stated, 10, 64)
+	if err != nil {
+		return 0, nil, problem.New(problem.MalformedOrder, "If-Match must name the version it builds on")
+	}
+	return condition, body, nil
+}
+
+func put(state State, request *http.Request) ([]byte, error) {
+	condition, body, err := read(request)
+	if err != nil {
+		return nil, err
+	}
+	return nil, state.ReplaceLayout(request.Context(), condition, request.Method, body)
+}
+
+func patch(state State, request *http.Request) ([]byte, error) {
+	condition, body, err := read(request)
+	if err != nil {
+		return nil, err
+	}
+	return nil, state.PatchLayout(request.Context(), condition, request.Method, body)
+}
+
+func get(state State, request *http.Request) ([]byte, error) {
+	return state.ReadLayout(request.Context())
+}
+
+func drain(drained bool) handler {
+	return func(state State, request *http.Request) ([]byte, error) {
+		return nil, state.DrainArea(request.Context(), chi.URLParam(request, "area"), drained)
+	}
+}
--- /dev/null
+++ b/internal/partner/session.go
@@ -0,0 +1,112 @@
+package partner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"ferryspar/internal/keystore"
+)
+
+type Call struct {
+	Path  string
+	Bound time.Duration
+}
+
+var Calls = map[string]Call{
+	"keystore": {"/partner/keystore", 900 * time.Millisecond},
+	"learn":    {"/partner/learn", 600 * time.Millisecond},
+	"news":     {"/partner/news", 3 * time.Second},
+	"pressure": {"/partner/pressure", 600 * time.Millisecond},
+	"roster":   {"/partner/roster", 600 * time.Millisecond},
+	"greet":    {"/partner/greet", 600 * time.Millisecond},
+}
+
+func Dialer(connectBound, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         connectBound,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		Control: func(network, address string, raw syscall.RawConn) error {
+			return raw.Control(func(descriptor uintptr) {
+				_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+		},
+	}
+}
+
+func NewTransport(connectBound, silence time.Duration, idle int) *http.Transport {
+	return &http.Transport{
+		DialContext:         Dialer(connectBound, silence).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     20 * time.Second,
+		WriteBufferSize:     4 << 10,
+		ReadBufferSize:      4 << 10,
+	}
+}
+
+type Session struct {
+	client *http.Client
+}
+
+func NewSession() *Session {
+	return &Session{client: &http.Client{Transport: NewTransport(500*time.Millisecond, 1500*time.Millisecond, 4)}}
+}
+
+func (s *Session) Ask(ctx context.Context, name, address string, question, answer any) error {
+	call, known := Calls[name]
+	if !known {
+		return errors.Errorf("no such call %q", name)
+	}
+	bounded, cancel := context.WithTimeout(ctx, call.Bound)
+	defer cancel()
+	content, err := json.Marshal(question)
+	if err != nil {
+		return err
+	}
+	order, err := http.NewRequestWithContext(bounded, http.MethodPost, "http://"+address+call.Path, bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	order.GetBody = nil
+	order.Header.Set("Content-Type", "application/json")
+	reply, err := s.client.Do(order)
+	if err != nil {
+		return err
+	}
+	defer reply.Body.Close()
+	content, err = io.ReadAll(reply.Body)
+	if err != nil {
+		return err
+	}
+	if reply.StatusCode != http.StatusOK {
+		return errors.Errorf("%s at %s: status %d", name, address, reply.StatusCode)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(content, answer)
+}
+
+type Wire struct {
+	Self     string
+	Session  *Session
+	Acceptor *keystore.Acceptor
+}
+
+func (w *Wire) Send(ctx context.Context, address string, message keystore.Message) (keystore.Reply, error) {
+	if address == w.Self {
+		return w.Acceptor.Call(ctx, message)
+	}
+	var reply keystore.Reply
+	err := w.Session.Ask(ctx, "keystore", address, message, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/internal/partner/words.go
@@ -0,0 +1,92 @@
+package partner
+
+import (
+	"encoding/json"
+
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/platform"
+)
+
+type Poll struct {
+	Life       string `json:"life"`
+	Daemon     string `json:"daemon"`
+	Area       string `json:"area"`
+	Revision   int64  `json:"revision"`
+	AreaNumber uint64 `json:"areaNumber"`
+	Roster     uint64 `json:"roster"`
+	Wants      bool   `json:"wants"`
+	HoldMs     int64  `json:"holdMs"`
+	Version    uint64 `json:"version"`
+}
+
+type AreaState struct {
+	Number  uint64 `json:"number"`
+	Drained bool   `json:"drained"`
+}
+
+type News struct {
+	Member     string               `json:"member"`
+	Life       string               `json:"life"`
+	Fresh      bool                 `json:"fresh"`
+	Version    uint64               `json:"version"`
+	Revision   int64                `json:"revision"`
+	Document   json.RawMessage      `json:"document,omitempty"`
+	AreaNumber uint64               `json:"areaNumber"`
+	Areas      map[string]AreaState `json:"areas,omitempty"`
+	Roster     uint64               `json:"roster"`
+	RosterAge  int64                `json:"rosterAge"`
+	Replicas   []platform.Replica   `json:"replicas,omitempty"`
+	Barred     []string             `json:"barred,omitempty"`
+	Edges      int                  `json:"edges"`
+	Holder     string               `json:"holder"`
+	Control    []string             `json:"control"`
+}
+
+type ModelPressure struct {
+	Backend  string  `json:"b"`
+	Model    string  `json:"m"`
+	Waiting  int     `json:"w,omitempty"`
+	OldestMs float64 `json:"o,omitempty"`
+	Arrivals int     `json:"a,omitempty"`
+	Running  int     `json:"r,omitempty"`
+	Aim      float64 `json:"t,omitempty"`
+}
+
+type ReplicaPressure struct {
+	Running int     `json:"r"`
+	Tokens  float64 `json:"k"`
+	Prefill float64 `json:"p,omitempty"`
+}
+
+type Pressure struct {
+	Daemon   string                     `json:"daemon"`
+	Area     string                     `json:"area"`
+	Models   []ModelPressure            `json:"models,omitempty"`
+	Replicas map[string]ReplicaPressure `json:"replicas,omitempty"`
+}
+
+type Outlook struct {
+	Replicas map[string]ReplicaPressure `json:"replicas,omitempty"`
+}
+
+type RosterShare struct {
+	Member   string             `json:"member"`
+	AgeMs    int64              `json:"ageMs"`
+	Replicas []platform.Replica `json:"replicas"`
+	Barred   []string           `json:"barred,omitempty"`
+	Same     bool               `json:"same,omitempty"`
+}
+
+type Learned struct {
+	Slot keystore.Slot `json:"slot"`
+}
+
+type Greeting struct {
+	Daemon    string   `json:"daemon"`
+	Address   string   `json:"address"`
+	Control   string   `json:"control"`
+	Joining   bool     `json:"joining"`
+	Number    uint64   `json:"number"`
+	Leaving   bool     `json:"leaving"`
+	Edges     []string `json:"edges,omitempty"`
+}
--- /dev/null
+++ b/internal/place/plan.go
@@ -0,0 +1,237 @@
+package place
+
+import (
+	"sort"
+	"time"
+
+	"ferryspar/internal/layout"
+)
+
+const (
+	copyShare    = 0.4
+	hotRate      = 1.5
+	recentDemand = 20 * time.Second
+	roomSlack    = 0.001
+)
+
+type planner struct {
+	view    *View
+	backend *layout.Backend
+	runtime *layout.Runtime
+	sizes   map[string]layout.Model
+	used    map[string]bool
+	actions []Action
+	tokens  float64
+}
+
+func Plan(view *View) []Action {
+	var actions []Action
+	if view.Table == nil {
+		return nil
+	}
+	for index := range view.Table.Layout.Backends {
+		backend := &view.Table.Layout.Backends[index]
+		if backend.Runtime == nil {
+			continue
+		}
+		p := &planner{view: view, backend: backend, runtime: backend.Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}, tokens: view.Tokens}
+		for _, model := range backend.Runtime.Models {
+			p.sizes[model.Name] = model
+		}
+		p.intents()
+		p.missing()
+		p.spread()
+		p.adapters()
+		actions = append(actions, p.actions...)
+		view.Tokens = p.tokens
+	}
+	return actions
+}
+
+func (p *planner) act(server *Server, action Action) {
+	action.Server = server.ID
+	p.used[server.ID] = true
+	if action.Load && action.Stored {
+		p.tokens--
+	}
+	p.actions = append(p.actions, action)
+}
+
+func (p *planner) idle() []*Server {
+	var found []*Server
+	for _, server := range p.view.idle(p.backend.Name) {
+		if !p.used[server.ID] {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
+func (p *planner) fits(server *Server, model string) bool {
+	return server.size(p.runtime)+p.sizes[model].WeightSizeMb <= p.runtime.WeightSizeMb+roomSlack
+}
+
+func (p *planner) loadable(server *Server, model string) bool {
+	return server.Held[model] || p.tokens >= 1
+}
+
+func (p *planner) load(server *Server, model, why string) {
+	p.view.Loading[key(p.backend.Name, model)]++
+	p.act(server, Action{Load: true, Model: model, Stored: !server.Held[model], Why: why})
+}
+
+func (p *planner) intents() {
+	for _, server := range p.idle() {
+		model := server.Intent
+		if model == "" || server.Models[model] {
+			continue
+		}
+		if p.fits(server, model) {
+			if p.loadable(server, model) {
+				p.load(server, model, "room was made for it")
+			}
+			continue
+		}
+		p.evict(server, model)
+	}
+}
+
+func (p *planner) missing() {
+	type want struct {
+		model  string
+		oldest float64
+	}
+	var wanted []want
+	for _, model := range p.runtime.Models {
+		demand := p.view.modelPressure(p.backend.Name, model.Name)
+		if demand.Waiting > 0 && len(p.view.copies(p.backend.Name, model.Name)) == 0 && p.view.Loading[key(p.backend.Name, model.Name)] == 0 && !p.intended(model.Name) {
+			wanted = append(wanted, want{model.Name, demand.OldestMs})
+		}
+	}
+	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].oldest > wanted[right].oldest })
+	for _, one := range wanted {
+		p.bring(one.model, "asked for and nowhere loaded")
+	}
+}
+
+func (p *planner) intended(model string) bool {
+	for _, server := range p.view.Servers {
+		if server.Backend == p.backend.Name && server.Intent == model && !server.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *planner) bring(model, why string) bool {
+	var best *Server
+	bestCost := 0.0
+	for _, server := range p.idle() {
+		if server.Models[model] || server.Intent != "" || !p.loadable(server, model) {
+			continue
+		}
+		cost, possible := p.cost(server, model)
+		if possible && (best == nil || cost < bestCost) {
+			best, bestCost = server, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	if p.fits(best, model) {
+		p.load(best, model, why)
+		return true
+	}
+	best.Intent = model
+	p.evict(best, model)
+	return true
+}
+
+func (p *planner) cost(server *Server, model string) (float64, bool) {
+	cost := server.Running * 0.01
+	if !server.Held[model] {
+		cost += p.sizes[model].LoadTimeS
+	} else {
+		cost += p.sizes[model].LoadTimeS * 0.25
+	}
+	need := server.size(p.runtime) + p.sizes[model].WeightSizeMb - p.runtime.WeightSizeMb
+	for _, victim := range p.victims(server, model) {
+		if need <= roomSlack {
+			break
+		}
+		need -= p.freed(server, victim)
+		cost += p.loss(server, victim)
+	}
+	return cost, need <= roomSlack
+}
+
+func (p *planner) freed(server *Server, model string) float64 {
+	total := p.sizes[model].WeightSizeMb
+	for reference := range server.Models {
+		if base, adapter := split(reference); base == model && adapter != "" {
+			total += p.sizes[model].AdapterSizeMb
+		}
+	}
+	return total
+}
+
+func (p *planner) loss(server *Server, model string) float64 {
+	demand := p.view.modelPressure(p.backend.Name, model)
+	others := len(p.view.copies(p.backend.Name, model)) - 1
+	loss := 0.0
+	if !demand.LastSeen.IsZero() && p.view.Now.Sub(demand.LastSeen) < recentDemand {
+		loss += 1 - p.view.Now.Sub(demand.LastSeen).Seconds()/recentDemand.Seconds()
+	}
+	loss += demand.Rate * 4 / float64(1+others*others*4)
+	if p.sizes[model].Adapters > 0 {
+		loss += 3
+	}
+	return loss
+}
+
+func (p *planner) victims(server *Server, wanted string) []string {
+	var found []string
+	for reference := range server.Models {
+		model, adapter := split(reference)
+		if adapter != "" || model == wanted || !p.expendable(server, model) {
+			continue
+		}
+		found = append(found, model)
+	}
+	sort.Slice(found, func(left, right int) bool {
+		first, second := p.loss(server, found[left]), p.loss(server, found[right])
+		if first != second {
+			return first < second
+		}
+		return found[left] < found[right]
+	})
+	return found
+}
+
+func (p *planner) expendable(server *Server, model string) bool {
+	demand := p.view.modelPressure(p.backend.Name, model)
+	copies := len(p.view.copies(p.backend.Name, model))
+	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
+		return false
+	}
+	return float64(copies-1) >= p.target(model)-1 || demand.Rate < 0.3
+}
+
+func (p *planner) target(model string) float64 {
+	demand := p.view.modelPressure(p.backend.Name, model)
+	slots := float64(max(p.runtime.Slots, 1))
+	target := 1 + float64(int(demand.Running/(copyShare*slots)))
+	if demand.Rate > hotRate {
+		target = max(target, 2)
+	}
+	return target
+}
+
+func (p *planner) evict(server *Server, model string) {
+	victims := p.victims(server, model)
+	if len(victims) == 0 {
+		server.Intent = ""
+		return
+	}
+	p.act(server, Action{Model: victims[0], Intent: model, Why: "makes way for " + model})
+}
--- /dev/null
+++ b/internal/platform/list.go
@@ -0,0 +1,71 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type List struct {
+	Address string
+	Client  *http.Client
+}
+
+var ErrThrottled = errors.New("platform list: over the rate")
+
+const (
+	listBound  = 900 * time.Millisecond
+	pagesBound = 100
+)
+
+func (l *List) Read(ctx context.Context) ([]Replica, error) {
+	bounded, cancel := context.WithTimeout(ctx, listBound)
+	defer cancel()
+	var replicas []Replica
+	token := ""
+	for range pagesBound {
+		page, err := l.page(bounded, token)
+		if err != nil {
+			return nil, err
+		}
+		replicas = append(replicas, page.Instances...)
+		if page.NextToken == nil || *page.NextToken == "" {
+			return replicas, nil
+		}
+		token = *page.NextToken
+	}
+	return nil, errors.New("platform list: pages without end")
+}
+
+func (l *List) page(ctx context.Context, token string) (Page, error) {
+	var page Page
+	target := url.URL{Scheme: "http", Host: l.Address, Path: "/replicas"}
+	if token != "" {
+		target.RawQuery = url.Values{"pageToken": {token}}.Encode()
+	}
+	order, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return page, err
+	}
+	answer, err := l.Client.Do(order)
+	if err != nil {
+		return page, err
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return page, err
+	}
+	if answer.StatusCode == http.StatusTooManyRequests {
+		return page, ErrThrottled
+	}
+	if answer.StatusCode != http.StatusOK {
+		return page, errors.Errorf("platform list: status %d", answer.StatusCode)
+	}
+	return page, errors.Wrap(json.Unmarshal(content, &page), "platform list")
+}
--- /dev/null
+++ b/internal/platform/replica.go
@@ -0,0 +1,45 @@
+package platform
+
+type Held struct {
+	Name     string   `json:"name"`
+	Revision int64    `json:"revision"`
+	Adapters []string `json:"adapterList"`
+}
+
+type Replica struct {
+	ID              string   `json:"id"`
+	Backend         string   `json:"backend"`
+	Address         string   `json:"address"`
+	Area            string   `json:"zone"`
+	Revision        string   `json:"revision"`
+	Slots           int      `json:"slots"`
+	State           string   `json:"state"`
+	ColdRemainingMs float64  `json:"coldRemainingMs"`
+	TimeLeftMs      *float64 `json:"timeLeftMs,omitempty"`
+	Phase           string   `json:"phase,omitempty"`
+	Models          []Held   `json:"modelList"`
+}
+
+const Draining = "draining"
+
+type Page struct {
+	Instances []Replica `json:"instances"`
+	NextToken *string   `json:"nextToken"`
+}
+
+func (r Replica) Holds(model, adapter string) bool {
+	for _, held := range r.Models {
+		if held.Name != model {
+			continue
+		}
+		if adapter == "" {
+			return true
+		}
+		for _, name := range held.Adapters {
+			if name == adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tenure/tenure.go
@@ -0,0 +1,84 @@
+package tenure
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/keystore"
+)
+
+type Record struct {
+	Holder  string `json:"holder"`
+	Address string `json:"address"`
+	Fence   uint64 `json:"fence"`
+}
+
+type Keeper interface {
+	Seize(ctx context.Context, name string, decide func(current keystore.Slot) json.RawMessage) (keystore.Slot, error)
+	Renew(ctx context.Context, name string) error
+}
+
+type Hold struct {
+	Record Record
+	Since  time.Time
+	Until  time.Time
+	Acts   time.Time
+}
+
+func (h *Hold) Allows(now time.Time, needs time.Duration) bool {
+	return h != nil && !now.Before(h.Acts) && now.Add(needs).Before(h.Until)
+}
+
+type Tenure struct {
+	Key     string
+	Holder  string
+	Address string
+	Length  time.Duration
+	Settle  time.Duration
+	Keeper  Keeper
+	Clock   func() time.Time
+}
+
+func (t *Tenure) Seize(ctx context.Context) (*Hold, error) {
+	began := t.Clock()
+	var record Record
+	same := false
+	slot, err := t.Keeper.Seize(ctx, t.Key, func(current keystore.Slot) json.RawMessage {
+		var last Record
+		_ = json.Unmarshal(current.Value, &last)
+		same = current.Ballot == 0 || last.Holder == ""
+		record = Record{Holder: t.Holder, Address: t.Address, Fence: last.Fence + 1}
+		value, _ := json.Marshal(record)
+		return value
+	})
+	if err != nil {
+		return nil, err
+	}
+	now := t.Clock()
+	hold := &Hold{Record: record, Since: now, Until: began.Add(t.Length), Acts: now.Add(t.Settle)}
+	if same && slot.Sequence <= 1 {
+		hold.Acts = now
+	}
+	logrus.WithFields(logrus.Fields{"tenure": t.Key, "fence": record.Fence}).Info("tenure taken")
+	return hold, nil
+}
+
+func (t *Tenure) Renew(ctx context.Context, hold *Hold) *Hold {
+	began := t.Clock()
+	if !began.Before(hold.Until) {
+		return nil
+	}
+	if t.Keeper.Renew(ctx, t.Key) != nil {
+		if t.Clock().Before(hold.Until) {
+			return hold
+		}
+		logrus.WithField("tenure", t.Key).Warn("tenure lost")
+		return nil
+	}
+	renewed := *hold
+	renewed.Until = began.Add(t.Length)
+	return &renewed
+}
