--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -117,6 +117,7 @@
 	logrus.Info("leaving: not ready from now on")
 	d.leaving.Store(true)
 	d.door.Leave()
+	d.matcher.Leave()
 	began := time.Now()
 	grace := env.Seconds(d.settings.TimingBounds.GraceS) - 300*time.Millisecond
 	time.Sleep(min(noticeTime, grace/2))
--- a/internal/match/assign.go
+++ b/internal/match/assign.go
@@ -124,6 +124,9 @@
 	if order.Aim > patientAim && !order.unplaced {
 		bound = max(bound, order.Aim/2)
 	}
+	if m.leaving.Load() {
+		bound, kind = 0, problem.Leaving
+	}
 	if waited >= bound {
 		m.answer(order, Command{Problem: problem.Later(kind, m.comeBack(order))})
 	}
--- a/internal/match/matcher.go
+++ b/internal/match/matcher.go
@@ -32,6 +32,7 @@
 	running    map[[2]string]int
 	aims       map[[2]string]float64
 	Nudge      chan struct{}
+	leaving    atomic.Bool
 }
 
 func NewMatcher(parameters Parameters, area string, clock func() time.Time, current *atomic.Pointer[Fleet]) *Matcher {
@@ -71,6 +72,11 @@
 	}
 }
 
+func (m *Matcher) Leave() {
+	m.leaving.Store(true)
+	m.Changed()
+}
+
 func (m *Matcher) Pressure(ctx context.Context) partner.Pressure {
 	answer := make(chan partner.Pressure, 1)
 	select {
