--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ferryspar/internal/env"
 	"ferryspar/internal/layout"
 	"ferryspar/internal/place"
@@ -76,6 +79,28 @@
 	for _, server := range view.Servers {
 		w.charges[server.ID].intent = server.Intent
 	}
+	w.explain(view, now)
+}
+
+const explainEvery = 2 * time.Second
+
+func (w *Warden) explain(view *place.View, now time.Time) {
+	if now.Sub(w.explained) < explainEvery {
+		return
+	}
+	for name, demand := range view.Pressure {
+		if demand.Waiting == 0 || demand.OldestMs < float64(explainEvery.Milliseconds()) {
+			continue
+		}
+		w.explained = now
+		states := logrus.Fields{"wanted": name, "oldest_ms": demand.OldestMs, "tokens": view.Tokens}
+		for _, server := range view.Servers {
+			one := w.charges[server.ID]
+			states[server.ID] = fmt.Sprintf("ready=%t known=%t asking=%t pending=%v intent=%s models=%d", server.Ready, one.known, one.asking, one.pending, one.intent, len(one.models))
+		}
+		logrus.WithFields(states).Info("model still waited for")
+		return
+	}
 }
 
 func (w *Warden) server(id string, one *charge, now time.Time) *place.Server {
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -62,6 +62,7 @@
 	table     *layout.Table
 	lastRate  time.Time
 	heardFrom time.Time
+	explained time.Time
 	overlays  map[string]overlay
 }
 
--- a/internal/keystore/read.go
+++ b/internal/keystore/read.go
@@ -77,7 +77,6 @@
 	return Slot{}, ErrNoMajority
 }
 
-
 func (s *Store) Seize(ctx context.Context, name string, decide func(current Slot) json.RawMessage) (Slot, error) {
 	key := s.key(name)
 	if err := key.enter(ctx); err != nil {
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -82,11 +82,11 @@
 }
 
 type Greeting struct {
-	Daemon    string   `json:"daemon"`
-	Address   string   `json:"address"`
-	Control   string   `json:"control"`
-	Joining   bool     `json:"joining"`
-	Number    uint64   `json:"number"`
-	Leaving   bool     `json:"leaving"`
-	Edges     []string `json:"edges,omitempty"`
+	Daemon  string   `json:"daemon"`
+	Address string   `json:"address"`
+	Control string   `json:"control"`
+	Joining bool     `json:"joining"`
+	Number  uint64   `json:"number"`
+	Leaving bool     `json:"leaving"`
+	Edges   []string `json:"edges,omitempty"`
 }
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -77,6 +77,7 @@
 
 func (p *planner) load(server *Server, model, why string) {
 	p.view.Loading[key(p.backend.Name, model)]++
+	server.Intent = ""
 	p.act(server, Action{Load: true, Model: model, Stored: !server.Held[model], Why: why})
 }
 
@@ -84,6 +85,7 @@
 	for _, server := range p.idle() {
 		model := server.Intent
 		if model == "" || server.Models[model] {
+			server.Intent = ""
 			continue
 		}
 		if p.fits(server, model) {
