--- a/internal/match/assign.go
+++ b/internal/match/assign.go
@@ -116,7 +116,8 @@
 	bound := order.Aim / 5
 	kind := problem.Overloaded
 	if order.unplaced || order.Returned {
-		bound = time.Duration(0.45 * float64(total))
+		bound = min(time.Duration(0.45*float64(total)), silenceShare*order.Aim-silenceSlack)
+		bound = max(bound, order.Aim)
 	}
 	if order.unplaced {
 		kind = problem.Unplaced
@@ -132,7 +133,11 @@
 	}
 }
 
-const patientAim = 2 * time.Second
+const (
+	patientAim   = 2 * time.Second
+	silenceShare = 4
+	silenceSlack = 250 * time.Millisecond
+)
 
 func (m *Matcher) comeBack(order *Order) time.Duration {
 	return min(max(order.Aim/4, 50*time.Millisecond), time.Second)
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -10,6 +11,7 @@
 const (
 	copyShare    = 0.4
 	hotRate      = 1.5
+	rareRate     = 0.3
 	recentDemand = 20 * time.Second
 	roomSlack    = 0.001
 )
@@ -216,7 +218,19 @@
 	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
 		return false
 	}
-	return float64(copies-1) >= p.target(model)-1 || demand.Rate < 0.3
+	if demand.Rate > hotRate && p.lastAdapter(server, model) {
+		return false
+	}
+	return float64(copies-1) >= p.target(model) || demand.Rate < rareRate
+}
+
+func (p *planner) lastAdapter(server *Server, model string) bool {
+	for reference := range server.Models {
+		if base, adapter := split(reference); base == model && adapter != "" && len(p.view.copies(p.backend.Name, reference)) <= 1 {
+			return true
+		}
+	}
+	return false
 }
 
 func (p *planner) target(model string) float64 {
@@ -225,8 +239,11 @@
 	target := 1 + float64(int(demand.Running/(copyShare*slots)))
 	if demand.Rate > hotRate {
 		target = max(target, 2)
+		if adapters := p.sizes[model].Adapters; adapters > 0 && p.runtime.AdapterCapacity > 0 {
+			target = max(target, 1+math.Ceil(float64(adapters)/float64(p.runtime.AdapterCapacity)))
+		}
 	}
-	return target
+	return min(target, float64(max(len(p.view.idleOrBusy(p.backend.Name))-1, 1)))
 }
 
 func (p *planner) evict(server *Server, model string) {
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -128,6 +128,16 @@
 	return found
 }
 
+func (v *View) idleOrBusy(backend string) []*Server {
+	var found []*Server
+	for _, server := range v.Servers {
+		if server.Backend == backend && !server.Draining && !v.Drained[server.Area] {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
 func (v *View) idle(backend string) []*Server {
 	var found []*Server
 	for _, server := range v.Servers {
