--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -105,7 +105,7 @@
 
 func (w *Warden) server(id string, one *charge, now time.Time) *place.Server {
 	server := &place.Server{
-		ID: id, Backend: one.listed.Backend, Area: one.listed.Area, Draining: one.listed.State == platform.Draining, Models: map[string]bool{},
+		ID: id, Backend: one.listed.Backend, Area: one.listed.Area, Draining: one.listed.State == platform.Draining, Lost: w.suspects(id, now), Models: map[string]bool{},
 		Held: w.heldOnce[one.listed.Address], Intent: one.intent, Ready: one.known && one.pending == nil && !one.asking && !now.Before(one.blocked),
 	}
 	for reference := range one.models {
@@ -114,6 +114,24 @@
 	return server
 }
 
+const suspectsNeeded = 2
+
+func (w *Warden) suspects(id string, now time.Time) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	suspected, told := 0, 0
+	for _, one := range w.told {
+		if now.Sub(one.at) > time.Second {
+			continue
+		}
+		told++
+		if one.pressure.Replicas[id].Suspect {
+			suspected++
+		}
+	}
+	return suspected >= suspectsNeeded || suspected > 0 && suspected == told
+}
+
 func (w *Warden) copyDemand() map[string]*place.Pressure {
 	w.lock.Lock()
 	defer w.lock.Unlock()
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -46,6 +46,7 @@
 	daemon.desk = NewDesk(settings, time.Now, &daemon.fleet, daemon.matcher.Changed)
 	daemon.listener = NewListener(settings, daemon.session, time.Now, daemon.desk)
 	daemon.forwarder = replica.NewForwarder(time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
+	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
 	budget := client.NewBudget(env.Seconds(bounds.BudgetPeriodS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
 	daemon.door = client.NewDoor(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
 	return daemon
--- a/internal/match/assign.go
+++ b/internal/match/assign.go
@@ -123,7 +123,7 @@
 		kind = problem.Unplaced
 	}
 	if order.Aim > patientAim && !order.unplaced {
-		bound = max(bound, order.Aim/2)
+		bound = max(bound, time.Duration(0.45*float64(total)))
 	}
 	if m.leaving.Load() {
 		bound, kind = 0, problem.Leaving
--- a/internal/match/matcher.go
+++ b/internal/match/matcher.go
@@ -33,6 +33,7 @@
 	aims       map[[2]string]float64
 	Nudge      chan struct{}
 	leaving    atomic.Bool
+	OnDistrust func(replica string)
 }
 
 func NewMatcher(parameters Parameters, area string, clock func() time.Time, current *atomic.Pointer[Fleet]) *Matcher {
--- a/internal/match/settle.go
+++ b/internal/match/settle.go
@@ -14,7 +14,7 @@
 	OutcomeAlive:     func(m *Matcher, held *bank, report Report) { held.trust(report.At) },
 	OutcomeServed:    func(m *Matcher, held *bank, report Report) { held.predictor.Outcome(true) },
 	OutcomeBroken:    (*Matcher).brokenOff,
-	OutcomeCancelled: func(m *Matcher, held *bank, report Report) {},
+	OutcomeCancelled: (*Matcher).cancelled,
 	OutcomeFull:      func(m *Matcher, held *bank, report Report) { held.fullUntil = report.At.Add(fullPause) },
 	OutcomeMissing: func(m *Matcher, held *bank, report Report) {
 		held.missing[report.Ticket.order.Model] = report.At.Add(missingPause)
@@ -43,6 +43,9 @@
 	if neverRan[report.Outcome] {
 		m.ledger.Miss(ticket.replica, ticket.order.Model, ticket.order.Dialogues)
 	}
+	if m.OnDistrust != nil && held.suspected(report.At) {
+		m.OnDistrust(ticket.replica)
+	}
 	if len(m.waiting) > 0 && m.fresh == 0 {
 		m.emit()
 	}
@@ -56,6 +59,13 @@
 	held.pending = max(held.pending-ticket.uncached*ticket.pace, 0)
 }
 
+func (m *Matcher) cancelled(held *bank, report Report) {
+	sent := report.Ticket.sent
+	if held.unanswered[report.Ticket] && report.At.Sub(sent) > darkAfter && held.lastByte.Before(sent) {
+		held.distrust(report.At)
+	}
+}
+
 func (m *Matcher) brokenOff(held *bank, report Report) {
 	held.predictor.Outcome(false)
 	held.distrust(report.At)
@@ -119,8 +129,12 @@
 	listed := map[string]bool{}
 	for _, replica := range m.fleet.Replicas {
 		listed[replica.ID] = true
-		if held := m.banks[replica.ID]; held != nil && held.running > 0 {
-			told.Replicas[replica.ID] = partner.ReplicaPressure{Running: held.running, Tokens: held.tokens, Prefill: held.pending}
+		held := m.banks[replica.ID]
+		if held == nil {
+			continue
+		}
+		if suspect := held.suspected(now); held.running > 0 || suspect {
+			told.Replicas[replica.ID] = partner.ReplicaPressure{Running: held.running, Tokens: held.tokens, Prefill: held.pending, Suspect: suspect}
 		}
 	}
 	for id, held := range m.banks {
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -56,6 +56,7 @@
 	Running int     `json:"r"`
 	Tokens  float64 `json:"k"`
 	Prefill float64 `json:"p,omitempty"`
+	Suspect bool    `json:"s,omitempty"`
 }
 
 type Pressure struct {
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -41,9 +41,10 @@
 			p.sizes[model.Name] = model
 		}
 		p.intents()
-		p.missing()
-		p.spread()
 		p.adapters()
+		p.spread()
+		p.missing()
+		p.restoreAll()
 		actions = append(actions, p.actions...)
 		view.Tokens = p.tokens
 	}
@@ -131,7 +132,7 @@
 	var best *Server
 	bestCost := 0.0
 	for _, server := range p.idle() {
-		if server.Models[model] || server.Intent != "" || !p.loadable(server, model) {
+		if server.Models[model] || server.Intent != "" || !p.loadable(server, model) || p.reserved(server, model) {
 			continue
 		}
 		cost, possible := p.cost(server, model)
@@ -151,6 +152,25 @@
 	return true
 }
 
+func (p *planner) reserved(server *Server, wanted string) bool {
+	for _, model := range p.runtime.Models {
+		if model.Adapters == 0 || model.Name == wanted || !server.Models[model.Name] {
+			continue
+		}
+		copies := p.view.copies(p.backend.Name, model.Name)
+		free := 0
+		for _, holder := range copies {
+			if holder.Ready && !p.used[holder.ID] && holder.Intent == "" {
+				free++
+			}
+		}
+		if p.view.modelPressure(p.backend.Name, model.Name).Rate > hotRate && 2*free <= len(copies) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *planner) cost(server *Server, model string) (float64, bool) {
 	cost := server.Running * 0.01
 	if !server.Held[model] {
--- a/internal/place/spread.go
+++ b/internal/place/spread.go
@@ -19,6 +19,9 @@
 	for _, one := range wanted {
 		p.bring(one.model, "in high demand")
 	}
+}
+
+func (p *planner) restoreAll() {
 	for _, server := range p.idle() {
 		p.restore(server)
 	}
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -23,6 +23,7 @@
 	Backend  string
 	Area     string
 	Draining bool
+	Lost     bool
 	Ready    bool
 	Models   map[string]bool
 	Held     map[string]bool
@@ -118,10 +119,12 @@
 	return total
 }
 
+func (s *Server) counts(v *View) bool { return !s.Draining && !s.Lost && !v.Drained[s.Area] }
+
 func (v *View) copies(backend, reference string) []*Server {
 	var found []*Server
 	for _, server := range v.Servers {
-		if server.Backend == backend && !server.Draining && !v.Drained[server.Area] && server.Models[reference] {
+		if server.Backend == backend && server.counts(v) && server.Models[reference] {
 			found = append(found, server)
 		}
 	}
@@ -131,7 +134,7 @@
 func (v *View) idleOrBusy(backend string) []*Server {
 	var found []*Server
 	for _, server := range v.Servers {
-		if server.Backend == backend && !server.Draining && !v.Drained[server.Area] {
+		if server.Backend == backend && server.counts(v) {
 			found = append(found, server)
 		}
 	}
@@ -141,7 +144,7 @@
 func (v *View) idle(backend string) []*Server {
 	var found []*Server
 	for _, server := range v.Servers {
-		if server.Backend == backend && !server.Draining && server.Ready && !v.Drained[server.Area] {
+		if server.Backend == backend && server.counts(v) && server.Ready {
 			found = append(found, server)
 		}
 	}
--- a/internal/replica/forward.go
+++ b/internal/replica/forward.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,14 +42,55 @@
 var NeverRan = map[Verdict]bool{VerdictFull: true, VerdictMissing: true, VerdictGone: true, VerdictUnreached: true}
 
 type Forwarder struct {
+	lock         sync.Mutex
+	transports   map[string]*kept
+	connectBound time.Duration
+	silence      time.Duration
+	clock        func() time.Time
+}
+
+type kept struct {
 	transport *http.Transport
-	clock     func() time.Time
+	used      time.Time
 }
 
 func NewForwarder(clock func() time.Time, connectBound, silence time.Duration) *Forwarder {
-	transport := partner.NewTransport(connectBound, silence, 24)
-	transport.IdleConnTimeout = 3 * time.Second
-	return &Forwarder{transport: transport, clock: clock}
+	return &Forwarder{transports: map[string]*kept{}, connectBound: connectBound, silence: silence, clock: clock}
+}
+
+const (
+	idlePerReplica   = 24
+	idleTime         = 3 * time.Second
+	forgetReplicas   = time.Minute
+	transportsAtOnce = 64
+)
+
+func (f *Forwarder) session(identity string) *http.Transport {
+	now := f.clock()
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	held := f.transports[identity]
+	if held == nil {
+		held = &kept{transport: partner.NewTransport(f.connectBound, f.silence, idlePerReplica)}
+		held.transport.IdleConnTimeout = idleTime
+		f.transports[identity] = held
+		for other, one := range f.transports {
+			if len(f.transports) > transportsAtOnce && now.Sub(one.used) > forgetReplicas && other != identity {
+				delete(f.transports, other)
+			}
+		}
+	}
+	held.used = now
+	return held.transport
+}
+
+func (f *Forwarder) CloseIdle(identity string) {
+	f.lock.Lock()
+	held := f.transports[identity]
+	f.lock.Unlock()
+	if held != nil {
+		held.transport.CloseIdleConnections()
+	}
 }
 
 type onceBody struct {
@@ -70,7 +112,7 @@
 	if err != nil {
 		return nil, VerdictUnreached
 	}
-	answer, err := f.transport.RoundTrip(order)
+	answer, err := f.session(identity).RoundTrip(order)
 	if err != nil {
 		if !written.Load() {
 			return nil, VerdictUnreached
@@ -168,5 +210,3 @@
 		target[name] = values
 	}
 }
-
-func (f *Forwarder) Close() { f.transport.CloseIdleConnections() }
