--- /dev/null
+++ b/internal/keystore/simdisk_test.go
@@ -0,0 +1,120 @@
+package keystore
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type simulatedDisk struct {
+	lock    sync.Mutex
+	synced  map[string][]byte
+	loose   map[string][]looseWrite
+	stall   time.Duration
+	refuses bool
+	dead    bool
+}
+
+type looseWrite struct {
+	offset  int64
+	content []byte
+}
+
+func newSimulatedDisk() *simulatedDisk {
+	return &simulatedDisk{synced: map[string][]byte{}, loose: map[string][]looseWrite{}}
+}
+
+func (d *simulatedDisk) attach() *simulatedHandle { return &simulatedHandle{disk: d} }
+
+type simulatedHandle struct {
+	disk *simulatedDisk
+	gone bool
+}
+
+func overlay(content []byte, write looseWrite) []byte {
+	end := int(write.offset) + len(write.content)
+	if len(content) < end {
+		content = append(content, make([]byte, end-len(content))...)
+	}
+	copy(content[write.offset:], write.content)
+	return content
+}
+
+func (h *simulatedHandle) Read(name string) ([]byte, error) {
+	h.disk.lock.Lock()
+	defer h.disk.lock.Unlock()
+	content := append([]byte(nil), h.disk.synced[name]...)
+	for _, write := range h.disk.loose[name] {
+		content = overlay(content, write)
+	}
+	return content, nil
+}
+
+func (h *simulatedHandle) Prepare(name string, size int64) error { return nil }
+
+func (h *simulatedHandle) wait() error {
+	h.disk.lock.Lock()
+	stall := h.disk.stall
+	refuses := h.disk.refuses
+	h.disk.lock.Unlock()
+	time.Sleep(5*time.Millisecond + stall)
+	if refuses {
+		return errors.New("disk refuses")
+	}
+	h.disk.lock.Lock()
+	defer h.disk.lock.Unlock()
+	if h.gone {
+		return errors.New("process is dead")
+	}
+	return nil
+}
+
+func (h *simulatedHandle) Write(name string, offset int64, content []byte) error {
+	if err := h.wait(); err != nil {
+		return err
+	}
+	h.disk.lock.Lock()
+	defer h.disk.lock.Unlock()
+	h.disk.loose[name] = append(h.disk.loose[name], looseWrite{offset, append([]byte(nil), content...)})
+	return nil
+}
+
+func (h *simulatedHandle) Sync(name string) error {
+	if err := h.wait(); err != nil {
+		return err
+	}
+	h.disk.lock.Lock()
+	defer h.disk.lock.Unlock()
+	for _, write := range h.disk.loose[name] {
+		h.disk.synced[name] = overlay(h.disk.synced[name], write)
+	}
+	delete(h.disk.loose, name)
+	return nil
+}
+
+func (d *simulatedDisk) losePower(draw *rand.Rand) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	all := draw.IntN(4) == 0
+	for name, writes := range d.loose {
+		for _, write := range writes {
+			fate := draw.IntN(3)
+			if all || fate == 0 {
+				continue
+			}
+			if fate == 1 {
+				write.content = write.content[:draw.IntN(len(write.content)+1)]
+			}
+			d.synced[name] = overlay(d.synced[name], write)
+		}
+	}
+	d.loose = map[string][]looseWrite{}
+}
+
+func (d *simulatedDisk) wipe() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.synced, d.loose = map[string][]byte{}, map[string][]looseWrite{}
+}
--- /dev/null
+++ b/internal/keystore/simulation_test.go
@@ -0,0 +1,273 @@
+package keystore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type written struct {
+	Version int      `json:"version"`
+	Marks   []string `json:"marks"`
+}
+
+type operation struct {
+	mark           string
+	began, ended   time.Time
+	version        int
+	read           bool
+	acknowledged   bool
+	refusedVersion int
+}
+
+type history struct {
+	lock sync.Mutex
+	done []operation
+}
+
+func (h *history) add(one operation) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	h.done = append(h.done, one)
+}
+
+func (h *history) check(final written) error {
+	versions := map[int]string{}
+	for _, one := range h.done {
+		if !one.acknowledged {
+			continue
+		}
+		if one.read {
+			continue
+		}
+		if other, taken := versions[one.version]; taken && other != one.mark {
+			return fmt.Errorf("version %d acknowledged to both %s and %s", one.version, other, one.mark)
+		}
+		versions[one.version] = one.mark
+		if one.version > len(final.Marks) || final.Marks[one.version-1] != one.mark {
+			return fmt.Errorf("acknowledged %s at version %d is lost: %v", one.mark, one.version, final.Marks)
+		}
+	}
+	for _, earlier := range h.done {
+		for _, later := range h.done {
+			if !earlier.acknowledged || !later.acknowledged || !earlier.ended.Before(later.began) {
+				continue
+			}
+			if later.version < earlier.version || !later.read && later.version == earlier.version {
+				return fmt.Errorf("%s (version %d) ended before %s (version %d) began", earlier.mark, earlier.version, later.mark, later.version)
+			}
+		}
+	}
+	return nil
+}
+
+func decodeWritten(slot Slot) written {
+	var value written
+	_ = json.Unmarshal(slot.Value, &value)
+	return value
+}
+
+func (f *simulatedFleet) storeOf(name string) *Store {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if member := f.members[name]; member.running {
+		return member.store
+	}
+	return nil
+}
+
+func (f *simulatedFleet) client(number int, draw *rand.Rand, until time.Time, told *history) {
+	for turn := 0; time.Now().Before(until); turn++ {
+		time.Sleep(time.Duration(draw.IntN(400)+1) * time.Millisecond)
+		store := f.storeOf(f.names[draw.IntN(len(f.names))])
+		if store == nil {
+			continue
+		}
+		one := operation{mark: fmt.Sprintf("%d-%d", number, turn), began: time.Now(), read: draw.IntN(3) == 0}
+		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+		var slot Slot
+		var err error
+		if one.read {
+			slot, err = store.Read(ctx, LayoutKey)
+		} else {
+			slot, err = store.Change(ctx, LayoutKey, func(current Slot) (json.RawMessage, error) {
+				value := decodeWritten(current)
+				value.Version++
+				value.Marks = append(append([]string{}, value.Marks...), one.mark)
+				return json.Marshal(value)
+			})
+		}
+		cancel()
+		one.ended, one.acknowledged, one.version = time.Now(), err == nil, decodeWritten(slot).Version
+		told.add(one)
+	}
+}
+
+type trouble func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration)
+
+func (f *simulatedFleet) isolate(name string, inward, outward, cut bool) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for _, other := range f.names {
+		if inward {
+			f.cut[[2]string{other, name}] = cut
+		}
+		if outward {
+			f.cut[[2]string{name, other}] = cut
+		}
+	}
+}
+
+var troubles = []trouble{
+	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+		f.kill(name)
+		time.Sleep(lasting)
+		f.start(name, false)
+	},
+	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+		f.kill(name)
+		f.members[name].disk.losePower(draw)
+		time.Sleep(lasting)
+		f.start(name, false)
+	},
+	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+		f.kill(name)
+		f.members[name].disk.wipe()
+		time.Sleep(lasting)
+		f.start(name, false)
+	},
+	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+		inward := draw.IntN(2) == 0
+		f.isolate(name, inward, !inward || draw.IntN(2) == 0, true)
+		time.Sleep(lasting)
+		f.isolate(name, true, true, false)
+	},
+	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+		disk := f.members[name].disk
+		disk.lock.Lock()
+		disk.stall = lasting
+		disk.lock.Unlock()
+		time.Sleep(lasting)
+		disk.lock.Lock()
+		disk.stall = 0
+		disk.lock.Unlock()
+	},
+	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+		disk := f.members[name].disk
+		disk.lock.Lock()
+		disk.refuses = true
+		disk.lock.Unlock()
+		time.Sleep(lasting)
+		disk.lock.Lock()
+		disk.refuses = false
+		disk.lock.Unlock()
+	},
+}
+
+func play(seed uint64, size int, wild bool) error {
+	fleet := newSimulatedFleet(seed, size)
+	draw := rand.New(rand.NewPCG(seed, 7))
+	fleet.lossy = seed%2 == 0
+	for _, name := range fleet.names {
+		fleet.start(name, true)
+	}
+	fleet.votesWild = wild
+	told := &history{}
+	until := time.Now().Add(12 * time.Second)
+	var clients sync.WaitGroup
+	for number := range 3 {
+		source := rand.New(rand.NewPCG(seed, uint64(100+number)))
+		clients.Go(func() { fleet.client(number, source, until, told) })
+	}
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(draw.IntN(700)+50) * time.Millisecond)
+		name := fleet.names[draw.IntN(size)]
+		troubles[draw.IntN(len(troubles))](fleet, name, draw, time.Duration(draw.IntN(1500)+20)*time.Millisecond)
+		if !fleet.waitVoting(time.Minute) {
+			return fmt.Errorf("a member never voted again")
+		}
+	}
+	clients.Wait()
+	fleet.lossy = false
+	for _, name := range fleet.names {
+		fleet.kill(name)
+		fleet.members[name].disk.losePower(draw)
+	}
+	for _, name := range fleet.names {
+		fleet.start(name, false)
+	}
+	defer func() {
+		for _, name := range fleet.names {
+			fleet.kill(name)
+		}
+		time.Sleep(time.Minute)
+	}()
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		slot, err := fleet.members[fleet.names[0]].store.Read(ctx, LayoutKey)
+		cancel()
+		if err == nil {
+			return told.check(decodeWritten(slot))
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return fmt.Errorf("no majority after all came back")
+}
+
+func (f *simulatedFleet) waitVoting(bound time.Duration) bool {
+	until := time.Now().Add(bound)
+	for time.Now().Before(until) {
+		voting := 0
+		for _, name := range f.names {
+			if acceptor := f.alive(name); acceptor != nil && acceptor.Self().Voting {
+				voting++
+			}
+		}
+		if voting == len(f.names) {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+func schedules(fallback int) (int, int) {
+	if one, err := strconv.Atoi(os.Getenv("FERRYSPAR_SEED")); err == nil {
+		return one, one + 1
+	}
+	if testing.Short() {
+		return 1, 1 + fallback/10
+	}
+	return 1, 1 + fallback
+}
+
+func TestGivenTroublesOfEveryKindWhenKeysChangeThenNothingAcknowledgedIsLost(t *testing.T) {
+	from, to := schedules(1200)
+	for seed := from; seed < to; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			size := 3 + 2*(seed%4/3)
+			assert.NilError(t, play(uint64(seed), size, false), "FERRYSPAR_SEED=%d replays this schedule", seed)
+		})
+	}
+}
+
+func TestGivenAWipedMemberThatVotesAtOnceThenTheChecksCatchIt(t *testing.T) {
+	caught := 0
+	for seed := 1; seed < 400 && caught == 0; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			if play(uint64(seed), 3, true) != nil {
+				caught = seed
+			}
+		})
+	}
+	assert.Assert(t, caught > 0, "no schedule shows the loss that a wiped voter causes")
+}
