--- a/cmd/ferryspar-control-plane/main.go
+++ b/cmd/ferryspar-control-plane/main.go
@@ -6,19 +6,25 @@
 
 	"ferryspar/internal/controlplane"
 	"ferryspar/internal/env"
+	"ferryspar/internal/keystore"
 	"ferryspar/internal/launch"
+	"ferryspar/internal/partner"
 )
 
 func main() {
 	os.Exit(launch.Main(launch.Program{
 		Name: "ferryspar-control-plane", Serves: "control",
 		Short: "knows the replicas and daemons, keeps the configuration and delivers it",
-		Run: func(ctx context.Context, settings env.Settings, path string) error {
-			daemon, err := controlplane.New(settings, path)
+		Run: func(ctx context.Context, settings env.Settings, path string, signals env.Signals) error {
+			folder, err := keystore.NewFolder(settings.DataDir)
 			if err != nil {
 				return err
 			}
-			return daemon.Run(ctx)
+			daemon, err := controlplane.New(settings, path, partner.Machine{}, folder)
+			if err != nil {
+				return err
+			}
+			return daemon.Run(ctx, signals)
 		},
 	}))
 }
--- a/cmd/ferryspar-data-plane/main.go
+++ b/cmd/ferryspar-data-plane/main.go
@@ -7,14 +7,15 @@
 	"ferryspar/internal/dataplane"
 	"ferryspar/internal/env"
 	"ferryspar/internal/launch"
+	"ferryspar/internal/partner"
 )
 
 func main() {
 	os.Exit(launch.Main(launch.Program{
 		Name: "ferryspar-data-plane", Serves: "edge",
 		Short: "carries clients' requests to model replicas",
-		Run: func(ctx context.Context, settings env.Settings, path string) error {
-			return dataplane.New(settings, path).Run(ctx)
+		Run: func(ctx context.Context, settings env.Settings, path string, signals env.Signals) error {
+			return dataplane.New(settings, path, partner.Machine{}).Run(ctx, signals)
 		},
 	}))
 }
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -4,12 +4,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +45,7 @@
 	shareNow chan struct{}
 	leaving  chan struct{}
 	started  time.Time
+	network  partner.Network
 }
 
 func nonce() uint64 {
@@ -66,11 +64,7 @@
 	return int64(min(max(diskMb*(1<<20)/8, smallestRing), largestRing))
 }
 
-func New(settings env.Settings, path string) (*Daemon, error) {
-	folder, err := keystore.NewFolder(settings.DataDir)
-	if err != nil {
-		return nil, err
-	}
+func New(settings env.Settings, path string, network partner.Network, folder keystore.Folder) (*Daemon, error) {
 	journal, err := keystore.OpenJournal(folder, ringFiles, ringBytes(settings.Limits.DiskMb))
 	if err != nil {
 		return nil, err
@@ -90,9 +84,9 @@
 		}
 	}
 	daemon := &Daemon{
-		settings: settings, path: path, self: self, life: time.Now().Format("150405.000000"), clock: time.Now, session: partner.NewSession(),
+		settings: settings, path: path, self: self, life: time.Now().Format("150405.000000"), clock: time.Now, session: partner.NewSession(network),
 		journal: journal, board: NewBoard(), shown: map[string]keystore.Slot{}, joining: map[string]partner.Greeting{},
-		edges: watch.NewRegister(10 * time.Second), controls: watch.NewRegister(30 * time.Second), leaving: make(chan struct{}), shareNow: make(chan struct{}, 1), started: time.Now(),
+		edges: watch.NewRegister(10 * time.Second), controls: watch.NewRegister(30 * time.Second), leaving: make(chan struct{}), shareNow: make(chan struct{}, 1), started: time.Now(), network: network,
 	}
 	rules := keystore.Rules{Tenure: daemon.tenureLength(), Clock: time.Now}
 	daemon.acceptor = keystore.NewAcceptor(self, journal, rules, fresh)
@@ -102,7 +96,7 @@
 	}
 	wire := &partner.Wire{Self: self, Session: daemon.session, Acceptor: daemon.acceptor}
 	daemon.store = keystore.NewStore(self, uint32(nonce()), wire, time.Now, members)
-	daemon.list = &platform.List{Address: settings.CloudAPI.Address, Client: &http.Client{Transport: partner.NewTransport(500*time.Millisecond, 1500*time.Millisecond, 2)}}
+	daemon.list = &platform.List{Address: settings.CloudAPI.Address, Client: &http.Client{Transport: partner.NewTransport(network, 500*time.Millisecond, 1500*time.Millisecond, 2)}}
 	daemon.warden = NewWarden(daemon)
 	return daemon, nil
 }
@@ -111,7 +105,7 @@
 	return max(env.Milliseconds(d.settings.TimingBounds.LeaseMs)/2, 500*time.Millisecond)
 }
 
-func (d *Daemon) Run(parent context.Context) error {
+func (d *Daemon) Run(parent context.Context, signals env.Signals) error {
 	ctx, cancel := context.WithCancel(parent)
 	var cleanup []func()
 	defer func() {
@@ -121,12 +115,12 @@
 	}()
 	cleanup = append(cleanup, cancel)
 	go d.acceptor.Run(ctx, d.journal)
-	inner, err := net.Listen("tcp", d.self)
+	inner, err := d.network.Listen(d.self)
 	if err != nil {
 		return errors.Wrap(err, "internal address")
 	}
 	cleanup = append(cleanup, func() { inner.Close() })
-	outer, err := net.Listen("tcp", d.settings.BindAddresses.ControlPlane)
+	outer, err := d.network.Listen(d.settings.BindAddresses.ControlPlane)
 	if err != nil {
 		return errors.Wrap(err, "control plane address")
 	}
@@ -141,19 +135,18 @@
 	go func() {
 		failures <- (&http.Server{Handler: operator.Routes(d), IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}).Serve(outer)
 	}()
-	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run, d.settingsLoop}
+	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run,
+		func(ctx context.Context) { d.settingsLoop(ctx, signals.Hangup) }}
 	for _, loop := range loops {
 		go loop(ctx)
 	}
 	logrus.WithFields(logrus.Fields{"control_plane": outer.Addr().String(), "partner": d.self, "members": d.store.Members().Present}).Info("control plane listens")
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-parent.Done():
 		return nil
 	case err := <-failures:
 		return err
-	case <-stop:
+	case <-signals.Stop:
 		close(d.leaving)
 		logrus.Info("leaving")
 		time.Sleep(400 * time.Millisecond)
@@ -161,9 +154,7 @@
 	}
 }
 
-func (d *Daemon) settingsLoop(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func (d *Daemon) settingsLoop(ctx context.Context, hangups <-chan os.Signal) {
 	schedule := time.NewTicker(2 * time.Second)
 	defer schedule.Stop()
 	for {
--- a/internal/controlplane/layouts.go
+++ b/internal/controlplane/layouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,13 +41,13 @@
 	if err != nil {
 		return err
 	}
-	return d.changeLayout(ctx, condition, mark(method, "", body), func(current layoutRecord) (int64, []byte, error) {
+	return d.changeLayout(ctx, condition, mark(method, strconv.FormatInt(condition, 10), body), func(current layoutRecord) (int64, []byte, error) {
 		return read.Revision, body, nil
 	})
 }
 
 func (d *Daemon) PatchLayout(ctx context.Context, condition int64, method string, body []byte) error {
-	return d.changeLayout(ctx, condition, mark(method, "", body), func(current layoutRecord) (int64, []byte, error) {
+	return d.changeLayout(ctx, condition, mark(method, strconv.FormatInt(condition, 10), body), func(current layoutRecord) (int64, []byte, error) {
 		document, err := layout.Apply(current.Document, body)
 		if err != nil {
 			return 0, nil, err
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -74,7 +74,7 @@
 			Key: placementTenure, Holder: daemon.settings.NodeName, Address: daemon.self, Length: daemon.tenureLength(),
 			Settle: env.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Keeper: daemon.store, Clock: daemon.clock,
 		},
-		commander: &replica.Commander{Client: &http.Client{Transport: partner.NewTransport(400*time.Millisecond, time.Second, 2)}},
+		commander: &replica.Commander{Client: &http.Client{Transport: partner.NewTransport(daemon.network, 400*time.Millisecond, time.Second, 2)}},
 		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, heldOnce: map[string]map[string]bool{},
 		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, lastRate: daemon.clock(),
 	}
@@ -85,39 +85,6 @@
 	return hold != nil && w.daemon.clock().Before(hold.Until)
 }
 
-func (w *Warden) hearPressure(ctx context.Context, pressure partner.Pressure) partner.Outlook {
-	now := w.daemon.clock()
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	w.told[pressure.Daemon] = told{now, pressure}
-	waiting := false
-	for _, model := range pressure.Models {
-		name := place.Key(model.Backend, model.Model)
-		w.counted[name] += float64(model.Arrivals)
-		waiting = waiting || model.Waiting > 0
-	}
-	if waiting {
-		select {
-		case w.nudge <- struct{}{}:
-		default:
-		}
-	}
-	outlook := partner.Outlook{Replicas: map[string]partner.ReplicaPressure{}}
-	for edge, other := range w.told {
-		if edge == pressure.Daemon || now.Sub(other.at) > 2*time.Second {
-			continue
-		}
-		for id, one := range other.pressure.Replicas {
-			sum := outlook.Replicas[id]
-			sum.Running += one.Running
-			sum.Tokens += one.Tokens
-			sum.Prefill += one.Prefill
-			outlook.Replicas[id] = sum
-		}
-	}
-	return outlook
-}
-
 const (
 	renewEvery = 300 * time.Millisecond
 	planEvery  = 100 * time.Millisecond
@@ -210,64 +177,6 @@
 
 const rateSpan = 8.0
 
-func (w *Warden) measure() {
-	now := w.daemon.clock()
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	span := now.Sub(w.lastRate).Seconds()
-	if span < 0.25 {
-		w.gather(now)
-		return
-	}
-	w.lastRate = now
-	share := min(span/rateSpan, 1)
-	for name, amount := range w.counted {
-		if w.demand[name] == nil {
-			w.demand[name] = &place.Pressure{}
-		}
-		if amount > 0 {
-			w.demand[name].LastSeen = now
-		}
-	}
-	for name, demand := range w.demand {
-		demand.Rate += share * (w.counted[name]/span - demand.Rate)
-		if demand.Rate < 0.003 {
-			demand.Rate = 0
-		}
-	}
-	w.counted = map[string]float64{}
-	w.gather(now)
-}
-
-func (w *Warden) gather(now time.Time) {
-	for _, demand := range w.demand {
-		demand.Waiting, demand.OldestMs, demand.Running = 0, 0, 0
-	}
-	for edge, one := range w.told {
-		age := now.Sub(one.at)
-		if age > 10*time.Second {
-			delete(w.told, edge)
-		}
-		if age > 1500*time.Millisecond {
-			continue
-		}
-		for _, model := range one.pressure.Models {
-			name := place.Key(model.Backend, model.Model)
-			if w.demand[name] == nil {
-				w.demand[name] = &place.Pressure{}
-			}
-			demand := w.demand[name]
-			demand.Waiting += model.Waiting
-			demand.Running += float64(model.Running)
-			demand.Aim = max(demand.Aim, model.Aim)
-			if model.Waiting > 0 {
-				demand.OldestMs = max(demand.OldestMs, model.OldestMs)
-				demand.LastSeen = now
-			}
-		}
-	}
-}
-
 func (w *Warden) log(action place.Action, status int, err error) {
 	logrus.WithFields(logrus.Fields{
 		"replica": action.Server, "load": action.Load, "model": action.Model, "why": action.Why, "status": status,
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -24,35 +21,35 @@
 )
 
 type Daemon struct {
-	settings   env.Settings
-	path       string
-	fleet      atomic.Pointer[match.Fleet]
-	matcher    *match.Matcher
-	desk       *Desk
-	listener   *Listener
-	door       *client.Door
-	session    *partner.Session
-	forwarder  *replica.Forwarder
-	leaving    atomic.Bool
-	placeKnown bool
+	settings  env.Settings
+	path      string
+	fleet     atomic.Pointer[match.Fleet]
+	matcher   *match.Matcher
+	desk      *Desk
+	listener  *Listener
+	door      *client.Door
+	session   *partner.Session
+	forwarder *replica.Forwarder
+	leaving   atomic.Bool
+	network   partner.Network
 }
 
-func New(settings env.Settings, path string) *Daemon {
-	daemon := &Daemon{settings: settings, path: path, session: partner.NewSession()}
+func New(settings env.Settings, path string, network partner.Network) *Daemon {
+	daemon := &Daemon{settings: settings, path: path, network: network, session: partner.NewSession(network)}
 	bounds := settings.TimingBounds
 	parameters := match.DefaultParameters()
 	daemon.fleet.Store(&match.Fleet{})
 	daemon.matcher = match.NewMatcher(parameters, settings.Area, time.Now, &daemon.fleet)
 	daemon.desk = NewDesk(settings, time.Now, &daemon.fleet, daemon.matcher.Changed)
 	daemon.listener = NewListener(settings, daemon.session, time.Now, daemon.desk)
-	daemon.forwarder = replica.NewForwarder(time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
+	daemon.forwarder = replica.NewForwarder(network, time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
 	budget := client.NewBudget(env.Seconds(bounds.BudgetPeriodS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
 	daemon.door = client.NewDoor(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
 	return daemon
 }
 
-func (d *Daemon) Run(parent context.Context) error {
+func (d *Daemon) Run(parent context.Context, signals env.Signals) error {
 	ctx, cancel := context.WithCancel(parent)
 	var cleanup []func()
 	defer func() {
@@ -65,14 +62,14 @@
 	d.listener.Follow(ctx, d.settings.SeedPartners())
 	go d.desk.Run(ctx, d.listener)
 	go d.tellPressure(ctx)
-	go d.watchSettings(ctx)
+	go d.watchSettings(ctx, signals.Hangup)
 
-	door, err := net.Listen("tcp", d.settings.BindAddresses.DataPlane)
+	door, err := d.network.Listen(d.settings.BindAddresses.DataPlane)
 	if err != nil {
 		return errors.Wrap(err, "data plane address")
 	}
 	cleanup = append(cleanup, func() { door.Close() })
-	readiness, err := net.Listen("tcp", d.settings.BindAddresses.Readiness)
+	readiness, err := d.network.Listen(d.settings.BindAddresses.Readiness)
 	if err != nil {
 		return errors.Wrap(err, "readiness address")
 	}
@@ -83,14 +80,12 @@
 	go func() { failures <- http.Serve(readiness, d.readinessRoutes()) }()
 	logrus.WithFields(logrus.Fields{"data_plane": door.Addr().String(), "zone": d.settings.Area}).Info("data plane listens")
 
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-parent.Done():
 		return nil
 	case err := <-failures:
 		return err
-	case <-stop:
+	case <-signals.Stop:
 		d.leave(server)
 		return nil
 	}
@@ -160,9 +155,7 @@
 	}
 }
 
-func (d *Daemon) watchSettings(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func (d *Daemon) watchSettings(ctx context.Context, hangups <-chan os.Signal) {
 	schedule := time.NewTicker(2 * time.Second)
 	defer schedule.Stop()
 	for {
--- a/internal/env/settings.go
+++ b/internal/env/settings.go
@@ -37,6 +37,11 @@
 	CloudAPI       CloudAPI          `koanf:"cloudApi"`
 }
 
+type Signals struct {
+	Stop   <-chan os.Signal
+	Hangup <-chan os.Signal
+}
+
 type BindAddresses struct {
 	DataPlane    string `koanf:"dataPlane"`
 	Readiness    string `koanf:"readiness"`
--- /dev/null
+++ b/internal/env/settings_test.go
@@ -0,0 +1,52 @@
+package env
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const sound = `
+nodeName = "edge-1"
+ipAddress = "10.1.0.13"
+zone = "north"
+internalPorts = [7720,7735]
+seedNodes = ["10.1.0.16:8166"]
+unknownField = { any = "thing" }
+[bindAddresses]
+dataPlane = "10.1.0.13:8161"
+readiness = "10.1.0.13:8167"
+[cloudApi]
+address = "10.200.0.79:8169"
+ratePerS = 44.0
+`
+
+func TestGivenUnknownFieldsThenTheyArePassedOver(t *testing.T) {
+	settings, err := Parse([]byte(sound))
+	assert.NilError(t, err)
+	assert.NilError(t, settings.Check("edge"))
+	assert.Equal(t, settings.PartnerAddress(), "10.1.0.13:7720")
+	assert.DeepEqual(t, settings.SeedPartners(), []string{"10.1.0.16:7720"})
+}
+
+func TestGivenMissingOrSenselessFieldsThenEachIsNamed(t *testing.T) {
+	cases := map[string]string{
+		`nodeName = "edge-1"`:            "nodeName",
+		`ipAddress = "10.1.0.13"`:        "ipAddress",
+		`internalPorts = [7720,7735]`:    "internalPorts",
+		`seedNodes = ["10.1.0.16:8166"]`: "seedNodes",
+		`dataPlane = "10.1.0.13:8161"`:   "dataPlane",
+		`address = "10.200.0.79:8169"`:   "cloudApi.address",
+	}
+	for line, name := range cases {
+		settings, err := Parse([]byte(strings.Replace(sound, line, "", 1)))
+		assert.NilError(t, err)
+		assert.ErrorContains(t, settings.Check("edge"), name)
+	}
+	backwards, err := Parse([]byte(strings.Replace(sound, "[7720,7735]", "[7735,7720]", 1)))
+	assert.NilError(t, err)
+	assert.ErrorContains(t, backwards.Check("edge"), "internalPorts")
+	_, err = Parse([]byte("nodeName = "))
+	assert.ErrorContains(t, err, "cannot be read")
+}
--- a/internal/keystore/simulation_test.go
+++ b/internal/keystore/simulation_test.go
@@ -114,65 +114,6 @@
 
 type trouble func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration)
 
-func (f *simulatedFleet) isolate(name string, inward, outward, cut bool) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	for _, other := range f.names {
-		if inward {
-			f.cut[[2]string{other, name}] = cut
-		}
-		if outward {
-			f.cut[[2]string{name, other}] = cut
-		}
-	}
-}
-
-var troubles = []trouble{
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.kill(name)
-		time.Sleep(lasting)
-		f.start(name, false)
-	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.kill(name)
-		f.members[name].disk.losePower(draw)
-		time.Sleep(lasting)
-		f.start(name, false)
-	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.kill(name)
-		f.members[name].disk.wipe()
-		time.Sleep(lasting)
-		f.start(name, false)
-	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		inward := draw.IntN(2) == 0
-		f.isolate(name, inward, !inward || draw.IntN(2) == 0, true)
-		time.Sleep(lasting)
-		f.isolate(name, true, true, false)
-	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		disk := f.members[name].disk
-		disk.lock.Lock()
-		disk.stall = lasting
-		disk.lock.Unlock()
-		time.Sleep(lasting)
-		disk.lock.Lock()
-		disk.stall = 0
-		disk.lock.Unlock()
-	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		disk := f.members[name].disk
-		disk.lock.Lock()
-		disk.refuses = true
-		disk.lock.Unlock()
-		time.Sleep(lasting)
-		disk.lock.Lock()
-		disk.refuses = false
-		disk.lock.Unlock()
-	},
-}
-
 func play(seed uint64, size int, wild bool) error {
 	fleet := newSimulatedFleet(seed, size)
 	draw := rand.New(rand.NewPCG(seed, 7))
@@ -223,23 +164,6 @@
 	return fmt.Errorf("no majority after all came back")
 }
 
-func (f *simulatedFleet) waitVoting(bound time.Duration) bool {
-	until := time.Now().Add(bound)
-	for time.Now().Before(until) {
-		voting := 0
-		for _, name := range f.names {
-			if acceptor := f.alive(name); acceptor != nil && acceptor.Self().Voting {
-				voting++
-			}
-		}
-		if voting == len(f.names) {
-			return true
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return false
-}
-
 func schedules(fallback int) (int, int) {
 	if one, err := strconv.Atoi(os.Getenv("FERRYSPAR_SEED")); err == nil {
 		return one, one + 1
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
@@ -26,7 +28,7 @@
 	Name   string
 	Short  string
 	Serves string
-	Run    func(ctx context.Context, settings env.Settings, path string) error
+	Run    func(ctx context.Context, settings env.Settings, path string, signals env.Signals) error
 }
 
 type options struct {
@@ -82,13 +84,20 @@
 		return ExitGood
 	}
 	obey(settings.Limits)
-	if err := program.Run(context.Background(), settings, chosen.Settings); err != nil {
+	if err := program.Run(context.Background(), settings, chosen.Settings, listen()); err != nil {
 		logrus.WithError(err).Error("stopped")
 		return ExitFailed
 	}
 	return ExitGood
 }
 
+func listen() env.Signals {
+	stop, hangup := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangup, syscall.SIGHUP)
+	return env.Signals{Stop: stop, Hangup: hangup}
+}
+
 func obey(limits env.Limits) {
 	runtime.GOMAXPROCS(max(limits.CPUCores, 1))
 	if limits.MemoryMb > 0 {
--- /dev/null
+++ b/internal/match/flow_test.go
@@ -0,0 +1,59 @@
+package match
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func exhaustive(cost [][]float64, capacity []int, order int) float64 {
+	if order == len(cost) {
+		return 0
+	}
+	best := exhaustive(cost, capacity, order+1)
+	for replica := range capacity {
+		if capacity[replica] == 0 || cost[order][replica] == forbidden {
+			continue
+		}
+		capacity[replica]--
+		best = min(best, cost[order][replica]+exhaustive(cost, capacity, order+1))
+		capacity[replica]++
+	}
+	return best
+}
+
+func TestGivenSmallMarketsThenTheFlowEqualsExhaustiveSearch(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 2))
+	for round := range 3000 {
+		orders, replicas := 1+draw.IntN(5), 1+draw.IntN(4)
+		cost := make([][]float64, orders)
+		for row := range cost {
+			cost[row] = make([]float64, replicas)
+			for column := range cost[row] {
+				cost[row][column] = -draw.Float64()
+				if draw.IntN(4) == 0 {
+					cost[row][column] = forbidden
+				}
+			}
+		}
+		capacity := make([]int, replicas)
+		for column := range capacity {
+			capacity[column] = draw.IntN(3)
+		}
+		chosen := Assign(cost, capacity)
+		total, load := 0.0, make([]int, replicas)
+		for row, column := range chosen {
+			if column < 0 {
+				continue
+			}
+			assert.Assert(t, cost[row][column] != forbidden, "round %d: a pruned pair was matched", round)
+			total += cost[row][column]
+			load[column]++
+			assert.Assert(t, load[column] <= capacity[column], "round %d: over capacity", round)
+		}
+		best := exhaustive(cost, capacity, 0)
+		assert.Assert(t, math.Abs(total-best) < 1e-9, "round %d: flow %f, best %f", round, total, best)
+	}
+}
--- /dev/null
+++ b/internal/match/ledger_test.go
@@ -0,0 +1,73 @@
+package match
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var noon = time.Date(2030, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func parsed(t *testing.T, value string) ([]Part, []uint64) {
+	parts, valid := ParsePrefix(value)
+	assert.Assert(t, valid)
+	return parts, Dialogues(parts)
+}
+
+func TestGivenAPromptServedWhenAnotherSharesItsStartThenAffinityIsTheCommonPrefix(t *testing.T) {
+	ledger := NewLedger(100, 0)
+	first, firstDialogues := parsed(t, "a:200,b:100,c:50")
+	ledger.Note("r1", "m", firstDialogues, first, noon)
+	next, nextDialogues := parsed(t, "a:200,b:100,d:70")
+	assert.Equal(t, ledger.Kept("r1", "m", nextDialogues, next, noon), 300.0)
+	assert.Equal(t, ledger.Kept("r2", "m", nextDialogues, next, noon), 0.0)
+	assert.Equal(t, ledger.Kept("r1", "other", nextDialogues, next, noon), 0.0)
+	moved, movedDialogues := parsed(t, "b:100,a:200")
+	assert.Equal(t, ledger.Kept("r1", "m", movedDialogues, moved, noon), 0.0)
+}
+
+func TestGivenAFullLedgerThenTheLongestUnusedEntriesGo(t *testing.T) {
+	ledger := NewLedger(3, 0)
+	for _, value := range []string{"a:1", "b:1", "c:1", "a:1", "d:1"} {
+		parts, dialogues := parsed(t, value)
+		ledger.Note("r", "m", dialogues, parts, noon)
+	}
+	kept, keptDialogues := parsed(t, "a:1")
+	gone, goneDialogues := parsed(t, "b:1")
+	assert.Equal(t, ledger.Size(), 3)
+	assert.Equal(t, ledger.Kept("r", "m", keptDialogues, kept, noon), 1.0)
+	assert.Equal(t, ledger.Kept("r", "m", goneDialogues, gone, noon), 0.0)
+}
+
+func TestGivenALifeForEntriesThenOldOnesNeverCount(t *testing.T) {
+	ledger := NewLedger(10, time.Minute)
+	parts, dialogues := parsed(t, "a:5")
+	ledger.Note("r", "m", dialogues, parts, noon)
+	assert.Equal(t, ledger.Kept("r", "m", dialogues, parts, noon.Add(59*time.Second)), 5.0)
+	assert.Equal(t, ledger.Kept("r", "m", dialogues, parts, noon.Add(61*time.Second)), 0.0)
+}
+
+func FuzzParsePrefix(f *testing.F) {
+	for _, seed := range []string{"", "a:1", "5c1e07a2:800,91bd3f06:410", ":", "a:-1", "zz:1", "a:1,,b:2"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		parts, valid := ParsePrefix(value)
+		assert.Assert(t, valid || parts == nil)
+		assert.Equal(t, len(Dialogues(parts)), len(parts))
+		for _, part := range parts {
+			assert.Assert(t, part.Tokens >= 0)
+		}
+	})
+}
+
+func FuzzParseTokens(f *testing.F) {
+	for _, seed := range []string{"", "1460,80", "1460", "-1,2", "a,b", ",", "99999999999999999999,1"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		prompt, output, valid := ParseTokens(value)
+		assert.Assert(t, valid && prompt >= 0 && output >= 0 || !valid && prompt == 0 && output == 0)
+	})
+}
--- a/internal/partner/session.go
+++ b/internal/partner/session.go
@@ -42,9 +42,24 @@
 	}
 }
 
-func NewTransport(connectBound, silence time.Duration, idle int) *http.Transport {
+type DialFunction func(ctx context.Context, network, address string) (net.Conn, error)
+
+type Network interface {
+	Dial(connectBound, silence time.Duration) DialFunction
+	Listen(address string) (net.Listener, error)
+}
+
+type Machine struct{}
+
+func (Machine) Dial(connectBound, silence time.Duration) DialFunction {
+	return Dialer(connectBound, silence).DialContext
+}
+
+func (Machine) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func NewTransport(network Network, connectBound, silence time.Duration, idle int) *http.Transport {
 	return &http.Transport{
-		DialContext:         Dialer(connectBound, silence).DialContext,
+		DialContext:         network.Dial(connectBound, silence),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     20 * time.Second,
@@ -57,8 +72,8 @@
 	client *http.Client
 }
 
-func NewSession() *Session {
-	return &Session{client: &http.Client{Transport: NewTransport(500*time.Millisecond, 1500*time.Millisecond, 4)}}
+func NewSession(network Network) *Session {
+	return &Session{client: &http.Client{Transport: NewTransport(network, 500*time.Millisecond, 1500*time.Millisecond, 4)}}
 }
 
 func (s *Session) Ask(ctx context.Context, name, address string, question, answer any) error {
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -188,89 +187,3 @@
 	}
 	return cost, need <= roomSlack
 }
-
-func (p *planner) freed(server *Server, model string) float64 {
-	total := p.sizes[model].WeightSizeMb
-	for reference := range server.Models {
-		if base, adapter := split(reference); base == model && adapter != "" {
-			total += p.sizes[model].AdapterSizeMb
-		}
-	}
-	return total
-}
-
-func (p *planner) loss(server *Server, model string) float64 {
-	demand := p.view.modelPressure(p.backend.Name, model)
-	others := len(p.view.copies(p.backend.Name, model)) - 1
-	loss := 0.0
-	if !demand.LastSeen.IsZero() && p.view.Now.Sub(demand.LastSeen) < recentDemand {
-		loss += 1 - p.view.Now.Sub(demand.LastSeen).Seconds()/recentDemand.Seconds()
-	}
-	loss += demand.Rate * 4 / float64(1+others*others*4)
-	if p.sizes[model].Adapters > 0 {
-		loss += 3
-	}
-	return loss
-}
-
-func (p *planner) victims(server *Server, wanted string) []string {
-	var found []string
-	for reference := range server.Models {
-		model, adapter := split(reference)
-		if adapter != "" || model == wanted || !p.expendable(server, model) {
-			continue
-		}
-		found = append(found, model)
-	}
-	sort.Slice(found, func(left, right int) bool {
-		first, second := p.loss(server, found[left]), p.loss(server, found[right])
-		if first != second {
-			return first < second
-		}
-		return found[left] < found[right]
-	})
-	return found
-}
-
-func (p *planner) expendable(server *Server, model string) bool {
-	demand := p.view.modelPressure(p.backend.Name, model)
-	copies := len(p.view.copies(p.backend.Name, model))
-	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
-		return false
-	}
-	if demand.Rate > hotRate && p.lastAdapter(server, model) {
-		return false
-	}
-	return float64(copies-1) >= p.target(model) || demand.Rate < rareRate
-}
-
-func (p *planner) lastAdapter(server *Server, model string) bool {
-	for reference := range server.Models {
-		if base, adapter := split(reference); base == model && adapter != "" && len(p.view.copies(p.backend.Name, reference)) <= 1 {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *planner) target(model string) float64 {
-	demand := p.view.modelPressure(p.backend.Name, model)
-	slots := float64(max(p.runtime.Slots, 1))
-	target := 1 + float64(int(demand.Running/(copyShare*slots)))
-	if demand.Rate > hotRate {
-		target = max(target, 2)
-		if adapters := p.sizes[model].Adapters; adapters > 0 && p.runtime.AdapterCapacity > 0 {
-			target = max(target, 1+math.Ceil(float64(adapters)/float64(p.runtime.AdapterCapacity)))
-		}
-	}
-	return min(target, float64(max(len(p.view.idleOrBusy(p.backend.Name))-1, 1)))
-}
-
-func (p *planner) evict(server *Server, model string) {
-	victims := p.victims(server, model)
-	if len(victims) == 0 {
-		server.Intent = ""
-		return
-	}
-	p.act(server, Action{Model: victims[0], Intent: model, Why: "makes way for " + model})
-}
--- /dev/null
+++ b/internal/place/plan_test.go
@@ -0,0 +1,131 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/layout"
+)
+
+var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func market(servers ...*Server) *View {
+	runtime := &layout.Runtime{Slots: 10, WeightSizeMb: 200, AdapterCapacity: 2, LoadsPerS: 1, Models: []layout.Model{
+		{Name: "hot", WeightSizeMb: 90, LoadTimeS: 5, Adapters: 4, AdapterSizeMb: 1}, {Name: "rare", WeightSizeMb: 90, LoadTimeS: 5}, {Name: "old", WeightSizeMb: 90, LoadTimeS: 5},
+	}}
+	table := layout.Build(layout.Layout{Backends: []layout.Backend{{Name: "s", Runtime: runtime}}}, nil)
+	return &View{Now: now, Table: table, Servers: servers, Pressure: map[string]*Pressure{}, Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: 5}
+}
+
+func server(id string, models ...string) *Server {
+	one := &Server{ID: id, Backend: "s", Area: "north", Ready: true, Models: map[string]bool{}, Held: map[string]bool{}}
+	for _, model := range models {
+		one.Models[model] = true
+	}
+	return one
+}
+
+func find(actions []Action, load bool, model string) []Action {
+	var found []Action
+	for _, action := range actions {
+		if action.Load == load && action.Model == model {
+			found = append(found, action)
+		}
+	}
+	return found
+}
+
+func TestGivenAModelAskedForAndRoomThenItIsLoadedOnce(t *testing.T) {
+	view := market(server("a", "old"), server("b", "old"))
+	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 2, OldestMs: 50, LastSeen: now}
+	actions := Plan(view)
+	assert.Equal(t, len(find(actions, true, "rare")), 1)
+	assert.Assert(t, find(actions, true, "rare")[0].Stored)
+	view.Loading[Key("s", "rare")] = 1
+	assert.Equal(t, len(find(Plan(view), true, "rare")), 0)
+}
+
+func TestGivenAFullReplicaThenAnIdleModelMakesWayAndTheIntentEndsWithTheLoad(t *testing.T) {
+	one := server("a", "old", "rare2")
+	one.Models = map[string]bool{"old": true, "hot": true}
+	view := market(one)
+	view.Pressure[Key("s", "hot")] = &Pressure{Rate: 3, Running: 2, LastSeen: now}
+	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
+	one.Models["hot/a1"], one.Models["hot/a2"] = true, true
+	actions := Plan(view)
+	assert.Equal(t, len(find(actions, false, "hot")), 0, "the last copy in demand stays")
+	if len(find(actions, false, "old")) == 1 {
+		assert.Equal(t, one.Intent, "rare")
+	}
+	one.Models = map[string]bool{"hot": true}
+	one.Intent = "rare"
+	actions = Plan(view)
+	assert.Equal(t, len(find(actions, true, "rare")), 1)
+	assert.Equal(t, one.Intent, "")
+	one.Intent, one.Models["rare"] = "rare", true
+	Plan(view)
+	assert.Equal(t, one.Intent, "", "an intent for a model that stands must end")
+}
+
+func TestGivenACopyWithTheLastAdapterThenItIsNotEvicted(t *testing.T) {
+	view := market(server("a", "hot", "hot/a1", "old"), server("b", "hot", "old"))
+	view.Pressure[Key("s", "hot")] = &Pressure{Rate: 3, LastSeen: now}
+	p := &planner{view: view, backend: &view.Table.Layout.Backends[0], runtime: view.Table.Layout.Backends[0].Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}}
+	for _, model := range p.runtime.Models {
+		p.sizes[model.Name] = model
+	}
+	assert.Assert(t, !p.expendable(view.Servers[0], "hot"))
+}
+
+func TestGivenNoStoreLoadsLeftThenOnlyModelsHeldBeforeAreLoaded(t *testing.T) {
+	fresh, returned := server("a"), server("b")
+	returned.Held["rare"] = true
+	view := market(fresh, returned)
+	view.Tokens = 0
+	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
+	loads := find(Plan(view), true, "rare")
+	assert.Equal(t, len(loads), 1)
+	assert.Equal(t, loads[0].Server, "b")
+	assert.Assert(t, !loads[0].Stored)
+}
+
+func TestGivenAnyStateThenNoLoadExceedsRoomOrAdapterPlaces(t *testing.T) {
+	for shape := range 64 {
+		var models []string
+		for bit, name := range []string{"hot", "rare", "hot/a1", "hot/a2", "old", "hot/a3"} {
+			if shape>>bit&1 == 1 {
+				models = append(models, name)
+			}
+		}
+		one := server("a", models...)
+		view := market(one, server("b", "hot"))
+		for _, name := range []string{"hot/a4", "rare", "old", "hot"} {
+			view.Pressure[Key("s", name)] = &Pressure{Waiting: 1, OldestMs: 10, Rate: 2, LastSeen: now}
+		}
+		runtime := view.Table.Layout.Backends[0].Runtime
+		if one.size(runtime) > runtime.WeightSizeMb || one.adapters() > runtime.AdapterCapacity {
+			continue
+		}
+		for _, action := range Plan(view) {
+			if action.Server != "a" || !action.Load {
+				continue
+			}
+			one.Models[action.Model] = true
+			if one.size(runtime)-runtime.WeightSizeMb > 0.01 || one.adapters() > runtime.AdapterCapacity {
+				t.Fatalf("shape %d: %s does not fit %v", shape, action.Model, models)
+			}
+		}
+	}
+}
+
+func TestGivenASuspectedReplicaThenItsCopiesDoNotCount(t *testing.T) {
+	lost := server("a", "rare")
+	lost.Lost = true
+	view := market(lost, server("b"))
+	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
+	loads := find(Plan(view), true, "rare")
+	assert.Equal(t, len(loads), 1)
+	assert.Equal(t, loads[0].Server, "b")
+}
--- a/internal/replica/forward.go
+++ b/internal/replica/forward.go
@@ -47,6 +47,7 @@
 	connectBound time.Duration
 	silence      time.Duration
 	clock        func() time.Time
+	network      partner.Network
 }
 
 type kept struct {
@@ -54,8 +55,8 @@
 	used      time.Time
 }
 
-func NewForwarder(clock func() time.Time, connectBound, silence time.Duration) *Forwarder {
-	return &Forwarder{transports: map[string]*kept{}, connectBound: connectBound, silence: silence, clock: clock}
+func NewForwarder(network partner.Network, clock func() time.Time, connectBound, silence time.Duration) *Forwarder {
+	return &Forwarder{transports: map[string]*kept{}, connectBound: connectBound, silence: silence, clock: clock, network: network}
 }
 
 const (
@@ -71,7 +72,7 @@
 	defer f.lock.Unlock()
 	held := f.transports[identity]
 	if held == nil {
-		held = &kept{transport: partner.NewTransport(f.connectBound, f.silence, idlePerReplica)}
+		held = &kept{transport: partner.NewTransport(f.network, f.connectBound, f.silence, idlePerReplica)}
 		held.transport.IdleConnTimeout = idleTime
 		f.transports[identity] = held
 		for other, one := range f.transports {
--- /dev/null
+++ b/internal/story/fleet_test.go
@@ -0,0 +1,225 @@
+package story
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/controlplane"
+	"ferryspar/internal/dataplane"
+	"ferryspar/internal/env"
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+	"ferryspar/internal/replica"
+)
+
+const (
+	serviceName      = "scribes"
+	placesPerReplica = 2
+)
+
+type running struct {
+	stop   chan os.Signal
+	cancel context.CancelFunc
+	done   chan error
+}
+
+type fleet struct {
+	t        *testing.T
+	network  *memoryNetwork
+	lock     sync.Mutex
+	replicas []*standInReplica
+	daemons  map[string]*running
+	folders  map[string]keystore.Folder
+	client   *http.Client
+	listed   int
+}
+
+var areas = map[string]string{"north": "land", "south": "land", "east": "land"}
+
+func coreHost(number int) string { return fmt.Sprintf("10.%d.0.1", number) }
+func edgeHost(number int) string { return fmt.Sprintf("10.%d.1.1", number) }
+
+func startFleet(t *testing.T, edges int, replicas ...*standInReplica) *fleet {
+	logrus.SetOutput(io.Discard)
+	f := &fleet{t: t, network: newMemoryNetwork(), daemons: map[string]*running{}, folders: map[string]keystore.Folder{}}
+	transport := partner.NewTransport(f.network.machine("10.9.9.9"), time.Second, time.Minute, 0)
+	transport.DisableKeepAlives = true
+	f.client = &http.Client{Transport: transport}
+	f.serve("10.200.0.1", "10.200.0.1:80", http.HandlerFunc(f.list))
+	for _, one := range replicas {
+		f.add(one)
+	}
+	for number := 1; number <= 3; number++ {
+		f.startCore(coreHost(number), true, 1, 2, 3)
+	}
+	for number := 1; number <= edges; number++ {
+		f.startEdge(edgeHost(number))
+	}
+	t.Cleanup(func() {
+		for _, one := range f.daemons {
+			one.cancel()
+		}
+		f.lock.Lock()
+		listening := map[string]bool{}
+		for _, one := range f.replicas {
+			listening[hostOf(one.listed.Address)] = true
+		}
+		f.lock.Unlock()
+		for host := range listening {
+			f.network.breakOff(host)
+		}
+		f.network.breakOff("10.200.0.1")
+		for number := 1; number <= 9; number++ {
+			f.network.breakOff(coreHost(number))
+			f.network.breakOff(edgeHost(number))
+		}
+		time.Sleep(2 * time.Minute)
+	})
+	return f
+}
+
+func hostOf(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+func (f *fleet) serve(host, address string, handler http.Handler) {
+	listener, err := f.network.machine(host).Listen(address)
+	assert.NilError(f.t, err)
+	go func() { _ = http.Serve(listener, handler) }()
+}
+
+func (f *fleet) add(one *standInReplica) {
+	f.lock.Lock()
+	f.replicas = append(f.replicas, one)
+	f.lock.Unlock()
+	f.serve(hostOf(one.listed.Address), one.listed.Address, one)
+}
+
+func (f *fleet) list(writer http.ResponseWriter, request *http.Request) {
+	f.lock.Lock()
+	replicas := append([]*standInReplica(nil), f.replicas...)
+	f.listed++
+	f.lock.Unlock()
+	page := platform.Page{Instances: []platform.Replica{}}
+	for _, one := range replicas {
+		page.Instances = append(page.Instances, one.entry())
+	}
+	_ = json.NewEncoder(writer).Encode(page)
+}
+
+func (f *fleet) settings(host string, bootstrap bool, seeds ...int) env.Settings {
+	settings, err := env.Parse([]byte(""))
+	assert.NilError(f.t, err)
+	settings.NodeName, settings.IPAddress, settings.Bootstrap = "daemon-"+host, host, bootstrap
+	settings.Areas, settings.InternalPorts = areas, []int{7000, 7010}
+	settings.Area = map[byte]string{'1': "north", '2': "south", '3': "east"}[host[3]]
+	if settings.Area == "" {
+		settings.Area = "north"
+	}
+	for _, seed := range seeds {
+		settings.SeedNodes = append(settings.SeedNodes, coreHost(seed)+":8166")
+	}
+	settings.DataDir = "memory"
+	settings.BindAddresses = env.BindAddresses{DataPlane: host + ":8161", Readiness: host + ":8167", ControlPlane: host + ":8166"}
+	settings.CloudAPI = env.CloudAPI{Address: "10.200.0.1:80", RatePerS: 40, MaxLagMs: 100}
+	settings.TimingBounds.RetryBudgetRatio, settings.TimingBounds.RetryBudgetSlack = 0.2, 50
+	return settings
+}
+
+func (f *fleet) launch(host string, run func(ctx context.Context, signals env.Signals) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	one := &running{stop: make(chan os.Signal, 1), cancel: cancel, done: make(chan error, 1)}
+	f.daemons[host] = one
+	go func() { one.done <- run(ctx, env.Signals{Stop: one.stop}) }()
+}
+
+func (f *fleet) startCore(host string, bootstrap bool, seeds ...int) {
+	if f.folders[host] == nil {
+		f.folders[host] = &memoryFolder{files: map[string][]byte{}}
+	}
+	daemon, err := controlplane.New(f.settings(host, bootstrap, seeds...), "", f.network.machine(host), f.folders[host])
+	assert.NilError(f.t, err)
+	f.launch(host, daemon.Run)
+}
+
+func (f *fleet) startEdge(host string) {
+	f.launch(host, dataplane.New(f.settings(host, true, 1, 2, 3), "", f.network.machine(host)).Run)
+}
+
+func (f *fleet) kill(host string) {
+	f.daemons[host].cancel()
+	f.network.breakOff(host)
+	time.Sleep(10 * time.Millisecond)
+	f.network.breakOff(host)
+}
+
+func (f *fleet) wipe(host string) { f.folders[host] = &memoryFolder{files: map[string][]byte{}} }
+
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	cut    bool
+	took   time.Duration
+}
+
+func (f *fleet) call(method, address, path, body string, header map[string]string) reply {
+	began := time.Now()
+	order, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	for name, value := range header {
+		order.Header.Set(name, value)
+	}
+	if host := header["Host"]; host != "" {
+		order.Host = host
+	}
+	answer, err := f.client.Do(order)
+	if err != nil {
+		return reply{cut: true, took: time.Since(began)}
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	return reply{answer.StatusCode, string(content), answer.Header, err != nil, time.Since(began)}
+}
+
+func (f *fleet) put(core, condition, revision int, document string) reply {
+	return f.call(http.MethodPut, coreHost(core)+":8166", "/ferryspar/config", document, map[string]string{"If-Match": fmt.Sprint(condition)})
+}
+
+func (f *fleet) ask(edge int, attempt, path, model string) reply {
+	return f.call(http.MethodPost, edgeHost(edge)+":8161", path, "prompt", map[string]string{
+		"Host": "shop.example", replica.HeaderAttempt: attempt, replica.HeaderModel: model, replica.HeaderTokens: "100,20",
+		replica.HeaderPrefix: "aa:60,bb:40", replica.HeaderRemaining: "20000",
+	})
+}
+
+func document(revision int, extra string) string {
+	return fmt.Sprintf(`{"revision":%d,"routeTable":[
+	{"name":"quick","hostname":"shop.example","pathPrefix":"/quick/","routeType":"streaming","timeoutMs":20000,"targetLatencyMs":600,"priority":1,"backend":"scribes","retryCount":1,"sticky":true,"resumable":false,"tokenGapMs":300},
+	{"name":"patient","hostname":"shop.example","pathPrefix":"/patient/","routeType":"streaming","timeoutMs":30000,"targetLatencyMs":8000,"priority":0,"backend":"scribes","retryCount":2,"sticky":true,"resumable":true,"tokenGapMs":300}%s],
+	"backends":[{"name":"scribes","healthPath":"/healthz","maxConns":64,"coldStartS":3,"coldPerS":2,"runtime":{"slots":8,"kvCacheTokens":10000,"modelList":[
+	{"name":"swift","weightSizeMb":100,"loadTimeS":2,"adapterList":2,"adapterSizeMb":1},{"name":"rare","weightSizeMb":100,"loadTimeS":2,"adapterList":0,"adapterSizeMb":1},{"name":"other","weightSizeMb":100,"loadTimeS":2,"adapterList":0,"adapterSizeMb":1}],
+	"weightSizeMb":210,"adapterCapacity":4,"loadsPerS":1}}],
+	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, revision, extra)
+}
+
+func allEvents() string {
+	var whole strings.Builder
+	for number := 1; number <= 5; number++ {
+		fmt.Fprintf(&whole, "id: %d\ndata: piece %d\n\n", number, number)
+	}
+	return whole.String()
+}
--- /dev/null
+++ b/internal/story/network_test.go
@@ -0,0 +1,177 @@
+package story
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/partner"
+)
+
+type memoryNetwork struct {
+	lock      sync.Mutex
+	listeners map[string]*memoryListener
+	dark      map[string]bool
+	cuts      map[[2]string]bool
+	sessions  map[*memorySession]bool
+}
+
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{listeners: map[string]*memoryListener{}, dark: map[string]bool{}, cuts: map[[2]string]bool{}, sessions: map[*memorySession]bool{}}
+}
+
+func (n *memoryNetwork) machine(host string) partner.Network { return &memoryMachine{n, host} }
+
+type memoryMachine struct {
+	network *memoryNetwork
+	host    string
+}
+
+type memoryListener struct {
+	network  *memoryNetwork
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case session := <-l.accepted:
+		return session, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.lock.Lock()
+		delete(l.network.listeners, l.address)
+		l.network.lock.Unlock()
+	})
+	return nil
+}
+
+type memoryAddress string
+
+func (a memoryAddress) Network() string { return "memory" }
+func (a memoryAddress) String() string  { return string(a) }
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddress(l.address) }
+
+func (m *memoryMachine) Listen(address string) (net.Listener, error) {
+	m.network.lock.Lock()
+	defer m.network.lock.Unlock()
+	if m.network.listeners[address] != nil {
+		return nil, errors.Errorf("%s is taken", address)
+	}
+	listener := &memoryListener{network: m.network, address: address, accepted: make(chan net.Conn, 64), closed: make(chan struct{})}
+	m.network.listeners[address] = listener
+	return listener, nil
+}
+
+func (n *memoryNetwork) blocked(from, to string) bool {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return n.dark[from] || n.dark[to] || n.cuts[[2]string{from, to}]
+}
+
+func (m *memoryMachine) Dial(connectBound, silence time.Duration) partner.DialFunction {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		bounded, cancel := context.WithTimeout(ctx, connectBound)
+		defer cancel()
+		host, _, _ := net.SplitHostPort(address)
+		time.Sleep(time.Millisecond)
+		if m.network.blocked(m.host, host) {
+			<-bounded.Done()
+			return nil, bounded.Err()
+		}
+		m.network.lock.Lock()
+		listener := m.network.listeners[address]
+		m.network.lock.Unlock()
+		if listener == nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		near, far := net.Pipe()
+		left := &memorySession{Conn: near, network: m.network, from: m.host, to: host, silence: silence}
+		right := &memorySession{Conn: far, network: m.network, from: host, to: m.host, silence: time.Minute}
+		m.network.lock.Lock()
+		m.network.sessions[left], m.network.sessions[right] = true, true
+		m.network.lock.Unlock()
+		select {
+		case listener.accepted <- right:
+			return left, nil
+		case <-bounded.Done():
+			return nil, bounded.Err()
+		}
+	}
+}
+
+type memorySession struct {
+	net.Conn
+	network *memoryNetwork
+	from    string
+	to      string
+	silence time.Duration
+}
+
+func (s *memorySession) Write(content []byte) (int, error) {
+	waited := time.Duration(0)
+	for s.network.blocked(s.from, s.to) {
+		time.Sleep(20 * time.Millisecond)
+		if waited += 20 * time.Millisecond; waited > s.silence {
+			s.Close()
+			return 0, syscall.ETIMEDOUT
+		}
+	}
+	return s.Conn.Write(content)
+}
+
+func (s *memorySession) Close() error {
+	s.network.lock.Lock()
+	delete(s.network.sessions, s)
+	s.network.lock.Unlock()
+	return s.Conn.Close()
+}
+
+func (n *memoryNetwork) breakOff(host string) {
+	n.lock.Lock()
+	var broken []*memorySession
+	for session := range n.sessions {
+		if session.from == host || session.to == host {
+			broken = append(broken, session)
+		}
+	}
+	var closed []*memoryListener
+	for address, listener := range n.listeners {
+		if name, _, _ := net.SplitHostPort(address); name == host {
+			closed = append(closed, listener)
+		}
+	}
+	n.lock.Unlock()
+	for _, listener := range closed {
+		listener.Close()
+	}
+	for _, session := range broken {
+		session.Close()
+	}
+}
+
+func (n *memoryNetwork) cut(left, right string, cut bool) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.cuts[[2]string{left, right}] = cut
+	n.cuts[[2]string{right, left}] = cut
+}
+
+func (n *memoryNetwork) darken(host string, dark bool) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.dark[host] = dark
+}
--- /dev/null
+++ b/internal/story/replica_test.go
@@ -0,0 +1,188 @@
+package story
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"ferryspar/internal/platform"
+	"ferryspar/internal/replica"
+)
+
+type arrival struct {
+	attempt   string
+	lastEvent string
+	path      string
+	at        time.Time
+}
+
+type ordered struct {
+	replica.Instruction
+	at time.Time
+}
+
+type standInReplica struct {
+	lock      sync.Mutex
+	listed    platform.Replica
+	models    map[string]bool
+	runs      []arrival
+	orders    []ordered
+	sequence  int64
+	busyUntil time.Time
+	cutAfter  int
+	full      bool
+	events    int
+	loadTime  time.Duration
+	highest   uint64
+	overfull  bool
+}
+
+func newStandInReplica(id, host, area string, models ...string) *standInReplica {
+	stand := &standInReplica{models: map[string]bool{}, events: 5, loadTime: 2 * time.Second}
+	stand.listed = platform.Replica{ID: id, Backend: serviceName, Address: host + ":8080", Area: area, Revision: "v1", Slots: 8, State: "ready"}
+	for _, model := range models {
+		stand.models[model] = true
+	}
+	return stand
+}
+
+func (s *standInReplica) held() []platform.Held {
+	var list []platform.Held
+	for reference := range s.models {
+		if strings.Contains(reference, "/") {
+			continue
+		}
+		one := platform.Held{Name: reference, Revision: 1, Adapters: []string{}}
+		for other := range s.models {
+			if model, adapter, found := strings.Cut(other, "/"); found && model == reference {
+				one.Adapters = append(one.Adapters, adapter)
+			}
+		}
+		list = append(list, one)
+	}
+	return list
+}
+
+func (s *standInReplica) entry() platform.Replica {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	listed := s.listed
+	listed.Models = s.held()
+	return listed
+}
+
+func (s *standInReplica) ran() []arrival {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return append([]arrival(nil), s.runs...)
+}
+
+func (s *standInReplica) told() []ordered {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return append([]ordered(nil), s.orders...)
+}
+
+func (s *standInReplica) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if target := request.Header.Get(replica.HeaderTarget); target != s.listed.ID {
+		writer.Header().Set(replica.HeaderIdentity, s.listed.ID)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	handlers := map[string]http.HandlerFunc{"/ferryspar/report": s.report, "/ferryspar/order": s.order}
+	if handle, known := handlers[request.URL.Path]; known {
+		handle(writer, request)
+		return
+	}
+	s.serve(writer, request)
+}
+
+func (s *standInReplica) report(writer http.ResponseWriter, request *http.Request) {
+	s.lock.Lock()
+	state := replica.State{Phase: "unified", Models: s.held(), Busy: time.Now().Before(s.busyUntil), Sequence: s.sequence}
+	s.lock.Unlock()
+	_ = json.NewEncoder(writer).Encode(state)
+}
+
+func (s *standInReplica) order(writer http.ResponseWriter, request *http.Request) {
+	var instruction replica.Instruction
+	_ = json.NewDecoder(request.Body).Decode(&instruction)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.orders = append(s.orders, ordered{instruction, time.Now()})
+	if instruction.Fence < s.highest {
+		writer.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.highest = instruction.Fence
+	if time.Now().Before(s.busyUntil) {
+		writer.WriteHeader(http.StatusConflict)
+		return
+	}
+	reference := instruction.Model
+	taking := s.loadTime
+	if instruction.Adapter != "" {
+		reference += "/" + instruction.Adapter
+		taking = 10 * time.Millisecond
+	}
+	s.sequence++
+	s.busyUntil = time.Now().Add(taking)
+	load := instruction.Operation == replica.OperationLoad
+	if load && instruction.Adapter == "" {
+		total := 0
+		for held := range s.models {
+			if !strings.Contains(held, "/") {
+				total++
+			}
+		}
+		s.overfull = s.overfull || total >= placesPerReplica
+	}
+	time.AfterFunc(taking, func() {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		s.models[reference] = true
+		if !load {
+			for held := range s.models {
+				if held == reference || strings.HasPrefix(held, reference+"/") {
+					delete(s.models, held)
+				}
+			}
+		}
+	})
+	writer.WriteHeader(http.StatusAccepted)
+}
+
+func (s *standInReplica) serve(writer http.ResponseWriter, request *http.Request) {
+	attempt := request.Header.Get(replica.HeaderAttempt)
+	writer.Header().Set(replica.HeaderAttempt, attempt)
+	s.lock.Lock()
+	if s.full {
+		s.lock.Unlock()
+		writer.Header().Set(replica.HeaderNotExecuted, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !s.models[request.Header.Get(replica.HeaderModel)] {
+		s.lock.Unlock()
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	from := 0
+	_, _ = fmt.Sscanf(request.Header.Get(replica.HeaderLastEvent), "%d", &from)
+	s.runs = append(s.runs, arrival{attempt, request.Header.Get(replica.HeaderLastEvent), request.RequestURI, time.Now()})
+	cutAfter, events := s.cutAfter, s.events
+	s.lock.Unlock()
+	writer.Header().Set(replica.HeaderSeal, "seal-"+s.listed.ID)
+	writer.Header().Set("Content-Type", "text/event-stream")
+	for number := from + 1; number <= events; number++ {
+		time.Sleep(20 * time.Millisecond)
+		fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", number, number)
+		_ = http.NewResponseController(writer).Flush()
+		if cutAfter > 0 && number == cutAfter {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
