--- a/internal/controlplane/board.go
+++ b/internal/controlplane/board.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -13,7 +12,7 @@
 	Version    uint64
 	Fresh      bool
 	Revision   int64
-	Document   json.RawMessage
+	Packed     []byte
 	Areas      map[string]partner.AreaState
 	AreaNumber uint64
 	Roster     uint64
@@ -48,7 +47,9 @@
 	if !update(&next) {
 		return
 	}
-	next.Version++
+	if next.Roster == b.current.Roster {
+		next.Version++
+	}
 	next.changed = make(chan struct{})
 	close(b.current.changed)
 	b.current = &next
@@ -77,7 +78,7 @@
 		return news
 	}
 	if b.Revision > poll.Revision {
-		news.Document = b.Document
+		news.Packed = b.Packed
 	}
 	if b.Roster != poll.Roster || poll.Life != life {
 		news.Replicas, news.Barred = b.Replicas, b.Barred
@@ -86,5 +87,8 @@
 }
 
 func (b *Bulletin) Answers(poll partner.Poll, life string) bool {
-	return poll.Life != life || poll.Version != b.Version || poll.Wants && b.Fresh && b.Revision > poll.Revision
+	if poll.Life != life || poll.Version != b.Version {
+		return true
+	}
+	return poll.Wants && b.Fresh && (b.Revision > poll.Revision || b.Roster != poll.Roster)
 }
--- a/internal/controlplane/layouts.go
+++ b/internal/controlplane/layouts.go
@@ -48,7 +48,11 @@
 
 func (d *Daemon) PatchLayout(ctx context.Context, condition int64, method string, body []byte) error {
 	return d.changeLayout(ctx, condition, mark(method, strconv.FormatInt(condition, 10), body), func(current layoutRecord) (int64, []byte, error) {
-		document, err := layout.Apply(current.Document, body)
+		present, err := layout.Unpack(current.Packed)
+		if err != nil {
+			return 0, nil, err
+		}
+		document, err := layout.Apply(present, body)
 		if err != nil {
 			return 0, nil, err
 		}
@@ -84,7 +88,7 @@
 		if len(marks) > takenBound {
 			marks = marks[len(marks)-takenBound:]
 		}
-		return json.Marshal(layoutRecord{Revision: revision, Document: document, Taken: marks})
+		return json.Marshal(layoutRecord{Revision: revision, Packed: layout.Pack(document), Taken: marks})
 	})
 	if errors.Is(err, errTaken) {
 		return nil
@@ -112,7 +116,7 @@
 	if err := json.Unmarshal(slot.Value, &record); err != nil {
 		return nil, err
 	}
-	return record.Document, nil
+	return layout.Unpack(record.Packed)
 }
 
 func (d *Daemon) DrainArea(ctx context.Context, area string, drained bool) error {
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -28,7 +28,11 @@
 		return nil
 	}
 	if w.table == nil || w.table.Layout.Revision != bulletin.Revision {
-		if read, err := layout.Decode(bulletin.Document); err == nil {
+		document, err := layout.Unpack(bulletin.Packed)
+		if err != nil {
+			return w.table
+		}
+		if read, err := layout.Decode(document); err == nil {
 			w.table = layout.Build(read, nil)
 		}
 	}
--- a/internal/controlplane/records.go
+++ b/internal/controlplane/records.go
@@ -19,9 +19,9 @@
 }
 
 type layoutRecord struct {
-	Revision int64           `json:"revision"`
-	Document json.RawMessage `json:"document"`
-	Taken    []taken         `json:"taken"`
+	Revision int64   `json:"revision"`
+	Packed   []byte  `json:"packed"`
+	Taken    []taken `json:"taken"`
 }
 
 type areaRecord struct {
@@ -85,7 +85,7 @@
 		if record.Revision <= next.Revision {
 			return false
 		}
-		next.Revision, next.Document = record.Revision, record.Document
+		next.Revision, next.Packed = record.Revision, record.Packed
 		return true
 	})
 }
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"reflect"
 	"sort"
 	"sync"
@@ -11,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/env"
-	"ferryspar/internal/partner"
 	"ferryspar/internal/platform"
 )
 
@@ -19,8 +17,9 @@
 	lock     sync.Mutex
 	replicas []platform.Replica
 	at       time.Time
-	shared   map[string]string
+	shared   map[string]shared
 	from     string
+	stamp    string
 }
 
 func (r *rosterState) listed() []platform.Replica {
@@ -155,68 +154,3 @@
 	sort.Strings(barred)
 	return result, barred
 }
-
-func (d *Daemon) shareRoster(ctx context.Context) {
-	bulletin := d.board.Read()
-	share := partner.RosterShare{Member: d.self, AgeMs: d.clock().Sub(bulletin.RosterAt).Milliseconds(), Replicas: bulletin.Replicas, Barred: bulletin.Barred}
-	content, _ := json.Marshal(share.Replicas)
-	stamp := mark("", "", content) + mark("", "", []byte(join(share.Barred)))
-	for _, address := range d.otherControls() {
-		one := share
-		d.roster.lock.Lock()
-		if d.roster.shared == nil {
-			d.roster.shared = map[string]string{}
-		}
-		if d.roster.shared[address] == stamp {
-			one.Replicas, one.Barred = nil, nil
-			one.Same = true
-		}
-		d.roster.lock.Unlock()
-		go func() {
-			var reply rosterReply
-			err := d.session.Ask(ctx, "roster", address, one, &reply)
-			d.roster.lock.Lock()
-			defer d.roster.lock.Unlock()
-			delete(d.roster.shared, address)
-			if err == nil && reply.Has {
-				d.roster.shared[address] = stamp
-			}
-		}()
-	}
-}
-
-type rosterReply struct {
-	Has bool `json:"has"`
-}
-
-func join(list []string) string {
-	content, _ := json.Marshal(list)
-	return string(content)
-}
-
-func (d *Daemon) hearRoster(ctx context.Context, share partner.RosterShare) rosterReply {
-	d.warden.heardHolder()
-	now := d.clock()
-	at := now.Add(-time.Duration(share.AgeMs) * time.Millisecond)
-	if share.Same {
-		d.roster.lock.Lock()
-		from := d.roster.from
-		d.roster.lock.Unlock()
-		if from != share.Member {
-			return rosterReply{}
-		}
-		bulletin := d.board.Read()
-		d.roster.set(bulletin.Replicas, at)
-		d.post(bulletin.Replicas, bulletin.Barred, at)
-		return rosterReply{Has: true}
-	}
-	d.roster.set(share.Replicas, at)
-	d.roster.lock.Lock()
-	d.roster.from = share.Member
-	d.roster.lock.Unlock()
-	for _, one := range share.Replicas {
-		d.warden.notice(one)
-	}
-	d.post(share.Replicas, share.Barred, at)
-	return rosterReply{Has: true}
-}
--- /dev/null
+++ b/internal/controlplane/share.go
@@ -0,0 +1,108 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+	"sort"
+	"time"
+
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+)
+
+type shared struct {
+	stamp    string
+	replicas []platform.Replica
+}
+
+type rosterReply struct {
+	Has bool `json:"has"`
+}
+
+func difference(base, next []platform.Replica) (changed []platform.Replica, gone []string) {
+	held := map[string]platform.Replica{}
+	for _, one := range base {
+		held[one.ID] = one
+	}
+	for _, one := range next {
+		if before, known := held[one.ID]; !known || !reflect.DeepEqual(before, one) {
+			changed = append(changed, one)
+		}
+		delete(held, one.ID)
+	}
+	for id := range held {
+		gone = append(gone, id)
+	}
+	sort.Strings(gone)
+	return changed, gone
+}
+
+func combine(base, changed []platform.Replica, gone []string) []platform.Replica {
+	held := map[string]platform.Replica{}
+	for _, one := range append(append([]platform.Replica{}, base...), changed...) {
+		held[one.ID] = one
+	}
+	for _, id := range gone {
+		delete(held, id)
+	}
+	result := make([]platform.Replica, 0, len(held))
+	for _, one := range held {
+		result = append(result, one)
+	}
+	sort.Slice(result, func(left, right int) bool { return result[left].ID < result[right].ID })
+	return result
+}
+
+func (d *Daemon) shareRoster(ctx context.Context) {
+	bulletin := d.board.Read()
+	content, _ := json.Marshal(bulletin.Replicas)
+	share := partner.RosterShare{
+		Member: d.self, AgeMs: d.clock().Sub(bulletin.RosterAt).Milliseconds(), Replicas: bulletin.Replicas, Barred: bulletin.Barred,
+		Stamp: mark("", "", content),
+	}
+	for _, address := range d.otherControls() {
+		one := share
+		d.roster.lock.Lock()
+		if held, known := d.roster.shared[address]; known {
+			one.Base = held.stamp
+			one.Replicas, one.Gone = difference(held.replicas, share.Replicas)
+		}
+		d.roster.lock.Unlock()
+		go func() {
+			var reply rosterReply
+			err := d.session.Ask(ctx, "roster", address, one, &reply)
+			d.roster.lock.Lock()
+			defer d.roster.lock.Unlock()
+			if d.roster.shared == nil {
+				d.roster.shared = map[string]shared{}
+			}
+			delete(d.roster.shared, address)
+			if err == nil && reply.Has {
+				d.roster.shared[address] = shared{share.Stamp, share.Replicas}
+			}
+		}()
+	}
+}
+
+func (d *Daemon) hearRoster(ctx context.Context, share partner.RosterShare) rosterReply {
+	d.warden.heardHolder()
+	at := d.clock().Add(-time.Duration(share.AgeMs) * time.Millisecond)
+	d.roster.lock.Lock()
+	replicas := share.Replicas
+	if share.Base != "" {
+		if d.roster.from != share.Member || d.roster.stamp != share.Base {
+			d.roster.lock.Unlock()
+			return rosterReply{}
+		}
+		replicas = combine(d.roster.replicas, share.Replicas, share.Gone)
+	}
+	d.roster.replicas, d.roster.at = replicas, at
+	d.roster.from, d.roster.stamp = share.Member, share.Stamp
+	d.roster.lock.Unlock()
+	for _, one := range share.Replicas {
+		d.warden.notice(one)
+	}
+	d.post(replicas, share.Barred, at)
+	return rosterReply{Has: true}
+}
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -140,8 +140,13 @@
 
 func (d *Desk) adopt(news partner.News) bool {
 	changed := false
-	if len(news.Document) > 0 && news.Revision > d.wants.revision.Load() {
-		read, err := layout.Decode(news.Document)
+	if len(news.Packed) > 0 && news.Revision > d.wants.revision.Load() {
+		document, err := layout.Unpack(news.Packed)
+		if err != nil {
+			logrus.WithError(err).Error("layout from control daemon cannot be unpacked")
+			return false
+		}
+		read, err := layout.Decode(document)
 		if err != nil {
 			logrus.WithError(err).Error("layout from control daemon cannot be read")
 			return false
--- a/internal/match/assign.go
+++ b/internal/match/assign.go
@@ -117,7 +117,6 @@
 	kind := problem.Overloaded
 	if order.unplaced || order.Returned {
 		bound = min(time.Duration(0.45*float64(total)), silenceShare*order.Aim-silenceSlack)
-		bound = max(bound, order.Aim)
 	}
 	if order.unplaced {
 		kind = problem.Unplaced
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -1,8 +1,6 @@
 package partner
 
 import (
-	"encoding/json"
-
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/platform"
 )
@@ -30,7 +28,7 @@
 	Fresh      bool                 `json:"fresh"`
 	Version    uint64               `json:"version"`
 	Revision   int64                `json:"revision"`
-	Document   json.RawMessage      `json:"document,omitempty"`
+	Packed     []byte               `json:"packed,omitempty"`
 	AreaNumber uint64               `json:"areaNumber"`
 	Areas      map[string]AreaState `json:"areas,omitempty"`
 	Roster     uint64               `json:"roster"`
@@ -75,7 +73,9 @@
 	AgeMs    int64              `json:"ageMs"`
 	Replicas []platform.Replica `json:"replicas"`
 	Barred   []string           `json:"barred,omitempty"`
-	Same     bool               `json:"same,omitempty"`
+	Base     string             `json:"base,omitempty"`
+	Stamp    string             `json:"stamp"`
+	Gone     []string           `json:"gone,omitempty"`
 }
 
 type Learned struct {
