--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -12,14 +12,13 @@
 
 const (
 	digestEvery  = 350 * time.Millisecond
+	unsureEvery  = 120 * time.Millisecond
 	freshFor     = 1100 * time.Millisecond
 	greetEvery   = 400 * time.Millisecond
 	watcherCount = 3
 )
 
 func (d *Daemon) digestLoop(ctx context.Context) {
-	schedule := time.NewTicker(digestEvery)
-	defer schedule.Stop()
 	var confirmed time.Time
 	for {
 		began := d.clock()
@@ -36,10 +35,13 @@
 			next.Fresh = fresh
 			return changed
 		})
-		select {
-		case <-ctx.Done():
+		pause := digestEvery
+		if !fresh {
+			pause = unsureEvery
+		}
+		sleepFor(ctx, pause)
+		if ctx.Err() != nil {
 			return
-		case <-schedule.C:
 		}
 	}
 }
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -58,7 +58,7 @@
 
 const (
 	firstPause = 100 * time.Millisecond
-	lastPause  = 800 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
 )
 
 func (l *Listener) follow(ctx context.Context, address string) {
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -11,6 +11,7 @@
 	copyShare    = 0.4
 	hotRate      = 1.5
 	rareRate     = 0.3
+	lateShare    = 0.4
 	recentDemand = 20 * time.Second
 	roomSlack    = 0.001
 )
@@ -102,22 +103,30 @@
 
 func (p *planner) missing() {
 	type want struct {
-		model  string
-		oldest float64
+		model string
+		gain  float64
 	}
 	var wanted []want
 	for _, model := range p.runtime.Models {
 		demand := p.view.modelPressure(p.backend.Name, model.Name)
 		if demand.Waiting > 0 && len(p.view.copies(p.backend.Name, model.Name)) == 0 && p.view.Loading[key(p.backend.Name, model.Name)] == 0 && !p.intended(model.Name) {
-			wanted = append(wanted, want{model.Name, demand.OldestMs})
+			wanted = append(wanted, want{model.Name, p.gain(model, demand)})
 		}
 	}
-	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].oldest > wanted[right].oldest })
+	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].gain > wanted[right].gain })
 	for _, one := range wanted {
 		p.bring(one.model, "asked for and nowhere loaded")
 	}
 }
 
+func (p *planner) gain(model layout.Model, demand Pressure) float64 {
+	gain := float64(demand.Waiting)
+	if demand.Aim > 0 && demand.OldestMs+model.LoadTimeS*1000 > demand.Aim {
+		gain = gain*lateShare + demand.OldestMs/demand.Aim*lateShare
+	}
+	return gain
+}
+
 func (p *planner) intended(model string) bool {
 	for _, server := range p.view.Servers {
 		if server.Backend == p.backend.Name && server.Intent == model && !server.Draining {
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -112,6 +112,7 @@
 		total.OldestMs = max(total.OldestMs, one.OldestMs)
 		total.Rate += one.Rate
 		total.Running += one.Running
+		total.Aim = max(total.Aim, one.Aim)
 		if one.LastSeen.After(total.LastSeen) {
 			total.LastSeen = one.LastSeen
 		}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -45,11 +45,11 @@
 func (t *Tenure) Seize(ctx context.Context) (*Hold, error) {
 	began := t.Clock()
 	var record Record
-	same := false
-	slot, err := t.Keeper.Seize(ctx, t.Key, func(current keystore.Slot) json.RawMessage {
+	undisturbed := false
+	_, err := t.Keeper.Seize(ctx, t.Key, func(current keystore.Slot) json.RawMessage {
 		var last Record
 		_ = json.Unmarshal(current.Value, &last)
-		same = current.Ballot == 0 || last.Holder == ""
+		undisturbed = last.Holder == "" || last.Holder == t.Holder
 		record = Record{Holder: t.Holder, Address: t.Address, Fence: last.Fence + 1}
 		value, _ := json.Marshal(record)
 		return value
@@ -59,7 +59,7 @@
 	}
 	now := t.Clock()
 	hold := &Hold{Record: record, Since: now, Until: began.Add(t.Length), Acts: now.Add(t.Settle)}
-	if same && slot.Sequence <= 1 {
+	if undisturbed {
 		hold.Acts = now
 	}
 	logrus.WithFields(logrus.Fields{"tenure": t.Key, "fence": record.Fence}).Info("tenure taken")
