Retention of cached context: a life and forgets, as keys of the control state

Edges let go by their steady clock and on numbered news, never learn again what began before; replicas drop theirs by a rolling unload under the placement tenure with the last serving copy kept; status per node.

--- a/internal/controlplane/board.go
+++ b/internal/controlplane/board.go
@@ -6,6 +6,7 @@
 
 	"ferryspar/internal/partner"
 	"ferryspar/internal/platform"
+	"ferryspar/internal/retention"
 )
 
 type Bulletin struct {
@@ -22,6 +23,8 @@
 	Holder     string
 	Control    []string
 	Edges      int
+	Policy     retention.Policy
+	Forgets    retention.Record
 	changed    chan struct{}
 }
 
@@ -74,6 +77,13 @@
 	if b.AreaNumber > poll.AreaNumber {
 		news.Areas = b.Areas
 	}
+	if number := b.context(); number > poll.Context {
+		told := &partner.ContextNews{Number: number, LifeMs: b.Policy.LifeMs}
+		for _, item := range b.Forgets.Items {
+			told.Forgets = append(told.Forgets, partner.Forget{Number: item.Number, Scope: item.Scope})
+		}
+		news.Context = told
+	}
 	if !poll.Wants {
 		return news
 	}
@@ -86,7 +96,12 @@
 	return news
 }
 
+func (b *Bulletin) context() uint64 { return b.Policy.Number + b.Forgets.Number }
+
 func (b *Bulletin) Answers(poll partner.Poll, life string) bool {
+	if b.Fresh && b.context() > poll.Context {
+		return true
+	}
 	if poll.Life != life || poll.Version != b.Version {
 		return true
 	}
--- /dev/null
+++ b/internal/controlplane/context.go
@@ -0,0 +1,171 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/retention"
+)
+
+func (d *Daemon) applyPolicy(slot keystore.Slot) {
+	var policy retention.Policy
+	if json.Unmarshal(slot.Value, &policy) != nil {
+		return
+	}
+	d.board.Change(func(next *Bulletin) bool {
+		if policy.Number <= next.Policy.Number {
+			return false
+		}
+		next.Policy = policy
+		return true
+	})
+}
+
+func (d *Daemon) applyForgets(slot keystore.Slot) {
+	var record retention.Record
+	if json.Unmarshal(slot.Value, &record) != nil {
+		return
+	}
+	d.board.Change(func(next *Bulletin) bool {
+		if record.Number < next.Forgets.Number {
+			return false
+		}
+		next.Forgets = record
+		return true
+	})
+}
+
+func (d *Daemon) changeContext(ctx context.Context, key string, decide func(current keystore.Slot) (any, error)) error {
+	bounded, cancel := context.WithTimeout(ctx, changeBound)
+	defer cancel()
+	slot, err := d.store.Change(bounded, key, func(current keystore.Slot) (json.RawMessage, error) {
+		value, err := decide(current)
+		if err != nil {
+			return nil, err
+		}
+		return json.Marshal(value)
+	})
+	if errors.Is(err, errTaken) {
+		return nil
+	}
+	if err != nil {
+		return translate(err)
+	}
+	d.announce(ctx, slot)
+	return nil
+}
+
+func (d *Daemon) SetRetention(ctx context.Context, wanted retention.Policy) (retention.Policy, error) {
+	if err := wanted.Check(); err != nil {
+		return wanted, err
+	}
+	var result retention.Policy
+	err := d.changeContext(ctx, keystore.RetentionKey, func(current keystore.Slot) (any, error) {
+		var held retention.Policy
+		_ = json.Unmarshal(current.Value, &held)
+		result = held
+		if held.Number > 0 && held.LifeMs == wanted.LifeMs {
+			return nil, errTaken
+		}
+		result = retention.Policy{Number: held.Number + 1, LifeMs: wanted.LifeMs}
+		return result, nil
+	})
+	if err == nil {
+		logrus.WithFields(logrus.Fields{"life_ms": wanted.LifeMs, "number": result.Number}).Info("retention of context set")
+	}
+	return result, err
+}
+
+func (d *Daemon) Forget(ctx context.Context, scope retention.Scope) (retention.Status, error) {
+	if err := scope.Check(); err != nil {
+		return retention.Status{}, err
+	}
+	edges := d.knownEdges()
+	var added retention.Item
+	err := d.changeContext(ctx, keystore.ForgetKey, func(current keystore.Slot) (any, error) {
+		var record retention.Record
+		_ = json.Unmarshal(current.Value, &record)
+		var next retention.Record
+		next, added = record.Add(scope, edges)
+		return next, nil
+	})
+	if err != nil {
+		return retention.Status{}, err
+	}
+	logrus.WithFields(logrus.Fields{"number": added.Number, "model": scope.Model, "part": scope.Part, "edges": len(edges)}).Info("context is to be forgotten")
+	return added.Status(d.edgeViews()), nil
+}
+
+func (d *Daemon) ReadRetention(ctx context.Context) (retention.Policy, error) {
+	var policy retention.Policy
+	slot, err := d.readKey(ctx, keystore.RetentionKey)
+	if err != nil {
+		return policy, err
+	}
+	_ = json.Unmarshal(slot.Value, &policy)
+	return policy, nil
+}
+
+func (d *Daemon) ReadForgets(ctx context.Context) ([]retention.Status, error) {
+	slot, err := d.readKey(ctx, keystore.ForgetKey)
+	if err != nil {
+		return nil, err
+	}
+	var record retention.Record
+	_ = json.Unmarshal(slot.Value, &record)
+	views := d.edgeViews()
+	statuses := []retention.Status{}
+	for _, item := range record.Items {
+		statuses = append(statuses, item.Status(views))
+	}
+	return statuses, nil
+}
+
+func (d *Daemon) readKey(ctx context.Context, name string) (keystore.Slot, error) {
+	bounded, cancel := context.WithTimeout(ctx, changeBound)
+	defer cancel()
+	slot, err := d.store.Read(bounded, name)
+	return slot, translate(err)
+}
+
+func (d *Daemon) knownEdges() []string {
+	d.watching.Lock()
+	defer d.watching.Unlock()
+	names := make([]string, 0, len(d.remembered))
+	for name, view := range d.remembered {
+		if !view.Left {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (d *Daemon) edgeViews() map[string]retention.EdgeView {
+	d.watching.Lock()
+	defer d.watching.Unlock()
+	views := make(map[string]retention.EdgeView, len(d.remembered))
+	for name, view := range d.remembered {
+		views[name] = view
+	}
+	return views
+}
+
+func (d *Daemon) settleForget(ctx context.Context, number uint64, change func(item *retention.Item) bool) bool {
+	bounded, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	err := d.changeContext(bounded, keystore.ForgetKey, func(current keystore.Slot) (any, error) {
+		var record retention.Record
+		_ = json.Unmarshal(current.Value, &record)
+		next, changed := record.Change(number, change)
+		if !changed {
+			return nil, errTaken
+		}
+		return next, nil
+	})
+	return err == nil
+}
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -17,35 +17,37 @@
 	"ferryspar/internal/operator"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/platform"
+	"ferryspar/internal/retention"
 	"ferryspar/internal/watch"
 )
 
 const placementTenure = keystore.TenurePrefix + "placement"
 
 type Daemon struct {
-	settings env.Settings
-	path     string
-	self     string
-	life     string
-	clock    func() time.Time
-	session  *partner.Session
-	acceptor *keystore.Acceptor
-	journal  *keystore.Journal
-	store    *keystore.Store
-	board    *Board
-	applied  sync.Mutex
-	shown    map[string]keystore.Slot
-	watching sync.Mutex
-	edges    *watch.Register
-	controls *watch.Register
-	joining  map[string]partner.Greeting
-	list     *platform.List
-	warden   *Warden
-	roster   rosterState
-	shareNow chan struct{}
-	leaving  chan struct{}
-	started  time.Time
-	network  partner.Network
+	settings   env.Settings
+	path       string
+	self       string
+	life       string
+	clock      func() time.Time
+	session    *partner.Session
+	acceptor   *keystore.Acceptor
+	journal    *keystore.Journal
+	store      *keystore.Store
+	board      *Board
+	applied    sync.Mutex
+	shown      map[string]keystore.Slot
+	watching   sync.Mutex
+	edges      *watch.Register
+	controls   *watch.Register
+	joining    map[string]partner.Greeting
+	remembered map[string]retention.EdgeView
+	list       *platform.List
+	warden     *Warden
+	roster     rosterState
+	shareNow   chan struct{}
+	leaving    chan struct{}
+	started    time.Time
+	network    partner.Network
 }
 
 func nonce() uint64 {
@@ -85,7 +87,7 @@
 	}
 	daemon := &Daemon{
 		settings: settings, path: path, self: self, life: time.Now().Format("150405.000000"), clock: time.Now, session: partner.NewSession(network),
-		journal: journal, board: NewBoard(), shown: map[string]keystore.Slot{}, joining: map[string]partner.Greeting{},
+		journal: journal, board: NewBoard(), shown: map[string]keystore.Slot{}, joining: map[string]partner.Greeting{}, remembered: map[string]retention.EdgeView{},
 		edges: watch.NewRegister(10 * time.Second), controls: watch.NewRegister(30 * time.Second), leaving: make(chan struct{}), shareNow: make(chan struct{}, 1), started: time.Now(), network: network,
 	}
 	rules := keystore.Rules{Tenure: daemon.tenureLength(), Clock: time.Now}
--- a/internal/controlplane/layouts.go
+++ b/internal/controlplane/layouts.go
@@ -30,6 +30,9 @@
 }
 
 func translate(err error) error {
+	if err == nil {
+		return nil
+	}
 	if kind, known := keystoreProblems[errors.Cause(err)]; known {
 		return problem.New(kind, "")
 	}
--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -7,6 +7,7 @@
 
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/partner"
+	"ferryspar/internal/retention"
 	"ferryspar/internal/watch"
 )
 
@@ -150,6 +151,9 @@
 	d.joining[greeting.Address] = greeting
 	for _, edge := range greeting.Edges {
 		d.edges.Seen(edge, now)
+		if _, known := d.remembered[edge]; !known {
+			d.remembered[edge] = retention.EdgeView{}
+		}
 	}
 	d.watching.Unlock()
 	return greeted{Members: d.store.Members(), Control: append(d.otherControls(), d.self)}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -62,7 +62,11 @@
 		view.Servers = append(view.Servers, w.server(id, one, now))
 	}
 	sort.Slice(view.Servers, func(left, right int) bool { return view.Servers[left].ID < view.Servers[right].ID })
+	w.cleanse(ctx, bulletin, view)
 	for _, action := range place.Plan(view) {
+		if action.Why == place.CleanseReason {
+			w.cleanser.running, w.cleanser.began = action.Server+" "+action.Model, now
+		}
 		w.begin(ctx, action, now)
 	}
 	for _, server := range view.Servers {
--- a/internal/controlplane/records.go
+++ b/internal/controlplane/records.go
@@ -72,6 +72,10 @@
 		}
 	case strings.HasPrefix(slot.Key, keystore.AreaPrefix):
 		d.applyArea(slot)
+	case slot.Key == keystore.RetentionKey:
+		d.applyPolicy(slot)
+	case slot.Key == keystore.ForgetKey:
+		d.applyForgets(slot)
 	}
 	d.shown[slot.Key] = slot.Bare()
 }
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -104,6 +104,7 @@
 }
 
 func (d *Daemon) post(replicas []platform.Replica, barred []string, at time.Time) {
+	d.warden.noteAges(replicas)
 	same := false
 	d.board.Change(func(next *Bulletin) bool {
 		same = sameReplicas(next.Replicas, replicas) && reflect.DeepEqual(next.Barred, barred)
--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -12,6 +12,7 @@
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/problem"
+	"ferryspar/internal/retention"
 	"ferryspar/internal/watch"
 )
 
@@ -60,6 +61,7 @@
 func (d *Daemon) hearPoll(ctx context.Context, poll partner.Poll) partner.News {
 	d.watching.Lock()
 	d.edges.Note(poll.Daemon, watch.Beat{At: d.clock(), Area: poll.Area, Revision: poll.Revision, Areas: poll.AreaNumber})
+	d.remembered[poll.Daemon] = retention.EdgeView{Applied: poll.Forgot, Left: poll.Leaving}
 	d.watching.Unlock()
 	hold := time.NewTimer(time.Duration(min(max(poll.HoldMs, 1), 2000)) * time.Millisecond)
 	defer hold.Stop()
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -64,6 +64,7 @@
 	heardFrom time.Time
 	explained time.Time
 	overlays  map[string]overlay
+	cleanser  *Cleanser
 }
 
 func NewWarden(daemon *Daemon) *Warden {
@@ -76,7 +77,7 @@
 		},
 		commander: &replica.Commander{Client: &http.Client{Transport: partner.NewTransport(daemon.network, 400*time.Millisecond, time.Second, 2)}},
 		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, heldOnce: map[string]map[string]bool{},
-		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, lastRate: daemon.clock(),
+		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), lastRate: daemon.clock(),
 	}
 }
 
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -41,6 +41,8 @@
 	daemon.fleet.Store(&match.Fleet{})
 	daemon.matcher = match.NewMatcher(parameters, settings.Area, time.Now, &daemon.fleet)
 	daemon.desk = NewDesk(settings, time.Now, &daemon.fleet, daemon.matcher.Changed)
+	daemon.desk.forget = daemon.matcher.Forget
+	daemon.matcher.Trusts = daemon.desk.Trusts
 	daemon.listener = NewListener(settings, daemon.session, time.Now, daemon.desk)
 	daemon.forwarder = replica.NewForwarder(network, time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
@@ -114,6 +116,7 @@
 	d.leaving.Store(true)
 	d.door.Leave()
 	d.matcher.Leave()
+	d.desk.wants.leaving.Store(true)
 	began := time.Now()
 	grace := env.Seconds(d.settings.TimingBounds.GraceS) - 300*time.Millisecond
 	time.Sleep(min(noticeTime, grace/2))
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -29,22 +29,27 @@
 }
 
 type Desk struct {
-	settings env.Settings
-	clock    func() time.Time
-	fleet    *atomic.Pointer[match.Fleet]
-	wants    wants
-	sources  map[string]*source
-	areas    map[string]partner.AreaState
-	table    *layout.Table
-	outlook  chan partner.Outlook
-	others   partner.Outlook
-	othersAt time.Time
-	holder   atomic.Pointer[string]
-	notify   func()
-	shown    time.Time
-	usedFrom string
-	usedAs   uint64
-	usedLife string
+	settings   env.Settings
+	clock      func() time.Time
+	fleet      *atomic.Pointer[match.Fleet]
+	wants      wants
+	sources    map[string]*source
+	areas      map[string]partner.AreaState
+	table      *layout.Table
+	outlook    chan partner.Outlook
+	others     partner.Outlook
+	othersAt   time.Time
+	holder     atomic.Pointer[string]
+	notify     func()
+	shown      time.Time
+	usedFrom   string
+	usedAs     uint64
+	usedLife   string
+	told       uint64
+	lastForget uint64
+	heard      atomic.Pointer[time.Time]
+	guarded    atomic.Bool
+	forget     func(func(*match.Ledger))
 }
 
 func NewDesk(settings env.Settings, clock func() time.Time, fleet *atomic.Pointer[match.Fleet], notify func()) *Desk {
@@ -62,6 +67,8 @@
 func (d *Desk) fill(poll *partner.Poll, address string) {
 	poll.Revision = d.wants.revision.Load()
 	poll.AreaNumber = d.wants.areas.Load()
+	poll.Context, poll.Forgot = d.wants.context.Load(), d.wants.forgot.Load()
+	poll.Leaving = d.wants.leaving.Load()
 	primary := *d.wants.primary.Load()
 	poll.Wants = primary == "" || primary == address
 }
@@ -112,6 +119,7 @@
 	changed := false
 	if news.Fresh {
 		changed = d.adopt(news)
+		d.heard.Store(&one.at)
 	}
 	if held.life != news.Life {
 		held.life, held.replicas = news.Life, nil
@@ -156,6 +164,9 @@
 		logrus.WithField("revision", read.Revision).Info("layout adopted")
 		changed = true
 	}
+	if news.Context != nil {
+		d.adoptContext(*news.Context)
+	}
 	total := uint64(0)
 	for area, state := range news.Areas {
 		if state.Number > d.areas[area].Number {
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -104,5 +104,8 @@
 type wants struct {
 	revision atomic.Int64
 	areas    atomic.Uint64
+	context  atomic.Uint64
+	forgot   atomic.Uint64
+	leaving  atomic.Bool
 	primary  atomic.Pointer[string]
 }
--- a/internal/keystore/slot.go
+++ b/internal/keystore/slot.go
@@ -41,6 +41,8 @@
 	MembersKey     = "members"
 	LayoutKey      = "layout"
 	AreaPrefix     = "area/"
+	RetentionKey   = "retention"
+	ForgetKey      = "forget"
 )
 
 func reserved(key string) bool { return strings.HasPrefix(key, reservedPrefix) }
--- a/internal/match/assign.go
+++ b/internal/match/assign.go
@@ -72,7 +72,7 @@
 		held.unanswered[ticket] = true
 		held.noteSend(now)
 		m.running[[2]string{order.Backend, order.Model}]++
-		m.ledger.Note(replica.ID, order.Model, order.Dialogues, order.Parts, now)
+		m.ledger.Note(replica.ID, order.Model, order.Dialogues, order.Parts, order.Arrived, now)
 		m.answer(order, Command{Replica: replica, Ticket: ticket})
 	}
 }
--- a/internal/match/ledger.go
+++ b/internal/match/ledger.go
@@ -54,7 +54,10 @@
 	return float64(read), float64(written), true
 }
 
-const partsBound = 256
+const (
+	partsBound   = 256
+	forgetsBound = 64
+)
 
 type place struct {
 	replica  string
@@ -62,6 +65,11 @@
 	dialogue uint64
 }
 
+type forgotten struct {
+	at      time.Time
+	matches func(model string, part uint64) bool
+}
+
 type entry struct {
 	place  place
 	used   time.Time
@@ -76,6 +84,7 @@
 	life    time.Duration
 	number  uint64
 	entries map[place]*entry
+	forgets []forgotten
 	byAge   *btree.BTreeG[*entry]
 }
 
@@ -109,7 +118,10 @@
 	return kept
 }
 
-func (l *Ledger) Note(replica, model string, dialogues []uint64, parts []Part, now time.Time) {
+func (l *Ledger) Note(replica, model string, dialogues []uint64, parts []Part, begun, now time.Time) {
+	if l.barred(model, parts, begun) {
+		return
+	}
 	for position, dialogue := range dialogues {
 		where := place{replica, model, dialogue}
 		l.number++
@@ -126,9 +138,35 @@
 	for len(l.entries) > l.bound {
 		l.dropEntry(l.oldest())
 	}
+	l.Expire(now)
+}
+
+func (l *Ledger) Expire(now time.Time) int {
+	gone := 0
 	for l.life > 0 && len(l.entries) > 0 && now.Sub(l.oldest().used) > l.life {
 		l.dropEntry(l.oldest())
+		gone++
+	}
+	return gone
+}
+
+func (l *Ledger) SetLife(life time.Duration, now time.Time) {
+	l.life = life
+	l.Expire(now)
+}
+
+func (l *Ledger) barred(model string, parts []Part, begun time.Time) bool {
+	for _, one := range l.forgets {
+		if !begun.Before(one.at) {
+			continue
+		}
+		for _, part := range parts {
+			if one.matches(model, part.ID) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 func (l *Ledger) oldest() *entry {
@@ -149,10 +187,14 @@
 	}
 }
 
-func (l *Ledger) Forget(matches func(replica, model string, part uint64) bool) int {
+func (l *Ledger) Forget(matches func(model string, part uint64) bool, at time.Time) int {
+	l.forgets = append(l.forgets, forgotten{at, matches})
+	if len(l.forgets) > forgetsBound {
+		l.forgets = l.forgets[1:]
+	}
 	var gone []*entry
 	for _, found := range l.entries {
-		if matches(found.place.replica, found.place.model, found.last) {
+		if matches(found.place.model, found.last) {
 			gone = append(gone, found)
 		}
 	}
--- a/internal/match/ledger_test.go
+++ b/internal/match/ledger_test.go
@@ -18,7 +18,7 @@
 func TestGivenAPromptServedWhenAnotherSharesItsStartThenAffinityIsTheCommonPrefix(t *testing.T) {
 	ledger := NewLedger(100, 0)
 	first, firstDialogues := parsed(t, "a:200,b:100,c:50")
-	ledger.Note("r1", "m", firstDialogues, first, noon)
+	ledger.Note("r1", "m", firstDialogues, first, noon, noon)
 	next, nextDialogues := parsed(t, "a:200,b:100,d:70")
 	assert.Equal(t, ledger.Kept("r1", "m", nextDialogues, next, noon), 300.0)
 	assert.Equal(t, ledger.Kept("r2", "m", nextDialogues, next, noon), 0.0)
@@ -31,7 +31,7 @@
 	ledger := NewLedger(3, 0)
 	for _, value := range []string{"a:1", "b:1", "c:1", "a:1", "d:1"} {
 		parts, dialogues := parsed(t, value)
-		ledger.Note("r", "m", dialogues, parts, noon)
+		ledger.Note("r", "m", dialogues, parts, noon, noon)
 	}
 	kept, keptDialogues := parsed(t, "a:1")
 	gone, goneDialogues := parsed(t, "b:1")
@@ -43,7 +43,7 @@
 func TestGivenALifeForEntriesThenOldOnesNeverCount(t *testing.T) {
 	ledger := NewLedger(10, time.Minute)
 	parts, dialogues := parsed(t, "a:5")
-	ledger.Note("r", "m", dialogues, parts, noon)
+	ledger.Note("r", "m", dialogues, parts, noon, noon)
 	assert.Equal(t, ledger.Kept("r", "m", dialogues, parts, noon.Add(59*time.Second)), 5.0)
 	assert.Equal(t, ledger.Kept("r", "m", dialogues, parts, noon.Add(61*time.Second)), 0.0)
 }
@@ -71,3 +71,27 @@
 		assert.Assert(t, valid && prompt >= 0 && output >= 0 || !valid && prompt == 0 && output == 0)
 	})
 }
+
+func TestGivenAForgetThenNothingBegunBeforeIsLearnedAgain(t *testing.T) {
+	ledger := NewLedger(10, 0)
+	parts, dialogues := parsed(t, "a:5,b:6")
+	other, otherDialogues := parsed(t, "c:5")
+	ledger.Note("r", "m", dialogues, parts, noon, noon)
+	ledger.Note("r", "m", otherDialogues, other, noon, noon)
+	dropped := ledger.Forget(func(model string, part uint64) bool { return part == 0xb }, noon.Add(time.Second))
+	assert.Equal(t, dropped, 1)
+	assert.Equal(t, ledger.Kept("r", "m", dialogues, parts, noon), 5.0)
+	assert.Equal(t, ledger.Kept("r", "m", otherDialogues, other, noon), 5.0)
+	ledger.Note("r", "m", dialogues, parts, noon, noon.Add(2*time.Second))
+	assert.Equal(t, ledger.Kept("r", "m", dialogues, parts, noon.Add(2*time.Second)), 5.0, "begun before the forget")
+	ledger.Note("r", "m", dialogues, parts, noon.Add(3*time.Second), noon.Add(3*time.Second))
+	assert.Equal(t, ledger.Kept("r", "m", dialogues, parts, noon.Add(3*time.Second)), 11.0, "begun after it")
+}
+
+func TestGivenAShorterLifeThenWhatIsOlderGoesAtOnce(t *testing.T) {
+	ledger := NewLedger(10, 0)
+	parts, dialogues := parsed(t, "a:5")
+	ledger.Note("r", "m", dialogues, parts, noon, noon)
+	ledger.SetLife(time.Minute, noon.Add(2*time.Minute))
+	assert.Equal(t, ledger.Size(), 0)
+}
--- a/internal/match/matcher.go
+++ b/internal/match/matcher.go
@@ -34,6 +34,7 @@
 	Nudge      chan struct{}
 	leaving    atomic.Bool
 	OnDistrust func(replica string)
+	Trusts     func(now time.Time) bool
 }
 
 func NewMatcher(parameters Parameters, area string, clock func() time.Time, current *atomic.Pointer[Fleet]) *Matcher {
--- a/internal/match/score.go
+++ b/internal/match/score.go
@@ -38,7 +38,10 @@
 
 func (m *Matcher) score(order *Order, replica *Replica, now time.Time) pair {
 	held := m.bank(replica.ID)
-	kept := m.ledger.Kept(replica.ID, order.Model, order.Dialogues, order.Parts, now)
+	kept := 0.0
+	if m.Trusts == nil || m.Trusts(now) {
+		kept = m.ledger.Kept(replica.ID, order.Model, order.Dialogues, order.Parts, now)
+	}
 	uncached := max(order.Prompt-kept, 0)
 	others := m.fleet.Others[replica.ID]
 	running := float64(held.running + others.Running)
--- a/internal/match/settle.go
+++ b/internal/match/settle.go
@@ -91,12 +91,13 @@
 	missed := held.predictor.Latency(cold)
 	if missed-ticket.predicted > m.parameters.HitMargin && observed > missed {
 		m.ledger.Miss(ticket.replica, ticket.order.Model, ticket.order.Dialogues)
-		m.ledger.Note(ticket.replica, ticket.order.Model, ticket.order.Dialogues, ticket.order.Parts, report.At)
+		m.ledger.Note(ticket.replica, ticket.order.Model, ticket.order.Dialogues, ticket.order.Parts, ticket.order.Arrived, report.At)
 	}
 }
 
 func (m *Matcher) pressure() partner.Pressure {
 	now := m.clock()
+	m.ledger.Expire(now)
 	told := partner.Pressure{Area: m.area, Replicas: map[string]partner.ReplicaPressure{}}
 	models := map[[2]string]*partner.ModelPressure{}
 	at := func(key [2]string) *partner.ModelPressure {
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"ferryspar/internal/problem"
+	"ferryspar/internal/retention"
 )
 
 type State interface {
@@ -19,6 +20,10 @@
 	PatchLayout(ctx context.Context, condition int64, method string, body []byte) error
 	ReadLayout(ctx context.Context) (json.RawMessage, error)
 	DrainArea(ctx context.Context, area string, drained bool) error
+	SetRetention(ctx context.Context, wanted retention.Policy) (retention.Policy, error)
+	ReadRetention(ctx context.Context) (retention.Policy, error)
+	Forget(ctx context.Context, scope retention.Scope) (retention.Status, error)
+	ReadForgets(ctx context.Context) ([]retention.Status, error)
 }
 
 type handler func(state State, request *http.Request) ([]byte, error)
@@ -35,6 +40,10 @@
 	{http.MethodGet, "/ferryspar/config", get},
 	{http.MethodPost, "/ferryspar/drain-zone/{area}", drain(true)},
 	{http.MethodDelete, "/ferryspar/drain-zone/{area}", drain(false)},
+	{http.MethodGet, "/ferryspar/retention", readRetention},
+	{http.MethodPut, "/ferryspar/retention", setRetention},
+	{http.MethodGet, "/ferryspar/forget", readForgets},
+	{http.MethodPost, "/ferryspar/forget", forget},
 }
 
 func Routes(state State) http.Handler {
--- /dev/null
+++ b/internal/operator/context.go
@@ -0,0 +1,65 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"ferryspar/internal/problem"
+	"ferryspar/internal/retention"
+)
+
+const contextBound = 64 << 10
+
+func decode(request *http.Request, target any) error {
+	reader := json.NewDecoder(http.MaxBytesReader(nil, request.Body, contextBound))
+	reader.DisallowUnknownFields()
+	if err := reader.Decode(target); err != nil {
+		return problem.New(problem.InvalidRetention, "%s", err.Error())
+	}
+	return nil
+}
+
+func readRetention(state State, request *http.Request) ([]byte, error) {
+	policy, err := state.ReadRetention(request.Context())
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(policy)
+}
+
+func setRetention(state State, request *http.Request) ([]byte, error) {
+	var wanted struct {
+		LifeMs *int64 `json:"lifeMs"`
+	}
+	if err := decode(request, &wanted); err != nil {
+		return nil, err
+	}
+	if wanted.LifeMs == nil {
+		return nil, problem.New(problem.InvalidRetention, "lifeMs is missing")
+	}
+	policy, err := state.SetRetention(request.Context(), retention.Policy{LifeMs: *wanted.LifeMs})
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(policy)
+}
+
+func forget(state State, request *http.Request) ([]byte, error) {
+	var scope retention.Scope
+	if err := decode(request, &scope); err != nil {
+		return nil, err
+	}
+	status, err := state.Forget(request.Context(), scope)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(status)
+}
+
+func readForgets(state State, request *http.Request) ([]byte, error) {
+	statuses, err := state.ReadForgets(request.Context())
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(map[string]any{"forgets": statuses})
+}
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -3,6 +3,7 @@
 import (
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/platform"
+	"ferryspar/internal/retention"
 )
 
 type Poll struct {
@@ -15,6 +16,20 @@
 	Wants      bool   `json:"wants"`
 	HoldMs     int64  `json:"holdMs"`
 	Version    uint64 `json:"version"`
+	Context    uint64 `json:"context,omitempty"`
+	Forgot     uint64 `json:"forgot,omitempty"`
+	Leaving    bool   `json:"leaving,omitempty"`
+}
+
+type Forget struct {
+	Number uint64          `json:"number"`
+	Scope  retention.Scope `json:"scope"`
+}
+
+type ContextNews struct {
+	Number  uint64   `json:"number"`
+	LifeMs  int64    `json:"lifeMs"`
+	Forgets []Forget `json:"forgets,omitempty"`
 }
 
 type AreaState struct {
@@ -38,6 +53,7 @@
 	Edges      int                  `json:"edges"`
 	Holder     string               `json:"holder"`
 	Control    []string             `json:"control"`
+	Context    *ContextNews         `json:"context,omitempty"`
 }
 
 type ModelPressure struct {
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -44,6 +44,7 @@
 		p.adapters()
 		p.spread()
 		p.missing()
+		p.cleanse()
 		p.restoreAll()
 		actions = append(actions, p.actions...)
 		view.Tokens = p.tokens
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -32,13 +32,15 @@
 }
 
 type View struct {
-	Now      time.Time
-	Table    *layout.Table
-	Servers  []*Server
-	Pressure map[string]*Pressure
-	Loading  map[string]int
-	Tokens   float64
-	Drained  map[string]bool
+	Now       time.Time
+	Table     *layout.Table
+	Servers   []*Server
+	Pressure  map[string]*Pressure
+	Loading   map[string]int
+	Tokens    float64
+	Drained   map[string]bool
+	Cleanse   []Pair
+	Cleansing bool
 }
 
 type Action struct {
