--- a/internal/client/door.go
+++ b/internal/client/door.go
@@ -9,6 +9,8 @@
 	"ferryspar/internal/match"
 	"ferryspar/internal/problem"
 	"ferryspar/internal/replica"
+
+	"github.com/sirupsen/logrus"
 )
 
 type Door struct {
@@ -49,6 +51,7 @@
 	ctx, cancel := context.WithDeadline(request.Context(), taken.order.Deadline)
 	defer cancel()
 	serving := &service{door: d, intake: taken, writer: writer, ctx: ctx}
+	defer serving.explain()
 	serving.run()
 }
 
@@ -62,6 +65,31 @@
 	reached int
 	ran     bool
 	events  replica.Events
+	chosen  string
+	sentAt  time.Time
+	firstAt time.Time
+	lastAt  time.Time
+	pause   time.Duration
+	failure *problem.Problem
+}
+
+func (s *service) reason() string {
+	if s.failure == nil {
+		return ""
+	}
+	return s.failure.Error()
+}
+
+func (s *service) explain() {
+	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	arrived := s.intake.order.Arrived
+	logrus.WithFields(logrus.Fields{
+		"attempt": s.intake.order.Attempt, "route": s.intake.route.Name, "model": s.intake.order.Model, "replica": s.chosen, "tries": s.sent,
+		"prompt": s.intake.order.Prompt, "waited_ms": s.sentAt.Sub(arrived).Milliseconds(), "first_ms": s.firstAt.Sub(arrived).Milliseconds(),
+		"took_ms": s.lastAt.Sub(arrived).Milliseconds(), "pause_ms": s.pause.Milliseconds(), "problem": s.reason(),
+	}).Debug("request ended")
 }
 
 var outcomes = map[replica.Verdict]match.Outcome{
@@ -102,6 +130,7 @@
 func (s *service) dispatch(command match.Command) (bool, *problem.Problem) {
 	report := func(outcome match.Outcome) { s.door.matcher.Report(command.Ticket, outcome) }
 	job := s.intake.job
+	s.chosen, s.sentAt = command.Replica.ID, s.door.clock()
 	if s.headed {
 		job.LastEvent = s.events.LastID
 	}
@@ -137,6 +166,7 @@
 }
 
 func (s *service) fail(failure *problem.Problem) {
+	s.failure = failure
 	if s.headed {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/client/relay.go
+++ b/internal/client/relay.go
@@ -35,6 +35,7 @@
 		amount, err := answer.Body.Read(buffer)
 		if amount > 0 {
 			now := s.door.clock()
+			s.beat(now)
 			if first {
 				report(match.OutcomeFirst)
 				first, lastTold = false, now
@@ -56,6 +57,15 @@
 	}
 }
 
+func (s *service) beat(now time.Time) {
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+	} else {
+		s.pause = max(s.pause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
 func (s *service) head(answer *http.Response) {
 	if s.headed {
 		return
--- a/internal/controlplane/demand.go
+++ b/internal/controlplane/demand.go
@@ -4,6 +4,7 @@
 	"context"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/place"
+	"math"
 	"time"
 )
 
@@ -12,10 +13,14 @@
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	w.told[pressure.Daemon] = told{now, pressure}
+	if w.learning.IsZero() && len(pressure.Models) > 0 {
+		w.learning = now
+	}
 	waiting := false
 	for _, model := range pressure.Models {
 		name := place.Key(model.Backend, model.Model)
 		w.counted[name] += float64(model.Arrivals)
+		w.reading[name] += model.ReadMs
 		waiting = waiting || model.Waiting > 0
 	}
 	if waiting {
@@ -61,11 +66,13 @@
 	}
 	for name, demand := range w.demand {
 		demand.Rate += share * (w.counted[name]/span - demand.Rate)
+		demand.Reading += share * (w.reading[name]/span/1000 - demand.Reading)
 		if demand.Rate < 0.003 {
 			demand.Rate = 0
 		}
 	}
 	w.counted = map[string]float64{}
+	w.reading = map[string]float64{}
 	w.gather(now)
 }
 
@@ -97,3 +104,47 @@
 		}
 	}
 }
+
+const (
+	toldRate  = 0.3
+	learnTime = 6 * time.Second
+)
+
+func (w *Warden) rates() map[string]partner.Rate {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	told := map[string]partner.Rate{}
+	for name, demand := range w.demand {
+		if demand.Rate >= toldRate {
+			told[name] = partner.Rate{PerS: math.Round(demand.Rate*100) / 100, Reading: math.Round(demand.Reading*1000) / 1000}
+		}
+	}
+	return told
+}
+
+func (w *Warden) hearRates(told map[string]partner.Rate) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if len(told) == 0 {
+		return
+	}
+	now := w.daemon.clock()
+	w.learning = now.Add(-learnTime)
+	for name, demand := range w.demand {
+		if _, known := told[name]; !known {
+			demand.Rate, demand.Reading = min(demand.Rate, toldRate), 0
+		}
+	}
+	for name, rate := range told {
+		if w.demand[name] == nil {
+			w.demand[name] = &place.Pressure{}
+		}
+		w.demand[name].Rate, w.demand[name].Reading, w.demand[name].LastSeen = rate.PerS, rate.Reading, now
+	}
+}
+
+func (w *Warden) learned(now time.Time) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return !w.learning.IsZero() && now.Sub(w.learning) >= learnTime
+}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -47,7 +47,7 @@
 		return
 	}
 	w.follow(w.daemon.roster.listed())
-	view := &place.View{Now: now, Table: table, Pressure: w.copyDemand(), Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: w.tokens(now, table)}
+	view := &place.View{Now: now, Table: table, Pressure: w.copyDemand(), Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: w.tokens(now, table), Learned: w.learned(now)}
 	for area, state := range bulletin.Areas {
 		view.Drained[area] = state.Drained
 	}
--- a/internal/controlplane/share.go
+++ b/internal/controlplane/share.go
@@ -59,7 +59,7 @@
 	content, _ := json.Marshal(bulletin.Replicas)
 	share := partner.RosterShare{
 		Member: d.self, AgeMs: d.clock().Sub(bulletin.RosterAt).Milliseconds(), Replicas: bulletin.Replicas, Barred: bulletin.Barred,
-		Stamp: mark("", "", content),
+		Stamp: mark("", "", content), Rates: d.warden.rates(),
 	}
 	for _, address := range d.otherControls() {
 		one := share
@@ -87,6 +87,7 @@
 
 func (d *Daemon) hearRoster(ctx context.Context, share partner.RosterShare) rosterReply {
 	d.warden.heardHolder()
+	d.warden.hearRates(share.Rates)
 	at := d.clock().Add(-time.Duration(share.AgeMs) * time.Millisecond)
 	d.roster.lock.Lock()
 	replicas := share.Replicas
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -54,6 +54,8 @@
 	told      map[string]told
 	demand    map[string]*place.Pressure
 	counted   map[string]float64
+	reading   map[string]float64
+	learning  time.Time
 	heldOnce  map[string]map[string]bool
 	nudge     chan struct{}
 	results   chan func()
@@ -76,7 +78,7 @@
 			Settle: env.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Keeper: daemon.store, Clock: daemon.clock,
 		},
 		commander: &replica.Commander{Client: &http.Client{Transport: partner.NewTransport(daemon.network, 400*time.Millisecond, time.Second, 2)}},
-		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, heldOnce: map[string]map[string]bool{},
+		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
 		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), lastRate: daemon.clock(),
 	}
 }
--- a/internal/match/assign.go
+++ b/internal/match/assign.go
@@ -71,7 +71,9 @@
 		held.pending += scored.uncached * scored.pace
 		held.unanswered[ticket] = true
 		held.noteSend(now)
-		m.running[[2]string{order.Backend, order.Model}]++
+		key := [2]string{order.Backend, order.Model}
+		m.running[key]++
+		m.reads[key] += scored.uncached / 1000 * scored.pace * held.predictor.ReadingRate()
 		m.ledger.Note(replica.ID, order.Model, order.Dialogues, order.Parts, order.Arrived, now)
 		m.answer(order, Command{Replica: replica, Ticket: ticket})
 	}
--- a/internal/match/matcher.go
+++ b/internal/match/matcher.go
@@ -31,6 +31,7 @@
 	arrivals   map[[2]string]int
 	running    map[[2]string]int
 	aims       map[[2]string]float64
+	reads      map[[2]string]float64
 	Nudge      chan struct{}
 	leaving    atomic.Bool
 	OnDistrust func(replica string)
@@ -43,7 +44,7 @@
 		submitted: make(chan *Order, 256), withdrawn: make(chan *Order, 256), reports: make(chan Report, 1024),
 		asked: make(chan chan partner.Pressure), forgets: make(chan func(*Ledger), 8), changed: make(chan struct{}, 1),
 		banks: map[string]*bank{}, paces: map[string]float64{}, ledger: NewLedger(parameters.LedgerBound, parameters.LedgerLife),
-		arrivals: map[[2]string]int{}, running: map[[2]string]int{}, aims: map[[2]string]float64{}, Nudge: make(chan struct{}, 1),
+		arrivals: map[[2]string]int{}, running: map[[2]string]int{}, aims: map[[2]string]float64{}, reads: map[[2]string]float64{}, Nudge: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/match/predictor.go
+++ b/internal/match/predictor.go
@@ -18,6 +18,8 @@
 	startPendingMsPerThousand  = 60.0
 	startBaseMs                = 30.0
 	startCovariance            = 50.0
+	slowestRead                = 10.0
+	fastestRead                = 200.0
 	forgettingFactor           = 0.995
 	qualityRate                = 0.05
 )
@@ -39,6 +41,10 @@
 	return max(total, 1)
 }
 
+func (p *Predictor) ReadingRate() float64 {
+	return min(max(p.weights[1], slowestRead), fastestRead)
+}
+
 func (p *Predictor) Observe(features Features, latencyMs float64) {
 	var spread Features
 	scale := p.forgetting
--- a/internal/match/settle.go
+++ b/internal/match/settle.go
@@ -109,6 +109,10 @@
 	for key, amount := range m.arrivals {
 		at(key).Arrivals = amount
 	}
+	for key, amount := range m.reads {
+		at(key).ReadMs = float64(int(amount))
+	}
+	m.reads = map[[2]string]float64{}
 	for key, amount := range m.running {
 		at(key).Running = amount
 	}
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -64,6 +64,7 @@
 	Arrivals int     `json:"a,omitempty"`
 	Running  int     `json:"r,omitempty"`
 	Aim      float64 `json:"t,omitempty"`
+	ReadMs   float64 `json:"d,omitempty"`
 }
 
 type ReplicaPressure struct {
@@ -84,6 +85,11 @@
 	Replicas map[string]ReplicaPressure `json:"replicas,omitempty"`
 }
 
+type Rate struct {
+	PerS    float64 `json:"p"`
+	Reading float64 `json:"d,omitempty"`
+}
+
 type RosterShare struct {
 	Member   string             `json:"member"`
 	AgeMs    int64              `json:"ageMs"`
@@ -92,6 +98,7 @@
 	Base     string             `json:"base,omitempty"`
 	Stamp    string             `json:"stamp"`
 	Gone     []string           `json:"gone,omitempty"`
+	Rates    map[string]Rate    `json:"rates,omitempty"`
 }
 
 type Learned struct {
--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -54,6 +54,9 @@
 	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
 		return false
 	}
+	if !p.view.Learned && copies >= 2 {
+		return false
+	}
 	if demand.Rate > hotRate && p.lastAdapter(server, model) {
 		return false
 	}
@@ -74,7 +77,7 @@
 	slots := float64(max(p.runtime.Slots, 1))
 	target := 1 + float64(int(demand.Running/(copyShare*slots)))
 	if demand.Rate > hotRate {
-		target = max(target, 2)
+		target = max(target, 2, math.Ceil(demand.Reading/readShare))
 		if adapters := p.sizes[model].Adapters; adapters > 0 && p.runtime.AdapterCapacity > 0 {
 			target = max(target, 1+math.Ceil(float64(adapters)/float64(p.runtime.AdapterCapacity)))
 		}
--- a/internal/place/plan_test.go
+++ b/internal/place/plan_test.go
@@ -16,7 +16,7 @@
 		{Name: "hot", WeightSizeMb: 90, LoadTimeS: 5, Adapters: 4, AdapterSizeMb: 1}, {Name: "rare", WeightSizeMb: 90, LoadTimeS: 5}, {Name: "old", WeightSizeMb: 90, LoadTimeS: 5},
 	}}
 	table := layout.Build(layout.Layout{Backends: []layout.Backend{{Name: "s", Runtime: runtime}}}, nil)
-	return &View{Now: now, Table: table, Servers: servers, Pressure: map[string]*Pressure{}, Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: 5}
+	return &View{Now: now, Table: table, Servers: servers, Pressure: map[string]*Pressure{}, Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: 5, Learned: true}
 }
 
 func server(id string, models ...string) *Server {
@@ -129,3 +129,27 @@
 	assert.Equal(t, len(loads), 1)
 	assert.Equal(t, loads[0].Server, "b")
 }
+
+func TestGivenAHolderThatKnowsNoRatesYetThenModelsOnSeveralReplicasStay(t *testing.T) {
+	view := market(server("a", "hot", "old"), server("b", "hot", "old"))
+	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
+	view.Learned = false
+	unloads := func() int {
+		amount := 0
+		for _, action := range Plan(view) {
+			if !action.Load {
+				amount++
+			}
+		}
+		return amount
+	}
+	assert.Equal(t, unloads(), 0, "busy models stand on many replicas until rates are known")
+	view.Learned = true
+	assert.Assert(t, unloads() > 0)
+}
+
+func TestGivenPromptsThatTakeLongToReadThenMoreCopiesAreWanted(t *testing.T) {
+	view := market(server("a", "rare"), server("b", "rare"), server("c"), server("d"), server("e"))
+	view.Pressure[Key("s", "rare")] = &Pressure{Rate: 9, Reading: 0.44, LastSeen: now}
+	assert.Equal(t, len(find(Plan(view), true, "rare")), 1)
+}
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -14,6 +14,7 @@
 	OldestMs float64
 	Rate     float64
 	Running  float64
+	Reading  float64
 	LastSeen time.Time
 	Aim      float64
 }
@@ -40,6 +41,7 @@
 	Tokens    float64
 	Drained   map[string]bool
 	Cleanse   []Pair
+	Learned   bool
 	Cleansing bool
 }
 
@@ -114,6 +116,7 @@
 		total.OldestMs = max(total.OldestMs, one.OldestMs)
 		total.Rate += one.Rate
 		total.Running += one.Running
+		total.Reading += one.Reading
 		total.Aim = max(total.Aim, one.Aim)
 		if one.LastSeen.After(total.LastSeen) {
 			total.LastSeen = one.LastSeen
