--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -9,7 +9,7 @@
 
 const (
 	copyShare    = 0.4
-	readShare    = 0.15
+	readShare    = 0.22
 	hotRate      = 1.5
 	rareRate     = 0.3
 	lateShare    = 0.4
--- a/internal/place/plan_test.go
+++ b/internal/place/plan_test.go
@@ -132,6 +132,7 @@
 
 func TestGivenAHolderThatKnowsNoRatesYetThenModelsOnSeveralReplicasStay(t *testing.T) {
 	view := market(server("a", "hot", "old"), server("b", "hot", "old"))
+	view.Table.Layout.Backends[0].Runtime.AdapterCapacity = 0
 	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
 	view.Learned = false
 	unloads := func() int {
