--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -60,7 +60,7 @@
 	if demand.Rate > hotRate && p.lastAdapter(server, model) {
 		return false
 	}
-	return float64(copies-1) >= p.target(model) || demand.Rate < rareRate
+	return float64(copies-1) >= max(p.target(model), math.Ceil(demand.Reading/readShare)) || demand.Rate < rareRate
 }
 
 func (p *planner) lastAdapter(server *Server, model string) bool {
@@ -77,7 +77,7 @@
 	slots := float64(max(p.runtime.Slots, 1))
 	target := 1 + float64(int(demand.Running/(copyShare*slots)))
 	if demand.Rate > hotRate {
-		target = max(target, 2, math.Ceil(demand.Reading/readShare))
+		target = max(target, 2)
 		if adapters := p.sizes[model].Adapters; adapters > 0 && p.runtime.AdapterCapacity > 0 {
 			target = max(target, 1+math.Ceil(float64(adapters)/float64(p.runtime.AdapterCapacity)))
 		}
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -9,7 +9,7 @@
 
 const (
 	copyShare    = 0.4
-	readShare    = 0.22
+	readShare    = 0.2
 	hotRate      = 1.5
 	rareRate     = 0.3
 	lateShare    = 0.4
