--- a/internal/client/intake.go
+++ b/internal/client/intake.go
@@ -44,6 +44,9 @@
 	if fleet.Table == nil {
 		return nil, problem.Later(problem.NoLayout, 200*time.Millisecond)
 	}
+	if bound := fleet.Table.Layout.Limits.MaxHeaderBytes; bound > 0 && headBytes(request) > bound {
+		return nil, problem.New(problem.LargeHead, "")
+	}
 	path, _, _ := strings.Cut(request.RequestURI, "?")
 	route, found := fleet.Table.Find(request.Host, path)
 	if !found {
@@ -78,7 +81,7 @@
 		order: match.Order{
 			Attempt: attempt, Backend: backend, Model: model, Parts: parts, Dialogues: match.Dialogues(parts), Prompt: prompt, Output: output,
 			Arrived: arrived, Deadline: deadline, Aim: time.Duration(route.TargetLatencyMs * float64(time.Millisecond)), Priority: route.Priority,
-			Excluded: map[string]bool{}, Returned: remaining < patience-returnedSlack,
+			Homes: route.AllowedRegions, Excluded: map[string]bool{}, Returned: remaining < patience-returnedSlack,
 		},
 		job: replica.Job{
 			Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header, Body: body, Attempt: attempt,
@@ -92,6 +95,16 @@
 	bodyBound     = 4 << 20
 )
 
+func headBytes(request *http.Request) int {
+	total := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return total
+}
+
 func (d *Door) body(request *http.Request, bound int64) ([]byte, error) {
 	if bound <= 0 {
 		bound = bodyBound
--- a/internal/controlplane/charges.go
+++ b/internal/controlplane/charges.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"ferryspar/internal/event"
 	"ferryspar/internal/place"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
@@ -46,7 +47,7 @@
 	w.overlays = shown
 	w.lock.Unlock()
 	w.daemon.publishRoster()
-	w.daemon.shareSoon()
+	_ = w.daemon.bus.Publish(event.Placement, len(shown))
 }
 
 func held(models map[string]bool) []platform.Held {
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/env"
+	"ferryspar/internal/event"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/operator"
 	"ferryspar/internal/partner"
@@ -44,7 +45,7 @@
 	list       *platform.List
 	warden     *Warden
 	roster     rosterState
-	shareNow   chan struct{}
+	bus        *event.Bus
 	leaving    chan struct{}
 	started    time.Time
 	network    partner.Network
@@ -88,7 +89,7 @@
 	daemon := &Daemon{
 		settings: settings, path: path, self: self, life: time.Now().Format("150405.000000"), clock: time.Now, session: partner.NewSession(network),
 		journal: journal, board: NewBoard(), shown: map[string]keystore.Slot{}, joining: map[string]partner.Greeting{}, remembered: map[string]retention.EdgeView{},
-		edges: watch.NewRegister(10 * time.Second), controls: watch.NewRegister(30 * time.Second), leaving: make(chan struct{}), shareNow: make(chan struct{}, 1), started: time.Now(), network: network,
+		edges: watch.NewRegister(10 * time.Second), controls: watch.NewRegister(30 * time.Second), leaving: make(chan struct{}), bus: event.NewBus(), started: time.Now(), network: network,
 	}
 	rules := keystore.Rules{Tenure: daemon.tenureLength(), Clock: time.Now}
 	daemon.acceptor = keystore.NewAcceptor(self, journal, rules, fresh)
@@ -137,6 +138,10 @@
 	go func() {
 		failures <- (&http.Server{Handler: operator.Routes(d), IdleTimeout: time.Minute, ReadHeaderTimeout: 10 * time.Second}).Serve(outer)
 	}()
+	if err := d.followEvents(ctx); err != nil {
+		return err
+	}
+	cleanup = append(cleanup, d.bus.Close)
 	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run,
 		func(ctx context.Context) { d.settingsLoop(ctx, signals.Hangup) }}
 	for _, loop := range loops {
--- /dev/null
+++ b/internal/controlplane/events.go
@@ -0,0 +1,36 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+
+	"ferryspar/internal/event"
+	"ferryspar/internal/partner"
+)
+
+func (d *Daemon) followEvents(ctx context.Context) error {
+	followers := map[string]func(payload []byte){
+		event.Committed: func(payload []byte) { d.tellCommitted(ctx, payload) },
+		event.Placement: func(payload []byte) {
+			if d.warden.Holding() {
+				d.shareRoster(ctx)
+			}
+		},
+	}
+	for topic, handle := range followers {
+		if err := d.bus.Follow(ctx, topic, handle); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) tellCommitted(ctx context.Context, payload []byte) {
+	var learned partner.Learned
+	if json.Unmarshal(payload, &learned) != nil {
+		return
+	}
+	for _, address := range d.otherControls() {
+		go func() { _ = d.session.Ask(ctx, "learn", address, learned, nil) }()
+	}
+}
--- a/internal/controlplane/layouts.go
+++ b/internal/controlplane/layouts.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"ferryspar/internal/event"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/layout"
 	"ferryspar/internal/partner"
@@ -153,11 +154,7 @@
 
 func (d *Daemon) announce(ctx context.Context, slot keystore.Slot) {
 	d.apply(slot)
-	for _, address := range d.otherControls() {
-		go func() {
-			_ = d.session.Ask(context.Background(), "learn", address, partner.Learned{Slot: slot.Bare()}, nil)
-		}()
-	}
+	_ = d.bus.Publish(event.Committed, partner.Learned{Slot: slot.Bare()})
 	bounded, cancel := context.WithTimeout(ctx, ackBound)
 	defer cancel()
 	schedule := time.NewTicker(10 * time.Millisecond)
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"ferryspar/internal/event"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/partner"
 )
@@ -73,11 +74,7 @@
 		}
 		logrus.WithFields(logrus.Fields{"why": why, "present": next.Present, "next": next.Next, "number": next.Number}).Info("members change committed")
 		d.apply(slot)
-		for _, address := range d.otherControls() {
-			go func() {
-				_ = d.session.Ask(ctx, "learn", address, partner.Learned{Slot: slot.Bare()}, nil)
-			}()
-		}
+		_ = d.bus.Publish(event.Committed, partner.Learned{Slot: slot.Bare()})
 	}
 }
 
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -76,22 +76,10 @@
 		case <-ctx.Done():
 			return
 		case <-schedule.C:
-		case <-d.shareNow:
-			if d.warden.Holding() {
-				d.shareRoster(ctx)
-			}
-			continue
 		}
 	}
 }
 
-func (d *Daemon) shareSoon() {
-	select {
-	case d.shareNow <- struct{}{}:
-	default:
-	}
-}
-
 func (d *Daemon) publishRoster() {
 	d.roster.lock.Lock()
 	replicas, at := d.roster.replicas, d.roster.at
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -229,7 +229,9 @@
 			barred[one] = true
 		}
 		for index, listed := range held.replicas {
-			fleet.Replicas = append(fleet.Replicas, match.NewReplica(index, listed, held.fetchedAt, barred))
+			replica := match.NewReplica(index, listed, held.fetchedAt, barred)
+			replica.Region = d.settings.Areas[listed.Area]
+			fleet.Replicas = append(fleet.Replicas, replica)
 		}
 	}
 	d.fleet.Store(fleet)
--- a/internal/match/fleet.go
+++ b/internal/match/fleet.go
@@ -1,6 +1,7 @@
 package match
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +16,7 @@
 	Backend   string
 	Address   string
 	Area      string
+	Region    string
 	Slots     int
 	Draining  bool
 	ColdUntil time.Time
@@ -57,6 +59,9 @@
 	if r.Backend != order.Backend || r.Draining {
 		return false
 	}
+	if len(order.Homes) > 0 && !slices.Contains(order.Homes, r.Region) {
+		return false
+	}
 	return order.Model == "" || r.Models[order.Model]
 }
 
--- a/internal/match/order.go
+++ b/internal/match/order.go
@@ -19,6 +19,7 @@
 	Aim       time.Duration
 	Priority  int
 	Excluded  map[string]bool
+	Homes     []string
 	Returned  bool
 	Answer    chan Command
 	unplaced  bool
--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -46,7 +46,7 @@
 	listed   int
 }
 
-var areas = map[string]string{"north": "land", "south": "land", "east": "land"}
+var areas = map[string]string{"north": "land", "south": "land", "east": "land", "abroad": "far"}
 
 func coreHost(number int) string { return fmt.Sprintf("10.%d.0.1", number) }
 func edgeHost(number int) string { return fmt.Sprintf("10.%d.1.1", number) }
--- a/internal/story/serving_test.go
+++ b/internal/story/serving_test.go
@@ -52,6 +52,8 @@
 		assert.Equal(t, f.ask(1, "attempt", "/unknown/", "swift").status, http.StatusNotFound)
 		large := f.call(http.MethodPost, edgeHost(1)+":8161", "/quick/", strings.Repeat("x", 2000), map[string]string{"Host": "shop.example", replica.HeaderAttempt: "a", replica.HeaderModel: "swift"})
 		assert.Equal(t, large.status, http.StatusRequestEntityTooLarge)
+		head := f.call(http.MethodPost, edgeHost(1)+":8161", "/quick/", "x", map[string]string{"Host": "shop.example", replica.HeaderAttempt: "a", "Filler": strings.Repeat("x", 20000)})
+		assert.Equal(t, head.status, http.StatusRequestHeaderFieldsTooLarge)
 		garbled := f.call(http.MethodPost, edgeHost(1)+":8161", "/quick/", "x", map[string]string{"Host": "shop.example", replica.HeaderAttempt: "a", replica.HeaderTokens: "many"})
 		assert.Equal(t, garbled.status, http.StatusBadRequest)
 		assert.Equal(t, f.call(http.MethodGet, coreHost(1)+":8166", "/ferryspar/nothing", "", nil).status, http.StatusNotFound)
@@ -129,6 +131,21 @@
 	})
 }
 
+func TestGivenARouteWithHomesThenOnlyReplicasThereRunIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, home := newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.4.2.1", "abroad", "swift")
+		f := settled(t, 1, near, home)
+		routed := `,{"name":"homes","hostname":"shop.example","pathPrefix":"/homes/","routeType":"streaming","timeoutMs":20000,"targetLatencyMs":600,"backend":"scribes","retryCount":1,"allowedRegions":["far"]}`
+		assert.Equal(t, f.put(1, 1, 2, document(2, routed)).status, http.StatusOK)
+		time.Sleep(200 * time.Millisecond)
+		for range 3 {
+			assert.Equal(t, f.ask(1, "attempt", "/homes/", "swift").status, http.StatusOK)
+		}
+		assert.Equal(t, len(near.ran()), 0)
+		assert.Equal(t, len(home.ran()), 3)
+	})
+}
+
 func TestGivenADrainingReplicaThenNothingNewReachesIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		one, two := newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.2.2.1", "south", "swift")
