--- a/cmd/ferryspar-data-plane/main.go
+++ b/cmd/ferryspar-data-plane/main.go
@@ -3,19 +3,38 @@
 import (
 	"context"
 	"os"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"ferryspar/internal/dataplane"
 	"ferryspar/internal/env"
 	"ferryspar/internal/launch"
 	"ferryspar/internal/partner"
+	"ferryspar/internal/record"
 )
 
+type recording struct {
+	Record   string `long:"record" description:"write what this daemon sees (no bodies) to this file, for ferryspar-replay"`
+	RecordMb int64  `long:"record-mb" default:"64" description:"end the record at this size"`
+}
+
 func main() {
+	var chosen recording
 	os.Exit(launch.Main(launch.Program{
-		Name: "ferryspar-data-plane", Serves: "edge",
+		Name: "ferryspar-data-plane", Serves: "edge", Extra: &chosen,
 		Short: "carries clients' requests to model replicas",
 		Run: func(ctx context.Context, settings env.Settings, path string, signals env.Signals) error {
-			return dataplane.New(settings, path, partner.Machine{}).Run(ctx, signals)
+			daemon := dataplane.New(settings, path, partner.Machine{})
+			if chosen.Record != "" {
+				file, err := os.Create(chosen.Record)
+				if err != nil {
+					return errors.Wrap(err, "record")
+				}
+				defer file.Close()
+				daemon.Record(record.NewWriter(file, chosen.RecordMb<<20, time.Now))
+			}
+			return daemon.Run(ctx, signals)
 		},
 	}))
 }
--- a/internal/client/door.go
+++ b/internal/client/door.go
@@ -8,6 +8,7 @@
 
 	"ferryspar/internal/match"
 	"ferryspar/internal/problem"
+	"ferryspar/internal/record"
 	"ferryspar/internal/replica"
 
 	"github.com/sirupsen/logrus"
@@ -21,6 +22,7 @@
 	clock     func() time.Time
 	draw      func() float64
 	leaving   atomic.Bool
+	Recorder  *record.Writer
 	inside    atomic.Int64
 }
 
@@ -80,7 +82,26 @@
 	return s.failure.Error()
 }
 
+func (s *service) record() {
+	writer := s.door.Recorder
+	if writer == nil {
+		return
+	}
+	order := s.intake.order
+	entry := record.Entry{
+		Kind: record.KindOrder, AtMs: writer.Milliseconds(order.Arrived), Attempt: order.Attempt, Route: s.intake.route.Name, Backend: order.Backend,
+		Model: order.Model, Prefix: s.intake.job.Header.Get(replica.HeaderPrefix), Prompt: order.Prompt, Output: order.Output,
+		LeftMs: float64(order.Deadline.Sub(order.Arrived).Milliseconds()), Problem: s.reason(),
+	}
+	if !s.firstAt.IsZero() {
+		entry.WaitedMs = float64(s.sentAt.Sub(order.Arrived).Milliseconds())
+		entry.FirstMs, entry.TookMs = float64(s.firstAt.Sub(order.Arrived).Milliseconds()), float64(s.lastAt.Sub(order.Arrived).Milliseconds())
+	}
+	writer.Put(entry)
+}
+
 func (s *service) explain() {
+	s.record()
 	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
 		return
 	}
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -17,6 +17,7 @@
 	"ferryspar/internal/match"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/problem"
+	"ferryspar/internal/record"
 	"ferryspar/internal/replica"
 )
 
@@ -51,6 +52,10 @@
 	return daemon
 }
 
+func (d *Daemon) Record(writer *record.Writer) {
+	d.desk.Recorder, d.door.Recorder = writer, writer
+}
+
 func (d *Daemon) Run(parent context.Context, signals env.Signals) error {
 	ctx, cancel := context.WithCancel(parent)
 	var cleanup []func()
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -12,6 +12,7 @@
 	"ferryspar/internal/match"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/platform"
+	"ferryspar/internal/record"
 )
 
 type source struct {
@@ -47,6 +48,7 @@
 	usedLife   string
 	told       uint64
 	lastForget uint64
+	Recorder   *record.Writer
 	heard      atomic.Pointer[time.Time]
 	guarded    atomic.Bool
 	forget     func(func(*match.Ledger))
@@ -161,6 +163,9 @@
 		}
 		d.table = layout.Build(read, nil)
 		d.wants.revision.Store(read.Revision)
+		if d.Recorder != nil {
+			d.Recorder.Put(record.Entry{Kind: record.KindLayout, AtMs: d.Recorder.Milliseconds(d.clock()), Packed: news.Packed})
+		}
 		logrus.WithField("revision", read.Revision).Info("layout adopted")
 		changed = true
 	}
@@ -235,5 +240,6 @@
 		}
 	}
 	d.fleet.Store(fleet)
+	d.record(fleet)
 	d.notify()
 }
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -28,6 +28,7 @@
 	Name   string
 	Short  string
 	Serves string
+	Extra  any
 	Run    func(ctx context.Context, settings env.Settings, path string, signals env.Signals) error
 }
 
@@ -47,6 +48,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailed
 	}
+	if program.Extra != nil {
+		if _, err := parser.AddGroup(program.Name, "", program.Extra); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return ExitFailed
+		}
+	}
 	rest, err := parser.Parse()
 	if flags.WroteHelp(err) {
 		fmt.Println(err)
--- /dev/null
+++ b/internal/match/drive.go
@@ -0,0 +1,27 @@
+package match
+
+import "time"
+
+func (m *Matcher) Begin(order *Order) {
+	order.Answer = make(chan Command, 1)
+	m.fleet = m.current.Load()
+	m.enter(order)
+}
+
+func (m *Matcher) Tell(report Report) {
+	m.fleet = m.current.Load()
+	m.settle(report)
+}
+
+func (m *Matcher) Wake() {
+	m.fleet = m.current.Load()
+	m.emit()
+}
+
+func (m *Matcher) NextWake() (time.Duration, bool) {
+	wait := m.nextWake()
+	return wait, wait < time.Hour
+}
+
+func (t *Ticket) Kept() float64     { return t.kept }
+func (t *Ticket) Uncached() float64 { return t.uncached }
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,141 @@
+package record
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"ferryspar/internal/platform"
+)
+
+const (
+	KindLayout = "layout"
+	KindFleet  = "fleet"
+	KindOrder  = "order"
+)
+
+type Entry struct {
+	Kind     string             `json:"kind"`
+	AtMs     float64            `json:"atMs"`
+	Packed   []byte             `json:"packed,omitempty"`
+	Replicas []platform.Replica `json:"replicas,omitempty"`
+	Drained  []string           `json:"drained,omitempty"`
+	Edges    int                `json:"edges,omitempty"`
+	Area     string             `json:"area,omitempty"`
+	Attempt  string             `json:"attempt,omitempty"`
+	Route    string             `json:"route,omitempty"`
+	Backend  string             `json:"backend,omitempty"`
+	Model    string             `json:"model,omitempty"`
+	Prefix   string             `json:"prefix,omitempty"`
+	Prompt   float64            `json:"prompt,omitempty"`
+	Output   float64            `json:"output,omitempty"`
+	LeftMs   float64            `json:"leftMs,omitempty"`
+	WaitedMs float64            `json:"waitedMs,omitempty"`
+	FirstMs  float64            `json:"firstMs,omitempty"`
+	TookMs   float64            `json:"tookMs,omitempty"`
+	Problem  string             `json:"problem,omitempty"`
+}
+
+type Writer struct {
+	lock  sync.Mutex
+	to    io.Writer
+	left  int64
+	began time.Time
+	clock func() time.Time
+	full  bool
+}
+
+func NewWriter(to io.Writer, bound int64, clock func() time.Time) *Writer {
+	return &Writer{to: to, left: bound, began: clock(), clock: clock}
+}
+
+func (w *Writer) Milliseconds(at time.Time) float64 {
+	return float64(at.Sub(w.began).Microseconds()) / 1000
+}
+
+func (w *Writer) Put(entry Entry) {
+	if w == nil {
+		return
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.full {
+		return
+	}
+	line, err := json.Marshal(entry)
+	if err != nil {
+		return
+	}
+	line = append(line, '\n')
+	if w.left -= int64(len(line)); w.left < 0 {
+		w.full = true
+		return
+	}
+	_, err = w.to.Write(line)
+	w.full = err != nil
+}
+
+type Damage struct {
+	Line   int
+	Reason string
+}
+
+func (d Damage) String() string { return fmt.Sprintf("line %d: %s", d.Line, d.Reason) }
+
+const lineBound = 16 << 20
+
+func Read(from io.Reader) ([]Entry, []Damage, error) {
+	scanner := bufio.NewScanner(from)
+	scanner.Buffer(make([]byte, 64<<10), lineBound)
+	var entries []Entry
+	var damages []Damage
+	for number := 1; scanner.Scan(); number++ {
+		var entry Entry
+		reason := ""
+		if err := json.Unmarshal(scanner.Bytes(), &entry); err != nil {
+			reason = err.Error()
+		} else if check := checks[entry.Kind]; check == nil {
+			reason = fmt.Sprintf("unknown kind %q", entry.Kind)
+		} else {
+			reason = check(entry)
+		}
+		if reason == "" && entry.AtMs < 0 {
+			reason = "time below 0"
+		}
+		if reason != "" {
+			damages = append(damages, Damage{number, reason})
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	sort.SliceStable(entries, func(left, right int) bool { return entries[left].AtMs < entries[right].AtMs })
+	return entries, damages, scanner.Err()
+}
+
+var checks = map[string]func(entry Entry) string{
+	KindLayout: func(entry Entry) string {
+		if len(entry.Packed) == 0 {
+			return "layout without its document"
+		}
+		return ""
+	},
+	KindFleet: func(entry Entry) string {
+		if entry.Edges < 0 {
+			return "edges below 0"
+		}
+		return ""
+	},
+	KindOrder: func(entry Entry) string {
+		if entry.Route == "" || entry.Backend == "" {
+			return "order without route or backend"
+		}
+		if entry.LeftMs < 0 || entry.Prompt < 0 || entry.Output < 0 {
+			return "order with a number below 0"
+		}
+		return ""
+	},
+}
--- /dev/null
+++ b/internal/replay/engine_test.go
@@ -0,0 +1,93 @@
+package replay
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/layout"
+	"ferryspar/internal/match"
+	"ferryspar/internal/platform"
+	"ferryspar/internal/record"
+)
+
+const document = `{"revision":1,"routeTable":[{"name":"quick","hostname":"a","pathPrefix":"/","routeType":"streaming","timeoutMs":15000,"targetLatencyMs":600,"backend":"s","priority":1}],
+"backends":[{"name":"s","runtime":{"slots":8,"kvCacheTokens":100000,"modelList":[{"name":"m","weightSizeMb":1,"loadTimeS":1}]}}]}`
+
+func day(t *testing.T, orders int, model string) *bytes.Buffer {
+	var written bytes.Buffer
+	now := time.Unix(0, 0)
+	writer := record.NewWriter(&written, 1<<20, func() time.Time { return now })
+	writer.Put(record.Entry{Kind: record.KindLayout, Packed: layout.Pack([]byte(document))})
+	held := []platform.Held{{Name: "m"}}
+	writer.Put(record.Entry{Kind: record.KindFleet, Edges: 1, Area: "north", Replicas: []platform.Replica{
+		{ID: "a", Backend: "s", Area: "north", Slots: 8, Models: held}, {ID: "b", Backend: "s", Area: "south", Slots: 8, Models: held}}})
+	for number := range orders {
+		writer.Put(record.Entry{Kind: record.KindOrder, AtMs: float64(100 + number*40), Attempt: fmt.Sprint(number), Route: "quick", Backend: "s", Model: model,
+			Prefix: fmt.Sprintf("aa:800,%x:200", number%3+1), Prompt: 1000, Output: 60, LeftMs: 15000, FirstMs: 80, TookMs: 900})
+	}
+	return &written
+}
+
+func play(t *testing.T, from *bytes.Buffer) string {
+	entries, damages, err := record.Read(from)
+	assert.NilError(t, err)
+	assert.Equal(t, len(damages), 0)
+	engine := NewEngine(match.DefaultParameters(), "north", DefaultModel())
+	assert.NilError(t, engine.Play(entries))
+	var printed bytes.Buffer
+	engine.Summary.Print(&printed)
+	kind := engine.Summary.Kinds()[0]
+	assert.Equal(t, kind.Served+kind.Late+kind.Refused, kind.Asked)
+	return printed.String()
+}
+
+func TestGivenOneRecordThenEveryReplayIsTheSame(t *testing.T) {
+	first := play(t, day(t, 200, "m"))
+	for range 3 {
+		assert.Equal(t, play(t, day(t, 200, "m")), first)
+	}
+	assert.Assert(t, strings.Contains(first, "quick"))
+}
+
+func TestGivenAModelNowhereLoadedThenItsOrdersAreRefused(t *testing.T) {
+	entries, _, err := record.Read(day(t, 5, "other"))
+	assert.NilError(t, err)
+	engine := NewEngine(match.DefaultParameters(), "north", DefaultModel())
+	assert.NilError(t, engine.Play(entries))
+	assert.Equal(t, engine.Summary.Kinds()[0].Refused, 5)
+}
+
+func TestGivenSharedPromptsThenAffinityIsSeen(t *testing.T) {
+	entries, _, err := record.Read(day(t, 50, "m"))
+	assert.NilError(t, err)
+	engine := NewEngine(match.DefaultParameters(), "north", DefaultModel())
+	assert.NilError(t, engine.Play(entries))
+	assert.Assert(t, engine.Summary.Kinds()[0].Affinity > 0.5)
+}
+
+func TestGivenDamagedLinesThenEachIsNamedAndTheRestIsRead(t *testing.T) {
+	damaged := day(t, 2, "m").String() + "{broken\n" + `{"kind":"order","atMs":5}` + "\n" + `{"kind":"tea"}` + "\n"
+	entries, damages, err := record.Read(strings.NewReader(damaged))
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 4)
+	assert.Equal(t, len(damages), 3)
+	assert.Equal(t, damages[0].Line, 5)
+	assert.Assert(t, strings.Contains(damages[2].String(), "tea"))
+}
+
+func TestGivenABoundThenTheRecordEndsThere(t *testing.T) {
+	var written bytes.Buffer
+	writer := record.NewWriter(&written, 300, time.Now)
+	for range 100 {
+		writer.Put(record.Entry{Kind: record.KindOrder, Route: "quick", Backend: "s"})
+	}
+	assert.Assert(t, written.Len() > 0 && written.Len() <= 300)
+	_, damages, err := record.Read(&written)
+	assert.NilError(t, err)
+	assert.Equal(t, len(damages), 0)
+}
--- /dev/null
+++ b/internal/replay/summary.go
@@ -0,0 +1,67 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"time"
+)
+
+type Kind struct {
+	Route    string  `json:"route"`
+	Asked    int     `json:"asked"`
+	Served   int     `json:"served"`
+	Late     int     `json:"late"`
+	Refused  int     `json:"refused"`
+	Affinity float64 `json:"affinity"`
+	MeanMs   float64 `json:"meanMs"`
+	sent     int
+}
+
+type Summary struct {
+	kinds map[string]*Kind
+}
+
+func newSummary() *Summary { return &Summary{kinds: map[string]*Kind{}} }
+
+func (s *Summary) kind(route string) *Kind {
+	if s.kinds[route] == nil {
+		s.kinds[route] = &Kind{Route: route}
+	}
+	return s.kinds[route]
+}
+
+func (s *Summary) asked(route string)   { s.kind(route).Asked++ }
+func (s *Summary) refused(route string) { s.kind(route).Refused++ }
+
+func (s *Summary) sent(route string, affinity float64) {
+	kind := s.kind(route)
+	kind.sent++
+	kind.Affinity += (affinity - kind.Affinity) / float64(kind.sent)
+}
+
+func (s *Summary) served(route string, took, aim time.Duration) {
+	kind := s.kind(route)
+	if aim > 0 && took > aim {
+		kind.Late++
+	} else {
+		kind.Served++
+	}
+	kind.MeanMs += (float64(took.Milliseconds()) - kind.MeanMs) / float64(kind.Served+kind.Late)
+}
+
+func (s *Summary) Kinds() []Kind {
+	kinds := make([]Kind, 0, len(s.kinds))
+	for _, kind := range s.kinds {
+		kinds = append(kinds, *kind)
+	}
+	sort.Slice(kinds, func(left, right int) bool { return kinds[left].Route < kinds[right].Route })
+	return kinds
+}
+
+func (s *Summary) Print(to io.Writer) {
+	fmt.Fprintf(to, "%-24s %7s %7s %7s %8s %9s %9s\n", "route", "asked", "in aim", "late", "refused", "affinity", "mean ms")
+	for _, kind := range s.Kinds() {
+		fmt.Fprintf(to, "%-24s %7d %7d %7d %8d %9.3f %9.1f\n", kind.Route, kind.Asked, kind.Served, kind.Late, kind.Refused, kind.Affinity, kind.MeanMs)
+	}
+}
