--- /dev/null
+++ b/cmd/ferryspar-operator/forget.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/retention"
+)
+
+type forgetContext struct {
+	Model string        `long:"model" description:"only context of this model"`
+	Part  string        `long:"part" description:"only context with this prompt part id (hex)"`
+	All   bool          `long:"all" description:"all context; needed when neither model nor part is named"`
+	List  bool          `long:"list" description:"only list the forgets and how far they are"`
+	Watch bool          `long:"watch" description:"print progress until every node has let go"`
+	Limit time.Duration `long:"limit" default:"10m" description:"watch no longer than this"`
+}
+
+func (f *forgetContext) Execute(rest []string) error {
+	if f.List {
+		all, err := forgets()
+		for _, status := range all {
+			show(status)
+		}
+		return err
+	}
+	if f.Model == "" && f.Part == "" && !f.All {
+		return errors.New("name --model, --part or --all")
+	}
+	body, _ := json.Marshal(retention.Scope{Model: f.Model, Part: f.Part})
+	content, err := ask(http.MethodPost, "/ferryspar/forget", "", body)
+	if err != nil {
+		return err
+	}
+	var status retention.Status
+	if err := json.Unmarshal(content, &status); err != nil {
+		return err
+	}
+	show(status)
+	for until := time.Now().Add(f.Limit); f.Watch && !status.Complete; {
+		if time.Now().After(until) {
+			return errors.Errorf("forget %d is not complete yet", status.Number)
+		}
+		time.Sleep(time.Second)
+		all, err := forgets()
+		if err != nil {
+			return err
+		}
+		for _, one := range all {
+			if one.Number == status.Number {
+				status = one
+			}
+		}
+		show(status)
+	}
+	return nil
+}
+
+func forgets() ([]retention.Status, error) {
+	content, err := ask(http.MethodGet, "/ferryspar/forget", "", nil)
+	if err != nil {
+		return nil, err
+	}
+	var all struct {
+		Forgets []retention.Status `json:"forgets"`
+	}
+	return all.Forgets, json.Unmarshal(content, &all)
+}
+
+func show(status retention.Status) {
+	if shared.JSON {
+		content, _ := json.Marshal(status)
+		fmt.Println(string(content))
+		return
+	}
+	counts := map[string]int{}
+	for _, node := range status.Nodes {
+		counts[node.State]++
+	}
+	fmt.Printf("forget %d (model %q part %q): %d done, %d gone, %d pending, complete %t\n", status.Number, status.Scope.Model, status.Scope.Part,
+		counts[retention.Done], counts[retention.Gone], counts[retention.Pending], status.Complete)
+	for _, node := range status.Nodes {
+		if node.State == retention.Pending {
+			fmt.Printf("  pending: %s %s %s\n", node.Kind, node.Node, node.Model)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/ferryspar-operator/main.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"ferryspar/internal/launch"
+	"ferryspar/internal/operator"
+)
+
+type common struct {
+	Control  []string      `short:"c" long:"control" required:"yes" description:"address of a control daemon; name several to move on after a failure"`
+	Patience time.Duration `long:"patience" default:"1s" description:"silence after which the next daemon is asked"`
+	Bound    time.Duration `long:"bound" default:"15s" description:"time for the whole call"`
+	JSON     bool          `long:"json" description:"print the answer's JSON as it came"`
+}
+
+var shared common
+
+func caller() *operator.Caller {
+	return &operator.Caller{Addresses: shared.Control, Client: operator.NewClient(), Patience: shared.Patience, Bound: shared.Bound}
+}
+
+type refusal struct {
+	outcome operator.Outcome
+}
+
+func (r refusal) Error() string {
+	return fmt.Sprintf("refused with %d by %s: %s", r.outcome.Status, r.outcome.Address, r.outcome.Body)
+}
+
+func ask(method, path, condition string, body []byte) ([]byte, error) {
+	outcome, err := caller().Call(context.Background(), method, path, condition, body)
+	if err != nil {
+		return nil, err
+	}
+	if outcome.Status >= 300 {
+		return nil, refusal{outcome}
+	}
+	return outcome.Body, nil
+}
+
+func main() {
+	parser := flags.NewParser(&shared, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "ferryspar-operator"
+	parser.LongDescription = "Speaks to the control plane as its operator does. Version " + launch.Version + "."
+	for _, one := range commands {
+		if _, err := parser.AddCommand(one.name, one.short, one.short, one.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(launch.ExitFailed)
+		}
+	}
+	_, err := parser.Parse()
+	os.Exit(exit(err))
+}
+
+func exit(err error) int {
+	if err == nil {
+		return launch.ExitGood
+	}
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return launch.ExitGood
+	}
+	fmt.Fprintln(os.Stderr, "ferryspar-operator:", err)
+	if _, usage := err.(*flags.Error); usage {
+		return launch.ExitUsage
+	}
+	return launch.ExitFailed
+}
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -24,6 +24,7 @@
 	ReadRetention(ctx context.Context) (retention.Policy, error)
 	Forget(ctx context.Context, scope retention.Scope) (retention.Status, error)
 	ReadForgets(ctx context.Context) ([]retention.Status, error)
+	Status() Fleet
 }
 
 type handler func(state State, request *http.Request) ([]byte, error)
@@ -44,6 +45,7 @@
 	{http.MethodPut, "/ferryspar/retention", setRetention},
 	{http.MethodGet, "/ferryspar/forget", readForgets},
 	{http.MethodPost, "/ferryspar/forget", forget},
+	{http.MethodGet, "/ferryspar/status", status},
 }
 
 func Routes(state State) http.Handler {
