--- a/internal/keystore/simulation_test.go
+++ b/internal/keystore/simulation_test.go
@@ -1,8 +1,10 @@
-package keystore
+package keystore_test
 
 import (
 	"context"
 	"encoding/json"
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/rehearsal"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -70,36 +72,27 @@
 	return nil
 }
 
-func decodeWritten(slot Slot) written {
+func decodeWritten(slot keystore.Slot) written {
 	var value written
 	_ = json.Unmarshal(slot.Value, &value)
 	return value
 }
 
-func (f *simulatedFleet) storeOf(name string) *Store {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	if member := f.members[name]; member.running {
-		return member.store
-	}
-	return nil
-}
-
-func (f *simulatedFleet) client(number int, draw *rand.Rand, until time.Time, told *history) {
+func client(f *rehearsal.Fleet, number int, draw *rand.Rand, until time.Time, told *history) {
 	for turn := 0; time.Now().Before(until); turn++ {
 		time.Sleep(time.Duration(draw.IntN(400)+1) * time.Millisecond)
-		store := f.storeOf(f.names[draw.IntN(len(f.names))])
+		store := f.StoreOf(f.Names[draw.IntN(len(f.Names))])
 		if store == nil {
 			continue
 		}
 		one := operation{mark: fmt.Sprintf("%d-%d", number, turn), began: time.Now(), read: draw.IntN(3) == 0}
 		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-		var slot Slot
+		var slot keystore.Slot
 		var err error
 		if one.read {
-			slot, err = store.Read(ctx, LayoutKey)
+			slot, err = store.Read(ctx, keystore.LayoutKey)
 		} else {
-			slot, err = store.Change(ctx, LayoutKey, func(current Slot) (json.RawMessage, error) {
+			slot, err = store.Change(ctx, keystore.LayoutKey, func(current keystore.Slot) (json.RawMessage, error) {
 				value := decodeWritten(current)
 				value.Version++
 				value.Marks = append(append([]string{}, value.Marks...), one.mark)
@@ -112,49 +105,47 @@
 	}
 }
 
-type trouble func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration)
-
 func play(seed uint64, size int, wild bool) error {
-	fleet := newSimulatedFleet(seed, size)
+	fleet := rehearsal.New(seed, size)
 	draw := rand.New(rand.NewPCG(seed, 7))
-	fleet.lossy = seed%2 == 0
-	for _, name := range fleet.names {
-		fleet.start(name, true)
+	fleet.Lossy = seed%2 == 0
+	for _, name := range fleet.Names {
+		fleet.Start(name, true)
 	}
-	fleet.votesWild = wild
+	fleet.VotesWild = wild
 	told := &history{}
 	until := time.Now().Add(12 * time.Second)
 	var clients sync.WaitGroup
 	for number := range 3 {
 		source := rand.New(rand.NewPCG(seed, uint64(100+number)))
-		clients.Go(func() { fleet.client(number, source, until, told) })
+		clients.Go(func() { client(fleet, number, source, until, told) })
 	}
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(draw.IntN(700)+50) * time.Millisecond)
-		name := fleet.names[draw.IntN(size)]
-		troubles[draw.IntN(len(troubles))](fleet, name, draw, time.Duration(draw.IntN(1500)+20)*time.Millisecond)
-		if !fleet.waitVoting(time.Minute) {
+		name := fleet.Names[draw.IntN(size)]
+		rehearsal.Troubles[draw.IntN(len(rehearsal.Troubles))](fleet, name, draw, time.Duration(draw.IntN(1500)+20)*time.Millisecond)
+		if !fleet.WaitVoting(time.Minute) {
 			return fmt.Errorf("a member never voted again")
 		}
 	}
 	clients.Wait()
-	fleet.lossy = false
-	for _, name := range fleet.names {
-		fleet.kill(name)
-		fleet.members[name].disk.losePower(draw)
+	fleet.Lossy = false
+	for _, name := range fleet.Names {
+		fleet.Kill(name)
+		fleet.LosePower(name, draw)
 	}
-	for _, name := range fleet.names {
-		fleet.start(name, false)
+	for _, name := range fleet.Names {
+		fleet.Start(name, false)
 	}
 	defer func() {
-		for _, name := range fleet.names {
-			fleet.kill(name)
+		for _, name := range fleet.Names {
+			fleet.Kill(name)
 		}
 		time.Sleep(time.Minute)
 	}()
 	for range 20 {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		slot, err := fleet.members[fleet.names[0]].store.Read(ctx, LayoutKey)
+		slot, err := fleet.StoreOf(fleet.Names[0]).Read(ctx, keystore.LayoutKey)
 		cancel()
 		if err == nil {
 			return told.check(decodeWritten(slot))
--- a/internal/keystore/simdisk_test.go
+++ b/internal/rehearsal/disk.go
@@ -1,4 +1,4 @@
-package keystore
+package rehearsal
 
 import (
 	"math/rand/v2"
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 )
 
-type simulatedDisk struct {
+type Disk struct {
 	lock    sync.Mutex
 	synced  map[string][]byte
 	loose   map[string][]looseWrite
@@ -22,14 +22,14 @@
 	content []byte
 }
 
-func newSimulatedDisk() *simulatedDisk {
-	return &simulatedDisk{synced: map[string][]byte{}, loose: map[string][]looseWrite{}}
+func NewDisk() *Disk {
+	return &Disk{synced: map[string][]byte{}, loose: map[string][]looseWrite{}}
 }
 
-func (d *simulatedDisk) attach() *simulatedHandle { return &simulatedHandle{disk: d} }
+func (d *Disk) attach() *Handle { return &Handle{disk: d} }
 
-type simulatedHandle struct {
-	disk *simulatedDisk
+type Handle struct {
+	disk *Disk
 	gone bool
 }
 
@@ -42,7 +42,7 @@
 	return content
 }
 
-func (h *simulatedHandle) Read(name string) ([]byte, error) {
+func (h *Handle) Read(name string) ([]byte, error) {
 	h.disk.lock.Lock()
 	defer h.disk.lock.Unlock()
 	content := append([]byte(nil), h.disk.synced[name]...)
@@ -52,9 +52,9 @@
 	return content, nil
 }
 
-func (h *simulatedHandle) Prepare(name string, size int64) error { return nil }
+func (h *Handle) Prepare(name string, size int64) error { return nil }
 
-func (h *simulatedHandle) wait() error {
+func (h *Handle) wait() error {
 	h.disk.lock.Lock()
 	stall := h.disk.stall
 	refuses := h.disk.refuses
@@ -71,7 +71,7 @@
 	return nil
 }
 
-func (h *simulatedHandle) Write(name string, offset int64, content []byte) error {
+func (h *Handle) Write(name string, offset int64, content []byte) error {
 	if err := h.wait(); err != nil {
 		return err
 	}
@@ -81,7 +81,7 @@
 	return nil
 }
 
-func (h *simulatedHandle) Sync(name string) error {
+func (h *Handle) Sync(name string) error {
 	if err := h.wait(); err != nil {
 		return err
 	}
@@ -94,7 +94,7 @@
 	return nil
 }
 
-func (d *simulatedDisk) losePower(draw *rand.Rand) {
+func (d *Disk) LosePower(draw *rand.Rand) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	all := draw.IntN(4) == 0
@@ -113,7 +113,7 @@
 	d.loose = map[string][]looseWrite{}
 }
 
-func (d *simulatedDisk) wipe() {
+func (d *Disk) wipe() {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.synced, d.loose = map[string][]byte{}, map[string][]looseWrite{}
--- a/internal/keystore/simfleet_test.go
+++ b/internal/rehearsal/fleet.go
@@ -1,7 +1,8 @@
-package keystore
+package rehearsal
 
 import (
 	"context"
+	"ferryspar/internal/keystore"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -11,68 +12,68 @@
 	"github.com/pkg/errors"
 )
 
-type simulatedMember struct {
+type Member struct {
 	name     string
-	disk     *simulatedDisk
-	handle   *simulatedHandle
-	acceptor *Acceptor
-	store    *Store
+	disk     *Disk
+	handle   *Handle
+	acceptor *keystore.Acceptor
+	store    *keystore.Store
 	stop     context.CancelFunc
 	running  bool
 	lives    uint32
 }
 
-type simulatedFleet struct {
+type Fleet struct {
 	seed      uint64
 	lock      sync.Mutex
-	members   map[string]*simulatedMember
-	names     []string
+	members   map[string]*Member
+	Names     []string
 	cut       map[[2]string]bool
 	sent      map[[2]string]uint64
-	lossy     bool
-	votesWild bool
+	Lossy     bool
+	VotesWild bool
 	tenure    time.Duration
 }
 
-func newSimulatedFleet(seed uint64, size int) *simulatedFleet {
-	fleet := &simulatedFleet{seed: seed, members: map[string]*simulatedMember{}, cut: map[[2]string]bool{}, sent: map[[2]string]uint64{}, tenure: 1500 * time.Millisecond}
+func New(seed uint64, size int) *Fleet {
+	fleet := &Fleet{seed: seed, members: map[string]*Member{}, cut: map[[2]string]bool{}, sent: map[[2]string]uint64{}, tenure: TenureLength}
 	for index := range size {
 		name := fmt.Sprintf("member-%d", index)
-		fleet.names = append(fleet.names, name)
-		fleet.members[name] = &simulatedMember{name: name, disk: newSimulatedDisk()}
+		fleet.Names = append(fleet.Names, name)
+		fleet.members[name] = &Member{name: name, disk: NewDisk()}
 	}
 	return fleet
 }
 
-func (f *simulatedFleet) founding() Members { return Members{Number: 1, Present: f.names} }
+func (f *Fleet) founding() keystore.Members { return keystore.Members{Number: 1, Present: f.Names} }
 
-func (f *simulatedFleet) start(name string, fresh bool) {
+func (f *Fleet) Start(name string, fresh bool) {
 	f.lock.Lock()
 	member := f.members[name]
 	f.lock.Unlock()
 	member.lives++
 	handle := member.disk.attach()
-	journal, err := OpenJournal(handle, ringFilesForTest, 64<<10)
+	journal, err := keystore.OpenJournal(handle, ringFilesForTest, 64<<10)
 	if err != nil {
 		panic(err)
 	}
 	incarnation := uint64(member.lives)<<32 | f.draw(name, "incarnation", uint64(member.lives))>>32 | 1
 	if len(journal.State()) == 0 {
-		first := WipedSlots(incarnation)
-		if fresh || f.votesWild {
-			first = FreshSlots(f.founding(), incarnation)
+		first := keystore.WipedSlots(incarnation)
+		if fresh || f.VotesWild {
+			first = keystore.FreshSlots(f.founding(), incarnation)
 		}
 		if err := journal.Append(first); err != nil {
 			return
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	acceptor := NewAcceptor(name, journal, Rules{Tenure: f.tenure, Clock: time.Now}, fresh)
+	acceptor := keystore.NewAcceptor(name, journal, keystore.Rules{Tenure: f.tenure, Clock: time.Now}, fresh)
 	known := acceptor.Members()
 	if known.Number == 0 {
 		known = f.founding()
 	}
-	store := NewStore(name, uint32(f.draw(name, "nonce", uint64(member.lives))), &simulatedWire{f, name}, time.Now, known)
+	store := keystore.NewStore(name, uint32(f.draw(name, "nonce", uint64(member.lives))), &Wire{f, name}, time.Now, known)
 	f.lock.Lock()
 	member.handle, member.acceptor, member.store, member.stop, member.running = handle, acceptor, store, cancel, true
 	f.lock.Unlock()
@@ -84,9 +85,12 @@
 	}()
 }
 
-const ringFilesForTest = 3
+const (
+	ringFilesForTest = 3
+	TenureLength     = 1500 * time.Millisecond
+)
 
-func (f *simulatedFleet) kill(name string) {
+func (f *Fleet) Kill(name string) {
 	f.lock.Lock()
 	member := f.members[name]
 	member.running = false
@@ -99,14 +103,14 @@
 	}
 }
 
-func (f *simulatedFleet) draw(parts ...any) uint64 {
+func (f *Fleet) draw(parts ...any) uint64 {
 	hash := fnv.New64a()
 	fmt.Fprint(hash, f.seed, parts)
 	source := rand.NewPCG(hash.Sum64(), f.seed)
 	return source.Uint64()
 }
 
-func (f *simulatedFleet) delay(from, to string) (time.Duration, bool) {
+func (f *Fleet) delay(from, to string) (time.Duration, bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	link := [2]string{from, to}
@@ -115,7 +119,7 @@
 		return 0, false
 	}
 	drawn := f.draw(from, to, f.sent[link])
-	if f.lossy && drawn%11 == 0 {
+	if f.Lossy && drawn%11 == 0 {
 		return 0, false
 	}
 	spread := time.Duration(drawn>>8%uint64(4*time.Millisecond)) + time.Millisecond
@@ -125,7 +129,7 @@
 	return spread, true
 }
 
-func (f *simulatedFleet) alive(name string) *Acceptor {
+func (f *Fleet) alive(name string) *keystore.Acceptor {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	if member := f.members[name]; member.running {
@@ -134,19 +138,19 @@
 	return nil
 }
 
-type simulatedWire struct {
-	fleet *simulatedFleet
+type Wire struct {
+	fleet *Fleet
 	self  string
 }
 
 var errLost = errors.New("lost on the way")
 
-func (w *simulatedWire) Send(ctx context.Context, address string, message Message) (Reply, error) {
+func (w *Wire) Send(ctx context.Context, address string, message keystore.Message) (keystore.Reply, error) {
 	if address == w.self {
 		if acceptor := w.fleet.alive(address); acceptor != nil {
 			return acceptor.Call(ctx, message)
 		}
-		return Reply{}, errLost
+		return keystore.Reply{}, errLost
 	}
 	pass := func(from, to string) error {
 		pause, through := w.fleet.delay(from, to)
@@ -158,20 +162,31 @@
 		return nil
 	}
 	if err := pass(w.self, address); err != nil {
-		return Reply{}, err
+		return keystore.Reply{}, err
 	}
 	acceptor := w.fleet.alive(address)
 	if acceptor == nil {
-		return Reply{}, errLost
+		return keystore.Reply{}, errLost
 	}
 	served, cancel := context.WithTimeout(context.WithoutCancel(ctx), 10*time.Second)
 	reply, err := acceptor.Call(served, message)
 	cancel()
 	if err != nil {
-		return Reply{}, err
+		return keystore.Reply{}, err
 	}
 	if err := pass(address, w.self); err != nil {
-		return Reply{}, err
+		return keystore.Reply{}, err
 	}
 	return reply, ctx.Err()
 }
+
+func (f *Fleet) StoreOf(name string) *keystore.Store {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if member := f.members[name]; member.running {
+		return member.store
+	}
+	return nil
+}
+
+func (f *Fleet) LosePower(name string, draw *rand.Rand) { f.members[name].disk.LosePower(draw) }
--- a/internal/keystore/simtroubles_test.go
+++ b/internal/rehearsal/troubles.go
@@ -1,14 +1,14 @@
-package keystore
+package rehearsal
 
 import (
 	"math/rand/v2"
 	"time"
 )
 
-func (f *simulatedFleet) isolate(name string, inward, outward, cut bool) {
+func (f *Fleet) isolate(name string, inward, outward, cut bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	for _, other := range f.names {
+	for _, other := range f.Names {
 		if inward {
 			f.cut[[2]string{other, name}] = cut
 		}
@@ -18,16 +18,16 @@
 	}
 }
 
-func (f *simulatedFleet) waitVoting(bound time.Duration) bool {
+func (f *Fleet) WaitVoting(bound time.Duration) bool {
 	until := time.Now().Add(bound)
 	for time.Now().Before(until) {
 		voting := 0
-		for _, name := range f.names {
+		for _, name := range f.Names {
 			if acceptor := f.alive(name); acceptor != nil && acceptor.Self().Voting {
 				voting++
 			}
 		}
-		if voting == len(f.names) {
+		if voting == len(f.Names) {
 			return true
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -35,31 +35,33 @@
 	return false
 }
 
-var troubles = []trouble{
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.kill(name)
+type Trouble func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration)
+
+var Troubles = []Trouble{
+	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+		f.Kill(name)
 		time.Sleep(lasting)
-		f.start(name, false)
+		f.Start(name, false)
 	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.kill(name)
-		f.members[name].disk.losePower(draw)
+	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+		f.Kill(name)
+		f.members[name].disk.LosePower(draw)
 		time.Sleep(lasting)
-		f.start(name, false)
+		f.Start(name, false)
 	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.kill(name)
+	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+		f.Kill(name)
 		f.members[name].disk.wipe()
 		time.Sleep(lasting)
-		f.start(name, false)
+		f.Start(name, false)
 	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
 		inward := draw.IntN(2) == 0
 		f.isolate(name, inward, !inward || draw.IntN(2) == 0, true)
 		time.Sleep(lasting)
 		f.isolate(name, true, true, false)
 	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
 		disk := f.members[name].disk
 		disk.lock.Lock()
 		disk.stall = lasting
@@ -69,7 +71,7 @@
 		disk.stall = 0
 		disk.lock.Unlock()
 	},
-	func(f *simulatedFleet, name string, draw *rand.Rand, lasting time.Duration) {
+	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
 		disk := f.members[name].disk
 		disk.lock.Lock()
 		disk.refuses = true
