--- a/internal/controlplane/layouts.go
+++ b/internal/controlplane/layouts.go
@@ -102,7 +102,7 @@
 		return translate(err)
 	}
 	d.announce(ctx, slot)
-	logrus.WithField("revision", d.board.Read().Revision).Info("layout change acknowledged")
+	logrus.WithField("revision", revisionOf(slot)).Info("layout change acknowledged")
 	return nil
 }
 
@@ -174,3 +174,9 @@
 		}
 	}
 }
+
+func revisionOf(slot keystore.Slot) int64 {
+	var record layoutRecord
+	_ = json.Unmarshal(slot.Value, &record)
+	return record.Revision
+}
