Believe a report that contradicts an order only when it repeats; drop held-up orders

Cause: the story of a lost placement holder failed now and then: a report taken as a load ended showed neither the order under way nor the model, and another load was ordered into the same room (a broken LIMIT). Now three such reports are needed. Orders whose caller has given up are reset, so that a healed link does not deliver them late.

--- a/internal/client/intake.go
+++ b/internal/client/intake.go
@@ -36,11 +36,11 @@
 }
 
 func (d *Door) take(request *http.Request, arrived time.Time) (*intake, error) {
-	fleet := d.fleet.Load()
 	attempt := request.Header.Get(replica.HeaderAttempt)
 	if !validAttempt(attempt) || len(request.Header.Values(replica.HeaderAttempt)) != 1 {
 		return nil, problem.New(problem.MissingAttempt, "")
 	}
+	fleet := d.awaitLayout(request, arrived)
 	if fleet.Table == nil {
 		return nil, problem.Later(problem.NoLayout, 200*time.Millisecond)
 	}
@@ -95,6 +95,27 @@
 	bodyBound     = 4 << 20
 )
 
+const (
+	layoutPatience = 1500 * time.Millisecond
+	layoutLook     = 15 * time.Millisecond
+)
+
+func (d *Door) awaitLayout(request *http.Request, arrived time.Time) *match.Fleet {
+	for {
+		fleet := d.fleet.Load()
+		if fleet.Table != nil || d.clock().Sub(arrived) > layoutPatience || d.Leaving() {
+			return fleet
+		}
+		schedule := time.NewTimer(layoutLook)
+		select {
+		case <-schedule.C:
+		case <-request.Context().Done():
+			schedule.Stop()
+			return fleet
+		}
+	}
+}
+
 func headBytes(request *http.Request) int {
 	total := len(request.Method) + len(request.RequestURI) + len(request.Host)
 	for name, values := range request.Header {
--- a/internal/controlplane/charges.go
+++ b/internal/controlplane/charges.go
@@ -103,9 +103,12 @@
 	if state.Busy || state.Sequence < one.sequence {
 		return
 	}
-	if one.pending != nil && now.Sub(one.began) < reportLag && one.pending.Load != references(state.Models)[one.pending.Model] {
-		return
+	if one.pending != nil && one.pending.Load != references(state.Models)[one.pending.Model] {
+		if one.doubts++; one.doubts < doubtsNeeded || now.Sub(one.began) < reportLag {
+			return
+		}
 	}
+	one.doubts = 0
 	one.models = references(state.Models)
 	one.overlayAt = now
 	one.sequence = state.Sequence
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -15,6 +15,7 @@
 
 const (
 	reportLag     = 250 * time.Millisecond
+	doubtsNeeded  = 3
 	unknownPause  = 1500 * time.Millisecond
 	busyPause     = 250 * time.Millisecond
 	refusedPause  = 4 * time.Second
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +24,7 @@
 	sequence  int64
 	known     bool
 	asking    bool
+	doubts    int
 	pending   *place.Action
 	began     time.Time
 	lookAt    time.Time
@@ -77,7 +77,7 @@
 			Key: placementTenure, Holder: daemon.settings.NodeName, Address: daemon.self, Length: daemon.tenureLength(),
 			Settle: env.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Keeper: daemon.store, Clock: daemon.clock,
 		},
-		commander: &replica.Commander{Client: &http.Client{Transport: partner.NewTransport(daemon.network, 400*time.Millisecond, time.Second, 2)}},
+		commander: replica.NewCommander(daemon.network),
 		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
 		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), lastRate: daemon.clock(),
 	}
--- a/internal/replica/orders.go
+++ b/internal/replica/orders.go
@@ -5,10 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"ferryspar/internal/partner"
 	"ferryspar/internal/platform"
 )
 
@@ -40,6 +43,19 @@
 	Client *http.Client
 }
 
+func NewCommander(network partner.Network) *Commander {
+	transport := partner.NewTransport(network, 400*time.Millisecond, time.Second, 2)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, name, address string) (net.Conn, error) {
+		session, err := dial(ctx, name, address)
+		if direct, known := session.(*net.TCPConn); known && err == nil {
+			_ = direct.SetLinger(0)
+		}
+		return session, err
+	}
+	return &Commander{Client: &http.Client{Transport: transport}}
+}
+
 func (c *Commander) call(ctx context.Context, name, address, identity string, body []byte) (int, []byte, error) {
 	called, known := Calls[name]
 	if !known {
--- a/internal/story/control_test.go
+++ b/internal/story/control_test.go
@@ -170,6 +170,6 @@
 		assert.Assert(t, next.Holder != last.Holder)
 		assert.Assert(t, next.Fence > last.Fence)
 		assert.Assert(t, next.at.Sub(last.at) >= 3*time.Second, "turns within the lease: %s", next.at.Sub(last.at))
-		assert.Assert(t, !one.overfull)
+		assert.Assert(t, !one.overfull, "%+v", all)
 	})
 }
--- a/internal/story/serving_test.go
+++ b/internal/story/serving_test.go
@@ -44,6 +44,28 @@
 	})
 }
 
+func TestGivenAnEdgeThatStartsWhenARequestComesBeforeItsLayoutThenItWaitsAndIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := newStandInReplica("i-1", "10.1.2.1", "north", "swift")
+		f := settled(t, 1, one)
+		for number := 1; number <= 3; number++ {
+			f.kill(coreHost(number))
+		}
+		f.kill(edgeHost(1))
+		f.startEdge(edgeHost(1))
+		time.Sleep(50 * time.Millisecond)
+		done := make(chan reply, 1)
+		go func() { done <- f.ask(1, "attempt", "/quick/", "swift") }()
+		time.Sleep(100 * time.Millisecond)
+		for number := 1; number <= 3; number++ {
+			f.startCore(coreHost(number), false, 1, 2, 3)
+		}
+		got := <-done
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, allEvents())
+	})
+}
+
 func TestGivenBadInputThenTheTableOfProblemsAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		one := newStandInReplica("i-1", "10.1.2.1", "north", "swift")
