--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -5,6 +5,17 @@
 	"sort"
 )
 
+func (p *planner) reading(server *Server) float64 {
+	total := 0.0
+	for reference := range server.Models {
+		if model, adapter := split(reference); adapter == "" {
+			copies := max(len(p.view.copies(p.backend.Name, model)), 1)
+			total += p.view.modelPressure(p.backend.Name, model).Reading / float64(copies)
+		}
+	}
+	return total
+}
+
 func (p *planner) freed(server *Server, model string) float64 {
 	total := p.sizes[model].WeightSizeMb
 	for reference := range server.Models {
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -13,6 +13,7 @@
 	hotRate      = 1.5
 	rareRate     = 0.3
 	lateShare    = 0.4
+	readingCost  = 4.0
 	recentDemand = 20 * time.Second
 	roomSlack    = 0.001
 )
@@ -182,7 +183,7 @@
 }
 
 func (p *planner) cost(server *Server, model string) (float64, bool) {
-	cost := server.Running * 0.01
+	cost := readingCost * p.reading(server)
 	if !server.Held[model] {
 		cost += p.sizes[model].LoadTimeS
 	} else {
