--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -143,7 +142,9 @@
 	}
 	cleanup = append(cleanup, d.bus.Close)
 	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run,
-		func(ctx context.Context) { d.settingsLoop(ctx, signals.Hangup) }}
+		func(ctx context.Context) {
+			env.Watch(ctx, d.path, "control", signals.Hangup, func(fresh env.Settings) { d.noteControls(fresh.SeedPartners()) })
+		}}
 	for _, loop := range loops {
 		go loop(ctx)
 	}
@@ -161,22 +162,6 @@
 	}
 }
 
-func (d *Daemon) settingsLoop(ctx context.Context, hangups <-chan os.Signal) {
-	schedule := time.NewTicker(2 * time.Second)
-	defer schedule.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		case <-schedule.C:
-		}
-		if fresh, err := env.Load(d.path); err == nil && fresh.Check("control") == nil {
-			d.noteControls(fresh.SeedPartners())
-		}
-	}
-}
-
 func (d *Daemon) noteControls(addresses []string) {
 	d.watching.Lock()
 	defer d.watching.Unlock()
--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"ferryspar/internal/env"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/retention"
@@ -40,7 +41,7 @@
 		if !fresh {
 			pause = unsureEvery
 		}
-		sleepFor(ctx, pause)
+		env.Sleep(ctx, pause)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -130,7 +130,7 @@
 	}
 	address := one.listed.Address
 	go func() {
-		sleepFor(ctx, pause)
+		env.Sleep(ctx, pause)
 		hold := w.hold.Load()
 		if !hold.Allows(w.daemon.clock(), orderNeeds) {
 			w.results <- func() { w.ordered(one, action, 0, nil) }
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -125,7 +125,7 @@
 			patience += time.Duration(index) * 250 * time.Millisecond
 		}
 	}
-	sleepFor(ctx, patience)
+	env.Sleep(ctx, patience)
 	schedule := time.NewTicker(renewEvery)
 	defer schedule.Stop()
 	for {
@@ -147,7 +147,7 @@
 		hold, err := w.keeper.Seize(bounded)
 		cancel()
 		if err != nil {
-			sleepFor(ctx, time.Duration(rand.IntN(300))*time.Millisecond)
+			env.Sleep(ctx, time.Duration(rand.IntN(300))*time.Millisecond)
 			continue
 		}
 		w.hold.Store(hold)
@@ -169,15 +169,6 @@
 	w.heardFrom = w.daemon.clock()
 }
 
-func sleepFor(ctx context.Context, pause time.Duration) {
-	schedule := time.NewTimer(pause)
-	defer schedule.Stop()
-	select {
-	case <-schedule.C:
-	case <-ctx.Done():
-	}
-}
-
 const rateSpan = 8.0
 
 func (w *Warden) log(action place.Action, status int, err error) {
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -69,7 +68,7 @@
 	d.listener.Follow(ctx, d.settings.SeedPartners())
 	go d.desk.Run(ctx, d.listener)
 	go d.tellPressure(ctx)
-	go d.watchSettings(ctx, signals.Hangup)
+	go env.Watch(ctx, d.path, "edge", signals.Hangup, func(fresh env.Settings) { d.listener.Follow(ctx, fresh.SeedPartners()) })
 
 	door, err := d.network.Listen(d.settings.BindAddresses.DataPlane)
 	if err != nil {
@@ -162,19 +161,3 @@
 		}
 	}
 }
-
-func (d *Daemon) watchSettings(ctx context.Context, hangups <-chan os.Signal) {
-	schedule := time.NewTicker(2 * time.Second)
-	defer schedule.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		case <-schedule.C:
-		}
-		if fresh, err := env.Load(d.path); err == nil && fresh.Check("edge") == nil {
-			d.listener.Follow(ctx, fresh.SeedPartners())
-		}
-	}
-}
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -76,7 +76,7 @@
 			return
 		}
 		if err != nil {
-			sleep(ctx, pause)
+			env.Sleep(ctx, pause)
 			pause = min(pause*2, lastPause)
 			poll.HoldMs = 1
 			continue
@@ -87,20 +87,11 @@
 			poll.Roster = news.Roster
 		}
 		if !news.Fresh {
-			sleep(ctx, firstPause)
+			env.Sleep(ctx, firstPause)
 		}
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	schedule := time.NewTimer(pause)
-	defer schedule.Stop()
-	select {
-	case <-schedule.C:
-	case <-ctx.Done():
-	}
-}
-
 type wants struct {
 	revision atomic.Int64
 	areas    atomic.Uint64
--- /dev/null
+++ b/internal/env/watch_test.go
@@ -0,0 +1,32 @@
+package env
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestGivenASettingsFileThatChangesWhenToldThenItsNewSeedsAreUsedAndBrokenOnesAreNot(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(sound), 0o600))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	hangups, used := make(chan os.Signal, 1), make(chan Settings, 4)
+	go Watch(ctx, path, "edge", hangups, func(fresh Settings) { used <- fresh })
+	hangups <- syscall.SIGHUP
+	select {
+	case fresh := <-used:
+		assert.DeepEqual(t, fresh.SeedPartners(), []string{"10.1.0.16:7720"})
+	case <-ctx.Done():
+		t.Fatal("the change was not followed")
+	}
+	assert.NilError(t, os.WriteFile(path, []byte("nodeName ="), 0o600))
+	hangups <- syscall.SIGHUP
+	hangups <- syscall.SIGHUP
+	assert.Equal(t, len(used), 0)
+}
