Members grow to what faultTolerance asks; all members are greeted by everyone

Cause: a story with five control daemons: only three seeds found the fleet, and a member that a driver did not watch on the ring looked lost to it and was replaced. Zones of control daemons are told in the news instead of guessed from addresses.

--- a/internal/controlplane/board.go
+++ b/internal/controlplane/board.go
@@ -66,9 +66,9 @@
 	b.current = &next
 }
 
-func (b *Bulletin) News(poll partner.Poll, member, life string, now time.Time) partner.News {
+func (b *Bulletin) News(poll partner.Poll, member, area, life string, now time.Time) partner.News {
 	news := partner.News{
-		Member: member, Life: life, Fresh: b.Fresh, Version: b.Version, Revision: b.Revision, AreaNumber: b.AreaNumber,
+		Member: member, Area: area, Life: life, Fresh: b.Fresh, Version: b.Version, Revision: b.Revision, AreaNumber: b.AreaNumber,
 		Roster: b.Roster, RosterAge: now.Sub(b.RosterAt).Milliseconds(), Edges: b.Edges, Holder: b.Holder, Control: b.Control,
 	}
 	if !b.Fresh {
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		current := d.store.Members()
-		next, why := nextMembers(current, d.self, d.neighbours())
+		next, why := nextMembers(current, d.self, 2*d.settings.FaultTolerance.MachineLoss+1, d.neighbours())
 		if next.Number == 0 {
 			continue
 		}
@@ -78,7 +78,7 @@
 	}
 }
 
-func nextMembers(current keystore.Members, self string, seen map[string]neighbour) (keystore.Members, string) {
+func nextMembers(current keystore.Members, self string, wanted int, seen map[string]neighbour) (keystore.Members, string) {
 	alive := func(address string) bool {
 		one, known := seen[address]
 		return address == self || known && one.heard < deadAfter && !one.leaving
@@ -114,10 +114,14 @@
 			dead = append(dead, member)
 		}
 	}
-	if len(newcomers) == 0 || len(dead) == 0 {
+	if len(newcomers) == 0 || len(dead) == 0 && len(current.Present) >= wanted {
 		return keystore.Members{}, ""
 	}
 	sort.Strings(newcomers)
+	if len(dead) == 0 {
+		next := append(append([]string{}, current.Present...), newcomers[0])
+		return keystore.Members{Number: number, Present: current.Present, Next: next}, "more members are needed for the losses to be borne"
+	}
 	next := make([]string, 0, len(current.Present))
 	for _, member := range current.Present {
 		if member == dead[0] {
--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -125,6 +125,11 @@
 	greeting := partner.Greeting{Daemon: d.settings.NodeName, Address: d.self, Joining: !voting, Number: self.Number, Leaving: leaving, Edges: edges}
 	others := d.otherControls()
 	targets := watch.Watchers(d.self, others, watcherCount)
+	for _, member := range d.store.Members().All() {
+		if member != d.self && !contains(targets, member) {
+			targets = append(targets, member)
+		}
+	}
 	if !voting {
 		targets = others
 	}
--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -68,12 +68,12 @@
 	for {
 		bulletin := d.board.Read()
 		if bulletin.Answers(poll, d.life) {
-			return bulletin.News(poll, d.self, d.life, d.clock())
+			return bulletin.News(poll, d.self, d.settings.Area, d.life, d.clock())
 		}
 		select {
 		case <-bulletin.changed:
 		case <-hold.C:
-			return d.board.Read().News(poll, d.self, d.life, d.clock())
+			return d.board.Read().News(poll, d.self, d.settings.Area, d.life, d.clock())
 		case <-ctx.Done():
 			return partner.News{}
 		}
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -26,7 +26,7 @@
 	replicas  []platform.Replica
 	barred    []string
 	fetchedAt time.Time
-	sameArea  bool
+	area      string
 }
 
 type Desk struct {
@@ -123,6 +123,7 @@
 		changed = d.adopt(news)
 		d.heard.Store(&one.at)
 	}
+	held.area = news.Area
 	if held.life != news.Life {
 		held.life, held.replicas = news.Life, nil
 	}
@@ -203,7 +204,7 @@
 		if held.revision > newest {
 			rank += 4
 		}
-		if d.near(address) {
+		if held.area == d.settings.Area {
 			rank += 2
 		}
 		if address == current {
@@ -218,8 +219,6 @@
 	}
 }
 
-func (d *Desk) near(address string) bool { return sameNetwork(address, d.settings.IPAddress) }
-
 func (d *Desk) publish() {
 	fleet := &match.Fleet{Table: d.table, Drained: map[string]bool{}, Edges: 1, Fetched: d.shown, Others: d.others.Replicas, OthersAt: d.othersAt}
 	for area, state := range d.areas {
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -39,6 +39,7 @@
 
 type News struct {
 	Member     string               `json:"member"`
+	Area       string               `json:"area"`
 	Life       string               `json:"life"`
 	Fresh      bool                 `json:"fresh"`
 	Version    uint64               `json:"version"`
--- a/internal/story/control_test.go
+++ b/internal/story/control_test.go
@@ -173,3 +173,25 @@
 		assert.Assert(t, !one.overfull, "%+v", all)
 	})
 }
+
+func TestGivenFiveControlDaemonsAndTwoLossesToBearThenAllBecomeMembersAndTwoMayGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 1, newStandInReplica("i-1", "10.1.2.1", "north", "swift"))
+		f.losses = 2
+		for _, number := range []int{4, 5} {
+			f.startCore(coreHost(number), true, 1, 2, 3)
+		}
+		for number := 1; number <= 3; number++ {
+			f.kill(coreHost(number))
+			f.startCore(coreHost(number), false, 1, 2, 3)
+		}
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, f.put(5, 0, 1, document(1, "")).status, http.StatusOK)
+		f.kill(coreHost(1))
+		f.kill(coreHost(2))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, f.put(4, 1, 2, document(2, newRoute)).status, http.StatusOK, "three of five are a majority")
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, f.ask(1, "attempt", "/added/", "swift").status, http.StatusOK)
+	})
+}
--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -44,6 +44,7 @@
 	folders  map[string]keystore.Folder
 	client   *http.Client
 	listed   int
+	losses   int
 }
 
 var areas = map[string]string{"north": "land", "south": "land", "east": "land", "abroad": "far"}
@@ -133,6 +134,7 @@
 		settings.SeedNodes = append(settings.SeedNodes, coreHost(seed)+":8166")
 	}
 	settings.DataDir = "memory"
+	settings.FaultTolerance.MachineLoss = f.losses
 	settings.BindAddresses = env.BindAddresses{DataPlane: host + ":8161", Readiness: host + ":8167", ControlPlane: host + ":8166"}
 	settings.CloudAPI = env.CloudAPI{Address: "10.200.0.1:80", RatePerS: 40, MaxLagMs: 100}
 	settings.TimingBounds.RetryBudgetRatio, settings.TimingBounds.RetryBudgetSlack = 0.2, 50
