--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -13,7 +13,7 @@
 	hotRate      = 1.5
 	rareRate     = 0.3
 	lateShare    = 0.4
-	readingCost  = 4.0
+	readingCost  = 1.5
 	recentDemand = 20 * time.Second
 	roomSlack    = 0.001
 )
