--- a/internal/client/door.go
+++ b/internal/client/door.go
@@ -36,6 +36,7 @@
 
 func (d *Door) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrived := d.clock()
+	markHandled(request.Context())
 	d.inside.Add(1)
 	defer d.inside.Add(-1)
 	if d.Leaving() {
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -80,9 +80,10 @@
 		return errors.Wrap(err, "readiness address")
 	}
 	cleanup = append(cleanup, func() { readiness.Close() })
-	server := &http.Server{Handler: d.door, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, ErrorLog: quietLog()}
+	server := &http.Server{Handler: d.door, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, ErrorLog: quietLog(), ConnState: client.FollowState, ConnContext: client.Remember}
 	failures := make(chan error, 2)
-	go func() { failures <- server.Serve(door) }()
+	entrance := client.NewEntrance(door, d.places(), d.clientLimits)
+	go func() { failures <- server.Serve(entrance) }()
 	go func() { failures <- http.Serve(readiness, d.readinessRoutes()) }()
 	logrus.WithFields(logrus.Fields{"data_plane": door.Addr().String(), "zone": d.settings.Area}).Info("data plane listens")
 
@@ -97,6 +98,27 @@
 	}
 }
 
+const (
+	keptDescriptors   = 200
+	entranceShare     = 0.6
+	unboundedEntrance = 1 << 16
+)
+
+func (d *Daemon) places() int {
+	if d.settings.Limits.MaxFds <= keptDescriptors {
+		return unboundedEntrance
+	}
+	return int(entranceShare * float64(d.settings.Limits.MaxFds-keptDescriptors))
+}
+
+func (d *Daemon) clientLimits() (head, idle time.Duration) {
+	table := d.fleet.Load().Table
+	if table == nil {
+		return 0, 0
+	}
+	return env.Milliseconds(table.Layout.Limits.HeaderTimeoutMs), env.Milliseconds(table.Layout.Limits.IdleTimeoutMs)
+}
+
 func (d *Daemon) readinessRoutes() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
