--- a/internal/keystore/simulation_test.go
+++ b/internal/keystore/simulation_test.go
@@ -81,7 +81,7 @@
 func client(f *rehearsal.Fleet, number int, draw *rand.Rand, until time.Time, told *history) {
 	for turn := 0; time.Now().Before(until); turn++ {
 		time.Sleep(time.Duration(draw.IntN(400)+1) * time.Millisecond)
-		store := f.StoreOf(f.Names[draw.IntN(len(f.Names))])
+		store := f.StoreOf(pick(f.Present(), draw))
 		if store == nil {
 			continue
 		}
