--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -127,11 +127,6 @@
 		return errors.Wrap(err, "control plane address")
 	}
 	cleanup = append(cleanup, func() { outer.Close() })
-	for _, slot := range d.acceptor.Durable() {
-		if slot.Key == keystore.MembersKey {
-			d.applyOwnMembers(slot)
-		}
-	}
 	failures := make(chan error, 2)
 	go func() { failures <- (&http.Server{Handler: d.partnerRoutes(), IdleTimeout: time.Minute}).Serve(inner) }()
 	go func() {
--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -64,8 +64,6 @@
 	}
 }
 
-func (d *Daemon) applyOwnMembers(slot keystore.Slot) { d.store.Adopt(d.acceptor.Members()) }
-
 func (d *Daemon) otherControls() []string {
 	known := map[string]bool{}
 	for _, member := range d.store.Members().All() {
--- a/internal/keystore/members_test.go
+++ b/internal/keystore/members_test.go
@@ -66,7 +66,7 @@
 }
 
 func TestGivenMembersReplacedAmidTroublesByDriversThatStopMidwayThenNothingAcknowledgedIsLost(t *testing.T) {
-	from, to := schedules(250)
+	from, to := rehearsal.Schedules(250)
 	for seed := from; seed < to; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			assert.NilError(t, playReplacements(uint64(seed)), "FERRYSPAR_SEED=%d replays this schedule", seed)
--- a/internal/keystore/read.go
+++ b/internal/keystore/read.go
@@ -14,7 +14,8 @@
 	if key.held && s.confirm(ctx, key, name) == nil {
 		return key.slot, nil
 	}
-	if found, ok := s.agreed(ctx)[name]; ok {
+	committed, _ := s.Digest(ctx)
+	if found, ok := committed[name]; ok {
 		if whole, err := s.Fetch(ctx, found); err == nil {
 			return whole, nil
 		}
@@ -25,11 +26,6 @@
 	return key.slot, nil
 }
 
-func (s *Store) agreed(ctx context.Context) map[string]Slot {
-	committed, _ := s.Digest(ctx)
-	return committed
-}
-
 func (s *Store) Digest(ctx context.Context) (map[string]Slot, error) {
 	replies, members := s.ask(ctx, Message{Operation: OperationDigest}, granted(s.Members()))
 	if !granted(members)(replies) {
--- a/internal/keystore/simulation_test.go
+++ b/internal/keystore/simulation_test.go
@@ -7,8 +7,6 @@
 	"ferryspar/internal/rehearsal"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -155,18 +153,8 @@
 	return fmt.Errorf("no majority after all came back")
 }
 
-func schedules(fallback int) (int, int) {
-	if one, err := strconv.Atoi(os.Getenv("FERRYSPAR_SEED")); err == nil {
-		return one, one + 1
-	}
-	if testing.Short() {
-		return 1, 1 + fallback/10
-	}
-	return 1, 1 + fallback
-}
-
 func TestGivenTroublesOfEveryKindWhenKeysChangeThenNothingAcknowledgedIsLost(t *testing.T) {
-	from, to := schedules(1200)
+	from, to := rehearsal.Schedules(1200)
 	for seed := from; seed < to; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			size := 3 + 2*(seed%4/3)
--- a/internal/match/bank.go
+++ b/internal/match/bank.go
@@ -3,19 +3,18 @@
 import "time"
 
 type bank struct {
-	predictor   *Predictor
-	running     int
-	tokens      float64
-	pending     float64
-	sends       []time.Time
-	lastByte    time.Time
-	unanswered  map[*Ticket]bool
-	suspect     time.Time
-	suspicion   time.Duration
-	gone        bool
-	fullUntil   time.Time
-	missing     map[string]time.Time
-	arrivalRate float64
+	predictor  *Predictor
+	running    int
+	tokens     float64
+	pending    float64
+	sends      []time.Time
+	lastByte   time.Time
+	unanswered map[*Ticket]bool
+	suspect    time.Time
+	suspicion  time.Duration
+	gone       bool
+	fullUntil  time.Time
+	missing    map[string]time.Time
 }
 
 const (
--- a/internal/match/order.go
+++ b/internal/match/order.go
@@ -38,7 +38,6 @@
 type Ticket struct {
 	order     *Order
 	replica   string
-	area      bool
 	features  Features
 	predicted float64
 	kept      float64
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -28,7 +28,6 @@
 	Ready    bool
 	Models   map[string]bool
 	Held     map[string]bool
-	Running  float64
 	Intent   string
 }
 
--- a/internal/retention/record.go
+++ b/internal/retention/record.go
@@ -73,7 +73,7 @@
 	if s.Model != "" && s.Model != base && s.Model != reference {
 		return false
 	}
-	return s.Part == "" || s.Part == strconv.FormatUint(part, 16) || sameHex(s.Part, part)
+	return s.Part == "" || sameHex(s.Part, part)
 }
 
 func sameHex(stated string, part uint64) bool {
--- a/internal/tenure/simulation_test.go
+++ b/internal/tenure/simulation_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -113,16 +111,9 @@
 	return told, told.check()
 }
 
-func schedules(amount int) (int, int) {
-	if one, err := strconv.Atoi(os.Getenv("FERRYSPAR_SEED")); err == nil {
-		return one, one + 1
-	}
-	return 1, 1 + amount
-}
-
 func TestGivenTroublesOfEveryKindThenNoTwoHoldersActWithinALease(t *testing.T) {
 	acted, turns := 0, 0
-	from, to := schedules(300)
+	from, to := rehearsal.Schedules(300)
 	for seed := from; seed < to; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			told, err := play(uint64(seed), 0, lease)
