--- a/internal/controlplane/board.go
+++ b/internal/controlplane/board.go
@@ -50,9 +50,7 @@
 	if !update(&next) {
 		return
 	}
-	if next.Roster == b.current.Roster {
-		next.Version++
-	}
+	next.Version++
 	next.changed = make(chan struct{})
 	close(b.current.changed)
 	b.current = &next
@@ -69,7 +67,7 @@
 func (b *Bulletin) News(poll partner.Poll, member, area, life string, now time.Time) partner.News {
 	news := partner.News{
 		Member: member, Area: area, Life: life, Fresh: b.Fresh, Version: b.Version, Revision: b.Revision, AreaNumber: b.AreaNumber,
-		Roster: b.Roster, RosterAge: now.Sub(b.RosterAt).Milliseconds(), Edges: b.Edges, Holder: b.Holder, Control: b.Control,
+		RosterAge: now.Sub(b.RosterAt).Milliseconds(), Edges: b.Edges, Holder: b.Holder, Control: b.Control,
 	}
 	if !b.Fresh {
 		return news
@@ -90,9 +88,6 @@
 	if b.Revision > poll.Revision {
 		news.Packed = b.Packed
 	}
-	if b.Roster != poll.Roster || poll.Life != life {
-		news.Replicas, news.Barred = b.Replicas, b.Barred
-	}
 	return news
 }
 
@@ -105,5 +100,5 @@
 	if poll.Life != life || poll.Version != b.Version {
 		return true
 	}
-	return poll.Wants && b.Fresh && (b.Revision > poll.Revision || b.Roster != poll.Roster)
+	return poll.Wants && b.Fresh && b.Revision > poll.Revision
 }
--- a/internal/controlplane/charges.go
+++ b/internal/controlplane/charges.go
@@ -140,10 +140,8 @@
 		if now.Sub(one.at) > time.Second {
 			continue
 		}
-		told++
-		if one.pressure.Replicas[id].Suspect {
-			suspected++
-		}
+		told += one.share.Daemons
+		suspected += one.share.Suspects[id]
 	}
 	return suspected >= suspectsNeeded || suspected > 0 && suspected == told
 }
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,9 @@
 	journal    *keystore.Journal
 	store      *keystore.Store
 	board      *Board
+	parts      *Parts
+	sums       *Sums
+	shares     atomic.Uint64
 	applied    sync.Mutex
 	shown      map[string]keystore.Slot
 	watching   sync.Mutex
@@ -87,7 +91,7 @@
 	}
 	daemon := &Daemon{
 		settings: settings, path: path, self: self, life: time.Now().Format("150405.000000"), clock: time.Now, session: partner.NewSession(network),
-		journal: journal, board: NewBoard(), shown: map[string]keystore.Slot{}, joining: map[string]partner.Greeting{}, remembered: map[string]retention.EdgeView{},
+		journal: journal, board: NewBoard(), parts: NewParts(), sums: NewSums(), shown: map[string]keystore.Slot{}, joining: map[string]partner.Greeting{}, remembered: map[string]retention.EdgeView{},
 		edges: watch.NewRegister(10 * time.Second), controls: watch.NewRegister(30 * time.Second), leaving: make(chan struct{}), bus: event.NewBus(), started: time.Now(), network: network,
 	}
 	rules := keystore.Rules{Tenure: daemon.tenureLength(), Clock: time.Now}
@@ -136,7 +140,7 @@
 		return err
 	}
 	cleanup = append(cleanup, d.bus.Close)
-	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run,
+	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run, d.sumsLoop,
 		func(ctx context.Context) {
 			env.Watch(ctx, d.path, "control", signals.Hangup, func(fresh env.Settings) { d.noteControls(fresh.SeedPartners()) })
 		}}
--- a/internal/controlplane/demand.go
+++ b/internal/controlplane/demand.go
@@ -1,23 +1,22 @@
 package controlplane
 
 import (
-	"context"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/place"
 	"math"
 	"time"
 )
 
-func (w *Warden) hearPressure(ctx context.Context, pressure partner.Pressure) partner.Outlook {
+func (w *Warden) hearDemand(share partner.SumShare) {
 	now := w.daemon.clock()
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.told[pressure.Daemon] = told{now, pressure}
-	if w.learning.IsZero() && len(pressure.Models) > 0 {
+	w.told[share.Member] = told{now, share}
+	if w.learning.IsZero() && len(share.Models) > 0 {
 		w.learning = now
 	}
 	waiting := false
-	for _, model := range pressure.Models {
+	for _, model := range share.Models {
 		name := place.Key(model.Backend, model.Model)
 		w.counted[name] += float64(model.Arrivals)
 		w.reading[name] += model.ReadMs
@@ -29,20 +28,6 @@
 		default:
 		}
 	}
-	outlook := partner.Outlook{Replicas: map[string]partner.ReplicaPressure{}}
-	for edge, other := range w.told {
-		if edge == pressure.Daemon || now.Sub(other.at) > 2*time.Second {
-			continue
-		}
-		for id, one := range other.pressure.Replicas {
-			sum := outlook.Replicas[id]
-			sum.Running += one.Running
-			sum.Tokens += one.Tokens
-			sum.Prefill += one.Prefill
-			outlook.Replicas[id] = sum
-		}
-	}
-	return outlook
 }
 
 func (w *Warden) measure() {
@@ -80,15 +65,15 @@
 	for _, demand := range w.demand {
 		demand.Waiting, demand.OldestMs, demand.Running = 0, 0, 0
 	}
-	for edge, one := range w.told {
+	for member, one := range w.told {
 		age := now.Sub(one.at)
 		if age > 10*time.Second {
-			delete(w.told, edge)
+			delete(w.told, member)
 		}
 		if age > 1500*time.Millisecond {
 			continue
 		}
-		for _, model := range one.pressure.Models {
+		for _, model := range one.share.Models {
 			name := place.Key(model.Backend, model.Model)
 			if w.demand[name] == nil {
 				w.demand[name] = &place.Pressure{}
--- /dev/null
+++ b/internal/controlplane/follow.go
@@ -0,0 +1,145 @@
+package controlplane
+
+import (
+	"context"
+	"time"
+
+	"ferryspar/internal/partner"
+)
+
+type following struct {
+	names  map[partner.PartName]bool
+	number uint64
+	heard  time.Time
+	wake   chan struct{}
+}
+
+func (f *following) signal() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+const (
+	followingLife = 20 * time.Second
+	followsBound  = 4096
+)
+
+func (p *Parts) Follow(question partner.Follow, now time.Time) partner.Followed {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.forgetSilent(now)
+	held := p.followings[question.Daemon]
+	switch {
+	case question.Whole:
+		if held != nil {
+			p.unfollow(held, nil)
+		}
+		held = &following{names: map[partner.PartName]bool{}, wake: make(chan struct{}, 1)}
+		p.followings[question.Daemon] = held
+	case held == nil || held.number+1 != question.Number:
+		return partner.Followed{Refollow: true, Roster: p.version}
+	}
+	held.number, held.heard = question.Number, now
+	p.unfollow(held, question.Drop)
+	answer := partner.Followed{Roster: p.version}
+	for _, name := range question.Add {
+		if len(held.names) >= followsBound {
+			break
+		}
+		held.names[name] = true
+		if p.followers[name] == nil {
+			p.followers[name] = map[*following]bool{}
+		}
+		p.followers[name][held] = true
+		answer.Parts = append(answer.Parts, p.compose(name, now))
+	}
+	return answer
+}
+
+func (p *Parts) unfollow(held *following, names []partner.PartName) {
+	if names == nil {
+		for name := range held.names {
+			p.leave(held, name)
+		}
+		return
+	}
+	for _, name := range names {
+		p.leave(held, name)
+	}
+}
+
+func (p *Parts) leave(held *following, name partner.PartName) {
+	delete(held.names, name)
+	delete(p.followers[name], held)
+	if len(p.followers[name]) == 0 {
+		delete(p.followers, name)
+	}
+}
+
+func (p *Parts) forgetSilent(now time.Time) {
+	for daemon, held := range p.followings {
+		if now.Sub(held.heard) > followingLife {
+			p.unfollow(held, nil)
+			delete(p.followings, daemon)
+		}
+	}
+}
+
+func (p *Parts) News(poll partner.Poll, life string, now time.Time) (parts []partner.Part, version uint64, refollow bool) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	held := p.followings[poll.Daemon]
+	if held == nil || poll.Follows > held.number {
+		return nil, p.version, poll.Follows > 0
+	}
+	held.heard = now
+	if poll.Life == life && poll.Roster >= p.version {
+		return nil, p.version, false
+	}
+	for name := range held.names {
+		if one := p.parts[name]; one != nil && (one.version > poll.Roster || poll.Life != life) {
+			parts = append(parts, p.compose(name, now))
+		}
+	}
+	return parts, p.version, false
+}
+
+func (p *Parts) wakes(daemon string) <-chan struct{} {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if held := p.followings[daemon]; held != nil {
+		return held.wake
+	}
+	return nil
+}
+
+func (p *Parts) Followed(daemon string) map[string]bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	held := p.followings[daemon]
+	if held == nil {
+		return nil
+	}
+	replicas := map[string]bool{}
+	for name := range held.names {
+		if one := p.parts[name]; one != nil {
+			for id := range one.holders {
+				replicas[id] = true
+			}
+		}
+	}
+	return replicas
+}
+
+func (d *Daemon) hearFollow(ctx context.Context, question partner.Follow) partner.Followed {
+	bulletin := d.board.Read()
+	if !bulletin.Fresh {
+		return partner.Followed{Life: d.life}
+	}
+	answer := d.parts.Follow(question, d.clock())
+	answer.Life, answer.Fresh = d.life, true
+	answer.RosterAge = d.clock().Sub(bulletin.RosterAt).Milliseconds()
+	return answer
+}
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"reflect"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -92,35 +92,25 @@
 }
 
 func (d *Daemon) post(replicas []platform.Replica, barred []string, at time.Time) {
-	d.warden.noteAges(replicas)
-	same := false
-	d.board.Change(func(next *Bulletin) bool {
-		same = sameReplicas(next.Replicas, replicas) && reflect.DeepEqual(next.Barred, barred)
-		if same {
-			return false
+	changed := false
+	d.board.Touch(func(next *Bulletin) {
+		changed = !sameReplicas(next.Replicas, replicas) || !slices.Equal(next.Barred, barred)
+		if changed {
+			next.Roster++
+			next.Replicas, next.Barred = replicas, barred
 		}
-		next.Roster++
-		next.Replicas, next.Barred, next.RosterAt = replicas, barred, at
-		return true
+		next.RosterAt = at
 	})
-	if same {
-		d.board.Touch(func(next *Bulletin) { next.RosterAt = at })
+	if changed {
+		d.warden.noteAges(replicas)
 	}
+	d.parts.Publish(replicas, barred, at)
 }
 
 func sameReplicas(left, right []platform.Replica) bool {
-	if len(left) != len(right) {
-		return false
-	}
-	for index := range left {
-		one, other := left[index], right[index]
-		one.ColdRemainingMs, other.ColdRemainingMs = float64(int(one.ColdRemainingMs+999)/1000), float64(int(other.ColdRemainingMs+999)/1000)
-		one.TimeLeftMs, other.TimeLeftMs = nil, nil
-		if !reflect.DeepEqual(one, other) {
-			return false
-		}
-	}
-	return true
+	return slices.EqualFunc(left, right, func(one, other platform.Replica) bool {
+		return sameFact(one, other) && sameHeld(one.Models, other.Models) && int(one.ColdRemainingMs+999)/1000 == int(other.ColdRemainingMs+999)/1000
+	})
 }
 
 func (w *Warden) overlay(replicas []platform.Replica, at time.Time) ([]platform.Replica, []string) {
--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -39,7 +39,9 @@
 	router.Post(partner.Calls["keystore"].Path, answer(d.hearKeystore))
 	router.Post(partner.Calls["learn"].Path, answer(d.hearLearned))
 	router.Post(partner.Calls["news"].Path, answer(d.hearPoll))
-	router.Post(partner.Calls["pressure"].Path, answer(d.warden.hearPressure))
+	router.Post(partner.Calls["pressure"].Path, answer(d.hearPressure))
+	router.Post(partner.Calls["follow"].Path, answer(d.hearFollow))
+	router.Post(partner.Calls["sums"].Path, answer(d.hearSums))
 	router.Post(partner.Calls["roster"].Path, answer(d.hearRoster))
 	router.Post(partner.Calls["greet"].Path, answer(d.hearGreeting))
 	return router
@@ -65,17 +67,37 @@
 	d.watching.Unlock()
 	hold := time.NewTimer(time.Duration(min(max(poll.HoldMs, 1), 2000)) * time.Millisecond)
 	defer hold.Stop()
+	var woken <-chan struct{}
+	if poll.Wants {
+		woken = d.parts.wakes(poll.Daemon)
+	} else {
+		d.sums.Leave(poll.Daemon)
+	}
 	for {
 		bulletin := d.board.Read()
-		if bulletin.Answers(poll, d.life) {
-			return bulletin.News(poll, d.self, d.settings.Area, d.life, d.clock())
+		news, answers := d.news(bulletin, poll)
+		if answers {
+			return news
 		}
 		select {
 		case <-bulletin.changed:
+		case <-woken:
 		case <-hold.C:
-			return d.board.Read().News(poll, d.self, d.settings.Area, d.life, d.clock())
+			news, _ = d.news(d.board.Read(), poll)
+			return news
 		case <-ctx.Done():
 			return partner.News{}
 		}
 	}
 }
+
+func (d *Daemon) news(bulletin *Bulletin, poll partner.Poll) (partner.News, bool) {
+	now := d.clock()
+	news := bulletin.News(poll, d.self, d.settings.Area, d.life, now)
+	answers := bulletin.Answers(poll, d.life)
+	if poll.Wants && bulletin.Fresh {
+		news.Parts, news.Roster, news.Refollow = d.parts.News(poll, d.life, now)
+		answers = answers || len(news.Parts) > 0 || news.Refollow
+	}
+	return news, answers
+}
--- a/internal/controlplane/share.go
+++ b/internal/controlplane/share.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"reflect"
 	"sort"
+	"strconv"
 	"time"
 
 	"ferryspar/internal/partner"
@@ -26,7 +25,7 @@
 		held[one.ID] = one
 	}
 	for _, one := range next {
-		if before, known := held[one.ID]; !known || !reflect.DeepEqual(before, one) {
+		if before, known := held[one.ID]; !known || !sameListed(before, one) {
 			changed = append(changed, one)
 		}
 		delete(held, one.ID)
@@ -38,6 +37,13 @@
 	return changed, gone
 }
 
+func sameListed(one, other platform.Replica) bool {
+	if (one.TimeLeftMs == nil) != (other.TimeLeftMs == nil) || one.TimeLeftMs != nil && *one.TimeLeftMs != *other.TimeLeftMs {
+		return false
+	}
+	return sameFact(one, other) && one.ColdRemainingMs == other.ColdRemainingMs && sameHeld(one.Models, other.Models)
+}
+
 func combine(base, changed []platform.Replica, gone []string) []platform.Replica {
 	held := map[string]platform.Replica{}
 	for _, one := range append(append([]platform.Replica{}, base...), changed...) {
@@ -56,10 +62,9 @@
 
 func (d *Daemon) shareRoster(ctx context.Context) {
 	bulletin := d.board.Read()
-	content, _ := json.Marshal(bulletin.Replicas)
 	share := partner.RosterShare{
 		Member: d.self, AgeMs: d.clock().Sub(bulletin.RosterAt).Milliseconds(), Replicas: bulletin.Replicas, Barred: bulletin.Barred,
-		Stamp: mark("", "", content), Rates: d.warden.rates(),
+		Stamp: d.life + "/" + strconv.FormatUint(d.shares.Add(1), 10), Rates: d.warden.rates(),
 	}
 	for _, address := range d.otherControls() {
 		one := share
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -41,8 +41,8 @@
 }
 
 type told struct {
-	at       time.Time
-	pressure partner.Pressure
+	at    time.Time
+	share partner.SumShare
 }
 
 type Warden struct {
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -42,6 +42,7 @@
 	daemon.matcher = match.NewMatcher(parameters, settings.Area, time.Now, &daemon.fleet)
 	daemon.desk = NewDesk(settings, time.Now, &daemon.fleet, daemon.matcher.Changed)
 	daemon.desk.forget = daemon.matcher.Forget
+	daemon.matcher.OnWanted = daemon.desk.interest.Want
 	daemon.matcher.Trusts = daemon.desk.Trusts
 	daemon.listener = NewListener(settings, daemon.session, time.Now, daemon.desk)
 	daemon.forwarder = replica.NewForwarder(network, time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
@@ -166,8 +167,8 @@
 		case <-schedule.C:
 		case <-d.matcher.Nudge:
 		}
-		holder := d.desk.Holder()
-		if holder == "" {
+		primary := *d.desk.wants.primary.Load()
+		if primary == "" {
 			continue
 		}
 		told := d.matcher.Pressure(ctx)
@@ -178,7 +179,7 @@
 		}
 		quiet = empty
 		var outlook partner.Outlook
-		if d.session.Ask(ctx, "pressure", holder, told, &outlook) == nil {
+		if d.session.Ask(ctx, "pressure", primary, told, &outlook) == nil {
 			d.desk.outlook <- outlook
 		}
 	}
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -21,10 +21,10 @@
 	revision  int64
 	edges     int
 	holder    string
-	roster    uint64
 	life      string
-	replicas  []platform.Replica
-	barred    []string
+	parts     map[partner.PartName]partner.Part
+	whole     bool
+	number    uint64
 	fetchedAt time.Time
 	area      string
 }
@@ -44,8 +44,11 @@
 	notify     func()
 	shown      time.Time
 	usedFrom   string
-	usedAs     uint64
-	usedLife   string
+	interest   *Interest
+	asking     bool
+	answers    chan answered
+	listed     []platform.Replica
+	replicas   []*match.Replica
 	told       uint64
 	lastForget uint64
 	Recorder   *record.Writer
@@ -57,12 +60,13 @@
 func NewDesk(settings env.Settings, clock func() time.Time, fleet *atomic.Pointer[match.Fleet], notify func()) *Desk {
 	desk := &Desk{
 		settings: settings, clock: clock, fleet: fleet, sources: map[string]*source{}, areas: map[string]partner.AreaState{},
-		outlook: make(chan partner.Outlook, 4), notify: notify,
+		outlook: make(chan partner.Outlook, 4), notify: notify, interest: NewInterest(clock), answers: make(chan answered, 4),
 	}
 	fleet.Store(&match.Fleet{})
 	nobody := ""
 	desk.holder.Store(&nobody)
 	desk.wants.primary.Store(&nobody)
+	desk.wants.told.Store(&toldParts{})
 	return desk
 }
 
@@ -73,6 +77,13 @@
 	poll.Leaving = d.wants.leaving.Load()
 	primary := *d.wants.primary.Load()
 	poll.Wants = primary == "" || primary == address
+	poll.Follows = 0
+	if told := d.wants.told.Load(); told.address == address {
+		poll.Follows = told.number
+		if told.life == poll.Life {
+			poll.Roster = max(poll.Roster, told.roster)
+		}
+	}
 }
 
 func (d *Desk) Ready() bool { return d.fleet.Load().Table != nil }
@@ -93,11 +104,21 @@
 			if !one.failed {
 				listener.Follow(ctx, one.news.Control)
 			}
+		case <-d.interest.wake:
+			d.follow(ctx, listener.session)
+		case one := <-d.answers:
+			if d.followed(one) {
+				d.publish()
+			}
+			if d.wholeFrom(one.address) {
+				d.follow(ctx, listener.session)
+			}
 		case outlook := <-d.outlook:
 			d.others, d.othersAt = outlook, d.clock()
 			d.publish()
 		case <-schedule.C:
 			d.choose()
+			d.follow(ctx, listener.session)
 		}
 	}
 }
@@ -124,29 +145,8 @@
 		d.heard.Store(&one.at)
 	}
 	held.area = news.Area
-	if held.life != news.Life {
-		held.life, held.replicas = news.Life, nil
-	}
-	if len(news.Replicas) > 0 {
-		held.replicas, held.barred, held.roster = news.Replicas, news.Barred, news.Roster
-	}
-	if held.replicas != nil && held.roster == news.Roster {
-		held.fetchedAt = one.at.Add(-time.Duration(news.RosterAge) * time.Millisecond)
-	}
 	d.choose()
-	return d.pickRoster(one.address, held) || changed
-}
-
-func (d *Desk) pickRoster(address string, held *source) bool {
-	if held.replicas == nil || held.fetchedAt.Before(d.shown) {
-		return false
-	}
-	d.shown = held.fetchedAt
-	if d.usedFrom == address && d.usedAs == held.roster && d.usedLife == held.life {
-		return false
-	}
-	d.usedFrom, d.usedAs, d.usedLife = address, held.roster, held.life
-	return true
+	return d.hearParts(one.address, held, news, one.at) || changed
 }
 
 func (d *Desk) adopt(news partner.News) bool {
@@ -227,17 +227,7 @@
 	for _, held := range d.sources {
 		fleet.Edges = max(fleet.Edges, held.edges)
 	}
-	if held := d.sources[d.usedFrom]; held != nil {
-		barred := map[string]bool{}
-		for _, one := range held.barred {
-			barred[one] = true
-		}
-		for index, listed := range held.replicas {
-			replica := match.NewReplica(index, listed, held.fetchedAt, barred)
-			replica.Region = d.settings.Areas[listed.Area]
-			fleet.Replicas = append(fleet.Replicas, replica)
-		}
-	}
+	fleet.Replicas = d.replicas
 	d.fleet.Store(fleet)
 	d.record(fleet)
 	d.notify()
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -82,11 +82,12 @@
 			continue
 		}
 		pause = firstPause
-		poll.Life, poll.Version = news.Life, news.Version
-		if len(news.Replicas) > 0 {
-			poll.Roster = news.Roster
+		if poll.Life != news.Life {
+			poll.Roster = 0
 		}
-		if !news.Fresh {
+		poll.Life, poll.Version = news.Life, news.Version
+		poll.Roster = max(poll.Roster, news.Roster)
+		if !news.Fresh || news.Refollow {
 			env.Sleep(ctx, firstPause)
 		}
 	}
@@ -99,4 +100,5 @@
 	forgot   atomic.Uint64
 	leaving  atomic.Bool
 	primary  atomic.Pointer[string]
+	told     atomic.Pointer[toldParts]
 }
--- a/internal/dataplane/recording.go
+++ b/internal/dataplane/recording.go
@@ -6,11 +6,10 @@
 )
 
 func (d *Desk) record(fleet *match.Fleet) {
-	held := d.sources[d.usedFrom]
-	if d.Recorder == nil || held == nil {
+	if d.Recorder == nil || d.usedFrom == "" {
 		return
 	}
-	entry := record.Entry{Kind: record.KindFleet, AtMs: d.Recorder.Milliseconds(d.clock()), Replicas: held.replicas, Edges: fleet.Edges, Area: d.settings.Area}
+	entry := record.Entry{Kind: record.KindFleet, AtMs: d.Recorder.Milliseconds(d.clock()), Replicas: d.listed, Edges: fleet.Edges, Area: d.settings.Area}
 	for area, drained := range fleet.Drained {
 		if drained {
 			entry.Drained = append(entry.Drained, area)
--- a/internal/match/matcher.go
+++ b/internal/match/matcher.go
@@ -35,6 +35,7 @@
 	Nudge      chan struct{}
 	leaving    atomic.Bool
 	OnDistrust func(replica string)
+	OnWanted   func(backend, model string)
 	Trusts     func(now time.Time) bool
 }
 
@@ -136,6 +137,9 @@
 	key := [2]string{order.Backend, order.Model}
 	m.arrivals[key]++
 	m.aims[key] = float64(order.Aim.Milliseconds())
+	if m.OnWanted != nil {
+		m.OnWanted(order.Backend, BaseModel(order.Model))
+	}
 	idle := len(m.waiting) == 0
 	m.waiting = append(m.waiting, order)
 	m.fresh++
--- a/internal/partner/session.go
+++ b/internal/partner/session.go
@@ -25,7 +25,9 @@
 	"keystore": {"/partner/keystore", 900 * time.Millisecond},
 	"learn":    {"/partner/learn", 600 * time.Millisecond},
 	"news":     {"/partner/news", 3 * time.Second},
+	"follow":   {"/partner/follow", 600 * time.Millisecond},
 	"pressure": {"/partner/pressure", 600 * time.Millisecond},
+	"sums":     {"/partner/sums", 600 * time.Millisecond},
 	"roster":   {"/partner/roster", 600 * time.Millisecond},
 	"greet":    {"/partner/greet", 600 * time.Millisecond},
 }
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -19,6 +19,7 @@
 	Context    uint64 `json:"context,omitempty"`
 	Forgot     uint64 `json:"forgot,omitempty"`
 	Leaving    bool   `json:"leaving,omitempty"`
+	Follows    uint64 `json:"follows,omitempty"`
 }
 
 type Forget struct {
@@ -49,8 +50,8 @@
 	Areas      map[string]AreaState `json:"areas,omitempty"`
 	Roster     uint64               `json:"roster"`
 	RosterAge  int64                `json:"rosterAge"`
-	Replicas   []platform.Replica   `json:"replicas,omitempty"`
-	Barred     []string             `json:"barred,omitempty"`
+	Parts      []Part               `json:"parts,omitempty"`
+	Refollow   bool                 `json:"refollow,omitempty"`
 	Edges      int                  `json:"edges"`
 	Holder     string               `json:"holder"`
 	Control    []string             `json:"control"`
@@ -86,6 +87,15 @@
 	Replicas map[string]ReplicaPressure `json:"replicas,omitempty"`
 }
 
+type SumShare struct {
+	Member   string                     `json:"member"`
+	Daemons  int                        `json:"daemons"`
+	Replicas map[string]ReplicaPressure `json:"replicas,omitempty"`
+	Suspects map[string]int             `json:"suspects,omitempty"`
+	Models   []ModelPressure            `json:"models,omitempty"`
+	Demand   bool                       `json:"demand,omitempty"`
+}
+
 type Rate struct {
 	PerS    float64 `json:"p"`
 	Reading float64 `json:"d,omitempty"`
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -96,6 +96,11 @@
 
 func Key(backend, reference string) string { return key(backend, reference) }
 
+func Unkey(name string) (backend, reference string) {
+	backend, reference, _ = strings.Cut(name, " ")
+	return backend, reference
+}
+
 func (v *View) pressure(backend, reference string) Pressure {
 	if found := v.Pressure[key(backend, reference)]; found != nil {
 		return *found
