Tell pressure from what runs, and forget what replicas that left held

Pressure walked every replica and every bank; now it walks those that run something or were reported on, and lets go of them once quiet. Banks and ledger entries of replicas off the list go when the list changes.

--- a/internal/match/index.go
+++ b/internal/match/index.go
@@ -96,10 +96,15 @@
 	if len(m.index.replicas) == 0 {
 		return
 	}
+	left := map[string]bool{}
 	for id, held := range m.banks {
 		if _, listed := m.index.positions[id]; !listed && held.running == 0 {
+			left[id] = true
 			delete(m.banks, id)
 			delete(m.watched, id)
 		}
 	}
+	if len(left) > 0 {
+		m.ledger.Leave(left)
+	}
 }
--- a/internal/match/ledger.go
+++ b/internal/match/ledger.go
@@ -192,16 +192,21 @@
 	if len(l.forgets) > forgetsBound {
 		l.forgets = l.forgets[1:]
 	}
-	var gone []*entry
-	for _, found := range l.entries {
-		if matches(found.place.model, found.last) {
-			gone = append(gone, found)
+	return l.dropAll(func(held *entry) bool { return matches(held.place.model, held.last) })
+}
+
+func (l *Ledger) Leave(replicas map[string]bool) int {
+	return l.dropAll(func(held *entry) bool { return replicas[held.place.replica] })
+}
+
+func (l *Ledger) dropAll(matches func(held *entry) bool) int {
+	before := len(l.entries)
+	for _, held := range l.entries {
+		if matches(held) {
+			l.dropEntry(held)
 		}
 	}
-	for _, found := range gone {
-		l.dropEntry(found)
-	}
-	return len(gone)
+	return before - len(l.entries)
 }
 
 func (l *Ledger) Size() int { return len(l.entries) }
--- /dev/null
+++ b/internal/match/pressure_test.go
@@ -0,0 +1,58 @@
+package match
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/partner"
+)
+
+func TestGivenRunningAndSuspectReplicasThenTheyAloneAreTold(t *testing.T) {
+	made := newGrown(30, 30, 3, func(int) int { return 0 })
+	order := made.order()
+	made.matcher.Begin(order)
+	command := <-order.Answer
+	lost := made.matcher.bank("i-8")
+	lost.distrust(made.now)
+	told := made.matcher.pressure()
+	assert.DeepEqual(t, told.Replicas, map[string]partner.ReplicaPressure{
+		command.Replica.ID: {Running: 1, Tokens: order.Tokens(), Prefill: 800},
+		"i-8":              {Suspect: true},
+	})
+	made.matcher.Tell(Report{Ticket: command.Ticket, Outcome: OutcomeServed, At: made.now})
+	made.now = made.now.Add(2 * firstSuspicion)
+	assert.Equal(t, len(made.matcher.pressure().Replicas), 0)
+	lost.distrust(made.now)
+	made.matcher.bank("i-8")
+	assert.Equal(t, len(made.matcher.pressure().Replicas), 1)
+}
+
+func TestGivenAReplicaThatLeftThenItsBankAndItsEntriesGoOnceNothingRunsThere(t *testing.T) {
+	made := newGrown(3, 1, 3, func(int) int { return 0 })
+	first, second := made.order(), made.order()
+	made.matcher.Begin(first)
+	command := <-first.Answer
+	assert.Assert(t, made.matcher.ledger.Size() > 0)
+	fleet := *made.fleet.Load()
+	fleet.Replicas = nil
+	for _, replica := range made.fleet.Load().Replicas {
+		if replica.ID != command.Replica.ID {
+			fleet.Replicas = append(fleet.Replicas, replica)
+		}
+	}
+	made.fleet.Store(&fleet)
+	made.matcher.Wake()
+	assert.Assert(t, made.matcher.banks[command.Replica.ID] != nil)
+	made.matcher.Tell(Report{Ticket: command.Ticket, Outcome: OutcomeServed, At: made.now})
+	assert.Equal(t, len(made.matcher.pressure().Replicas), 0)
+	assert.Assert(t, made.matcher.banks[command.Replica.ID] == nil)
+	assert.Equal(t, made.matcher.ledger.Size(), 0)
+	made.matcher.Begin(second)
+	assert.Assert(t, (<-second.Answer).Replica.ID != command.Replica.ID)
+	made.fleet.Store(&Fleet{Table: fleet.Table})
+	made.now = made.now.Add(time.Second)
+	made.matcher.Wake()
+	assert.Equal(t, len(made.matcher.banks) > 0, true)
+}
--- a/internal/match/settle.go
+++ b/internal/match/settle.go
@@ -131,21 +131,19 @@
 		}
 		return told.Models[left].Model < told.Models[right].Model
 	})
-	listed := map[string]bool{}
-	for _, replica := range m.fleet.Replicas {
-		listed[replica.ID] = true
-		held := m.banks[replica.ID]
-		if held == nil {
-			continue
-		}
-		if suspect := held.suspected(now); held.running > 0 || suspect {
-			told.Replicas[replica.ID] = partner.ReplicaPressure{Running: held.running, Tokens: held.tokens, Prefill: held.pending, Suspect: suspect}
+	departed := false
+	for id, held := range m.watched {
+		_, listed := m.index.positions[id]
+		suspect := held.suspected(now)
+		if held.running == 0 && (!suspect || !listed) {
+			delete(m.watched, id)
+			departed = departed || !listed
+		} else if listed {
+			told.Replicas[id] = partner.ReplicaPressure{Running: held.running, Tokens: held.tokens, Prefill: held.pending, Suspect: suspect}
 		}
 	}
-	for id, held := range m.banks {
-		if !listed[id] && held.running == 0 && len(m.fleet.Replicas) > 0 {
-			delete(m.banks, id)
-		}
+	if departed {
+		m.sweep()
 	}
 	return told
 }
