Give parts of a repeat by a stable hash, and count the budget in bins

With 400 daemons the slack's share is a tenth of a repeat, so a daemon with few orders could never repeat. What a share has beyond whole repeats is drawn by a hash of the daemon's name that changes every 16 periods, at a time of its own in each daemon; the slack's share leaves room for the spread of the draws and for a tenth more daemons than counted. Orders and repeats are counted in 66 bins instead of lists of times: no allocation, constant memory.

Measured: 1, 8, 81 and 400 daemons at four rates, all repeating whenever they may, no sliding period over the budget; with one order in 10 s every one of 40 daemons among 400 repeats between 20 and 600 times in 1,200 periods.

--- a/internal/client/budget.go
+++ b/internal/client/budget.go
@@ -1,45 +1,84 @@
 package client
 
 import (
+	"strconv"
 	"sync"
 	"time"
+
+	"ferryspar/internal/portion"
+)
+
+const (
+	budgetBins   = 64
+	budgetEpoch  = 16
+	usedShare    = 0.8
+	uncountShare = 0.1
 )
 
+type bin struct {
+	number  int64
+	orders  int
+	repeats int
+}
+
 type Budget struct {
+	Daemon string
 	lock   sync.Mutex
 	period time.Duration
 	ratio  float64
 	slack  float64
-	orders []time.Time
-	repeat []time.Time
+	bins   [budgetBins + 2]bin
 }
 
 func NewBudget(period time.Duration, ratio, slack float64) *Budget {
 	return &Budget{period: period, ratio: ratio, slack: slack}
 }
 
-func trim(times []time.Time, from time.Time) []time.Time {
-	for len(times) > 0 && times[0].Before(from) {
-		times = times[1:]
+func (b *Budget) number(at time.Time) int64 {
+	return at.UnixNano() / max(int64(b.period)/budgetBins, 1)
+}
+
+func (b *Budget) bin(number int64) *bin {
+	one := &b.bins[number%int64(len(b.bins))]
+	if one.number != number {
+		*one = bin{number: number}
 	}
-	return times
+	return one
 }
 
 func (b *Budget) Arrived(now time.Time) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.orders = append(trim(b.orders, now.Add(-b.period)), now)
+	b.bin(b.number(now)).orders++
 }
 
 func (b *Budget) Take(now time.Time, edges int) bool {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	from := now.Add(-b.period)
-	b.orders, b.repeat = trim(b.orders, from), trim(b.repeat, from)
-	allowed := 0.8 * (b.ratio*float64(len(b.orders)) + b.slack/float64(max(edges, 1)))
-	if float64(len(b.repeat)+1) > allowed {
+	last, orders, repeats := b.number(now), 0, 0
+	for _, one := range b.bins {
+		if age := last - one.number; age >= 0 && age <= budgetBins {
+			repeats += one.repeats
+			if age < budgetBins {
+				orders += one.orders
+			}
+		}
+	}
+	allowed := usedShare*b.ratio*float64(orders) + b.slackShare(edges)
+	if repeats >= portion.Whole(allowed, b.draw(now)) {
 		return false
 	}
-	b.repeat = append(b.repeat, now)
+	b.bin(last).repeats++
 	return true
 }
+
+func (b *Budget) slackShare(edges int) float64 {
+	count := float64(max(edges, 1))
+	margin := min(count, portion.Spread(count), b.slack-portion.MeanWithin(b.slack)) + uncountShare*b.slack
+	return max(min(usedShare*b.slack, b.slack-margin), 0) / count
+}
+
+func (b *Budget) draw(now time.Time) float64 {
+	epoch := float64(now.UnixNano())/float64(budgetEpoch*b.period) + portion.Draw(b.Daemon, "")
+	return portion.Draw(b.Daemon, strconv.FormatInt(int64(epoch), 10))
+}
--- a/internal/client/budget_test.go
+++ b/internal/client/budget_test.go
@@ -1,6 +1,8 @@
 package client
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -30,3 +32,74 @@
 	}
 	assert.Assert(t, budget.Take(now.Add(11*time.Second), 2))
 }
+
+func crowd(edges int) []*Budget {
+	budgets := make([]*Budget, edges)
+	for edge := range budgets {
+		budgets[edge] = NewBudget(10*time.Second, 0.2, 56)
+		budgets[edge].Daemon = "edge-" + strconv.Itoa(edge)
+	}
+	return budgets
+}
+
+func TestGivenEveryDaemonRepeatingWheneverItMayThenNoPeriodIsOverTheBudget(t *testing.T) {
+	draw := rand.New(rand.NewPCG(11, 12))
+	for _, edges := range []int{1, 8, 81, 400} {
+		for _, perSecond := range []float64{0, 0.05, 0.3, 2} {
+			budgets, counted := crowd(edges), max(edges*10/11, 1)
+			orders, repeats, now := []int{}, []int{}, time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+			for step := range 400 {
+				now = now.Add(500 * time.Millisecond)
+				arrived, taken := 0, 0
+				for _, budget := range budgets {
+					if draw.Float64() < perSecond/2 {
+						budget.Arrived(now)
+						arrived++
+					}
+					for budget.Take(now, counted) {
+						taken++
+					}
+				}
+				orders, repeats = append(orders, arrived), append(repeats, taken)
+				asked, again := 0, 0
+				for back := max(step-19, 0); back <= step; back++ {
+					asked, again = asked+orders[back], again+repeats[back]
+				}
+				assert.Assert(t, float64(again) <= 0.2*float64(asked)+56, "%d daemons, %v a second: %d repeats of %d", edges, perSecond, again, asked)
+			}
+		}
+	}
+}
+
+func TestGivenDaemonsWithFewOrdersThenEachMayRepeatNowAndThen(t *testing.T) {
+	for _, budget := range crowd(400)[:40] {
+		now, taken := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), 0
+		for range 1200 {
+			now = now.Add(10 * time.Second)
+			budget.Arrived(now)
+			if budget.Take(now, 400) {
+				taken++
+			}
+		}
+		assert.Assert(t, taken > 20 && taken < 600, "%d of 1200", taken)
+	}
+}
+
+func TestGivenManyOrdersThenTheBudgetHoldsNoMore(t *testing.T) {
+	budget, now := NewBudget(10*time.Second, 0.2, 56), time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	allocated := testing.AllocsPerRun(5000, func() {
+		now = now.Add(time.Millisecond)
+		budget.Arrived(now)
+	})
+	assert.Equal(t, allocated, 0.0)
+}
+
+func BenchmarkBudgetTake(b *testing.B) {
+	budget, now := crowd(1)[0], time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		budget.Arrived(now)
+		budget.Take(now, 400)
+	}
+}
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -48,6 +48,7 @@
 	daemon.forwarder = replica.NewForwarder(network, time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
 	budget := client.NewBudget(env.Seconds(bounds.BudgetPeriodS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
+	budget.Daemon = settings.NodeName
 	daemon.door = client.NewDoor(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
 	return daemon
 }
--- a/internal/match/cold.go
+++ b/internal/match/cold.go
@@ -1,10 +1,9 @@
 package match
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"ferryspar/internal/portion"
 )
 
 type coldRule struct {
@@ -21,7 +20,6 @@
 const (
 	coldReserve = 2
 	coldPause   = 1100 * time.Millisecond
-	coldTail    = 1e-5
 )
 
 type coldShare struct {
@@ -35,30 +33,10 @@
 	if count <= r.perSecond {
 		return coldShare{1, int(r.perSecond / count), time.Second}
 	}
-	mean := meanWithin(r.bound, coldTail)
+	mean := portion.MeanWithin(r.bound)
 	if count <= r.bound {
 		mean = min(count, r.bound/coldReserve)
 	}
 	pause := time.Duration(float64(time.Second) * mean / r.perSecond)
 	return coldShare{min(mean/count, 1), 1, max(pause, coldPause)}
 }
-
-// The greatest mean of a sum of independent draws whose chance of passing the bound stays below
-// the tail by Chernoff: P(X >= k) <= exp(-(mean - k + k ln(k/mean))) with k the first count above.
-func meanWithin(bound, tail float64) float64 {
-	above := math.Floor(bound) + 1
-	low, high := 0.0, above
-	for range 48 {
-		mean := (low + high) / 2
-		if mean-above+above*math.Log(above/mean) >= -math.Log(tail) {
-			low = mean
-		} else {
-			high = mean
-		}
-	}
-	return low
-}
-
-func StableDraw(daemon, subject string) float64 {
-	return float64(xxhash.Sum64String(daemon+"\x00"+subject)>>11) / (1 << 53)
-}
--- a/internal/match/cold_test.go
+++ b/internal/match/cold_test.go
@@ -9,6 +9,8 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/portion"
 )
 
 var coldRules = []coldRule{{5.5, 5.5*1.5 + 5}, {2, 2*1.5 + 5}, {12, 12*1.5 + 5}, {0.5, 0.5*1.5 + 5}, {40, 40*1.5 + 5}}
@@ -21,7 +23,7 @@
 				continue
 			}
 			over := distuv.Binomial{N: float64(edges), P: share.chance}.Survival(rule.bound)
-			assert.Assert(t, over < coldTail, "%v, %d daemons: %g", rule, edges, over)
+			assert.Assert(t, over < portion.Tail, "%v, %d daemons: %g", rule, edges, over)
 			assert.Assert(t, share.chance*float64(edges) >= min(1, rule.perSecond/2), "%v, %d daemons: starved", rule, edges)
 		}
 	}
@@ -47,7 +49,7 @@
 func hammered(rule coldRule, edges int, replica string) []time.Time {
 	share, banks := rule.share(edges), make([]bank, 0, edges)
 	for edge := range edges {
-		one := bank{draw: StableDraw("edge-"+strconv.Itoa(edge), replica)}
+		one := bank{draw: portion.Draw("edge-"+strconv.Itoa(edge), replica)}
 		if one.draw < share.chance {
 			banks = append(banks, one)
 		}
--- a/internal/match/index.go
+++ b/internal/match/index.go
@@ -1,6 +1,10 @@
 package match
 
-import "slices"
+import (
+	"slices"
+
+	"ferryspar/internal/portion"
+)
 
 type Index struct {
 	replicas  []*Replica
@@ -87,7 +91,7 @@
 func (m *Matcher) open(id string) *bank {
 	if m.banks[id] == nil {
 		m.banks[id] = newBank(NewPredictor())
-		m.banks[id].draw = StableDraw(m.parameters.Daemon, id)
+		m.banks[id].draw = portion.Draw(m.parameters.Daemon, id)
 	}
 	return m.banks[id]
 }
--- a/internal/match/share.go
+++ b/internal/match/share.go
@@ -1,8 +1,9 @@
 package match
 
 import (
-	"math"
 	"time"
+
+	"ferryspar/internal/portion"
 )
 
 const (
@@ -16,19 +17,11 @@
 	return min(max(1-float64(age-othersLife)/float64(othersFade-othersLife), 0), 1)
 }
 
-func whole(amount, draw float64) int {
-	floor := math.Floor(max(amount, 0))
-	if draw < max(amount, 0)-floor {
-		floor++
-	}
-	return int(floor)
-}
-
 func (c *column) divide(memory, trust float64, edges int) {
 	slots := float64(c.replica.Slots)
 	share := min(shareRise*slots/float64(max(edges, 1)), slots)
 	known := slots - float64(c.others.Running)
-	allowed := whole(trust*known+(1-trust)*share, c.held.draw)
+	allowed := portion.Whole(trust*known+(1-trust)*share, c.held.draw)
 	c.capacity = max(allowed-c.held.running, 0)
 	c.spare = allowed == 0 && trust < 1 && share < 1 && (known > 0 || trust == 0)
 	c.designated = allowed > 0
