--- a/internal/match/index.go
+++ b/internal/match/index.go
@@ -9,36 +9,73 @@
 type Index struct {
 	replicas  []*Replica
 	positions map[string]int
-	holders   map[string]map[string][]int
+	groups    map[string]map[string]int
+	holders   [][]int
+}
+
+type holding struct {
+	group, position int
 }
 
 func NewIndex(replicas []*Replica) *Index {
-	index := &Index{replicas: replicas, positions: make(map[string]int, len(replicas)), holders: map[string]map[string][]int{}}
+	index := &Index{replicas: replicas, positions: make(map[string]int, len(replicas)), groups: map[string]map[string]int{}}
+	total := len(replicas)
+	for _, replica := range replicas {
+		total += len(replica.Models)
+	}
+	held, sizes := make([]holding, 0, total), make([]int, 0, total)
 	for position, replica := range replicas {
 		index.positions[replica.ID] = position
 		if replica.Draining {
 			continue
 		}
-		models := index.holders[replica.Backend]
-		if models == nil {
-			models = map[string][]int{}
-			index.holders[replica.Backend] = models
+		groups := index.groups[replica.Backend]
+		if groups == nil {
+			groups = map[string]int{}
+			index.groups[replica.Backend] = groups
 		}
-		models[""] = append(models[""], position)
+		add := func(model string) {
+			group, known := groups[model]
+			if !known {
+				group = len(sizes)
+				groups[model] = group
+				sizes = append(sizes, 0)
+			}
+			sizes[group]++
+			held = append(held, holding{group, position})
+		}
+		add("")
 		for model, holds := range replica.Models {
 			if holds && model != "" {
-				models[model] = append(models[model], position)
+				add(model)
 			}
 		}
 	}
+	index.holders = divide(held, sizes)
 	return index
 }
 
+func divide(held []holding, sizes []int) [][]int {
+	holders, left := make([][]int, len(sizes)), make([]int, len(held))
+	for group, size := range sizes {
+		holders[group], left = left[:0:size], left[size:]
+	}
+	for _, one := range held {
+		holders[one.group] = append(holders[one.group], one.position)
+	}
+	return holders
+}
+
 func (i *Index) covers(replicas []*Replica) bool {
 	return len(i.replicas) == len(replicas) && (len(replicas) == 0 || &i.replicas[0] == &replicas[0])
 }
 
-func (i *Index) Holders(backend, model string) []int { return i.holders[backend][model] }
+func (i *Index) Holders(backend, model string) []int {
+	if group, known := i.groups[backend][model]; known {
+		return i.holders[group]
+	}
+	return nil
+}
 
 func (o *Order) holdersIn(index *Index) []int {
 	if o.indexed != index {
--- a/internal/match/ledger_test.go
+++ b/internal/match/ledger_test.go
@@ -1,6 +1,8 @@
 package match
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,3 +97,58 @@
 	ledger.SetLife(time.Minute, noon.Add(2*time.Minute))
 	assert.Equal(t, ledger.Size(), 0)
 }
+
+func ledgerOrder(number int) ([]Part, []uint64) {
+	parts := []Part{{uint64(number % 300), 400}, {uint64(number % 4000), 200}, {uint64(number), 80}}
+	return parts, Dialogues(parts)
+}
+
+func filledLedger(bound int) *Ledger {
+	ledger := NewLedger(bound, 0)
+	for number := 0; ledger.Size() < bound; number++ {
+		parts, dialogues := ledgerOrder(number)
+		ledger.Note("i-"+strconv.Itoa(number%720), "model-"+strconv.Itoa(number%1600), dialogues, parts, noon, noon)
+	}
+	return ledger
+}
+
+func BenchmarkLedgerOrder(b *testing.B) {
+	b.ReportAllocs()
+	bound := DefaultParameters().LedgerBound
+	ledger, number := filledLedger(bound), bound
+	names, models := make([]string, 720), make([]string, 1600)
+	for index := range names {
+		names[index] = "i-" + strconv.Itoa(index)
+	}
+	for index := range models {
+		models[index] = "model-" + strconv.Itoa(index)
+	}
+	for b.Loop() {
+		number++
+		parts, dialogues := ledgerOrder(number)
+		for candidate := range grownCopies {
+			ledger.Kept(names[(number+candidate)%len(names)], models[number%len(models)], dialogues, parts, noon)
+		}
+		ledger.Note(names[number%len(names)], models[number%len(models)], dialogues, parts, noon, noon)
+	}
+}
+
+func BenchmarkLedgerFilled(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		filledLedger(DefaultParameters().LedgerBound)
+	}
+}
+
+func BenchmarkLedgerHeld(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		ledger := filledLedger(DefaultParameters().LedgerBound)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(ledger)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "held-B")
+}
--- a/internal/match/scale_test.go
+++ b/internal/match/scale_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -116,6 +115,24 @@
 	})
 }
 
+func BenchmarkSixteenOrdersForWhatAllHold(b *testing.B) {
+	atSizes(b, func(b *testing.B, replicas, models, edges int) {
+		made := newGrown(replicas, models, edges, func(replica int) int { return replica % 6 })
+		made.matcher.Wake()
+		orders := make([]*Order, 16)
+		for b.Loop() {
+			for row := range orders {
+				orders[row] = made.order()
+				orders[row].Model, orders[row].Answer = "", make(chan Command, 1)
+			}
+			made.matcher.assign(orders, made.now)
+			for _, order := range orders {
+				made.matcher.Tell(Report{Ticket: (<-order.Answer).Ticket, Outcome: OutcomeServed, At: made.now})
+			}
+		}
+	})
+}
+
 func waitingMatcher(replicas, models, edges, waiting int) *grown {
 	made := newGrown(replicas, models, edges, func(int) int { return grownSlots })
 	for range waiting {
@@ -182,58 +199,3 @@
 		}
 	})
 }
-
-func ledgerOrder(number int) ([]Part, []uint64) {
-	parts := []Part{{uint64(number % 300), 400}, {uint64(number % 4000), 200}, {uint64(number), 80}}
-	return parts, Dialogues(parts)
-}
-
-func filledLedger(bound int) *Ledger {
-	ledger := NewLedger(bound, 0)
-	for number := 0; ledger.Size() < bound; number++ {
-		parts, dialogues := ledgerOrder(number)
-		ledger.Note("i-"+strconv.Itoa(number%720), "model-"+strconv.Itoa(number%1600), dialogues, parts, noon, noon)
-	}
-	return ledger
-}
-
-func BenchmarkLedgerOrder(b *testing.B) {
-	b.ReportAllocs()
-	bound := DefaultParameters().LedgerBound
-	ledger, number := filledLedger(bound), bound
-	names, models := make([]string, 720), make([]string, 1600)
-	for index := range names {
-		names[index] = "i-" + strconv.Itoa(index)
-	}
-	for index := range models {
-		models[index] = "model-" + strconv.Itoa(index)
-	}
-	for b.Loop() {
-		number++
-		parts, dialogues := ledgerOrder(number)
-		for candidate := range grownCopies {
-			ledger.Kept(names[(number+candidate)%len(names)], models[number%len(models)], dialogues, parts, noon)
-		}
-		ledger.Note(names[number%len(names)], models[number%len(models)], dialogues, parts, noon, noon)
-	}
-}
-
-func BenchmarkLedgerFilled(b *testing.B) {
-	b.ReportAllocs()
-	for b.Loop() {
-		filledLedger(DefaultParameters().LedgerBound)
-	}
-}
-
-func BenchmarkLedgerHeld(b *testing.B) {
-	var before, after runtime.MemStats
-	for b.Loop() {
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		ledger := filledLedger(DefaultParameters().LedgerBound)
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		runtime.KeepAlive(ledger)
-	}
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "held-B")
-}
