--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -38,6 +38,7 @@
 	daemon := &Daemon{settings: settings, path: path, network: network, session: partner.NewSession(network)}
 	bounds := settings.TimingBounds
 	parameters := match.DefaultParameters()
+	parameters.Daemon, parameters.ColdOverage, parameters.ColdSlack = settings.NodeName, bounds.ColdOverage, bounds.ColdSlack
 	daemon.fleet.Store(&match.Fleet{})
 	daemon.matcher = match.NewMatcher(parameters, settings.Area, time.Now, &daemon.fleet)
 	daemon.desk = NewDesk(settings, time.Now, &daemon.fleet, daemon.matcher.Changed)
@@ -48,6 +49,7 @@
 	daemon.forwarder = replica.NewForwarder(network, time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
 	budget := client.NewBudget(env.Seconds(bounds.BudgetPeriodS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
+	budget.Daemon = settings.NodeName
 	daemon.door = client.NewDoor(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
 	return daemon
 }
--- a/internal/match/score.go
+++ b/internal/match/score.go
@@ -18,12 +18,15 @@
 	LatencyBound float64
 	HitAffinity  float64
 	HitMargin    float64
+	Daemon       string
+	ColdOverage  float64
+	ColdSlack    float64
 }
 
 func DefaultParameters() Parameters {
 	return Parameters{
 		BatchSize: 16, BatchWait: 10 * time.Millisecond, Delta: 0.7, TokenPrice: 0.00002, CrossPrice: 0.03, LateWorth: 0.4,
-		QueueBound: 512, LedgerBound: 20000, LatencyBound: 0.6, HitAffinity: 0.5, HitMargin: 40,
+		QueueBound: 512, LedgerBound: 20000, LatencyBound: 0.6, HitAffinity: 0.5, HitMargin: 40, ColdOverage: 1,
 	}
 }
 
@@ -36,17 +39,15 @@
 	pace      float64
 }
 
-func (m *Matcher) score(order *Order, replica *Replica, now time.Time) pair {
-	held := m.bank(replica.ID)
+func (m *Matcher) score(one offer, place *column, now time.Time) pair {
+	order, pace, replica, held, others := one.order, one.pace, place.replica, place.held, place.others
 	kept := 0.0
-	if m.Trusts == nil || m.Trusts(now) {
+	if one.trusted {
 		kept = m.ledger.Kept(replica.ID, order.Model, order.Dialogues, order.Parts, now)
 	}
 	uncached := max(order.Prompt-kept, 0)
-	others := m.fleet.Others[replica.ID]
 	running := float64(held.running + others.Running)
 	slots := float64(max(replica.Slots, 1))
-	pace := m.pace(order.Model)
 	affinity := kept / max(1, order.Prompt)
 	features := Features{1, uncached / 1000 * pace, running / slots, (held.pending + others.Prefill) / 1000, running / slots * pace, affinity}
 	predicted := held.predictor.Latency(features)
