--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -11,7 +11,6 @@
 
 	"ferryspar/internal/env"
 	"ferryspar/internal/layout"
-	"ferryspar/internal/partner"
 	"ferryspar/internal/place"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
@@ -32,6 +31,7 @@
 	overlayAt time.Time
 	intent    string
 	barred    map[string]bool
+	stale     bool
 }
 
 type overlay struct {
@@ -40,18 +40,12 @@
 	barred []string
 }
 
-type told struct {
-	at    time.Time
-	share partner.SumShare
-}
-
 type Warden struct {
 	daemon    *Daemon
 	keeper    *tenure.Tenure
 	hold      atomic.Pointer[tenure.Hold]
 	commander *replica.Commander
 	lock      sync.Mutex
-	told      map[string]told
 	demand    map[string]*place.Pressure
 	counted   map[string]float64
 	reading   map[string]float64
@@ -67,6 +61,7 @@
 	explained time.Time
 	overlays  map[string]overlay
 	cleanser  *Cleanser
+	feed
 }
 
 func NewWarden(daemon *Daemon) *Warden {
@@ -78,8 +73,8 @@
 			Settle: env.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Keeper: daemon.store, Clock: daemon.clock,
 		},
 		commander: replica.NewCommander(daemon.network),
-		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
-		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), lastRate: daemon.clock(),
+		demand:    map[string]*place.Pressure{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
+		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), feed: feed{tally: NewTally()}, lastRate: daemon.clock(),
 	}
 }
 
