--- a/internal/controlplane/parts.go
+++ b/internal/controlplane/parts.go
@@ -20,6 +20,7 @@
 type part struct {
 	version uint64
 	holders map[string]*fact
+	sample  map[string]*fact
 }
 
 type Parts struct {
@@ -64,6 +65,7 @@
 			delete(p.facts, id)
 		}
 	}
+	p.resample(touched)
 	if len(touched) == 0 {
 		return
 	}
@@ -142,7 +144,11 @@
 		return composed
 	}
 	composed.Version = held.version
-	for id, one := range held.holders {
+	holders := held.holders
+	if held.sample != nil {
+		holders = held.sample
+	}
+	for id, one := range holders {
 		holder := partner.Holder{
 			ID: id, Address: one.listed.Address, Area: one.listed.Area, Slots: one.listed.Slots,
 			Draining: one.listed.State == platform.Draining, Adapters: one.holdings[name.Model],
--- /dev/null
+++ b/internal/controlplane/sample.go
@@ -0,0 +1,60 @@
+package controlplane
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ferryspar/internal/partner"
+)
+
+const sampleBound = 16
+
+func (p *Parts) resample(touched map[partner.PartName]bool) {
+	for name := range touched {
+		held := p.parts[name]
+		if name.Model != "" || held == nil {
+			continue
+		}
+		next := sample(held.holders)
+		if held.sample != nil && next != nil && maps.EqualFunc(held.sample, next, sameHolder) {
+			delete(touched, name)
+		}
+		held.sample = next
+	}
+}
+
+func sameHolder(one, other *fact) bool {
+	return sameFact(one.listed, other.listed) && near(one.coldUntil, other.coldUntil)
+}
+
+func sample(holders map[string]*fact) map[string]*fact {
+	if len(holders) <= sampleBound {
+		return nil
+	}
+	var able []*fact
+	for _, one := range holders {
+		if len(one.listed.Models) == 0 {
+			continue
+		}
+		if one.listed.State == "ready" && one.coldUntil.IsZero() {
+			able = append(able, one)
+		}
+	}
+	if len(able) < sampleBound {
+		return nil
+	}
+	slices.SortFunc(able, func(left, right *fact) int {
+		one, other := xxhash.Sum64String(left.listed.ID), xxhash.Sum64String(right.listed.ID)
+		if one < other {
+			return -1
+		}
+		return 1
+	})
+	chosen := make(map[string]*fact, sampleBound)
+	for _, one := range able[:sampleBound] {
+		chosen[one.listed.ID] = one
+	}
+	return chosen
+}
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -216,6 +216,12 @@
 	}
 	if best != current {
 		d.wants.primary.Store(&best)
+		for _, address := range []string{current, best} {
+			if held := d.sources[address]; held != nil {
+				held.whole = false
+			}
+		}
+		logrus.WithFields(logrus.Fields{"from": current, "to": best}).Info("parts are followed at another control daemon")
 	}
 }
 
