--- a/internal/controlplane/follow.go
+++ b/internal/controlplane/follow.go
@@ -34,7 +34,7 @@
 	switch {
 	case question.Whole:
 		if held != nil {
-			p.unfollow(held, nil)
+			p.leaveAll(held)
 		}
 		held = &following{names: map[partner.PartName]bool{}, wake: make(chan struct{}, 1)}
 		p.followings[question.Daemon] = held
@@ -42,7 +42,9 @@
 		return partner.Followed{Refollow: true, Roster: p.version}
 	}
 	held.number, held.heard = question.Number, now
-	p.unfollow(held, question.Drop)
+	for _, name := range question.Drop {
+		p.leave(held, name)
+	}
 	answer := partner.Followed{Roster: p.version}
 	for _, name := range question.Add {
 		if len(held.names) >= followsBound {
@@ -58,14 +60,8 @@
 	return answer
 }
 
-func (p *Parts) unfollow(held *following, names []partner.PartName) {
-	if names == nil {
-		for name := range held.names {
-			p.leave(held, name)
-		}
-		return
-	}
-	for _, name := range names {
+func (p *Parts) leaveAll(held *following) {
+	for name := range held.names {
 		p.leave(held, name)
 	}
 }
@@ -81,7 +77,7 @@
 func (p *Parts) forgetSilent(now time.Time) {
 	for daemon, held := range p.followings {
 		if now.Sub(held.heard) > followingLife {
-			p.unfollow(held, nil)
+			p.leaveAll(held)
 			delete(p.followings, daemon)
 		}
 	}
@@ -92,7 +88,7 @@
 	defer p.lock.Unlock()
 	held := p.followings[poll.Daemon]
 	if held == nil || poll.Follows > held.number {
-		return nil, p.version, poll.Follows > 0
+		return nil, poll.Roster, poll.Follows > 0
 	}
 	held.heard = now
 	if poll.Life == life && poll.Roster >= p.version {
--- a/internal/controlplane/parts.go
+++ b/internal/controlplane/parts.go
@@ -166,10 +166,6 @@
 	found := make(map[string][]string, len(listed.Models)+1)
 	found[""] = nil
 	for _, held := range listed.Models {
-		if len(stopped) == 0 {
-			found[held.Name] = held.Adapters
-			continue
-		}
 		if stopped[held.Name] {
 			continue
 		}
@@ -179,6 +175,7 @@
 				adapters = append(adapters, adapter)
 			}
 		}
+		slices.Sort(adapters)
 		found[held.Name] = adapters
 	}
 	return found
