--- a/internal/client/door.go
+++ b/internal/client/door.go
@@ -67,6 +67,7 @@
 	sent    int
 	reached int
 	ran     bool
+	absent  bool
 	events  replica.Events
 	chosen  string
 	sentAt  time.Time
@@ -146,7 +147,7 @@
 			}
 			return
 		}
-		s.intake.order.Excluded[command.Replica.ID] = true
+		s.exclude(command.Replica.ID)
 	}
 }
 
@@ -163,6 +164,7 @@
 	} else {
 		s.sent++
 	}
+	s.absent = verdict == replica.VerdictMissing || verdict == replica.VerdictGone
 	if verdict != replica.VerdictAnswered {
 		if s.ctx.Err() != nil {
 			report(match.OutcomeCancelled)
@@ -188,6 +190,19 @@
 	return false, problem.New(problem.ReplicaFailed, "")
 }
 
+func (s *service) exclude(id string) {
+	order, fleet := &s.intake.order, s.door.fleet.Load()
+	order.Excluded[id] = true
+	for _, one := range fleet.Replicas {
+		if one.Serves(order) && !order.Excluded[one.ID] && !fleet.Drained[one.Area] {
+			return
+		}
+	}
+	if !s.absent {
+		delete(order.Excluded, id)
+	}
+}
+
 func (s *service) mayGoOn() bool {
 	return s.sent < max(s.intake.route.RetryCount, 1) && s.reached < unreachedBound
 }
--- a/internal/story/health_test.go
+++ b/internal/story/health_test.go
@@ -124,6 +124,8 @@
 		replicas[0].turn("errors", 2)
 		f.stream(2, "/quick/", 6*time.Second)
 		assert.Assert(t, len(replicas[0].ran()) > 100, "ran %d", len(replicas[0].ran()))
+		seen := f.stream(2, "/patient/", 3*time.Second)
+		assert.Assert(t, seen.served >= seen.asked*4/5, "a second try is served: %d of %d", seen.served, seen.asked)
 	})
 }
 
