The holder keeps running sums of what data planes tell; gentler on late streams

Summing every data plane's record for every answer cost too much with more replicas told; now a told pressure replaces its predecessor in the sums. Late first events and long pauses count half, since they come in groups.

--- a/internal/controlplane/demand.go
+++ b/internal/controlplane/demand.go
@@ -12,7 +12,9 @@
 	now := w.daemon.clock()
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.told[pressure.Daemon] = told{now, pressure}
+	w.countOut(pressure.Daemon)
+	w.sums.shift(pressure, 1)
+	w.told[pressure.Daemon] = &told{now, pressure, true}
 	if w.learning.IsZero() && len(pressure.Models) > 0 {
 		w.learning = now
 	}
@@ -29,21 +31,16 @@
 		default:
 		}
 	}
-	outlook := partner.Outlook{Replicas: map[string]partner.ReplicaPressure{}}
-	for edge, other := range w.told {
-		if edge == pressure.Daemon || now.Sub(other.at) > 2*time.Second {
-			continue
-		}
-		for id, one := range other.pressure.Replicas {
-			sum := outlook.Replicas[id]
-			sum.Running += one.Running
-			sum.Tokens += one.Tokens
-			sum.Prefill += one.Prefill
-			sum.Count(one.Outcomes, other.pressure.Area == pressure.Area)
-			outlook.Replicas[id] = sum
-		}
+	return w.sums.others(pressure)
+}
+
+const sumsLife = 2 * time.Second
+
+func (w *Warden) countOut(edge string) {
+	if one := w.told[edge]; one != nil && one.counted {
+		one.counted = false
+		w.sums.shift(one.pressure, -1)
 	}
-	return outlook.Trimmed()
 }
 
 func (w *Warden) measure() {
@@ -83,6 +80,9 @@
 	}
 	for edge, one := range w.told {
 		age := now.Sub(one.at)
+		if age > sumsLife {
+			w.countOut(edge)
+		}
 		if age > 10*time.Second {
 			delete(w.told, edge)
 		}
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -43,6 +43,7 @@
 type told struct {
 	at       time.Time
 	pressure partner.Pressure
+	counted  bool
 }
 
 type Warden struct {
@@ -51,7 +52,8 @@
 	hold      atomic.Pointer[tenure.Hold]
 	commander *replica.Commander
 	lock      sync.Mutex
-	told      map[string]told
+	told      map[string]*told
+	sums      *sums
 	demand    map[string]*place.Pressure
 	counted   map[string]float64
 	reading   map[string]float64
@@ -78,7 +80,7 @@
 			Settle: env.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Keeper: daemon.store, Clock: daemon.clock,
 		},
 		commander: replica.NewCommander(daemon.network),
-		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
+		told:      map[string]*told{}, sums: newSums(), demand: map[string]*place.Pressure{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
 		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), lastRate: daemon.clock(),
 	}
 }
--- a/internal/match/health.go
+++ b/internal/match/health.go
@@ -12,6 +12,7 @@
 	stalledAfter = 1200 * time.Millisecond
 	surelyFailed = 0.8
 	lateFactor   = 4
+	lateWeight   = 0.5
 )
 
 type health struct {
@@ -53,7 +54,7 @@
 }
 
 var failures = map[Outcome]float64{
-	OutcomeBroken: 1, OutcomeFailed: 1, OutcomeFull: 1, OutcomeUnreached: 1, OutcomeLagging: 1, OutcomeReset: 0.5,
+	OutcomeBroken: 1, OutcomeFailed: 1, OutcomeFull: 1, OutcomeUnreached: 1, OutcomeLagging: lateWeight, OutcomeReset: 0.5,
 }
 
 func (m *Matcher) judge(report Report) {
@@ -62,7 +63,7 @@
 	case counts:
 		m.blame(ticket, failed, report.At)
 	case report.Outcome == OutcomeFirst && !ticket.answered && report.At.Sub(ticket.sent) > ticket.overdue():
-		m.blame(ticket, 1, report.At)
+		m.blame(ticket, lateWeight, report.At)
 	case report.Outcome == OutcomeServed && !ticket.blamed:
 		m.health.note(ticket.replica, 1, 0, report.At)
 	}
--- a/internal/match/tally.go
+++ b/internal/match/tally.go
@@ -8,12 +8,14 @@
 )
 
 const (
-	halfLife   = 2500 * time.Millisecond
-	soundShare = 0.02
-	greyShare  = 0.3
-	priorTotal = 5.0
-	ownTotal   = 4.0
-	tellable   = 0.05
+	halfLife    = 2500 * time.Millisecond
+	soundShare  = 0.02
+	greyShare   = 0.3
+	priorTotal  = 5.0
+	ownTotal    = 4.0
+	tellable    = 0.05
+	leastServed = 0.3
+	leastFailed = 0.1
 )
 
 type tally struct {
@@ -36,6 +38,9 @@
 
 func (t *tally) told(now time.Time) partner.Outcomes {
 	t.advance(now)
+	if t.Served < leastServed && t.Failed < leastFailed {
+		return partner.Outcomes{}
+	}
 	return partner.Outcomes{Served: math.Round(t.Served*10) / 10, Failed: math.Round(t.Failed*10) / 10}
 }
 
