--- a/internal/match/health.go
+++ b/internal/match/health.go
@@ -13,6 +13,7 @@
 	surelyFailed = 0.8
 	lateFactor   = 4
 	lateWeight   = 0.5
+	halfServed   = 0.5
 )
 
 type health struct {
@@ -64,8 +65,8 @@
 		m.blame(ticket, failed, report.At)
 	case report.Outcome == OutcomeFirst && !ticket.answered && report.At.Sub(ticket.sent) > ticket.overdue():
 		m.blame(ticket, lateWeight, report.At)
-	case report.Outcome == OutcomeServed && !ticket.blamed:
-		m.health.note(ticket.replica, 1, 0, report.At)
+	case report.Outcome == OutcomeFirst && !ticket.answered, report.Outcome == OutcomeServed && !ticket.blamed:
+		m.health.note(ticket.replica, halfServed, 0, report.At)
 	}
 }
 
--- a/internal/match/health_test.go
+++ b/internal/match/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +78,57 @@
 	assert.Equal(t, len(doubtedAreas(map[string]areaCount{"north": {4, 2}, "south": {30, 0}})), 0)
 	assert.Equal(t, len(doubtedAreas(map[string]areaCount{"north": {30, 30}})), 0)
 }
+
+func sharedFleet(now time.Time, others map[string]partner.ReplicaPressure, ids ...string) *Matcher {
+	var current atomic.Pointer[Fleet]
+	fleet := &Fleet{Others: others, OthersAt: now, Total: partner.Outcomes{Served: 400, Failed: 20}}
+	for _, id := range ids {
+		fleet.Replicas = append(fleet.Replicas, &Replica{ID: id, Address: id, Backend: "scribes", Area: "north", Models: map[string]bool{"swift": true}})
+	}
+	current.Store(fleet)
+	matcher := NewMatcher(DefaultParameters(), "north", func() time.Time { return now }, &current)
+	matcher.fleet = fleet
+	return matcher
+}
+
+func TestGivenFailuresOnlyForCallersOfOneZoneThenTheirDataPlanesLeaveTheReplicaOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	failing := partner.ReplicaPressure{Outcomes: partner.Outcomes{Served: 40, Failed: 5}, NearServed: 1, NearFailed: 3}
+	elsewhere := partner.ReplicaPressure{Outcomes: partner.Outcomes{Served: 40, Failed: 5}, NearServed: 20}
+	once := &Order{Backend: "scribes", Model: "swift"}
+	near := sharedFleet(now, map[string]partner.ReplicaPressure{"i-1": failing}, "i-1", "i-2")
+	near.review(now)
+	assert.Assert(t, !near.admits(once, near.fleet.Replicas[0], now))
+	assert.Assert(t, near.admits(once, near.fleet.Replicas[1], now))
+	far := sharedFleet(now, map[string]partner.ReplicaPressure{"i-1": elsewhere}, "i-1", "i-2")
+	far.review(now)
+	assert.Assert(t, far.admits(once, far.fleet.Replicas[0], now))
+}
+
+func TestGivenManyFlaggedHoldersThenHalfStayAndTheLastAlways(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ill := func(served, failed float64) partner.ReplicaPressure {
+		return partner.ReplicaPressure{Outcomes: partner.Outcomes{Served: served, Failed: failed}}
+	}
+	once, again := &Order{Backend: "scribes", Model: "swift"}, &Order{Backend: "scribes", Model: "swift", Repeatable: true}
+	admitted := func(matcher *Matcher, order *Order) (ids string) {
+		matcher.review(now)
+		for _, replica := range matcher.fleet.Replicas {
+			if matcher.admits(order, replica, now) {
+				ids += replica.ID
+			}
+		}
+		return ids
+	}
+	some := map[string]partner.ReplicaPressure{"a": ill(4, 5), "b": ill(4, 6), "c": ill(4, 7)}
+	assert.Equal(t, admitted(sharedFleet(now, some, "a", "b", "c", "d"), once), "ad")
+	dead := map[string]partner.ReplicaPressure{"a": ill(0, 8), "b": ill(0, 8), "c": ill(0, 8)}
+	assert.Equal(t, admitted(sharedFleet(now, dead, "a", "b", "c", "d"), once), "d")
+	assert.Equal(t, admitted(sharedFleet(now, dead, "a"), once), "a")
+	probed := sharedFleet(now, dead, "a", "b")
+	probed.review(now)
+	probed.health.standings["a"].enter(stageProbe, now)
+	assert.Assert(t, probed.admits(again, probed.fleet.Replicas[0], now) && !probed.admits(once, probed.fleet.Replicas[0], now))
+	probed.bank("a").running = 1
+	assert.Assert(t, !probed.admits(again, probed.fleet.Replicas[0], now))
+}
