--- a/internal/replica/sessions.go
+++ b/internal/replica/sessions.go
@@ -20,7 +20,7 @@
 	leastIdleTime    = 150 * time.Millisecond
 	learnedShare     = 0.7
 	relearnTime      = 20 * time.Second
-	keepAliveMargin  = time.Second
+	keepAliveShare   = 0.75
 	forgetReplicas   = time.Minute
 	transportsAtOnce = 64
 )
@@ -146,5 +146,5 @@
 func (s *sessions) keepAlive(service string, stated time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.lesson(service).told = max(stated-keepAliveMargin, leastIdleTime)
+	s.lesson(service).told = time.Duration(keepAliveShare * float64(stated))
 }
