--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -39,6 +39,7 @@
 	sums       *Sums
 	dense      dense
 	exchanged  exchanged
+	greetings  uint64
 	shares     atomic.Uint64
 	applied    sync.Mutex
 	shown      map[string]keystore.Slot
--- a/internal/controlplane/events.go
+++ b/internal/controlplane/events.go
@@ -13,7 +13,7 @@
 		event.Committed: func(payload []byte) { d.tellCommitted(ctx, payload) },
 		event.Placement: func(payload []byte) {
 			if d.warden.Holding() {
-				d.shareRoster(ctx)
+				d.shareRoster(ctx, false)
 			}
 		},
 	}
--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -18,6 +18,7 @@
 	freshFor     = 1100 * time.Millisecond
 	greetEvery   = 400 * time.Millisecond
 	watcherCount = 3
+	edgesTurns   = 5
 )
 
 func (d *Daemon) digestLoop(ctx context.Context) {
@@ -120,7 +121,10 @@
 	d.watching.Unlock()
 	self := d.acceptor.Self()
 	voting := self.Voting
-	greeting := partner.Greeting{Daemon: d.settings.NodeName, Address: d.self, Joining: !voting, Number: self.Number, Leaving: leaving, Edges: edges}
+	greeting := partner.Greeting{Daemon: d.settings.NodeName, Address: d.self, Joining: !voting, Number: self.Number, Leaving: leaving}
+	if d.greetings++; d.greetings%edgesTurns == 1 || leaving {
+		greeting.Edges = edges
+	}
 	others := d.otherControls()
 	targets := watch.Watchers(d.self, others, watcherCount)
 	for _, member := range d.store.Members().All() {
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -18,6 +18,8 @@
 	replicas []platform.Replica
 	at       time.Time
 	shared   map[string]shared
+	sharing  map[string]bool
+	again    map[string]bool
 	from     string
 	stamp    string
 }
@@ -40,6 +42,40 @@
 	r.from = ""
 }
 
+func (r *rosterState) begin(address string, periodic bool) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.sharing == nil {
+		r.shared, r.sharing, r.again = map[string]shared{}, map[string]bool{}, map[string]bool{}
+	}
+	if r.sharing[address] {
+		r.again[address] = true
+		return false
+	}
+	r.sharing[address] = true
+	return true
+}
+
+func (r *rosterState) sharedWith(address string) (shared, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	held, known := r.shared[address]
+	return held, known
+}
+
+func (r *rosterState) end(address string, told shared, taken bool) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	again := r.again[address]
+	delete(r.again, address)
+	delete(r.shared, address)
+	if taken {
+		r.shared[address] = told
+	}
+	r.sharing[address] = again
+	return again
+}
+
 func (r *rosterState) age(now time.Time) time.Duration {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -70,7 +106,7 @@
 			}
 		}
 		if holding {
-			d.shareRoster(ctx)
+			d.shareRoster(ctx, true)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/controlplane/share.go
+++ b/internal/controlplane/share.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"ferryspar/internal/env"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/platform"
 )
@@ -15,6 +16,8 @@
 	replicas []platform.Replica
 }
 
+const sharePause = 40 * time.Millisecond
+
 type rosterReply struct {
 	Has bool `json:"has"`
 }
@@ -60,33 +63,34 @@
 	return result
 }
 
-func (d *Daemon) shareRoster(ctx context.Context) {
-	bulletin := d.board.Read()
-	share := partner.RosterShare{
-		Member: d.self, AgeMs: d.clock().Sub(bulletin.RosterAt).Milliseconds(), Replicas: bulletin.Replicas, Barred: bulletin.Barred,
-		Stamp: d.life + "/" + strconv.FormatUint(d.shares.Add(1), 10), Rates: d.warden.rates(),
-	}
+func (d *Daemon) shareRoster(ctx context.Context, periodic bool) {
 	for _, address := range d.otherControls() {
-		one := share
-		d.roster.lock.Lock()
-		if held, known := d.roster.shared[address]; known {
-			one.Base = held.stamp
-			one.Replicas, one.Gone = difference(held.replicas, share.Replicas)
+		if d.roster.begin(address, periodic) {
+			go d.shareWith(ctx, address, periodic)
+		}
+	}
+}
+
+func (d *Daemon) shareWith(ctx context.Context, address string, periodic bool) {
+	for again := true; again && ctx.Err() == nil; periodic = false {
+		bulletin := d.board.Read()
+		share := partner.RosterShare{
+			Member: d.self, AgeMs: d.clock().Sub(bulletin.RosterAt).Milliseconds(), Replicas: bulletin.Replicas, Barred: bulletin.Barred,
+			Stamp: d.life + "/" + strconv.FormatUint(d.shares.Add(1), 10),
+		}
+		if periodic {
+			share.Rates = d.warden.rates()
+		}
+		if held, known := d.roster.sharedWith(address); known {
+			share.Base = held.stamp
+			share.Replicas, share.Gone = difference(held.replicas, bulletin.Replicas)
+		}
+		var reply rosterReply
+		err := d.session.Ask(ctx, "roster", address, share, &reply)
+		again = d.roster.end(address, shared{share.Stamp, bulletin.Replicas}, err == nil && reply.Has)
+		if again {
+			env.Sleep(ctx, sharePause)
 		}
-		d.roster.lock.Unlock()
-		go func() {
-			var reply rosterReply
-			err := d.session.Ask(ctx, "roster", address, one, &reply)
-			d.roster.lock.Lock()
-			defer d.roster.lock.Unlock()
-			if d.roster.shared == nil {
-				d.roster.shared = map[string]shared{}
-			}
-			delete(d.roster.shared, address)
-			if err == nil && reply.Has {
-				d.roster.shared[address] = shared{share.Stamp, share.Replicas}
-			}
-		}()
 	}
 }
 
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -194,10 +194,16 @@
 	now := d.clock()
 	current := *d.wants.primary.Load()
 	newest := d.wants.revision.Load()
-	usable := func(held *source) bool { return held != nil && held.fresh && now.Sub(held.heardAt) < distrustAfter }
+	usable := func(address string, held *source) bool {
+		patience := distrustAfter
+		if address != current {
+			patience += longestHold * time.Millisecond / 2
+		}
+		return held.fresh && now.Sub(held.heardAt) < patience
+	}
 	best, bestRank := "", -1
 	for address, held := range d.sources {
-		if !usable(held) {
+		if !usable(address, held) {
 			continue
 		}
 		rank := 0
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -59,6 +59,8 @@
 const (
 	firstPause = 100 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+
+	longestHold = 2000
 )
 
 func (l *Listener) follow(ctx context.Context, address string) {
@@ -67,6 +69,9 @@
 	for ctx.Err() == nil {
 		l.desk.fill(&poll, address)
 		poll.HoldMs = int64(l.settings.HeartbeatMs)
+		if !poll.Wants {
+			poll.HoldMs = min(2*poll.HoldMs, longestHold)
+		}
 		var news partner.News
 		err := l.session.Ask(ctx, "news", address, poll, &news)
 		now := l.clock()
@@ -78,7 +83,6 @@
 		if err != nil {
 			env.Sleep(ctx, pause)
 			pause = min(pause*2, lastPause)
-			poll.HoldMs = 1
 			continue
 		}
 		pause = firstPause
