--- /dev/null
+++ b/cmd/ferryspar-emulator/main.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/launch"
+)
+
+type command struct {
+	name  string
+	short string
+	data  any
+}
+
+var commands = []command{
+	{"demo", "start both programs with a small fleet of stand-ins on loopback, send streams, show how each was served", &demonstrate{}},
+}
+
+type wrongUse struct{ error }
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+var interrupted context.Context
+
+func run(arguments []string) int {
+	var stop context.CancelFunc
+	interrupted, stop = signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "ferryspar-emulator"
+	parser.LongDescription = "Runs ferryspar without a fleet: shows it on this machine, or emulates fleets in made-up time. Version " + launch.Version + "."
+	for _, one := range commands {
+		if _, err := parser.AddCommand(one.name, one.short, one.short, one.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return launch.ExitFailed
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return exit(err)
+}
+
+func exit(err error) int {
+	if err == nil {
+		return launch.ExitGood
+	}
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return launch.ExitGood
+	}
+	fmt.Fprintln(os.Stderr, "ferryspar-emulator:", err)
+	var usage *flags.Error
+	var wrong wrongUse
+	if errors.As(err, &usage) || errors.As(err, &wrong) {
+		return launch.ExitUsage
+	}
+	return launch.ExitFailed
+}
--- /dev/null
+++ b/internal/emulator/demo/child.go
@@ -0,0 +1,79 @@
+package demo
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type child struct {
+	name    string
+	log     string
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+const (
+	controlProgram = "ferryspar-control-plane"
+	dataProgram    = "ferryspar-data-plane"
+	endPatience    = 4 * time.Second
+	tailBytes      = 1500
+)
+
+func startChild(programs, folder, program, name string, settings []byte) (*child, error) {
+	path := filepath.Join(folder, name+".toml")
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
+		return nil, errors.Wrap(err, "settings of "+name)
+	}
+	one := &child{name: name, log: filepath.Join(folder, name+".log"), ended: make(chan struct{})}
+	log, err := os.Create(one.log)
+	if err != nil {
+		return nil, errors.Wrap(err, "log of "+name)
+	}
+	defer log.Close()
+	one.command = exec.Command(filepath.Join(programs, program), "--settings", path)
+	one.command.Stdout, one.command.Stderr = log, log
+	if err := one.command.Start(); err != nil {
+		return nil, errors.Wrapf(err, "%s cannot be started; build it beside this program or name its folder with --programs", program)
+	}
+	go func() {
+		_ = one.command.Wait()
+		close(one.ended)
+	}()
+	return one, nil
+}
+
+func (c *child) alive() bool {
+	select {
+	case <-c.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+func (c *child) end() {
+	if !c.alive() {
+		return
+	}
+	_ = c.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-c.ended:
+	case <-time.After(endPatience):
+		_ = c.command.Process.Kill()
+		<-c.ended
+	}
+}
+
+func (c *child) tail() string {
+	content, _ := os.ReadFile(c.log)
+	if len(content) > tailBytes {
+		content = content[len(content)-tailBytes:]
+	}
+	return string(bytes.TrimSpace(content))
+}
--- /dev/null
+++ b/internal/emulator/demo/demo.go
@@ -0,0 +1,134 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+type Options struct {
+	Programs string
+	Keep     string
+	Controls int
+	Streams  int
+	JSON     bool
+	Stay     bool
+	Out      io.Writer
+	Progress io.Writer
+}
+
+type Result struct {
+	Controls []string `json:"controlPlanes"`
+	Edges    []string `json:"dataPlanes"`
+	Streams  []Served `json:"streams"`
+}
+
+const atOnce = 3
+
+func Run(ctx context.Context, options Options) (Result, error) {
+	var result Result
+	planned, err := readPlan()
+	if err != nil {
+		return result, err
+	}
+	s := &scene{plan: planned, programs: options.Programs}
+	defer s.close()
+	steps := []struct {
+		says string
+		act  func() error
+	}{
+		{"", func() error { return s.work(options.Keep) }},
+		{"starting stand-in replicas and a platform list", s.startReplicas},
+		{"starting control planes and data planes", func() error { return s.startDaemons(options.Controls) }},
+		{"sending the configuration", func() error { return s.configure(ctx) }},
+		{"waiting for the data planes to be ready", func() error { return s.awaitReady(ctx) }},
+	}
+	for _, step := range steps {
+		if step.says != "" {
+			fmt.Fprintln(options.Progress, step.says)
+		}
+		if err := step.act(); err != nil {
+			return result, err
+		}
+	}
+	fmt.Fprintf(options.Progress, "sending %d streams\n", options.Streams)
+	result = Result{Controls: s.controls, Edges: s.edges, Streams: s.send(ctx, options.Streams)}
+	if ctx.Err() != nil {
+		return result, ctx.Err()
+	}
+	if err := result.write(options); err != nil {
+		return result, err
+	}
+	if options.Stay {
+		s.invite(options.Progress)
+		<-ctx.Done()
+		return result, nil
+	}
+	return result, result.fault()
+}
+
+func (s *scene) send(ctx context.Context, amount int) []Served {
+	served := make([]Served, amount)
+	places := make(chan struct{}, atOnce)
+	var group sync.WaitGroup
+	for number := range served {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			wanted := s.plan.Streams[number%len(s.plan.Streams)]
+			served[number] = ask(ctx, http.DefaultClient, number+1, s.edges[number%len(s.edges)], s.host(), wanted)
+		})
+	}
+	group.Wait()
+	return served
+}
+
+func (s *scene) host() string { return s.plan.layout.Routes[0].Hostname }
+
+func (r Result) fault() error {
+	broken := 0
+	for _, one := range r.Streams {
+		if !one.Whole {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d streams were not served whole", broken, len(r.Streams))
+	}
+	return nil
+}
+
+func (r Result) write(options Options) error {
+	if options.JSON {
+		return json.NewEncoder(options.Out).Encode(r)
+	}
+	table := tabwriter.NewWriter(options.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "stream\tpath\tmodel\tdata plane\treplica\tstatus\tfirst event ms\tevents\ttook ms\t")
+	for _, one := range r.Streams {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%d\t%.1f\t%d of %d\t%.1f\t%s\n", one.Number, one.Path, one.Model, one.DataPlane, one.Replica, one.Status, one.FirstMs, one.Events, one.Expected, one.TookMs, one.Problem)
+	}
+	return table.Flush()
+}
+
+func (s *scene) invite(to io.Writer) {
+	wanted := s.plan.Streams[0]
+	fmt.Fprintf(to, "\nall of it stays up; Ctrl-C ends it. Try:\n\n")
+	fmt.Fprintf(to, "  curl -N http://%s%s -H 'Host: %s'", s.edges[0], wanted.Path, s.host())
+	own := headers(wanted, "mine-1")
+	for _, name := range slices.Sorted(maps.Keys(own)) {
+		fmt.Fprintf(to, " -H '%s: %s'", name, own[name])
+	}
+	fmt.Fprintf(to, " -d 'say something'\n")
+	for _, command := range []string{"status", "layout", "drain east", "undrain east"} {
+		fmt.Fprintf(to, "  %s/ferryspar-operator -c %s %s\n", s.programs, s.controls[0], command)
+	}
+	fmt.Fprintf(to, "  curl http://%s/replicas\n\n", s.platform)
+}
--- /dev/null
+++ b/internal/emulator/demo/demo_test.go
@@ -0,0 +1,64 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	built, err := exec.Command("go", "build", "-buildvcs=false", "-o", folder, "ferryspar/cmd/"+controlProgram, "ferryspar/cmd/"+dataProgram).CombinedOutput()
+	assert.NilError(t, err, "%s", built)
+	return folder
+}
+
+func TestGivenBothProgramsThenTheDemoServesEveryStreamAndLeavesNothingBehind(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	planned, err := readPlan()
+	assert.NilError(t, err)
+	var table bytes.Buffer
+	result, err := Run(ctx, Options{Programs: buildPrograms(t), Controls: 1, Streams: len(planned.Streams), Out: &table, Progress: io.Discard})
+	assert.NilError(t, err, "%s", table.String())
+	for number, one := range result.Streams {
+		assert.Assert(t, one.Whole && one.Replica != "" && one.FirstMs > 0, "%+v", one)
+		assert.Equal(t, one.Model, planned.Streams[number].Model)
+	}
+	assert.Equal(t, strings.Count(table.String(), "\n"), len(planned.Streams)+1)
+	for _, address := range append(result.Controls, result.Edges...) {
+		assert.Assert(t, !isReady(ctx, address), "%s must be gone", address)
+	}
+}
+
+func TestGivenNoProgramsThenTheDemoSaysWhatToBuild(t *testing.T) {
+	_, err := Run(t.Context(), Options{Programs: t.TempDir(), Controls: 1, Streams: 1, Out: io.Discard, Progress: io.Discard})
+	assert.ErrorContains(t, err, "build it beside this program")
+}
+
+func TestGivenAnInterruptThenTheDemoThatStaysUpEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	told := &teller{awaited: "Ctrl-C ends it", act: cancel}
+	_, err := Run(ctx, Options{Programs: buildPrograms(t), Controls: 1, Streams: 1, Stay: true, Out: io.Discard, Progress: told})
+	assert.NilError(t, err)
+	assert.Assert(t, ctx.Err() != nil, "it stayed until it was told to end")
+}
+
+type teller struct {
+	awaited string
+	act     func()
+}
+
+func (t *teller) Write(content []byte) (int, error) {
+	if bytes.Contains(content, []byte(t.awaited)) {
+		t.act()
+	}
+	return len(content), nil
+}
--- /dev/null
+++ b/internal/emulator/demo/scene.go
@@ -0,0 +1,191 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/emulator/standin"
+	"ferryspar/internal/operator"
+	"ferryspar/internal/platform"
+)
+
+type scene struct {
+	plan     plan
+	programs string
+	folder   string
+	internal int
+	controls []string
+	edges    []string
+	ready    []string
+	platform string
+	children []*child
+	cleanup  []func()
+}
+
+func (s *scene) later(act func()) { s.cleanup = append(s.cleanup, act) }
+
+func (s *scene) close() {
+	for position := len(s.cleanup) - 1; position >= 0; position-- {
+		s.cleanup[position]()
+	}
+	s.cleanup = nil
+}
+
+func (s *scene) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "loopback")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	s.later(func() { server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (s *scene) startReplicas() error {
+	backend := s.plan.layout.Backends[0]
+	list := &standin.List{PageSize: 3}
+	for _, planned := range s.plan.Replicas {
+		listed := platform.Replica{ID: planned.ID, Area: planned.Area, Revision: "v1"}
+		one := standin.NewReplica(listed, backend, standin.DefaultPace(), planned.Models...)
+		address, err := s.serve(one.Routes(backend.HealthPath))
+		if err != nil {
+			return err
+		}
+		one.SetAddress(address)
+		list.Replicas = append(list.Replicas, one)
+	}
+	address, err := s.serve(list)
+	s.platform = address
+	return err
+}
+
+func (s *scene) startDaemons(controls int) error {
+	hosts := make([]string, controls)
+	for number := range hosts {
+		hosts[number] = loopback(number + 1)
+	}
+	port, err := freePort(hosts...)
+	if err != nil {
+		return err
+	}
+	s.internal = port
+	for _, host := range hosts {
+		address, err := freeAddress(host)
+		if err != nil {
+			return err
+		}
+		s.controls = append(s.controls, address)
+	}
+	for number, host := range hosts {
+		name := fmt.Sprintf("control-%d", number+1)
+		area := s.plan.DataPlanes[number%len(s.plan.DataPlanes)]
+		one := daemon{name: name, host: host, area: area, bind: map[string]any{"controlPlane": s.controls[number]}, dataPath: name}
+		if err := s.start(controlProgram, one); err != nil {
+			return err
+		}
+	}
+	for number, area := range s.plan.DataPlanes {
+		edge, err := freeAddress(loopback(1))
+		if err != nil {
+			return err
+		}
+		ready, err := freeAddress(loopback(1))
+		if err != nil {
+			return err
+		}
+		s.edges, s.ready = append(s.edges, edge), append(s.ready, ready)
+		one := daemon{name: fmt.Sprintf("data-%d", number+1), host: loopback(1), area: area, bind: map[string]any{"dataPlane": edge, "readiness": ready}}
+		if err := s.start(dataProgram, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scene) start(program string, one daemon) error {
+	settings, err := s.settings(one)
+	if err != nil {
+		return errors.Wrap(err, "settings of "+one.name)
+	}
+	begun, err := startChild(s.programs, s.folder, program, one.name, settings)
+	if err != nil {
+		return err
+	}
+	s.children = append(s.children, begun)
+	s.later(begun.end)
+	return nil
+}
+
+func (s *scene) configure(ctx context.Context) error {
+	caller := &operator.Caller{Addresses: s.controls, Client: operator.NewClient(), Patience: 2 * time.Second, Bound: 15 * time.Second}
+	outcome, err := caller.Call(ctx, http.MethodPut, "/ferryspar/config", "0", configuration)
+	if err != nil {
+		return s.explain(errors.Wrap(err, "configuration"))
+	}
+	if outcome.Status != http.StatusOK {
+		return s.explain(errors.Errorf("configuration answered with %d: %s", outcome.Status, outcome.Body))
+	}
+	return nil
+}
+
+const (
+	readyBound = 15 * time.Second
+	readyPause = 50 * time.Millisecond
+)
+
+func (s *scene) awaitReady(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	for _, address := range s.ready {
+		for !isReady(bounded, address) {
+			select {
+			case <-bounded.Done():
+				return s.explain(errors.Errorf("data plane %s is not ready in time", address))
+			case <-time.After(readyPause):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, address string) bool {
+	order, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ferryspar/readyz", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := http.DefaultClient.Do(order)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+func (s *scene) explain(err error) error {
+	for _, one := range s.children {
+		if !one.alive() {
+			err = errors.Wrapf(err, "%s has ended: %s", one.name, one.tail())
+		}
+	}
+	return err
+}
+
+func (s *scene) work(keep string) error {
+	if keep != "" {
+		s.folder = keep
+		return errors.Wrap(os.MkdirAll(keep, 0o700), "folder")
+	}
+	folder, err := os.MkdirTemp("", "ferryspar-demo-")
+	s.folder = folder
+	s.later(func() { os.RemoveAll(folder) })
+	return errors.Wrap(err, "temporary folder")
+}
--- /dev/null
+++ b/internal/emulator/demo/settings.go
@@ -0,0 +1,34 @@
+package demo
+
+import (
+	"path/filepath"
+
+	"github.com/knadh/koanf/parsers/toml/v2"
+)
+
+type daemon struct {
+	name     string
+	host     string
+	area     string
+	bind     map[string]any
+	dataPath string
+}
+
+func (s *scene) settings(one daemon) ([]byte, error) {
+	areas := map[string]any{}
+	for area, region := range s.plan.Areas {
+		areas[area] = region
+	}
+	tree := map[string]any{
+		"nodeName": one.name, "ipAddress": one.host, "zone": one.area, "region": s.plan.Areas[one.area], "bootstrap": true,
+		"internalPorts": []int{s.internal, s.internal}, "seedNodes": s.controls, "zones": areas, "bindAddresses": one.bind,
+		"limits":         map[string]any{"cpuCores": 2},
+		"faultTolerance": map[string]any{"machineLoss": len(s.controls) / 2},
+		"timingBounds":   map[string]any{"graceS": 1.0, "retryBudgetRatio": 0.2, "retryBudgetSlack": 50.0},
+		"cloudApi":       map[string]any{"address": s.platform, "ratePerS": 40.0, "maxLagMs": 200.0},
+	}
+	if one.dataPath != "" {
+		tree["dataDir"] = filepath.Join(s.folder, one.dataPath)
+	}
+	return toml.Parser().Marshal(tree)
+}
--- /dev/null
+++ b/internal/emulator/standin/list.go
@@ -0,0 +1,38 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"ferryspar/internal/platform"
+)
+
+type List struct {
+	Replicas []*Replica
+	PageSize int
+}
+
+func (l *List) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != "/replicas" {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	query := request.URL.Query()
+	entries := []platform.Replica{}
+	for _, one := range l.Replicas {
+		if entry := one.Entry(); query.Get("zone") == "" || query.Get("zone") == entry.Area {
+			entries = append(entries, entry)
+		}
+	}
+	start, _ := strconv.Atoi(query.Get("pageToken"))
+	start = min(max(start, 0), len(entries))
+	end := min(start+max(l.PageSize, 1), len(entries))
+	page := platform.Page{Instances: entries[start:end]}
+	if end < len(entries) {
+		next := strconv.Itoa(end)
+		page.NextToken = &next
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(page)
+}
--- /dev/null
+++ b/internal/emulator/standin/serve.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"ferryspar/internal/match"
+	"ferryspar/internal/replica"
+)
+
+type refusal struct {
+	status   int
+	neverRan bool
+}
+
+func (r *Replica) serve(writer http.ResponseWriter, request *http.Request) {
+	reference := request.Header.Get(replica.HeaderModel)
+	parts, sound := match.ParsePrefix(request.Header.Get(replica.HeaderPrefix))
+	prompt, output, counted := match.ParseTokens(request.Header.Get(replica.HeaderTokens))
+	if !sound || !counted || request.Header.Get(replica.HeaderAttempt) == "" {
+		writer.Header().Set(replica.HeaderNotExecuted, "1")
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	unread, refused := r.begin(reference, parts, prompt)
+	if refused != nil {
+		if refused.neverRan {
+			writer.Header().Set(replica.HeaderNotExecuted, "1")
+		}
+		writer.WriteHeader(refused.status)
+		return
+	}
+	defer r.end()
+	from, _ := strconv.Atoi(request.Header.Get(replica.HeaderLastEvent))
+	writer.Header().Set(replica.HeaderSeal, r.listed.ID+"."+strconv.FormatInt(time.Now().UnixMilli(), 36))
+	writer.Header().Set("Content-Type", "text/event-stream")
+	if !pause(request, r.pace.Base+time.Duration(unread/1000*float64(r.pace.ReadPerThousand))) {
+		return
+	}
+	for number := from + 1; number <= max(int(output), 1); number++ {
+		fmt.Fprintf(writer, "id: %d\ndata: %s says word %d\n\n", number, reference, number)
+		if http.NewResponseController(writer).Flush() != nil || !pause(request, r.step()) {
+			return
+		}
+	}
+}
+
+func pause(request *http.Request, length time.Duration) bool {
+	schedule := time.NewTimer(length)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
+
+func (r *Replica) begin(reference string, parts []match.Part, prompt float64) (float64, *refusal) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.changing != "" && (reference == r.changing || strings.HasPrefix(reference, r.changing+"/")) {
+		return 0, &refusal{http.StatusServiceUnavailable, true}
+	}
+	if !r.held[reference] {
+		return 0, &refusal{http.StatusMisdirectedRequest, true}
+	}
+	if r.active >= r.runtime.Slots {
+		return 0, &refusal{http.StatusServiceUnavailable, true}
+	}
+	r.active++
+	unread, together := prompt, true
+	for position, dialogue := range match.Dialogues(parts) {
+		name := fmt.Sprintf("%s %x", reference, dialogue)
+		if together = together && r.kept[name]; together {
+			unread -= parts[position].Tokens
+		}
+		r.kept[name] = true
+	}
+	return max(unread, 0), nil
+}
+
+func (r *Replica) end() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.active--
+}
+
+func (r *Replica) step() time.Duration {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	crowd := float64(r.active) / float64(max(r.runtime.Slots, 1))
+	return time.Duration(float64(r.pace.Event) * (1 + r.pace.Crowding*crowd))
+}
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"ferryspar/internal/emulator/standin"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
 )
@@ -27,7 +28,7 @@
 type standInReplica struct {
 	lock      sync.Mutex
 	listed    platform.Replica
-	models    map[string]bool
+	models    standin.Holdings
 	runs      []arrival
 	orders    []ordered
 	sequence  int64
@@ -41,36 +42,16 @@
 }
 
 func newStandInReplica(id, host, area string, models ...string) *standInReplica {
-	stand := &standInReplica{models: map[string]bool{}, events: 5, loadTime: 2 * time.Second}
+	stand := &standInReplica{models: standin.NewHoldings(models...), events: 5, loadTime: 2 * time.Second}
 	stand.listed = platform.Replica{ID: id, Backend: serviceName, Address: host + ":8080", Area: area, Revision: "v1", Slots: 8, State: "ready"}
-	for _, model := range models {
-		stand.models[model] = true
-	}
 	return stand
 }
 
-func (s *standInReplica) held() []platform.Held {
-	var list []platform.Held
-	for reference := range s.models {
-		if strings.Contains(reference, "/") {
-			continue
-		}
-		one := platform.Held{Name: reference, Revision: 1, Adapters: []string{}}
-		for other := range s.models {
-			if model, adapter, found := strings.Cut(other, "/"); found && model == reference {
-				one.Adapters = append(one.Adapters, adapter)
-			}
-		}
-		list = append(list, one)
-	}
-	return list
-}
-
 func (s *standInReplica) entry() platform.Replica {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	listed := s.listed
-	listed.Models = s.held()
+	listed.Models = s.models.List()
 	return listed
 }
 
@@ -102,7 +83,7 @@
 
 func (s *standInReplica) report(writer http.ResponseWriter, request *http.Request) {
 	s.lock.Lock()
-	state := replica.State{Phase: "unified", Models: s.held(), Busy: time.Now().Before(s.busyUntil), Sequence: s.sequence}
+	state := replica.State{Phase: "unified", Models: s.models.List(), Busy: time.Now().Before(s.busyUntil), Sequence: s.sequence}
 	s.lock.Unlock()
 	_ = json.NewEncoder(writer).Encode(state)
 }
@@ -145,11 +126,7 @@
 		defer s.lock.Unlock()
 		s.models[reference] = true
 		if !load {
-			for held := range s.models {
-				if held == reference || strings.HasPrefix(held, reference+"/") {
-					delete(s.models, held)
-				}
-			}
+			s.models.Drop(reference)
 		}
 	})
 	writer.WriteHeader(http.StatusAccepted)
