Emulated fleets in made-up time drive the real matcher and placement

A seeded event loop with emulated replicas (batch steps, prompt reading, kept parts, loads from store and disk), platform list with lag, links between zones and regions, clients with sessions and retries, several data planes that exchange pressures, and a control plane that calls the real plan. Zones and regions are lost and come back; replicas crash and slow down. Tests: every order ends once, slots, memory and room are kept, long reports exactly once through a region's loss, the same seed gives the same bytes, Little's law.

--- /dev/null
+++ b/internal/emulator/check.go
@@ -0,0 +1,128 @@
+package emulator
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+type rule struct {
+	wrong   bool
+	message string
+}
+
+func (s Scenario) Check() error {
+	rules := []rule{
+		{s.LengthS <= 0 || s.LengthS > 3600, "lengthS must lie above 0 and at most 3600"},
+		{s.WarmS < 0 || s.WarmS >= s.LengthS, "warmS must be at least 0 and below lengthS"},
+		{s.BucketS <= 0, "bucketS must be above 0"},
+		{len(s.Areas) == 0, "zones names none"},
+		{len(s.Classes) == 0, "classes names none"},
+		{s.Links.AreaMs < 0 || s.Links.RegionMs < 0 || s.Links.FarMs < 0, "links must not be below 0"},
+		{s.Replica.Slots < 1, "replica.slots must be at least 1"},
+		{s.Replica.QueuePlaces < 0, "replica.queuePlaces must be at least 0"},
+		{s.Replica.KvCacheTokens <= 0, "replica.kvCacheTokens must be above 0"},
+		{s.Replica.StepMs <= 0, "replica.stepMs must be above 0"},
+		{s.Replica.ChunkTokens <= 0, "replica.chunkTokens must be above 0"},
+		{s.Replica.ReadMs < 0 || s.Replica.Crowding < 0 || s.Replica.Spread < 0, "replica.readMsPerThousand, crowding and spread must not be below 0"},
+		{s.Replica.ColdFactor < 1, "replica.coldFactor must be at least 1"},
+		{s.Models.Count < 1, "models.count must be at least 1"},
+		{s.Models.PerReplica < 1, "models.perReplica must be at least 1"},
+		{s.Models.Zipf < 0, "models.zipf must not be below 0"},
+		{s.Models.LoadTimeS <= 0 || s.Models.LoadsPerS <= 0 || s.Models.LoadsAtOnce < 1, "models.loadTimeS, loadsPerS and loadsAtOnce must be above 0"},
+		{s.Traffic.Record == "" && s.Traffic.PerS <= 0, "traffic.perS must be above 0"},
+		{s.Traffic.Turns < 1, "traffic.turns must be at least 1"},
+		{s.Traffic.BurstFactor < 1, "traffic.burstFactor must be at least 1"},
+		{s.Traffic.BurstEveryS > 0 && s.Traffic.BurstLengthS >= s.Traffic.BurstEveryS, "traffic.burstLengthS must be below burstEveryS"},
+		{s.Platform.RefreshMs <= 0, "platform.refreshMs must be above 0"},
+		{s.Placement.Copies != CopiesSpread && s.Placement.Copies != CopiesPacked, fmt.Sprintf("placement.copies must be %q or %q, not %q", CopiesSpread, CopiesPacked, s.Placement.Copies)},
+		{s.Placement.BusyShare < 0 || s.Placement.BusyShare > 1, "placement.busyShare must lie between 0 and 1"},
+		{s.Parameters.BatchSize < 1, "parameters.batchSize must be at least 1"},
+		{s.Parameters.Delta < 0 || s.Parameters.Delta > 1, "parameters.delta must lie between 0 and 1"},
+	}
+	rules = append(rules, s.areaRules()...)
+	rules = append(rules, s.classRules()...)
+	rules = append(rules, s.troubleRules()...)
+	var wrong []string
+	for _, one := range rules {
+		if one.wrong {
+			wrong = append(wrong, one.message)
+		}
+	}
+	if len(wrong) > 0 {
+		return errors.New(strings.Join(wrong, "; "))
+	}
+	return nil
+}
+
+func (s Scenario) areaRules() []rule {
+	var rules []rule
+	names, edges, replicas, clients := map[string]bool{}, 0, 0, 0.0
+	for _, area := range s.Areas {
+		rules = append(rules,
+			rule{area.Name == "" || names[area.Name], fmt.Sprintf("zones: name %q is missing or stands twice", area.Name)},
+			rule{area.Region == "", fmt.Sprintf("zones %q: region is missing", area.Name)},
+			rule{area.Edges < 0 || area.Replicas < 0 || area.Clients < 0, fmt.Sprintf("zones %q: dataPlanes, replicas and clients must not be below 0", area.Name)},
+		)
+		names[area.Name] = true
+		edges, replicas, clients = edges+area.Edges, replicas+area.Replicas, clients+area.Clients
+	}
+	return append(rules,
+		rule{len(s.Areas) > 0 && (edges == 0 || replicas == 0 || clients <= 0), "zones need a data plane, a replica and clients"},
+		rule{replicas > 0 && s.Models.Count > replicas*s.Models.PerReplica, "models.count is above what all replicas hold together"},
+	)
+}
+
+func (s Scenario) classRules() []rule {
+	var rules []rule
+	names, total, regions := map[string]bool{}, 0.0, map[string]bool{}
+	for _, area := range s.Areas {
+		regions[area.Region] = true
+	}
+	for _, class := range s.Classes {
+		says := func(text string) string { return fmt.Sprintf("classes %q: %s", class.Name, text) }
+		rules = append(rules,
+			rule{class.Name == "" || names[class.Name], says("name is missing or stands twice")},
+			rule{class.Share < 0, says("share must not be below 0")},
+			rule{class.AimMs <= 0 || class.TimeoutMs <= 0 || class.GapMs <= 0, says("aimMs, timeoutMs and tokenGapMs must be above 0")},
+			rule{class.Tries < 1 || class.RetryCount < 1, says("tries and retryCount must be at least 1")},
+			rule{class.Prompt.Median <= 0 || class.Output.Median <= 0, says("prompt.median and output.median must be above 0")},
+			rule{class.Prompt.Sigma < 0 || class.Output.Sigma < 0, says("sigma must not be below 0")},
+			rule{class.Prompt.Most < class.Prompt.Median || class.Output.Most < class.Output.Median, says("prompt.most and output.most must not be below the median")},
+		)
+		for _, home := range class.Homes {
+			rules = append(rules, rule{!regions[home], says(fmt.Sprintf("allowedRegions names %q, which has no zone", home))})
+		}
+		names[class.Name] = true
+		total += class.Share
+	}
+	return append(rules, rule{len(s.Classes) > 0 && total <= 0, "classes have no share above 0"})
+}
+
+func (s Scenario) troubleRules() []rule {
+	var rules []rule
+	areas, regions, replicas := map[string]bool{}, map[string]bool{}, 0
+	for _, area := range s.Areas {
+		areas[area.Name], regions[area.Region] = true, true
+		replicas += area.Replicas
+	}
+	for _, loss := range s.Losses {
+		rules = append(rules,
+			rule{(loss.Area == "") == (loss.Region == ""), "losses: name either a zone or a region"},
+			rule{loss.Area != "" && !areas[loss.Area], fmt.Sprintf("losses: unknown zone %q", loss.Area)},
+			rule{loss.Region != "" && !regions[loss.Region], fmt.Sprintf("losses: unknown region %q", loss.Region)},
+			rule{loss.BackS != 0 && loss.BackS <= loss.AtS, "losses: backS must be after atS, or 0 for never"},
+		)
+	}
+	for _, crash := range s.Crashes {
+		rules = append(rules, rule{crash.Replica < 1 || crash.Replica > replicas, fmt.Sprintf("crashes: there is no replica %d", crash.Replica)})
+	}
+	for _, slow := range s.Slowdowns {
+		rules = append(rules,
+			rule{slow.Replica < 1 || slow.Replica > replicas, fmt.Sprintf("slowdowns: there is no replica %d", slow.Replica)},
+			rule{slow.Factor < 1 || slow.BackS <= slow.AtS, "slowdowns: factor must be at least 1 and backS after atS"},
+		)
+	}
+	return rules
+}
--- /dev/null
+++ b/internal/emulator/loading.go
@@ -0,0 +1,87 @@
+package emulator
+
+import (
+	"strings"
+	"time"
+
+	"ferryspar/internal/place"
+)
+
+type change struct {
+	action  place.Action
+	waiting bool
+	done    func(held bool)
+}
+
+func (c *change) touches(model string) bool {
+	return model == c.action.Model || strings.HasPrefix(model, c.action.Model+"/")
+}
+
+const (
+	adapterTime = 30 * time.Millisecond
+	unloadTime  = 100 * time.Millisecond
+	diskShare   = 0.2
+)
+
+func (s *server) take(action place.Action, done func(held bool)) bool {
+	if s.change != nil {
+		return false
+	}
+	s.change = &change{action: action, done: done}
+	if !action.Load {
+		s.change.waiting = true
+		s.unloadIfIdle()
+		return true
+	}
+	s.world.checkRoom(s, action.Model)
+	taking := adapterTime
+	if !strings.Contains(action.Model, "/") {
+		taking = s.loadTime(action.Model)
+	}
+	s.world.agenda.After(taking, func() {
+		if !s.dead {
+			s.held[action.Model], s.machine.before[action.Model] = true, true
+			s.changed()
+		}
+	})
+	return true
+}
+
+func (s *server) loadTime(model string) time.Duration {
+	models := s.world.scenario.Models
+	busy := 1 + 0.5*float64(len(s.running))/float64(s.world.scenario.Replica.Slots)
+	taking := models.LoadTimeS * busy
+	if s.machine.before[model] {
+		s.world.observer.loaded(false)
+		return seconds(taking * diskShare)
+	}
+	s.world.observer.loaded(true)
+	store := &s.world.storeLoads
+	*store++
+	crowd := max(float64(*store)/float64(models.LoadsAtOnce), 1)
+	whole := seconds(taking * crowd)
+	s.world.agenda.After(whole, func() { *store-- })
+	return whole
+}
+
+func (s *server) unloadIfIdle() {
+	if s.change == nil || !s.change.waiting || s.uses(s.change.action.Model) {
+		return
+	}
+	s.change.waiting = false
+	s.world.agenda.After(unloadTime, func() {
+		if s.dead {
+			return
+		}
+		s.held.Drop(s.change.action.Model)
+		s.memory.dropModel(s.change.touches)
+		s.changed()
+	})
+}
+
+func (s *server) changed() {
+	done := s.change.done
+	s.change = nil
+	s.world.listLater(s)
+	done(true)
+}
--- /dev/null
+++ b/internal/emulator/recorded.go
@@ -0,0 +1,64 @@
+package emulator
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"os"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"ferryspar/internal/match"
+	"ferryspar/internal/record"
+)
+
+func recorded(scenario Scenario) ([]Request, error) {
+	file, err := os.Open(scenario.Traffic.Record)
+	if err != nil {
+		return nil, errors.Wrap(err, "traffic.record")
+	}
+	defer file.Close()
+	entries, _, err := record.Read(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "traffic.record")
+	}
+	return fromRecord(scenario, entries)
+}
+
+func fromRecord(scenario Scenario, entries []record.Entry) ([]Request, error) {
+	from := source(scenario.Seed, streamTraffic)
+	chance := rand.New(from)
+	areas := distuv.NewCategorical(weights(scenario.Areas, func(a Area) float64 { return a.Clients }), from)
+	models, classes, next := map[string]string{}, map[string]int{}, 0
+	var requests []Request
+	for _, entry := range entries {
+		if entry.Kind != record.KindOrder || entry.AtMs < 0 || entry.AtMs >= scenario.LengthS*1000 {
+			continue
+		}
+		if _, known := models[entry.Model]; !known {
+			models[entry.Model] = modelName(len(models) % scenario.Models.Count)
+		}
+		if _, known := classes[entry.Route]; !known {
+			classes[entry.Route] = slices.IndexFunc(scenario.Classes, func(class Class) bool { return class.Name == entry.Route })
+			if classes[entry.Route] < 0 {
+				classes[entry.Route] = next % len(scenario.Classes)
+				next++
+			}
+		}
+		parts, sound := match.ParsePrefix(entry.Prefix)
+		if !sound {
+			return nil, errors.Errorf("traffic.record: prefix %q cannot be read", entry.Prefix)
+		}
+		requests = append(requests, Request{
+			At: milliseconds(entry.AtMs), Class: classes[entry.Route], Area: int(areas.Rand()), Model: models[entry.Model],
+			Parts: parts, Prompt: max(entry.Prompt, tokens(parts)), Output: max(int(entry.Output), 1), Draw: chance.Float64(),
+		})
+	}
+	slices.SortStableFunc(requests, func(one, other Request) int { return cmp.Compare(one.At, other.At) })
+	for number := range requests {
+		requests[number].Number = number
+	}
+	return requests, nil
+}
--- /dev/null
+++ b/internal/emulator/traffic.go
@@ -0,0 +1,157 @@
+package emulator
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"ferryspar/internal/match"
+)
+
+type Request struct {
+	Number int
+	At     time.Duration
+	Class  int
+	Area   int
+	Model  string
+	Parts  []match.Part
+	Prompt float64
+	Output int
+	Draw   float64
+}
+
+const (
+	streamTraffic = iota + 1
+	streamReplicas
+)
+
+func source(seed, stream uint64) rand.Source { return rand.NewPCG(seed, stream) }
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
+
+func modelName(number int) string { return fmt.Sprintf("model-%02d", number+1) }
+
+func popularity(models Models) []float64 {
+	weights := make([]float64, models.Count)
+	total := 0.0
+	for number := range weights {
+		weights[number] = math.Pow(float64(number+1), -models.Zipf)
+		total += weights[number]
+	}
+	for number := range weights {
+		weights[number] /= total
+	}
+	return weights
+}
+
+func (s Size) draw(from rand.Source) float64 {
+	if s.Sigma == 0 {
+		return s.Median
+	}
+	drawn := distuv.LogNormal{Mu: math.Log(s.Median), Sigma: s.Sigma, Src: from}.Rand()
+	return math.Round(min(max(drawn, 1), s.Most))
+}
+
+func (t Traffic) rate(at float64) float64 {
+	if t.BurstEveryS > 0 && math.Mod(at, t.BurstEveryS) >= t.BurstEveryS-t.BurstLengthS {
+		return t.PerS * t.BurstFactor
+	}
+	return t.PerS
+}
+
+func weights[T any](items []T, weight func(T) float64) []float64 {
+	found := make([]float64, len(items))
+	for index, item := range items {
+		found[index] = weight(item)
+	}
+	return found
+}
+
+type generator struct {
+	scenario Scenario
+	from     rand.Source
+	chance   *rand.Rand
+	classes  distuv.Categorical
+	areas    distuv.Categorical
+	models   distuv.Categorical
+	part     uint64
+	requests []Request
+}
+
+func generate(scenario Scenario) []Request {
+	from := source(scenario.Seed, streamTraffic)
+	g := &generator{
+		scenario: scenario, from: from, chance: rand.New(from),
+		classes: distuv.NewCategorical(weights(scenario.Classes, func(c Class) float64 { return c.Share }), from),
+		areas:   distuv.NewCategorical(weights(scenario.Areas, func(a Area) float64 { return a.Clients }), from),
+		models:  distuv.NewCategorical(popularity(scenario.Models), from),
+		part:    uint64(scenario.Models.Count),
+	}
+	traffic := scenario.Traffic
+	fastest := traffic.PerS * traffic.BurstFactor / traffic.Turns
+	gap := distuv.Exponential{Rate: fastest, Src: from}
+	for at := gap.Rand(); at < scenario.LengthS; at += gap.Rand() {
+		if g.chance.Float64()*traffic.BurstFactor*traffic.PerS <= traffic.rate(at) {
+			g.session(at)
+		}
+	}
+	slices.SortStableFunc(g.requests, func(one, other Request) int { return cmp.Compare(one.At, other.At) })
+	for number := range g.requests {
+		g.requests[number].Number = number
+	}
+	return g.requests
+}
+
+func (g *generator) session(at float64) {
+	class, area, number := int(g.classes.Rand()), int(g.areas.Rand()), int(g.models.Rand())
+	model := modelName(number)
+	if adapters := g.scenario.Models.Adapters; number == 0 && adapters > 0 && g.chance.Float64() < adapterShare {
+		model = fmt.Sprintf("%s/a%d", model, 1+g.chance.IntN(adapters))
+	}
+	kind := g.scenario.Classes[class]
+	parts := []match.Part{{ID: uint64(number) + 1, Tokens: g.scenario.Models.SharedTokens}}
+	think := distuv.Exponential{Rate: 1 / max(g.scenario.Traffic.ThinkS, 0.01), Src: g.from}
+	for at < g.scenario.LengthS {
+		output := kind.Output.draw(g.from)
+		g.part++
+		parts = append(slices.Clone(parts), match.Part{ID: g.part, Tokens: kind.Prompt.draw(g.from)})
+		g.requests = append(g.requests, Request{
+			At: seconds(at), Class: class, Area: area, Model: model, Parts: parts, Prompt: tokens(parts), Output: int(output), Draw: g.chance.Float64(),
+		})
+		parts = append(slices.Clone(parts), match.Part{ID: g.part + answerMark, Tokens: output})
+		if g.chance.Float64() < 1/g.scenario.Traffic.Turns || tokens(parts) > g.scenario.Replica.KvCacheTokens*longestShare {
+			return
+		}
+		at += think.Rand()
+	}
+}
+
+const (
+	adapterShare = 0.5
+	answerMark   = 1 << 40
+	longestShare = 0.2
+)
+
+func tokens(parts []match.Part) float64 {
+	total := 0.0
+	for _, part := range parts {
+		total += part.Tokens
+	}
+	return total
+}
+
+func requestsOf(scenario Scenario) ([]Request, error) {
+	if scenario.Traffic.Record == "" {
+		return generate(scenario), nil
+	}
+	return recorded(scenario)
+}
--- /dev/null
+++ b/internal/emulator/world_test.go
@@ -0,0 +1,163 @@
+package emulator
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func sample(seed uint64) Scenario {
+	s := Defaults()
+	s.Seed, s.LengthS, s.WarmS = seed, 60, 10
+	s.Areas = []Area{
+		{Name: "n1", Region: "north", Edges: 2, Replicas: 4, Clients: 1},
+		{Name: "n2", Region: "north", Edges: 1, Replicas: 3, Clients: 1},
+		{Name: "s1", Region: "south", Edges: 2, Replicas: 4, Clients: 1},
+	}
+	s.Traffic = Traffic{PerS: 14, BurstEveryS: 20, BurstLengthS: 3, BurstFactor: 2, Turns: 3, ThinkS: 5}
+	s.Classes = []Class{
+		{Name: "quick", Share: 0.6, AimMs: 600, TimeoutMs: 15000, GapMs: 300, Priority: 1, RetryCount: 2, Tries: 4,
+			Prompt: Size{Median: 400, Sigma: 0.7, Most: 3000}, Output: Size{Median: 40, Sigma: 0.5, Most: 200}},
+		{Name: "report", Share: 0.4, AimMs: 8000, TimeoutMs: 45000, GapMs: 300, Resumable: true, RetryCount: 2, Tries: 6,
+			Prompt: Size{Median: 900, Sigma: 0.6, Most: 4000}, Output: Size{Median: 200, Sigma: 0.5, Most: 600}},
+	}
+	return s
+}
+
+func play(t *testing.T, scenario Scenario) Result {
+	t.Helper()
+	world, err := NewWorld(scenario)
+	assert.NilError(t, err)
+	return world.Run()
+}
+
+func troubled(seed uint64) Scenario {
+	scenario := sample(seed)
+	scenario.Losses = []Loss{{Region: "south", AtS: 25, BackS: 45}, {Area: "n2", AtS: 50, BackS: 55, Closed: true}}
+	scenario.Crashes = []Crash{{AtS: 15, Replica: 1, RestartS: 5}, {AtS: 30, Replica: 5}}
+	scenario.Slowdowns = []Slowdown{{AtS: 12, BackS: 22, Replica: 2, Factor: 6}}
+	return scenario
+}
+
+func TestGivenAnyTroublesThenEachOrderEndsOnceAndNoBoundIsCrossed(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		world, err := NewWorld(troubled(seed))
+		assert.NilError(t, err)
+		result := world.Run()
+		assert.DeepEqual(t, result.Faults, []string{})
+		offered, buckets := 0, 0
+		for _, class := range result.Classes {
+			ended := 0
+			for _, amount := range class.Outcomes {
+				ended += amount
+			}
+			assert.Equal(t, ended, class.Offered, class.Name)
+			assert.Equal(t, class.Outcomes["served"] >= class.InTime && class.InTime > 0, true, class.Name)
+			for _, bucket := range class.Buckets {
+				buckets += bucket.Offered
+			}
+			offered += class.Offered
+		}
+		assert.Equal(t, offered, len(world.calls))
+		assert.Equal(t, buckets, offered)
+		assert.Assert(t, result.Samples[len(result.Samples)-1].Disk > 0, "what returned is loaded from its own disk")
+		for _, one := range world.servers {
+			if !one.dead {
+				assert.Equal(t, len(one.queue)+len(one.running), 0)
+				assert.Assert(t, one.memory.reserved < 1e-6, "%s keeps %f reserved", one.id, one.memory.reserved)
+			}
+		}
+		for _, one := range world.edges {
+			assert.Equal(t, len(one.waiting)+one.matcher.Waiting(), 0)
+		}
+	}
+}
+
+func TestGivenARegionsLossThenLongReportsReachTheirClientsExactlyOnce(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		scenario := sample(seed)
+		scenario.Losses = []Loss{{Region: "south", AtS: 25, BackS: 45}}
+		world, err := NewWorld(scenario)
+		assert.NilError(t, err)
+		result := world.Run()
+		assert.DeepEqual(t, result.Faults, []string{})
+		resumed := 0
+		for _, one := range world.calls {
+			if !one.class.Resumable || one.outcome != outcomeServed {
+				continue
+			}
+			assert.Equal(t, one.received, one.request.Output, "%d of %s", one.request.Number, one.class.Name)
+			if one.tries > 1 {
+				resumed++
+			}
+		}
+		assert.Assert(t, resumed > 0, "a loss must cut some")
+		report := result.Classes[1]
+		assert.Assert(t, report.Outcomes[outcomeBroken]+report.Outcomes[outcomeSilent] == 0, "%v", report.Outcomes)
+	}
+}
+
+func TestGivenADoubledOrMissingEventThenItIsAFault(t *testing.T) {
+	for _, wrong := range []int{1, 3} {
+		world, err := NewWorld(sample(1))
+		assert.NilError(t, err)
+		one := &call{world: world, request: &Request{Output: 9}, class: &world.scenario.Classes[1], tries: 1, pass: &pass{}}
+		one.event(1, 1)
+		assert.Equal(t, len(world.faults), 0)
+		one.event(1, wrong)
+		assert.Equal(t, len(world.faults), 1)
+	}
+}
+
+func TestGivenTheSameSeedThenTheResultIsTheSameByteForByte(t *testing.T) {
+	t.Parallel()
+	written := func(seed uint64) string {
+		content, err := json.Marshal(play(t, troubled(seed)))
+		assert.NilError(t, err)
+		return string(content)
+	}
+	first := written(3)
+	for range 2 {
+		assert.Assert(t, written(3) == first)
+	}
+	assert.Assert(t, written(4) != first)
+}
+
+func TestGivenASteadyFleetThenLittlesLawHolds(t *testing.T) {
+	t.Parallel()
+	world, err := NewWorld(sample(2))
+	assert.NilError(t, err)
+	step, inside, looks := 50*time.Millisecond, 0, 0
+	for at := step; at <= 120*time.Second; at += step {
+		world.agenda.Until(world.began.Add(at))
+		looks++
+		for _, one := range world.calls {
+			if !one.began.IsZero() && !one.ended {
+				inside++
+			}
+		}
+	}
+	spent := 0.0
+	for _, one := range world.calls {
+		assert.Assert(t, one.ended)
+		spent += one.endedAt.Sub(one.began).Seconds()
+	}
+	present, expected := float64(inside)/float64(looks), spent/120
+	assert.Assert(t, math.Abs(present-expected) < 0.02*expected, "%f inside on average, %f by arrivals and times", present, expected)
+}
+
+func TestGivenABadScenarioThenEveryFaultOfItIsNamed(t *testing.T) {
+	scenario := troubled(1)
+	scenario.Losses[0].Region = "nowhere"
+	scenario.Classes[0].AimMs = 0
+	scenario.Placement.Copies = "all"
+	_, err := NewWorld(scenario)
+	for _, named := range []string{`unknown region "nowhere"`, `classes "quick"`, `not "all"`} {
+		assert.ErrorContains(t, err, named)
+	}
+}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -1,10 +1,10 @@
 package replay
 
 import (
-	"container/heap"
 	"sync/atomic"
 	"time"
 
+	"ferryspar/internal/emulator/agenda"
 	"ferryspar/internal/layout"
 	"ferryspar/internal/match"
 	"ferryspar/internal/platform"
@@ -19,40 +19,15 @@
 
 func DefaultModel() Model { return Model{ReadMsPerThousand: 60, BaseMs: 15, DecodeMs: 1000} }
 
-type moment struct {
-	at     time.Time
-	number int
-	act    func()
-}
-
-type agenda []moment
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(left, right int) bool {
-	if !a[left].at.Equal(a[right].at) {
-		return a[left].at.Before(a[right].at)
-	}
-	return a[left].number < a[right].number
-}
-func (a agenda) Swap(left, right int) { a[left], a[right] = a[right], a[left] }
-func (a *agenda) Push(one any)        { *a = append(*a, one.(moment)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 type waiting struct {
 	order *match.Order
 	entry record.Entry
 }
 
 type Engine struct {
-	now      time.Time
 	began    time.Time
 	model    Model
-	agenda   agenda
-	number   int
+	agenda   *agenda.Agenda
 	fleet    atomic.Pointer[match.Fleet]
 	matcher  *match.Matcher
 	table    *layout.Table
@@ -68,17 +43,12 @@
 func NewEngine(parameters match.Parameters, area string, model Model) *Engine {
 	engine := &Engine{model: model, reading: map[string]time.Time{}, drained: map[string]bool{}, Summary: newSummary()}
 	engine.began = time.Unix(0, 0).UTC()
-	engine.now = engine.began
+	engine.agenda = agenda.New(engine.began)
 	engine.fleet.Store(&match.Fleet{})
-	engine.matcher = match.NewMatcher(parameters, area, func() time.Time { return engine.now }, &engine.fleet)
+	engine.matcher = match.NewMatcher(parameters, area, engine.agenda.Now, &engine.fleet)
 	return engine
 }
 
-func (e *Engine) plan(at time.Time, act func()) {
-	e.number++
-	heap.Push(&e.agenda, moment{at, e.number, act})
-}
-
 func milliseconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Millisecond))
 }
@@ -91,14 +61,9 @@
 				return err
 			}
 		}
-		e.plan(e.began.Add(milliseconds(entry.AtMs)), func() { steps[entry.Kind](entry) })
+		e.agenda.At(e.began.Add(milliseconds(entry.AtMs)), func() { steps[entry.Kind](entry) })
 	}
-	for len(e.agenda) > 0 {
-		next := heap.Pop(&e.agenda).(moment)
-		if next.at.After(e.now) {
-			e.now = next.at
-		}
-		next.act()
+	for e.agenda.Step() {
 		e.collect()
 	}
 	return nil
@@ -121,9 +86,9 @@
 }
 
 func (e *Engine) publish() {
-	fleet := &match.Fleet{Table: e.table, Drained: e.drained, Edges: e.edges, Fetched: e.now}
+	fleet := &match.Fleet{Table: e.table, Drained: e.drained, Edges: e.edges, Fetched: e.agenda.Now()}
 	for index, listed := range e.replicas {
-		fleet.Replicas = append(fleet.Replicas, match.NewReplica(index, listed, e.now, nil))
+		fleet.Replicas = append(fleet.Replicas, match.NewReplica(index, listed, e.agenda.Now(), nil))
 	}
 	e.fleet.Store(fleet)
 	e.matcher.Wake()
@@ -133,7 +98,7 @@
 	parts, _ := match.ParsePrefix(entry.Prefix)
 	order := &match.Order{
 		Attempt: entry.Attempt, Backend: entry.Backend, Model: entry.Model, Parts: parts, Dialogues: match.Dialogues(parts), Prompt: entry.Prompt,
-		Output: entry.Output, Arrived: e.now, Deadline: e.now.Add(milliseconds(entry.LeftMs)), Excluded: map[string]bool{},
+		Output: entry.Output, Arrived: e.agenda.Now(), Deadline: e.agenda.Now().Add(milliseconds(entry.LeftMs)), Excluded: map[string]bool{},
 	}
 	if e.table != nil {
 		for _, route := range e.table.Layout.Routes {
@@ -160,12 +125,12 @@
 	}
 	e.waiting = kept
 	wait, needed := e.matcher.NextWake()
-	at := e.now.Add(max(wait, time.Millisecond))
-	if !needed || len(e.waiting) == 0 || e.wakeAt.After(e.now) && !at.Before(e.wakeAt) {
+	at := e.agenda.Now().Add(max(wait, time.Millisecond))
+	if !needed || len(e.waiting) == 0 || e.wakeAt.After(e.agenda.Now()) && !at.Before(e.wakeAt) {
 		return
 	}
 	e.wakeAt = at
-	e.plan(at, func() { e.matcher.Wake() })
+	e.agenda.At(at, func() { e.matcher.Wake() })
 }
 
 func (e *Engine) follow(order *match.Order, entry record.Entry, command match.Command) {
@@ -174,7 +139,7 @@
 		return
 	}
 	id, ticket := command.Replica.ID, command.Ticket
-	start := e.now
+	start := e.agenda.Now()
 	if e.reading[id].After(start) {
 		start = e.reading[id]
 	}
@@ -185,11 +150,11 @@
 		decode = entry.TookMs - entry.FirstMs
 	}
 	e.Summary.sent(entry.Route, ticket.Kept()/max(1, entry.Prompt))
-	e.plan(first, func() {
-		e.matcher.Tell(match.Report{Ticket: ticket, Outcome: match.OutcomeFirst, At: e.now})
+	e.agenda.At(first, func() {
+		e.matcher.Tell(match.Report{Ticket: ticket, Outcome: match.OutcomeFirst, At: e.agenda.Now()})
 		e.Summary.served(entry.Route, first.Sub(order.Arrived), order.Aim)
 	})
-	e.plan(first.Add(milliseconds(decode)), func() {
-		e.matcher.Tell(match.Report{Ticket: ticket, Outcome: match.OutcomeServed, At: e.now})
+	e.agenda.At(first.Add(milliseconds(decode)), func() {
+		e.matcher.Tell(match.Report{Ticket: ticket, Outcome: match.OutcomeServed, At: e.agenda.Now()})
 	})
 }
