Experiments compare variants of emulated fleets over seeds, with table and plots

ferryspar-emulator experiment FILE: a TOML file checked by koanf (unknown keys and bad values are named), variants that set any key, runs in parallel but the same bytes whatever their number at once, mean with Student's interval and paired differences, HDR histograms, JSON, plots.

--- /dev/null
+++ b/cmd/ferryspar-emulator/experiment.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/experiment"
+)
+
+type experimentOn struct {
+	Out    string `long:"out" description:"folder for summary.json, table.txt and plots (default: none are written)"`
+	Seeds  int    `long:"seeds" description:"seeds of each variant instead of the file's"`
+	AtOnce int    `long:"at-once" description:"runs at the same time (default: half of the cores)"`
+	Raw    bool   `long:"raw" description:"write every run to runs.json as well"`
+	Check  bool   `long:"check" description:"check the file and end"`
+	JSON   bool   `long:"json" description:"print JSON instead of the table"`
+	Rest   struct {
+		File string `positional-arg-name:"FILE" required:"yes" description:"TOML file that describes the experiment"`
+	} `positional-args:"yes"`
+}
+
+func (e *experimentOn) Execute([]string) error {
+	if e.Seeds < 0 || e.AtOnce < 0 {
+		return wrongUse{errors.New("--seeds and --at-once must be above 0")}
+	}
+	wanted, err := experiment.Load(e.Rest.File)
+	if err != nil {
+		return wrongUse{err}
+	}
+	if e.Seeds > 0 {
+		wanted.Seeds = e.Seeds
+	}
+	if e.Check {
+		fmt.Printf("sound: %d variants, %d seeds\n", len(wanted.Variants), wanted.Seeds)
+		return nil
+	}
+	if e.AtOnce == 0 {
+		e.AtOnce = max(runtime.NumCPU()/2, 1)
+	}
+	all, err := experiment.Run(interrupted, wanted, e.AtOnce, os.Stderr)
+	if err != nil {
+		return err
+	}
+	summary := experiment.Summarize(wanted, all)
+	if e.Out != "" {
+		if err := summary.Write(e.Out, all, e.Raw); err != nil {
+			return err
+		}
+	}
+	if e.JSON {
+		return json.NewEncoder(os.Stdout).Encode(summary)
+	}
+	return summary.Print(os.Stdout)
+}
--- a/internal/emulator/check.go
+++ b/internal/emulator/check.go
@@ -18,6 +18,7 @@
 		{s.WarmS < 0 || s.WarmS >= s.LengthS, "warmS must be at least 0 and below lengthS"},
 		{s.BucketS <= 0, "bucketS must be above 0"},
 		{len(s.Areas) == 0, "zones names none"},
+		{s.Spare < 0, "spareReplicas must not be below 0"},
 		{len(s.Classes) == 0, "classes names none"},
 		{s.Links.AreaMs < 0 || s.Links.RegionMs < 0 || s.Links.FarMs < 0, "links must not be below 0"},
 		{s.Replica.Slots < 1, "replica.slots must be at least 1"},
--- a/internal/emulator/core.go
+++ b/internal/emulator/core.go
@@ -12,13 +12,12 @@
 )
 
 type charge struct {
-	listed   platform.Replica
-	models   map[string]bool
-	known    bool
-	pending  *place.Action
-	barred   map[string]bool
-	intent   string
-
+	listed  platform.Replica
+	models  map[string]bool
+	known   bool
+	pending *place.Action
+	barred  map[string]bool
+	intent  string
 }
 
 type core struct {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -8,6 +8,7 @@
 	WarmS      float64          `koanf:"warmS"`
 	BucketS    float64          `koanf:"bucketS"`
 	Areas      []Area           `koanf:"zones"`
+	Spare      int              `koanf:"spareReplicas"`
 	Links      Links            `koanf:"links"`
 	Replica    Performance      `koanf:"replica"`
 	Models     Models           `koanf:"models"`
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -37,6 +37,10 @@
 	if err := scenario.Check(); err != nil {
 		return nil, err
 	}
+	scenario.Areas = slices.Clone(scenario.Areas)
+	for index := range scenario.Areas {
+		scenario.Areas[index].Replicas += scenario.Spare
+	}
 	requests, err := requestsOf(scenario)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/experiment/configuration.go
@@ -0,0 +1,121 @@
+package experiment
+
+import (
+	"os"
+	"strings"
+
+	"github.com/go-viper/mapstructure/v2"
+	"github.com/knadh/koanf/parsers/toml/v2"
+	"github.com/knadh/koanf/providers/confmap"
+	"github.com/knadh/koanf/providers/rawbytes"
+	"github.com/knadh/koanf/v2"
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/emulator"
+)
+
+type Configuration struct {
+	Name      string              `koanf:"name"`
+	About     string              `koanf:"about"`
+	Seeds     int                 `koanf:"seeds"`
+	FirstSeed uint64              `koanf:"firstSeed"`
+	AfterS    float64             `koanf:"afterS"`
+	FlightS   float64             `koanf:"flightS"`
+	Scenario  map[string]any      `koanf:"scenario"`
+	Variants  []Variant           `koanf:"variants"`
+	Built     []emulator.Scenario `koanf:"-"`
+}
+
+type Variant struct {
+	Name string         `koanf:"name"`
+	Set  map[string]any `koanf:"set"`
+}
+
+const (
+	mostSeeds     = 1000
+	defaultSeeds  = 10
+	defaultAfter  = 30
+	defaultFlight = 15
+)
+
+func Load(path string) (Configuration, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Configuration{}, errors.Wrap(err, "experiment")
+	}
+	read, err := Parse(content)
+	return read, errors.Wrap(err, path)
+}
+
+func Parse(content []byte) (Configuration, error) {
+	read := Configuration{Seeds: defaultSeeds, FirstSeed: 1, AfterS: defaultAfter, FlightS: defaultFlight}
+	tree := koanf.New(".")
+	if err := tree.Load(rawbytes.Provider(content), toml.Parser()); err != nil {
+		return read, errors.Wrap(err, "cannot be read")
+	}
+	if err := decode(tree, &read); err != nil {
+		return read, err
+	}
+	if read.Name == "" {
+		return read, errors.New("name is missing")
+	}
+	if read.Seeds < 1 || read.Seeds > mostSeeds {
+		return read, errors.Errorf("seeds must lie between 1 and %d", mostSeeds)
+	}
+	if read.AfterS <= 0 || read.FlightS < 0 {
+		return read, errors.New("afterS must be above 0, flightS at least 0")
+	}
+	if len(read.Variants) == 0 {
+		read.Variants = []Variant{{Name: "as given"}}
+	}
+	names := map[string]bool{}
+	for _, variant := range read.Variants {
+		if variant.Name == "" || names[variant.Name] {
+			return read, errors.Errorf("variants: name %q is missing or stands twice", variant.Name)
+		}
+		names[variant.Name] = true
+		built, err := build(read.Scenario, variant)
+		if err != nil {
+			return read, errors.Wrapf(err, "variant %q", variant.Name)
+		}
+		read.Built = append(read.Built, built)
+	}
+	return read, nil
+}
+
+func build(base map[string]any, variant Variant) (emulator.Scenario, error) {
+	scenario := emulator.Defaults()
+	tree := koanf.New(".")
+	if err := tree.Load(confmap.Provider(base, ""), nil); err != nil {
+		return scenario, err
+	}
+	changes := koanf.New(".")
+	if err := changes.Load(confmap.Provider(variant.Set, "."), nil); err != nil {
+		return scenario, err
+	}
+	for _, key := range changes.Keys() {
+		if err := tree.Set(key, changes.Get(key)); err != nil {
+			return scenario, errors.Wrap(err, key)
+		}
+	}
+	if err := decode(tree, &scenario); err != nil {
+		return scenario, err
+	}
+	return scenario, scenario.Check()
+}
+
+func decode(tree *koanf.Koanf, target any) error {
+	err := tree.UnmarshalWithConf("", target, koanf.UnmarshalConf{DecoderConfig: &mapstructure.DecoderConfig{
+		Result: target, TagName: "koanf", ErrorUnused: true, DecodeHook: mapstructure.StringToTimeDurationHookFunc(),
+	}})
+	if err == nil {
+		return nil
+	}
+	var parts []string
+	for _, line := range strings.Split(err.Error(), "\n") {
+		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "decoding failed") {
+			parts = append(parts, strings.ReplaceAll(line, "has invalid keys", "has unknown keys"))
+		}
+	}
+	return errors.New(strings.Join(parts, "; "))
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,80 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/emulator"
+)
+
+type Runs struct {
+	Variant string            `json:"variant"`
+	Results []emulator.Result `json:"results"`
+}
+
+type progress struct {
+	lock  sync.Mutex
+	to    io.Writer
+	began time.Time
+	shown time.Time
+	done  int
+	total int
+}
+
+const showEvery = 2 * time.Second
+
+func (p *progress) note() {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.done++
+	now := time.Now()
+	if now.Sub(p.began) < showEvery || now.Sub(p.shown) < showEvery && p.done < p.total {
+		return
+	}
+	p.shown = now
+	left := time.Duration(float64(now.Sub(p.began)) / float64(p.done) * float64(p.total-p.done))
+	fmt.Fprintf(p.to, "%d of %d runs done, about %s left\n", p.done, p.total, left.Round(time.Second))
+}
+
+func Run(ctx context.Context, wanted Configuration, atOnce int, to io.Writer) ([]Runs, error) {
+	all := make([]Runs, len(wanted.Variants))
+	told := &progress{to: to, began: time.Now(), total: len(wanted.Variants) * wanted.Seeds}
+	places := make(chan struct{}, max(atOnce, 1))
+	failures := make(chan error, told.total)
+	var group sync.WaitGroup
+	for seed := range wanted.Seeds {
+		for number, variant := range wanted.Variants {
+			if seed == 0 {
+				all[number] = Runs{Variant: variant.Name, Results: make([]emulator.Result, wanted.Seeds)}
+			}
+			if ctx.Err() != nil {
+				break
+			}
+			scenario := wanted.Built[number]
+			scenario.Seed = wanted.FirstSeed + uint64(seed)
+			target := &all[number].Results[seed]
+			places <- struct{}{}
+			group.Go(func() {
+				defer func() { <-places }()
+				world, err := emulator.NewWorld(scenario)
+				if err != nil {
+					failures <- errors.Wrapf(err, "variant %q", variant.Name)
+					return
+				}
+				*target = world.Run()
+				told.note()
+			})
+		}
+	}
+	group.Wait()
+	close(failures)
+	if ctx.Err() != nil {
+		return nil, errors.Errorf("interrupted after %d of %d runs", told.done, told.total)
+	}
+	return all, <-failures
+}
--- /dev/null
+++ b/internal/experiment/write.go
@@ -0,0 +1,89 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+func (s Summary) Print(to io.Writer) error {
+	fmt.Fprintf(to, "%s: emulated, %d seeds from %d; mean ± half of the 95%% interval, in brackets the paired difference to %q\n\n", s.Name, s.Seeds, s.FirstSeed, s.Variants[0].Name)
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprint(table, "figure")
+	for _, variant := range s.Variants {
+		fmt.Fprintf(table, "\t%s", variant.Name)
+	}
+	fmt.Fprintln(table)
+	for _, figure := range s.Variants[0].Figures {
+		fmt.Fprint(table, figure.Name)
+		for _, variant := range s.Variants {
+			fmt.Fprintf(table, "\t%s", variant.cell(figure.Name))
+		}
+		fmt.Fprintln(table)
+	}
+	return table.Flush()
+}
+
+func (v VariantSummary) cell(name string) string {
+	index := slices.IndexFunc(v.Figures, func(figure Figure) bool { return figure.Name == name })
+	if index < 0 {
+		return "-"
+	}
+	figure := v.Figures[index]
+	text := number(figure.Estimate.Mean) + " ± " + number(figure.Estimate.Half)
+	if figure.Difference != nil {
+		text += fmt.Sprintf(" (%s ± %s)", signed(figure.Difference.Mean), number(figure.Difference.Half))
+	}
+	return text
+}
+
+func number(value float64) string {
+	switch size := max(value, -value); {
+	case size >= 100:
+		return fmt.Sprintf("%.0f", value)
+	case size >= 10:
+		return fmt.Sprintf("%.1f", value)
+	}
+	return fmt.Sprintf("%.3f", value)
+}
+
+func signed(value float64) string {
+	if value >= 0 {
+		return "+" + number(value)
+	}
+	return number(value)
+}
+
+func (s Summary) Write(folder string, all []Runs, raw bool) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Wrap(err, "results")
+	}
+	files := map[string]any{"summary.json": s}
+	if raw {
+		files["runs.json"] = all
+	}
+	for name, content := range files {
+		written, err := json.Marshal(content)
+		if err != nil {
+			return errors.Wrap(err, name)
+		}
+		if err := os.WriteFile(filepath.Join(folder, name), append(written, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "results")
+		}
+	}
+	table, err := os.Create(filepath.Join(folder, "table.txt"))
+	if err != nil {
+		return errors.Wrap(err, "results")
+	}
+	defer table.Close()
+	if err := s.Print(table); err != nil {
+		return errors.Wrap(err, "results")
+	}
+	return s.draw(folder)
+}
