Forecasts of a loss are held against the emulated loss, over seeds and fleet sizes

Each seed is played with the loss and without it; what differs, request by request, is the truth. Attempts that may run once are now checked to begin once at the replicas. A deliberately broken forecaster shows its error in a test.

--- /dev/null
+++ b/cmd/ferryspar-emulator/forecast.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"runtime"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/emulator"
+	"ferryspar/internal/experiment"
+)
+
+type forecastOn struct {
+	Sizes  []int `long:"size" default:"1" default:"2" default:"3" description:"fleet size, as a multiple of the file's; name several"`
+	Seeds  int   `long:"seeds" default:"20" description:"seeds of each size"`
+	AtOnce int   `long:"at-once" description:"runs at the same time (default: half of the cores)"`
+	JSON   bool  `long:"json" description:"print JSON instead of the table"`
+	Rest   struct {
+		File string `positional-arg-name:"FILE" required:"yes" description:"TOML file of an experiment; its first variant's first loss is forecast"`
+	} `positional-args:"yes"`
+}
+
+const (
+	mostSize         = 10
+	methodByPressure = "counted by pressures"
+)
+
+func (f *forecastOn) Execute([]string) error {
+	wanted, err := experiment.Load(f.Rest.File)
+	if err != nil {
+		return wrongUse{err}
+	}
+	for _, size := range f.Sizes {
+		if size < 1 || size > mostSize {
+			return wrongUse{errors.Errorf("--size must lie between 1 and %d", mostSize)}
+		}
+	}
+	if f.Seeds < 2 {
+		return wrongUse{errors.New("--seeds must be at least 2")}
+	}
+	wanted.Seeds = f.Seeds
+	if f.AtOnce <= 0 {
+		f.AtOnce = max(runtime.NumCPU()/2, 1)
+	}
+	found, err := experiment.Judge(interrupted, wanted, f.Sizes, methodByPressure, emulator.CountByPressure, f.AtOnce, os.Stderr)
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		return json.NewEncoder(os.Stdout).Encode(found)
+	}
+	return experiment.PrintJudged(os.Stdout, found)
+}
--- a/internal/emulator/call.go
+++ b/internal/emulator/call.go
@@ -175,3 +175,10 @@
 func (c *call) inTime() bool {
 	return c.outcome == outcomeServed && c.first.Sub(c.began) <= c.aim() && c.pause <= milliseconds(c.class.GapMs)
 }
+
+func (c *call) firstMs() float64 {
+	if c.received == 0 {
+		return 0
+	}
+	return inMilliseconds(c.first.Sub(c.began))
+}
--- /dev/null
+++ b/internal/emulator/count.go
@@ -0,0 +1,46 @@
+package emulator
+
+const (
+	FigureMoving      = "requests that move"
+	FigureWithoutCopy = "models and adapters without a copy"
+	FigureWarm        = "warm tokens lost"
+	FigureBack        = "seconds until the last copy is back"
+	FigureReadAgain   = "prompt tokens read again"
+)
+
+func CountByPressure(before Snapshot) Forecast {
+	lost := map[string]bool{}
+	kept, gone := map[string]bool{}, map[string]bool{}
+	for _, listed := range before.Listed {
+		into := kept
+		if before.Lost[listed.Area] {
+			lost[listed.ID], into = true, gone
+		}
+		for _, held := range listed.Models {
+			into[held.Name] = true
+			for _, adapter := range held.Adapters {
+				into[held.Name+"/"+adapter] = true
+			}
+		}
+	}
+	moving, alone := 0, 0
+	for _, one := range before.Edges {
+		for id, told := range one.Pressure.Replicas {
+			if lost[id] || one.Lost {
+				moving += told.Running
+			}
+		}
+		if !one.Lost {
+			continue
+		}
+		for _, model := range one.Pressure.Models {
+			moving += model.Waiting
+		}
+	}
+	for reference := range gone {
+		if !kept[reference] {
+			alone++
+		}
+	}
+	return Forecast{FigureMoving: float64(moving), FigureWithoutCopy: float64(alone)}
+}
--- a/internal/emulator/edge.go
+++ b/internal/emulator/edge.go
@@ -24,6 +24,7 @@
 	roster   roster
 	others   map[string]partner.ReplicaPressure
 	othersAt time.Time
+	told     partner.Pressure
 	waiting  []*pass
 	used     map[string]time.Time
 	wakeAt   time.Time
@@ -70,6 +71,7 @@
 		return
 	}
 	told, life, core := e.matcher.Gauge(), e.life, e.world.core
+	e.told = told
 	e.later(core.area, func() {
 		if !core.alive {
 			return
--- a/internal/emulator/observe.go
+++ b/internal/emulator/observe.go
@@ -1,9 +1,6 @@
 package emulator
 
 import (
-	"slices"
-	"sort"
-	"strings"
 	"time"
 )
 
@@ -15,6 +12,15 @@
 	Warm    float64 `json:"warmTokens"`
 	Stored  int     `json:"loadsFromStore"`
 	Disk    int     `json:"loadsFromDisk"`
+	Read    float64 `json:"promptTokensRead"`
+}
+
+type Order struct {
+	Class   int
+	AtS     float64
+	FirstMs float64
+	Outcome string
+	InTime  bool
 }
 
 type Bucket struct {
@@ -36,12 +42,14 @@
 }
 
 type LossResult struct {
-	AtS       float64            `json:"atS"`
-	Running   int                `json:"running"`
-	Waiting   int                `json:"waiting"`
-	Warm      map[string]float64 `json:"warmTokens"`
-	LastCopy  []string           `json:"modelsWithoutCopy"`
-	BoundHere int                `json:"boundRunning"`
+	AtS      float64            `json:"atS"`
+	Running  int                `json:"running"`
+	Waiting  int                `json:"waiting"`
+	Warm     map[string]float64 `json:"warmTokens"`
+	LastCopy []string           `json:"modelsWithoutCopy"`
+	Moving   []int              `json:"requestsMoving"`
+	Forecast Forecast           `json:"forecast,omitempty"`
+	BackS    float64            `json:"lastCopyBackS"`
 }
 
 type Result struct {
@@ -53,6 +61,7 @@
 	KeptTokens float64       `json:"keptTokens"`
 	Dispatched int           `json:"dispatched"`
 	Faults     []string      `json:"faults"`
+	Orders     []Order       `json:"-"`
 }
 
 type observer struct {
@@ -65,6 +74,7 @@
 	readTokens float64
 	keptTokens float64
 	dispatches int
+	orders     []Order
 }
 
 func newObserver(scenario Scenario) *observer {
@@ -93,13 +103,16 @@
 	}
 }
 
-func (o *observer) dispatched(one *call) { o.dispatches++ }
+func (o *observer) dispatched() { o.dispatches++ }
 
 func inMilliseconds(length time.Duration) float64 { return float64(length.Microseconds()) / 1000 }
 
 func (o *observer) ended(one *call) {
 	class := &o.classes[one.request.Class]
 	bucket := &class.Buckets[min(int(one.request.At.Seconds()/o.scenario.BucketS), len(class.Buckets)-1)]
+	o.orders[one.request.Number] = Order{
+		Class: one.request.Class, AtS: one.request.At.Seconds(), FirstMs: one.firstMs(), Outcome: one.outcome, InTime: one.inTime(),
+	}
 	class.Offered++
 	class.Outcomes[one.outcome]++
 	bucket.Offered++
@@ -114,13 +127,13 @@
 		class.Resumed++
 	}
 	if one.received > 0 {
-		bucket.Firsts = append(bucket.Firsts, inMilliseconds(one.first.Sub(one.began)))
+		bucket.Firsts = append(bucket.Firsts, one.firstMs())
 		bucket.Pauses = append(bucket.Pauses, inMilliseconds(one.pause))
 	}
 }
 
 func (o *observer) sample(w *World) {
-	one := Sample{AtS: w.elapsed().Seconds(), Stored: o.stored, Disk: o.disk}
+	one := Sample{AtS: w.elapsed().Seconds(), Stored: o.stored, Disk: o.disk, Read: o.readTokens}
 	for _, edge := range w.edges {
 		if edge.alive {
 			one.Waiting += edge.matcher.Waiting()
@@ -136,54 +149,9 @@
 	o.samples = append(o.samples, one)
 }
 
-func (o *observer) losing(w *World, areas []int) {
-	loss := LossResult{AtS: w.elapsed().Seconds(), Warm: map[string]float64{}, LastCopy: []string{}}
-	kept := map[string]bool{}
-	gone := map[string]bool{}
-	for _, one := range w.machines {
-		if one.up == nil {
-			continue
-		}
-		lost := slices.Contains(areas, one.area)
-		for reference := range one.up.held {
-			if lost {
-				gone[reference] = true
-			} else {
-				kept[reference] = true
-			}
-		}
-		if !lost {
-			continue
-		}
-		loss.Running += len(one.up.running)
-		loss.Waiting += len(one.up.queue)
-		for name, element := range one.up.memory.parts {
-			model, _, _ := strings.Cut(name.model, "/")
-			loss.Warm[model] += element.Value.(*keptPart).tokens
-		}
-		for _, held := range one.up.running {
-			if len(held.pass.call.class.Homes) > 0 {
-				loss.BoundHere++
-			}
-		}
-	}
-	for _, one := range w.edges {
-		if one.alive && slices.Contains(areas, one.area) {
-			loss.Waiting += one.matcher.Waiting()
-		}
-	}
-	for reference := range gone {
-		if !kept[reference] {
-			loss.LastCopy = append(loss.LastCopy, reference)
-		}
-	}
-	sort.Strings(loss.LastCopy)
-	o.losses = append(o.losses, loss)
-}
-
 func (o *observer) result(w *World) Result {
 	return Result{
 		Seed: o.scenario.Seed, Classes: o.classes, Samples: o.samples, Losses: append([]LossResult{}, o.losses...), ReadTokens: o.readTokens,
-		KeptTokens: o.keptTokens, Dispatched: o.dispatches, Faults: append([]string{}, w.faults...),
+		KeptTokens: o.keptTokens, Dispatched: o.dispatches, Faults: append([]string{}, w.faults...), Orders: o.orders,
 	}
 }
--- a/internal/emulator/pass.go
+++ b/internal/emulator/pass.go
@@ -83,7 +83,7 @@
 		w.agenda.After(wait, func() { p.judged(number, match.OutcomeUnreached) })
 		return
 	}
-	w.observer.dispatched(p.call)
+	w.observer.dispatched()
 	p.edge.later(to.machine.area, func() {
 		if to.dead {
 			if !to.dark {
--- a/internal/emulator/replica.go
+++ b/internal/emulator/replica.go
@@ -165,6 +165,7 @@
 		}
 		if !one.read {
 			one.read = true
+			s.world.checkBegin(one)
 			one.reserved -= s.memory.keep(one.model, one.dialogues, one.pass.call.request.Parts, one.hit)
 		}
 		s.emit(one)
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -39,7 +39,7 @@
 }
 
 func (w *World) lose(areas []int, loss Loss) {
-	w.observer.losing(w, areas)
+	w.noteLoss(areas)
 	for _, one := range w.edges {
 		if !one.alive || !slices.Contains(areas, one.area) {
 			continue
@@ -153,3 +153,11 @@
 		w.fault("%s is to load %s beyond its room", s.id, loading)
 	}
 }
+
+func (w *World) checkBegin(one *run) {
+	attempt := one.pass.order.Attempt
+	if w.begun[attempt] && !one.pass.call.class.Resumable {
+		w.fault("attempt %s, which may run once, began again at %s", attempt, one.server.id)
+	}
+	w.begun[attempt] = true
+}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -31,6 +31,8 @@
 	storeLoads int
 	observer   *observer
 	faults     []string
+	begun      map[string]bool
+	Forecaster Forecaster
 }
 
 func NewWorld(scenario Scenario) (*World, error) {
@@ -48,9 +50,10 @@
 	began := time.Unix(0, 0).UTC()
 	w := &World{
 		scenario: scenario, agenda: agenda.New(began), began: began, table: layout.Build(describe(scenario), nil),
-		servers: map[string]*server{}, lost: map[int]bool{}, listed: map[string]platform.Replica{}, observer: newObserver(scenario),
+		servers: map[string]*server{}, lost: map[int]bool{}, begun: map[string]bool{}, listed: map[string]platform.Replica{}, observer: newObserver(scenario),
 	}
 	w.build()
+	w.observer.orders = make([]Order, len(requests))
 	for index := range requests {
 		one := &call{world: w, request: &requests[index], class: &w.scenario.Classes[requests[index].Class]}
 		w.calls = append(w.calls, one)
--- /dev/null
+++ b/internal/experiment/judge.go
@@ -0,0 +1,183 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/emulator"
+)
+
+type Judged struct {
+	Figure   string    `json:"figure"`
+	Method   string    `json:"method"`
+	Size     int       `json:"size"`
+	Truth    []float64 `json:"truth"`
+	Forecast []float64 `json:"forecast"`
+	Error    Estimate  `json:"error"`
+	Absolute Estimate  `json:"absoluteError"`
+	Mean     Estimate  `json:"meanTruth"`
+}
+
+const (
+	MethodOthers = "emulated, other seeds"
+	slowedShare  = 0.25
+)
+
+func scaled(scenario emulator.Scenario, size int) emulator.Scenario {
+	scenario.Areas = slices.Clone(scenario.Areas)
+	for index := range scenario.Areas {
+		scenario.Areas[index].Replicas *= size
+		scenario.Areas[index].Edges *= size
+	}
+	scenario.Spare *= size
+	scenario.Traffic.PerS *= float64(size)
+	scenario.Models.LoadsPerS *= float64(size)
+	return scenario
+}
+
+func Judge(ctx context.Context, wanted Configuration, sizes []int, method string, forecaster emulator.Forecaster, atOnce int, to io.Writer) ([]Judged, error) {
+	var found []Judged
+	if len(wanted.Built[0].Losses) == 0 {
+		return nil, errors.New("the first variant names no loss to forecast")
+	}
+	for _, size := range sizes {
+		fmt.Fprintf(to, "fleet size %d: %d seeds, each with and without the loss\n", size, wanted.Seeds)
+		lost := scaled(wanted.Built[0], size)
+		spared := lost
+		spared.Losses = nil
+		pair := wanted
+		pair.Variants = []Variant{{Name: "lost"}, {Name: "spared"}}
+		pair.Built = []emulator.Scenario{lost, spared}
+		all, err := run(ctx, pair, atOnce, to, forecaster)
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, pair.judge(all, size, method)...)
+	}
+	return found, nil
+}
+
+func (c Configuration) judge(all []Runs, size int, method string) []Judged {
+	var names []string
+	truths := map[string][]float64{}
+	for seed := range all[0].Results {
+		lost, spared := all[0].Results[seed], all[1].Results[seed]
+		for _, one := range c.truth(lost, spared) {
+			if truths[one.name] == nil {
+				names = append(names, one.name)
+			}
+			truths[one.name] = append(truths[one.name], one.value)
+		}
+	}
+	var found []Judged
+	for _, name := range names {
+		truth := truths[name]
+		told := make([]float64, 0, len(truth))
+		for _, result := range all[0].Results {
+			if value, known := result.Losses[0].Forecast[name]; known {
+				told = append(told, value)
+			}
+		}
+		if len(told) == len(truth) {
+			found = append(found, judged(name, method, size, truth, told))
+		}
+		found = append(found, judged(name, MethodOthers, size, truth, others(truth)))
+	}
+	return found
+}
+
+func others(truth []float64) []float64 {
+	total := 0.0
+	for _, value := range truth {
+		total += value
+	}
+	told := make([]float64, len(truth))
+	for index, value := range truth {
+		told[index] = (total - value) / float64(max(len(truth)-1, 1))
+	}
+	return told
+}
+
+func judged(name, method string, size int, truth, told []float64) Judged {
+	errors := differences(told, truth)
+	absolute := make([]float64, len(errors))
+	for index, value := range errors {
+		absolute[index] = math.Abs(value)
+	}
+	return Judged{Figure: name, Method: method, Size: size, Truth: truth, Forecast: told, Error: estimate(errors), Absolute: estimate(absolute), Mean: estimate(truth)}
+}
+
+func (c Configuration) truth(lost, spared emulator.Result) []measured {
+	loss := lost.Losses[0]
+	moving, warm := 0, 0.0
+	for _, amount := range loss.Moving {
+		moving += amount
+	}
+	models := make([]string, 0, len(loss.Warm))
+	for model := range loss.Warm {
+		models = append(models, model)
+	}
+	slices.Sort(models)
+	for _, model := range models {
+		warm += loss.Warm[model]
+	}
+	end := loss.AtS + c.AfterS
+	found := []measured{
+		{emulator.FigureMoving, float64(moving)},
+		{emulator.FigureWithoutCopy, float64(len(loss.LastCopy))},
+		{emulator.FigureWarm, warm},
+		{emulator.FigureBack, loss.BackS},
+		{emulator.FigureReadAgain, readBetween(lost, loss.AtS, end) - readBetween(spared, loss.AtS, end)},
+	}
+	for number, class := range lost.Classes {
+		found = append(found, slowed(lost, spared, number, class.Name, c.Built[0].Classes[number].AimMs, loss.AtS, end)...)
+	}
+	return found
+}
+
+func readBetween(result emulator.Result, from, to float64) float64 {
+	before, after := 0.0, 0.0
+	for _, sample := range result.Samples {
+		if sample.AtS <= from {
+			before = sample.Read
+		}
+		if sample.AtS <= to {
+			after = sample.Read
+		}
+	}
+	return after - before
+}
+
+func slowed(lost, spared emulator.Result, number int, name string, aimMs, from, to float64) []measured {
+	asked, slow, missed, late := 0, 0, 0, newHistogram()
+	for index, one := range lost.Orders {
+		twin := spared.Orders[index]
+		if one.Class != number || one.AtS < from || one.AtS >= to {
+			continue
+		}
+		asked++
+		if twin.InTime && !one.InTime {
+			missed++
+		}
+		if one.FirstMs == 0 || twin.FirstMs == 0 {
+			continue
+		}
+		by := max(one.FirstMs-twin.FirstMs, 0)
+		fill(late, []float64{by})
+		if by > slowedShare*aimMs {
+			slow++
+		}
+	}
+	if asked == 0 {
+		return nil
+	}
+	return []measured{
+		{name + ": share slowed", share(slow, asked)}, {name + ": share no longer in time", share(missed, asked)},
+		{name + ": slower by p50, ms", quantile(late, 50)}, {name + ": slower by p95, ms", quantile(late, 95)},
+	}
+}
--- /dev/null
+++ b/internal/experiment/judge_test.go
@@ -0,0 +1,65 @@
+package experiment
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/emulator"
+)
+
+func judge(t *testing.T, forecaster emulator.Forecaster) map[string]Judged {
+	t.Helper()
+	read, err := Parse([]byte(small))
+	assert.NilError(t, err)
+	found, err := Judge(t.Context(), read, []int{1, 2}, "tried", forecaster, 4, io.Discard)
+	assert.NilError(t, err)
+	byName := map[string]Judged{}
+	for _, one := range found {
+		if one.Size == 2 {
+			byName[one.Method+" "+one.Figure] = one
+		}
+	}
+	return byName
+}
+
+func TestGivenAForecastThenItsErrorIsMeasuredAndABrokenOneIsSeen(t *testing.T) {
+	sound := judge(t, emulator.CountByPressure)
+	broken := judge(t, func(before emulator.Snapshot) emulator.Forecast {
+		told := emulator.CountByPressure(before)
+		told[emulator.FigureWithoutCopy] += 5
+		return told
+	})
+	name := "tried " + emulator.FigureWithoutCopy
+	assert.Equal(t, sound[name].Error.Mean, 0.0)
+	assert.Equal(t, broken[name].Error.Mean, 5.0)
+	moving := sound["tried "+emulator.FigureMoving]
+	assert.Assert(t, moving.Absolute.Mean <= max(moving.Mean.Mean, 4), "%+v", moving)
+	assert.Equal(t, len(sound[MethodOthers+" quick: share slowed"].Truth), 3)
+}
+
+func TestGivenAForecasterThenTheRunItselfIsTheSame(t *testing.T) {
+	read, err := Parse([]byte(small))
+	assert.NilError(t, err)
+	played := func(forecaster emulator.Forecaster) string {
+		world, err := emulator.NewWorld(read.Built[0])
+		assert.NilError(t, err)
+		world.Forecaster = forecaster
+		result := world.Run()
+		result.Losses[0].Forecast = nil
+		content, err := json.Marshal(result)
+		assert.NilError(t, err)
+		return string(content)
+	}
+	assert.Assert(t, played(nil) == played(emulator.CountByPressure))
+}
+
+func TestGivenNoLossThenThereIsNothingToForecast(t *testing.T) {
+	read, err := Parse([]byte(small))
+	assert.NilError(t, err)
+	read.Built[0].Losses = nil
+	_, err = Judge(t.Context(), read, []int{1}, "tried", emulator.CountByPressure, 1, io.Discard)
+	assert.ErrorContains(t, err, "no loss")
+}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -42,6 +42,10 @@
 }
 
 func Run(ctx context.Context, wanted Configuration, atOnce int, to io.Writer) ([]Runs, error) {
+	return run(ctx, wanted, atOnce, to, nil)
+}
+
+func run(ctx context.Context, wanted Configuration, atOnce int, to io.Writer, forecaster emulator.Forecaster) ([]Runs, error) {
 	all := make([]Runs, len(wanted.Variants))
 	told := &progress{to: to, began: time.Now(), total: len(wanted.Variants) * wanted.Seeds}
 	places := make(chan struct{}, max(atOnce, 1))
@@ -66,6 +70,7 @@
 					failures <- errors.Wrapf(err, "variant %q", variant.Name)
 					return
 				}
+				world.Forecaster = forecaster
 				*target = world.Run()
 				told.note()
 			})
--- a/internal/experiment/write.go
+++ b/internal/experiment/write.go
@@ -87,3 +87,17 @@
 	}
 	return s.draw(folder)
 }
+
+func PrintJudged(to io.Writer, found []Judged) error {
+	fmt.Fprint(to, "forecast against an emulated loss; mean ± half of the 95% interval over seeds\n\n")
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "size\tfigure\tmethod\ttruth\terror\tabsolute error")
+	for _, one := range found {
+		fmt.Fprintf(table, "%d\t%s\t%s", one.Size, one.Figure, one.Method)
+		for _, shown := range []Estimate{one.Mean, one.Error, one.Absolute} {
+			fmt.Fprintf(table, "\t%s ± %s", number(shown.Mean), number(shown.Half))
+		}
+		fmt.Fprintln(table)
+	}
+	return table.Flush()
+}
