--- a/cmd/ferryspar-emulator/experiment.go
+++ b/cmd/ferryspar-emulator/experiment.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"ferryspar/internal/experiment"
+	"ferryspar/internal/launch"
 )
 
 type experimentOn struct {
@@ -25,11 +26,11 @@
 
 func (e *experimentOn) Execute([]string) error {
 	if e.Seeds < 0 || e.AtOnce < 0 {
-		return wrongUse{errors.New("--seeds and --at-once must be above 0")}
+		return launch.Wrong(errors.New("--seeds and --at-once must be above 0"))
 	}
 	wanted, err := experiment.Load(e.Rest.File)
 	if err != nil {
-		return wrongUse{err}
+		return launch.Wrong(err)
 	}
 	if e.Seeds > 0 {
 		wanted.Seeds = e.Seeds
--- a/cmd/ferryspar-emulator/forecast.go
+++ b/cmd/ferryspar-emulator/forecast.go
@@ -9,6 +9,7 @@
 
 	"ferryspar/internal/emulator"
 	"ferryspar/internal/experiment"
+	"ferryspar/internal/launch"
 )
 
 type forecastOn struct {
@@ -29,15 +30,15 @@
 func (f *forecastOn) Execute([]string) error {
 	wanted, err := experiment.Load(f.Rest.File)
 	if err != nil {
-		return wrongUse{err}
+		return launch.Wrong(err)
 	}
 	for _, size := range f.Sizes {
 		if size < 1 || size > mostSize {
-			return wrongUse{errors.Errorf("--size must lie between 1 and %d", mostSize)}
+			return launch.Wrong(errors.Errorf("--size must lie between 1 and %d", mostSize))
 		}
 	}
 	if f.Seeds < 2 {
-		return wrongUse{errors.New("--seeds must be at least 2")}
+		return launch.Wrong(errors.New("--seeds must be at least 2"))
 	}
 	wanted.Seeds = f.Seeds
 	if f.AtOnce <= 0 {
--- a/cmd/ferryspar-emulator/main.go
+++ b/cmd/ferryspar-emulator/main.go
@@ -8,7 +8,6 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/pkg/errors"
 
 	"ferryspar/internal/launch"
 )
@@ -25,8 +24,6 @@
 	{"forecast", "compare forecasts of a loss with the emulated loss, over seeds and fleet sizes", &forecastOn{}},
 }
 
-type wrongUse struct{ error }
-
 func main() { os.Exit(run(os.Args[1:])) }
 
 var interrupted context.Context
@@ -45,22 +42,5 @@
 		}
 	}
 	_, err := parser.ParseArgs(arguments)
-	return exit(err)
-}
-
-func exit(err error) int {
-	if err == nil {
-		return launch.ExitGood
-	}
-	if flags.WroteHelp(err) {
-		fmt.Println(err)
-		return launch.ExitGood
-	}
-	fmt.Fprintln(os.Stderr, "ferryspar-emulator:", err)
-	var usage *flags.Error
-	var wrong wrongUse
-	if errors.As(err, &usage) || errors.As(err, &wrong) {
-		return launch.ExitUsage
-	}
-	return launch.ExitFailed
+	return launch.Exit(parser.Name, err)
 }
--- a/cmd/ferryspar-operator/main.go
+++ b/cmd/ferryspar-operator/main.go
@@ -55,20 +55,5 @@
 		}
 	}
 	_, err := parser.Parse()
-	os.Exit(exit(err))
-}
-
-func exit(err error) int {
-	if err == nil {
-		return launch.ExitGood
-	}
-	if flags.WroteHelp(err) {
-		fmt.Println(err)
-		return launch.ExitGood
-	}
-	fmt.Fprintln(os.Stderr, "ferryspar-operator:", err)
-	if _, usage := err.(*flags.Error); usage {
-		return launch.ExitUsage
-	}
-	return launch.ExitFailed
+	os.Exit(launch.Exit(parser.Name, err))
 }
--- a/internal/experiment/configuration.go
+++ b/internal/experiment/configuration.go
@@ -53,7 +53,7 @@
 	if err := tree.Load(rawbytes.Provider(content), toml.Parser()); err != nil {
 		return read, errors.Wrap(err, "cannot be read")
 	}
-	if err := decode(tree, &read); err != nil {
+	if err := decode(tree, &read, "the file"); err != nil {
 		return read, err
 	}
 	if read.Name == "" {
@@ -98,13 +98,13 @@
 			return scenario, errors.Wrap(err, key)
 		}
 	}
-	if err := decode(tree, &scenario); err != nil {
+	if err := decode(tree, &scenario, "scenario"); err != nil {
 		return scenario, err
 	}
 	return scenario, scenario.Check()
 }
 
-func decode(tree *koanf.Koanf, target any) error {
+func decode(tree *koanf.Koanf, target any, whole string) error {
 	err := tree.UnmarshalWithConf("", target, koanf.UnmarshalConf{DecoderConfig: &mapstructure.DecoderConfig{
 		Result: target, TagName: "koanf", ErrorUnused: true, DecodeHook: mapstructure.StringToTimeDurationHookFunc(),
 	}})
@@ -114,7 +114,7 @@
 	var parts []string
 	for _, line := range strings.Split(err.Error(), "\n") {
 		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "decoding failed") {
-			parts = append(parts, strings.ReplaceAll(line, "has invalid keys", "has unknown keys"))
+			parts = append(parts, strings.NewReplacer("has invalid keys", "has unknown keys", "'' ", whole+" ").Replace(line))
 		}
 	}
 	return errors.New(strings.Join(parts, "; "))
