--- a/internal/emulator/recorded.go
+++ b/internal/emulator/recorded.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -20,10 +19,13 @@
 		return nil, errors.Wrap(err, "traffic.record")
 	}
 	defer file.Close()
-	entries, _, err := record.Read(file)
+	entries, damages, err := record.Read(file)
 	if err != nil {
 		return nil, errors.Wrap(err, "traffic.record")
 	}
+	if len(damages) > 0 {
+		return nil, errors.Errorf("traffic.record: %d lines are damaged, the first: %s", len(damages), damages[0])
+	}
 	return fromRecord(scenario, entries)
 }
 
@@ -52,13 +54,12 @@
 			return nil, errors.Errorf("traffic.record: prefix %q cannot be read", entry.Prefix)
 		}
 		requests = append(requests, Request{
-			At: milliseconds(entry.AtMs), Class: classes[entry.Route], Area: int(areas.Rand()), Model: models[entry.Model],
+			Number: len(requests), At: milliseconds(entry.AtMs), Class: classes[entry.Route], Area: int(areas.Rand()), Model: models[entry.Model],
 			Parts: parts, Prompt: max(entry.Prompt, tokens(parts)), Output: max(int(entry.Output), 1), Draw: chance.Float64(),
 		})
 	}
-	slices.SortStableFunc(requests, func(one, other Request) int { return cmp.Compare(one.At, other.At) })
-	for number := range requests {
-		requests[number].Number = number
+	if len(requests) == 0 {
+		return nil, errors.New("traffic.record: no order falls into lengthS")
 	}
 	return requests, nil
 }
--- /dev/null
+++ b/internal/emulator/standin/standin_test.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/layout"
+	"ferryspar/internal/platform"
+	"ferryspar/internal/replica"
+)
+
+func backend() layout.Backend {
+	return layout.Backend{Name: "scribes", Runtime: &layout.Runtime{
+		Slots: 1, KvCacheTokens: 1000, WeightSizeMb: 210, AdapterCapacity: 1, LoadsPerS: 1,
+		Models: []layout.Model{{Name: "swift", WeightSizeMb: 100, LoadTimeS: 1, Adapters: 2, AdapterSizeMb: 2}, {Name: "rare", WeightSizeMb: 100, LoadTimeS: 1}, {Name: "other", WeightSizeMb: 100, LoadTimeS: 1}},
+	}}
+}
+
+func stand(id string, references ...string) *Replica {
+	return NewReplica(platform.Replica{ID: id, Area: "east"}, backend(), DefaultPace(), references...)
+}
+
+func call(one *Replica, method, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	answer := httptest.NewRecorder()
+	one.Routes("/healthz").ServeHTTP(answer, request)
+	return answer
+}
+
+func order(one *Replica, operation, model, adapter string, fence int) int {
+	body := fmt.Sprintf(`{"operation":%q,"modelId":%q,"adapterId":%q,"leaseHolder":"node","fenceToken":%d}`, operation, model, adapter, fence)
+	return call(one, http.MethodPost, "/ferryspar/order", body, nil).Code
+}
+
+func TestGivenOrdersThenAStandInAnswersAsThePageSays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := stand("r-1", "swift")
+		assert.Equal(t, order(one, replica.OperationLoad, "rare", "", 5), http.StatusAccepted)
+		assert.Equal(t, order(one, replica.OperationLoad, "swift", "a1", 5), http.StatusConflict)
+		assert.Equal(t, order(one, replica.OperationLoad, "swift", "", 5), http.StatusOK)
+		assert.Equal(t, order(one, replica.OperationLoad, "rare", "", 4), http.StatusPreconditionFailed)
+		assert.Equal(t, order(one, replica.OperationLoad, "rare", "", 0), http.StatusBadRequest)
+		assert.Equal(t, order(one, "model_dance", "rare", "", 5), http.StatusBadRequest)
+		time.Sleep(1100 * time.Millisecond)
+		var state replica.State
+		assert.NilError(t, json.Unmarshal(call(one, http.MethodGet, "/ferryspar/report", "", nil).Body.Bytes(), &state))
+		assert.Equal(t, len(state.Models), 2)
+		assert.Equal(t, state.Sequence, int64(1))
+		assert.Equal(t, order(one, replica.OperationLoad, "other", "", 5), http.StatusBadRequest, "beyond its room")
+		assert.Equal(t, order(one, replica.OperationUnload, "swift", "", 5), http.StatusAccepted)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(one.Entry().Models), 1)
+	})
+}
+
+func TestGivenRequestsThenAStandInServesOrPromisesThatItDidNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := stand("r-1", "swift")
+		header := func(model, target string) map[string]string {
+			return map[string]string{replica.HeaderAttempt: "try", replica.HeaderModel: model, replica.HeaderTarget: target, replica.HeaderTokens: "100,4", replica.HeaderLastEvent: "1"}
+		}
+		done := make(chan *httptest.ResponseRecorder)
+		go func() { done <- call(one, http.MethodPost, "/any", "", header("swift", "r-1")) }()
+		synctest.Wait()
+		full := call(one, http.MethodPost, "/any", "", header("swift", "r-1"))
+		assert.Equal(t, full.Code, http.StatusServiceUnavailable)
+		assert.Assert(t, full.Header().Get(replica.HeaderNotExecuted) != "")
+		served := <-done
+		assert.Equal(t, served.Code, http.StatusOK)
+		assert.Equal(t, strings.Count(served.Body.String(), "id:"), 3, "events after the last one seen")
+		assert.Equal(t, served.Header().Get(replica.HeaderAttempt), "try")
+		assert.Assert(t, strings.HasPrefix(served.Header().Get(replica.HeaderSeal), "r-1."))
+		assert.Equal(t, call(one, http.MethodPost, "/any", "", header("rare", "r-1")).Code, http.StatusMisdirectedRequest)
+		assert.Equal(t, call(one, http.MethodPost, "/any", "", header("swift", "r-2")).Code, http.StatusMisdirectedRequest)
+		assert.Equal(t, call(one, http.MethodGet, "/healthz", "", nil).Header().Get(replica.HeaderIdentity), "r-1")
+	})
+}
+
+func TestGivenPagesThenTheListIsReadWhole(t *testing.T) {
+	list := &List{PageSize: 2, Replicas: []*Replica{stand("r-1"), stand("r-2"), stand("r-3")}}
+	server := httptest.NewServer(list)
+	defer server.Close()
+	reader := &platform.List{Address: strings.TrimPrefix(server.URL, "http://"), Client: server.Client()}
+	read, err := reader.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(read), 3)
+	assert.Equal(t, read[2].ID, "r-3")
+}
