--- /dev/null
+++ b/cmd/ferryspar-emulator/main.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"ferryspar/internal/launch"
+)
+
+type command struct {
+	name  string
+	short string
+	data  any
+}
+
+var commands = []command{
+	{"demo", "start both programs with a small fleet of stand-ins on loopback, send streams, show how each was served", &demonstrate{}},
+	{"experiment", "emulate a fleet in made-up time: variants, seeds, a table and plots", &experimentOn{}},
+	{"forecast", "compare forecasts of a loss with the emulated loss, over seeds and fleet sizes", &forecastOn{}},
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+var interrupted context.Context
+
+func run(arguments []string) int {
+	var stop context.CancelFunc
+	interrupted, stop = signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "ferryspar-emulator"
+	parser.LongDescription = "Runs ferryspar without a fleet: shows it on this machine, or emulates fleets in made-up time. Version " + launch.Version + "."
+	for _, one := range commands {
+		if _, err := parser.AddCommand(one.name, one.short, one.short, one.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return launch.ExitFailed
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return launch.Exit(parser.Name, err)
+}
