--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -46,6 +46,7 @@
 	daemon.matcher.OnWanted = daemon.desk.interest.Want
 	daemon.matcher.Trusts = daemon.desk.Trusts
 	daemon.listener = NewListener(settings, daemon.session, time.Now, daemon.desk)
+	daemon.desk.askAgain = daemon.listener.AskAgain
 	daemon.forwarder = replica.NewForwarder(network, time.Now, 400*time.Millisecond, env.Milliseconds(bounds.ContactMs))
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
 	budget := client.NewBudget(env.Seconds(bounds.BudgetPeriodS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -55,12 +55,13 @@
 	heard      atomic.Pointer[time.Time]
 	guarded    atomic.Bool
 	forget     func(func(*match.Ledger))
+	askAgain   func(address string)
 }
 
 func NewDesk(settings env.Settings, clock func() time.Time, fleet *atomic.Pointer[match.Fleet], notify func()) *Desk {
 	desk := &Desk{
 		settings: settings, clock: clock, fleet: fleet, sources: map[string]*source{}, areas: map[string]partner.AreaState{},
-		outlook: make(chan partner.Outlook, 4), notify: notify, interest: NewInterest(clock), answers: make(chan answered, 4),
+		outlook: make(chan partner.Outlook, 4), notify: notify, askAgain: func(string) {}, interest: NewInterest(clock), answers: make(chan answered, 4),
 	}
 	fleet.Store(&match.Fleet{})
 	nobody := ""
@@ -227,6 +228,9 @@
 				held.whole = false
 			}
 		}
+		if best != "" {
+			d.askAgain(best)
+		}
 		logrus.WithFields(logrus.Fields{"from": current, "to": best}).Info("parts are followed at another control daemon")
 	}
 }
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -27,10 +27,11 @@
 	desk     *Desk
 	lock     sync.Mutex
 	known    map[string]context.CancelFunc
+	asking   map[string]context.CancelFunc
 }
 
 func NewListener(settings env.Settings, session *partner.Session, clock func() time.Time, desk *Desk) *Listener {
-	return &Listener{settings: settings, session: session, news: make(chan heard, 32), clock: clock, desk: desk, known: map[string]context.CancelFunc{}}
+	return &Listener{settings: settings, session: session, news: make(chan heard, 32), clock: clock, desk: desk, known: map[string]context.CancelFunc{}, asking: map[string]context.CancelFunc{}}
 }
 
 func (l *Listener) Follow(ctx context.Context, addresses []string) {
@@ -56,6 +57,31 @@
 	}
 }
 
+func (l *Listener) AskAgain(address string) {
+	l.lock.Lock()
+	stop := l.asking[address]
+	delete(l.asking, address)
+	l.lock.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+func (l *Listener) ask(ctx context.Context, address string, poll partner.Poll, news *partner.News) (err error, again bool) {
+	bounded, stop := context.WithCancel(ctx)
+	defer stop()
+	if !poll.Wants {
+		l.lock.Lock()
+		l.asking[address] = stop
+		l.lock.Unlock()
+		if *l.desk.wants.primary.Load() == address {
+			return nil, true
+		}
+	}
+	err = l.session.Ask(bounded, "news", address, poll, news)
+	return err, err != nil && bounded.Err() != nil && ctx.Err() == nil
+}
+
 const (
 	firstPause = 100 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
@@ -73,7 +99,10 @@
 			poll.HoldMs = min(2*poll.HoldMs, longestHold)
 		}
 		var news partner.News
-		err := l.session.Ask(ctx, "news", address, poll, &news)
+		err, again := l.ask(ctx, address, poll, &news)
+		if again {
+			continue
+		}
 		now := l.clock()
 		select {
 		case l.news <- heard{address: address, news: news, at: now, failed: err != nil}:
