Plan placement over an index made once a plan, equal to the plain planner

Every question of the planner (copies, pressure of a model, free holders, intents, sizes, victims) was a scan over all replicas, models or pressures. It is a look-up now in an index built once a plan and kept up to date as actions are planned.

--- /dev/null
+++ b/internal/place/adapters.go
@@ -0,0 +1,108 @@
+package place
+
+import "sort"
+
+func (p *planner) adapters() {
+	type want struct {
+		number  int
+		waiting int
+		copies  int
+		rate    float64
+	}
+	var wanted []want
+	for model, adapters := range p.shelf.adapters {
+		if len(adapters) == 0 || p.copies[model] == 0 {
+			continue
+		}
+		for _, number := range adapters {
+			copies := p.copies[number]
+			if copies < 2 {
+				copies += p.loading(number)
+			}
+			if copies < 2 {
+				demand := p.asked(number)
+				wanted = append(wanted, want{number, demand.Waiting, copies, demand.Rate})
+			}
+		}
+	}
+	sort.SliceStable(wanted, func(left, right int) bool {
+		one, other := wanted[left], wanted[right]
+		if one.copies != other.copies {
+			return one.copies < other.copies
+		}
+		if one.waiting != other.waiting {
+			return one.waiting > other.waiting
+		}
+		return one.rate > other.rate
+	})
+	for _, one := range wanted {
+		p.bringAdapter(one.number, one.copies == 0 && (one.waiting > 0 || one.rate > 0))
+	}
+}
+
+func (p *planner) roomy(model int) []int {
+	list, known := p.open[model]
+	if !known && model < len(p.holders) {
+		for _, index := range p.holders[model] {
+			one := &p.posts[index]
+			if len(one.adapters) < p.runtime.AdapterCapacity && one.size+p.runtime.Models[model].AdapterSizeMb <= p.runtime.WeightSizeMb+roomSlack {
+				list = append(list, index)
+			}
+		}
+	}
+	rest := list[:0]
+	for _, index := range list {
+		if p.posts[index].idle() {
+			rest = append(rest, index)
+		}
+	}
+	p.open[model] = rest
+	return rest
+}
+
+func (p *planner) bringAdapter(number int, urgent bool) {
+	var best *post
+	for _, index := range p.roomy(p.item(number).model) {
+		one := &p.posts[index]
+		if !one.holds(number) && (best == nil || len(one.adapters) < len(best.adapters)) {
+			best = one
+		}
+	}
+	if best != nil {
+		p.view.Loading[p.item(number).key]++
+		p.act(best, Action{Load: true, Model: p.item(number).name, Why: "adapter wanted"})
+		return
+	}
+	if urgent {
+		p.swapAdapter(p.item(number).model)
+	}
+}
+
+func (p *planner) swapAdapter(model int) {
+	if p.stuck[model] || model >= len(p.holders) {
+		return
+	}
+	var best *post
+	victim, lowest := "", 0.0
+	for _, index := range p.holders[model] {
+		one := &p.posts[index]
+		if !one.idle() || len(one.adapters) < p.runtime.AdapterCapacity {
+			continue
+		}
+		for _, number := range one.adapters {
+			demand, copies := p.asked(number), p.copies[number]
+			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > 0) {
+				continue
+			}
+			loss, name := demand.Rate/float64(copies)-float64(copies), p.item(number).name
+			if best == nil || loss < lowest || loss == lowest && name < victim {
+				best, victim, lowest = one, name, loss
+			}
+		}
+	}
+	if best == nil {
+		p.stuck[model] = true
+		return
+	}
+	p.act(best, Action{Model: victim, Why: "adapter makes way for one asked for"})
+}
--- a/internal/place/cleanse.go
+++ b/internal/place/cleanse.go
@@ -1,7 +1,5 @@
 package place
 
-import "strings"
-
 type Pair struct {
 	Server string
 	Model  string
@@ -17,49 +15,40 @@
 		return
 	}
 	for _, pair := range p.view.Cleanse {
-		server := p.find(pair.Server)
-		if server == nil || !server.Models[pair.Model] || !server.Ready || p.used[server.ID] || server.Intent != "" {
+		place, known := p.places[pair.Server]
+		if !known {
 			continue
 		}
-		if !p.covered(server, pair.Model) {
+		one := &p.posts[place]
+		if !one.server.Models[pair.Model] || !one.server.Ready || one.used || one.server.Intent != "" || !p.covered(one, p.number(pair.Model)) {
 			continue
 		}
-		p.act(server, Action{Model: pair.Model, Intent: pair.Model, Why: CleanseReason})
-		server.Intent = pair.Model
+		p.act(one, Action{Model: pair.Model, Intent: pair.Model, Why: CleanseReason})
+		p.intend(one, pair.Model)
 		p.view.Cleansing = true
 		return
 	}
 }
 
-func (p *planner) find(id string) *Server {
-	for _, server := range p.view.Servers {
-		if server.ID == id && server.Backend == p.backend.Name {
-			return server
-		}
-	}
-	return nil
-}
-
-func (p *planner) covered(server *Server, model string) bool {
-	demand := p.view.modelPressure(p.backend.Name, model)
-	if demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
+func (p *planner) covered(one *post, model int) bool {
+	if demand := p.demand(model); demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
 		return true
 	}
-	if len(p.view.copies(p.backend.Name, model)) < 2 {
-		if p.view.Loading[key(p.backend.Name, model)] == 0 && !p.intended(model) {
+	if p.copies[model] < 2 {
+		if p.loading(model) == 0 && p.intended[p.item(model).name] == 0 {
 			p.bring(model, "a second copy before context on the first is let go")
 		}
 		return false
 	}
-	for reference := range server.Models {
-		if !strings.HasPrefix(reference, model+"/") {
+	for _, adapter := range one.adapters {
+		if p.item(adapter).model != model {
 			continue
 		}
-		asked := p.view.pressure(p.backend.Name, reference)
+		asked := p.asked(adapter)
 		wanted := asked.Waiting > 0 || asked.Running > 0 || asked.Rate >= adapterDemand
-		if wanted && len(p.view.copies(p.backend.Name, reference)) < 2 {
-			if p.view.Loading[key(p.backend.Name, reference)] == 0 {
-				p.bringAdapter(reference, true)
+		if wanted && p.copies[adapter] < 2 {
+			if p.loading(adapter) == 0 {
+				p.bringAdapter(adapter, true)
 			}
 			return false
 		}
--- /dev/null
+++ b/internal/place/equal_test.go
@@ -0,0 +1,57 @@
+package place
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+func scene(seed uint64) *View {
+	random := rand.New(rand.NewPCG(seed, 3))
+	one := market{replicas: 1 + random.IntN(30), models: 1 + random.IntN(50), adapters: random.IntN(60), active: random.Float64(), waiting: random.Float64()}
+	view := one.view(seed)
+	runtime := view.Table.Layout.Backends[0].Runtime
+	view.Learned = random.IntN(4) > 0
+	view.Drained["a"] = random.IntN(6) == 0
+	for _, server := range view.Servers {
+		server.Draining, server.Lost = random.IntN(12) == 0, random.IntN(12) == 0
+		if random.IntN(6) == 0 {
+			server.Intent = runtime.Models[random.IntN(len(runtime.Models))].Name
+		}
+		if random.IntN(20) == 0 {
+			server.Models["gone"], server.Models["gone/a1"], server.Intent = true, true, "lost"
+		}
+		for _, reference := range slices.Sorted(maps.Keys(server.Models)) {
+			if model, adapter := split(reference); adapter == "" && random.IntN(8) == 0 {
+				view.Cleanse = append(view.Cleanse, Pair{Server: server.ID, Model: model})
+			}
+		}
+	}
+	for range random.IntN(4) {
+		view.Loading[Key("s", runtime.Models[random.IntN(len(runtime.Models))].Name)]++
+	}
+	view.Pressure[Key("s", "gone")] = &Pressure{Rate: 2, Waiting: 1, LastSeen: now}
+	view.Pressure[Key("other", "m0000")] = &Pressure{Rate: 9, Waiting: 9, LastSeen: now}
+	return view
+}
+
+func TestGivenRandomFleetsThenThePlanIsThatOfThePlainPlanner(t *testing.T) {
+	for seed := range uint64(800) {
+		note := fmt.Sprintf("seed %d", seed)
+		fast, plain := scene(seed), scene(seed)
+		got, wanted := Plan(fast), plainPlan(plain)
+		assert.Assert(t, cmp.DeepEqual(got, wanted), note)
+		assert.Assert(t, cmp.DeepEqual(fast.Loading, plain.Loading), note)
+		for index := range fast.Servers {
+			assert.Equal(t, fast.Servers[index].Intent, plain.Servers[index].Intent, note)
+		}
+		assert.Equal(t, fast.Tokens, plain.Tokens, note)
+		assert.Equal(t, fast.Cleansing, plain.Cleansing, note)
+		assert.Assert(t, cmp.DeepEqual(Plan(scene(seed)), got), note)
+	}
+}
--- /dev/null
+++ b/internal/place/market_test.go
@@ -0,0 +1,81 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ferryspar/internal/layout"
+)
+
+type market struct {
+	replicas, models, adapters int
+	active, waiting            float64
+}
+
+func (m market) view(seed uint64) *View {
+	random := rand.New(rand.NewPCG(seed, 17))
+	runtime := &layout.Runtime{Slots: 12 << random.IntN(2), WeightSizeMb: 200, AdapterCapacity: 4 + random.IntN(5), LoadsPerS: 16}
+	left := m.adapters
+	for index := range m.models {
+		model := layout.Model{Name: fmt.Sprintf("m%04d", index), WeightSizeMb: 64 + float64(16*random.IntN(4)), LoadTimeS: 4 + float64(random.IntN(3)), AdapterSizeMb: 1}
+		if left > 0 && random.IntN(4) == 0 {
+			model.Adapters = min(left, 1+random.IntN(40))
+			left -= model.Adapters
+		}
+		runtime.Models = append(runtime.Models, model)
+	}
+	table := layout.Build(layout.Layout{Backends: []layout.Backend{{Name: "s", Runtime: runtime}}}, nil)
+	view := &View{Now: now, Table: table, Pressure: map[string]*Pressure{}, Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: float64(random.IntN(17)), Learned: true}
+	for index := range m.replicas {
+		view.Servers = append(view.Servers, m.server(random, runtime, index))
+	}
+	for _, model := range runtime.Models {
+		m.press(random, view, model.Name)
+		for _, adapter := range adapterNames(model) {
+			m.press(random, view, Reference(model.Name, adapter))
+		}
+	}
+	return view
+}
+
+func (m market) server(random *rand.Rand, runtime *layout.Runtime, index int) *Server {
+	one := server(fmt.Sprintf("r%03d", index))
+	one.Area = string(rune('a' + random.IntN(3)))
+	skewed := func() layout.Model {
+		share := random.Float64()
+		return runtime.Models[int(share*share*float64(len(runtime.Models)))]
+	}
+	for range 1 + random.IntN(4) {
+		model := skewed()
+		if one.Models[model.Name] || one.size(runtime)+model.WeightSizeMb > runtime.WeightSizeMb {
+			continue
+		}
+		one.Models[model.Name], one.Held[model.Name] = true, true
+		for range min(model.Adapters, random.IntN(6)) {
+			adapter := adapterNames(model)[random.IntN(model.Adapters)]
+			if one.adapters() < runtime.AdapterCapacity && one.size(runtime)+model.AdapterSizeMb <= runtime.WeightSizeMb {
+				one.Models[Reference(model.Name, adapter)] = true
+			}
+		}
+	}
+	for range random.IntN(12) {
+		one.Held[skewed().Name] = true
+	}
+	one.Ready = random.IntN(8) > 0
+	return one
+}
+
+func (m market) press(random *rand.Rand, view *View, reference string) {
+	if random.Float64() >= m.active {
+		return
+	}
+	pressure := &Pressure{Rate: float64(random.IntN(64)) / 64, LastSeen: now.Add(-time.Duration(random.IntN(40)) * time.Second), Aim: 2000}
+	if random.IntN(4) == 0 {
+		pressure.Rate, pressure.Running, pressure.Reading = float64(random.IntN(512))/64, float64(random.IntN(40)), float64(random.IntN(64))/64
+	}
+	if random.Float64() < m.waiting {
+		pressure.Waiting, pressure.OldestMs, pressure.LastSeen = 1+random.IntN(6), float64(random.IntN(4000)), now
+	}
+	view.Pressure[Key("s", reference)] = pressure
+}
--- /dev/null
+++ b/internal/place/plain_evict_test.go
@@ -0,0 +1,162 @@
+package place
+
+import (
+	"math"
+	"sort"
+	"strings"
+)
+
+func (p *plainPlanner) reading(server *Server) float64 {
+	total := 0.0
+	for reference := range server.Models {
+		if model, adapter := split(reference); adapter == "" {
+			copies := max(len(p.view.copies(p.backend.Name, model)), 1)
+			total += p.view.modelPressure(p.backend.Name, model).Reading / float64(copies)
+		}
+	}
+	return total
+}
+
+func (p *plainPlanner) freed(server *Server, model string) float64 {
+	total := p.sizes[model].WeightSizeMb
+	for reference := range server.Models {
+		if base, adapter := split(reference); base == model && adapter != "" {
+			total += p.sizes[model].AdapterSizeMb
+		}
+	}
+	return total
+}
+
+func (p *plainPlanner) loss(server *Server, model string) float64 {
+	demand := p.view.modelPressure(p.backend.Name, model)
+	others := len(p.view.copies(p.backend.Name, model)) - 1
+	loss := 0.0
+	if !demand.LastSeen.IsZero() && p.view.Now.Sub(demand.LastSeen) < recentDemand {
+		loss += 1 - p.view.Now.Sub(demand.LastSeen).Seconds()/recentDemand.Seconds()
+	}
+	loss += demand.Rate * 4 / float64(1+others*others*4)
+	if p.sizes[model].Adapters > 0 {
+		loss += 3
+	}
+	return loss
+}
+
+func (p *plainPlanner) victims(server *Server, wanted string) []string {
+	var found []string
+	for reference := range server.Models {
+		model, adapter := split(reference)
+		if adapter != "" || model == wanted || !p.expendable(server, model) {
+			continue
+		}
+		found = append(found, model)
+	}
+	sort.Slice(found, func(left, right int) bool {
+		first, second := p.loss(server, found[left]), p.loss(server, found[right])
+		if first != second {
+			return first < second
+		}
+		return found[left] < found[right]
+	})
+	return found
+}
+
+func (p *plainPlanner) expendable(server *Server, model string) bool {
+	demand := p.view.modelPressure(p.backend.Name, model)
+	copies := len(p.view.copies(p.backend.Name, model))
+	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
+		return false
+	}
+	if !p.view.Learned && copies >= 2 {
+		return false
+	}
+	if demand.Rate > hotRate && p.lastAdapter(server, model) {
+		return false
+	}
+	return float64(copies-1) >= max(p.target(model), math.Ceil(demand.Reading/readShare)) || demand.Rate < rareRate
+}
+
+func (p *plainPlanner) lastAdapter(server *Server, model string) bool {
+	for reference := range server.Models {
+		if base, adapter := split(reference); base == model && adapter != "" && len(p.view.copies(p.backend.Name, reference)) <= 1 {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plainPlanner) target(model string) float64 {
+	demand := p.view.modelPressure(p.backend.Name, model)
+	slots := float64(max(p.runtime.Slots, 1))
+	target := 1 + float64(int(demand.Running/(copyShare*slots)))
+	if demand.Rate > hotRate {
+		target = max(target, 2)
+		if adapters := p.sizes[model].Adapters; adapters > 0 && p.runtime.AdapterCapacity > 0 {
+			target = max(target, 1+math.Ceil(float64(adapters)/float64(p.runtime.AdapterCapacity)))
+		}
+	}
+	return min(target, float64(max(len(p.view.idleOrBusy(p.backend.Name))-1, 1)))
+}
+
+func (p *plainPlanner) evict(server *Server, model string) {
+	victims := p.victims(server, model)
+	if len(victims) == 0 {
+		server.Intent = ""
+		return
+	}
+	p.act(server, Action{Model: victims[0], Intent: model, Why: "makes way for " + model})
+}
+
+func (p *plainPlanner) cleanse() {
+	if p.view.Cleansing {
+		return
+	}
+	for _, pair := range p.view.Cleanse {
+		server := p.find(pair.Server)
+		if server == nil || !server.Models[pair.Model] || !server.Ready || p.used[server.ID] || server.Intent != "" {
+			continue
+		}
+		if !p.covered(server, pair.Model) {
+			continue
+		}
+		p.act(server, Action{Model: pair.Model, Intent: pair.Model, Why: CleanseReason})
+		server.Intent = pair.Model
+		p.view.Cleansing = true
+		return
+	}
+}
+
+func (p *plainPlanner) find(id string) *Server {
+	for _, server := range p.view.Servers {
+		if server.ID == id && server.Backend == p.backend.Name {
+			return server
+		}
+	}
+	return nil
+}
+
+func (p *plainPlanner) covered(server *Server, model string) bool {
+	demand := p.view.modelPressure(p.backend.Name, model)
+	if demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
+		return true
+	}
+	if len(p.view.copies(p.backend.Name, model)) < 2 {
+		if p.view.Loading[key(p.backend.Name, model)] == 0 && !p.intended(model) {
+			p.bring(model, "a second copy before context on the first is let go")
+		}
+		return false
+	}
+	for reference := range server.Models {
+		if !strings.HasPrefix(reference, model+"/") {
+			continue
+		}
+		asked := p.view.pressure(p.backend.Name, reference)
+		wanted := asked.Waiting > 0 || asked.Running > 0 || asked.Rate >= adapterDemand
+		if wanted && len(p.view.copies(p.backend.Name, reference)) < 2 {
+			if p.view.Loading[key(p.backend.Name, reference)] == 0 {
+				p.bringAdapter(reference, true)
+			}
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/place/plain_spread_test.go
@@ -0,0 +1,135 @@
+package place
+
+import "sort"
+
+func (p *plainPlanner) spread() {
+	type want struct {
+		model string
+		rate  float64
+	}
+	var wanted []want
+	for _, model := range p.runtime.Models {
+		demand := p.view.modelPressure(p.backend.Name, model.Name)
+		copies := len(p.view.copies(p.backend.Name, model.Name)) + p.view.Loading[key(p.backend.Name, model.Name)]
+		if float64(copies) < p.target(model.Name) && demand.Rate > hotRate && !p.intended(model.Name) {
+			wanted = append(wanted, want{model.Name, demand.Rate})
+		}
+	}
+	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].rate > wanted[right].rate })
+	for _, one := range wanted {
+		p.bring(one.model, "in high demand")
+	}
+}
+
+func (p *plainPlanner) restoreAll() {
+	for _, server := range p.idle() {
+		p.restore(server)
+	}
+}
+
+func (p *plainPlanner) restore(server *Server) {
+	best, bestRank := "", 0.0
+	for _, model := range p.runtime.Models {
+		name := model.Name
+		if server.Models[name] || !server.Held[name] || server.Intent != "" || !p.fits(server, name) {
+			continue
+		}
+		demand := p.view.modelPressure(p.backend.Name, name)
+		copies := len(p.view.copies(p.backend.Name, name)) + p.view.Loading[key(p.backend.Name, name)]
+		rank := (demand.Rate + 0.1) / float64(1+copies*copies)
+		if rank > bestRank {
+			best, bestRank = name, rank
+		}
+	}
+	if best != "" {
+		p.load(server, best, "it held this before")
+	}
+}
+
+func (p *plainPlanner) adapters() {
+	type want struct {
+		reference string
+		waiting   int
+		copies    int
+		rate      float64
+	}
+	var wanted []want
+	for _, model := range p.runtime.Models {
+		if model.Adapters == 0 || len(p.view.copies(p.backend.Name, model.Name)) == 0 {
+			continue
+		}
+		for _, adapter := range adapterNames(model) {
+			reference := Reference(model.Name, adapter)
+			demand := p.view.pressure(p.backend.Name, reference)
+			copies := len(p.view.copies(p.backend.Name, reference)) + p.view.Loading[key(p.backend.Name, reference)]
+			if copies < 2 {
+				wanted = append(wanted, want{reference, demand.Waiting, copies, demand.Rate})
+			}
+		}
+	}
+	sort.SliceStable(wanted, func(left, right int) bool {
+		one, other := wanted[left], wanted[right]
+		if one.copies != other.copies {
+			return one.copies < other.copies
+		}
+		if one.waiting != other.waiting {
+			return one.waiting > other.waiting
+		}
+		return one.rate > other.rate
+	})
+	for _, one := range wanted {
+		p.bringAdapter(one.reference, one.copies == 0 && (one.waiting > 0 || one.rate > 0))
+	}
+}
+
+func (p *plainPlanner) bringAdapter(reference string, urgent bool) {
+	model, _ := split(reference)
+	var best *Server
+	for _, server := range p.idle() {
+		if !server.Models[model] || server.Models[reference] || server.adapters() >= p.runtime.AdapterCapacity {
+			continue
+		}
+		if server.size(p.runtime)+p.sizes[model].AdapterSizeMb > p.runtime.WeightSizeMb+roomSlack {
+			continue
+		}
+		if best == nil || server.adapters() < best.adapters() {
+			best = server
+		}
+	}
+	if best != nil {
+		p.view.Loading[key(p.backend.Name, reference)]++
+		p.act(best, Action{Load: true, Model: reference, Why: "adapter wanted"})
+		return
+	}
+	if urgent {
+		p.swapAdapter(model)
+	}
+}
+
+func (p *plainPlanner) swapAdapter(model string) {
+	var best *Server
+	victim, lowest := "", 0.0
+	for _, server := range p.idle() {
+		if !server.Models[model] || server.adapters() < p.runtime.AdapterCapacity {
+			continue
+		}
+		for reference := range server.Models {
+			_, adapter := split(reference)
+			if adapter == "" {
+				continue
+			}
+			demand := p.view.pressure(p.backend.Name, reference)
+			copies := len(p.view.copies(p.backend.Name, reference))
+			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > 0) {
+				continue
+			}
+			loss := demand.Rate/float64(copies) - float64(copies)
+			if best == nil || loss < lowest || loss == lowest && reference < victim {
+				best, victim, lowest = server, reference, loss
+			}
+		}
+	}
+	if best != nil {
+		p.act(best, Action{Model: victim, Why: "adapter makes way for one asked for"})
+	}
+}
--- /dev/null
+++ b/internal/place/plain_view_test.go
@@ -0,0 +1,104 @@
+package place
+
+import (
+	"ferryspar/internal/layout"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+type plainView struct{ *View }
+
+func (v plainView) pressure(backend, reference string) Pressure {
+	if found := v.Pressure[key(backend, reference)]; found != nil {
+		return *found
+	}
+	return Pressure{}
+}
+
+func (v plainView) modelPressure(backend, model string) Pressure {
+	total := Pressure{}
+	for name, one := range v.Pressure {
+		owner, reference, _ := strings.Cut(name, " ")
+		base, _ := split(reference)
+		if owner != backend || base != model {
+			continue
+		}
+		total.Waiting += one.Waiting
+		total.OldestMs = max(total.OldestMs, one.OldestMs)
+		total.Rate += one.Rate
+		total.Running += one.Running
+		total.Reading += one.Reading
+		total.Aim = max(total.Aim, one.Aim)
+		if one.LastSeen.After(total.LastSeen) {
+			total.LastSeen = one.LastSeen
+		}
+	}
+	return total
+}
+
+func (v plainView) copies(backend, reference string) []*Server {
+	var found []*Server
+	for _, server := range v.Servers {
+		if server.Backend == backend && server.counts(v.View) && server.Models[reference] {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
+func (v plainView) idleOrBusy(backend string) []*Server {
+	var found []*Server
+	for _, server := range v.Servers {
+		if server.Backend == backend && server.counts(v.View) {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
+func (v plainView) idle(backend string) []*Server {
+	var found []*Server
+	for _, server := range v.Servers {
+		if server.Backend == backend && server.counts(v.View) && server.Ready {
+			found = append(found, server)
+		}
+	}
+	sort.Slice(found, func(left, right int) bool { return found[left].ID < found[right].ID })
+	return found
+}
+
+func (s *Server) adapters() int {
+	total := 0
+	for reference := range s.Models {
+		if strings.Contains(reference, "/") {
+			total++
+		}
+	}
+	return total
+}
+
+func (s *Server) size(runtime *layout.Runtime) float64 {
+	sizes := map[string]layout.Model{}
+	for _, model := range runtime.Models {
+		sizes[model.Name] = model
+	}
+	total := 0.0
+	for reference := range s.Models {
+		model, adapter := split(reference)
+		if adapter == "" {
+			total += sizes[model].WeightSizeMb
+		} else {
+			total += sizes[model].AdapterSizeMb
+		}
+	}
+	return total
+}
+
+func adapterNames(model layout.Model) []string {
+	names := make([]string, model.Adapters)
+	for index := range names {
+		names[index] = "a" + strconv.Itoa(index+1)
+	}
+	return names
+}
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"ferryspar/internal/layout"
 )
 
 const (
@@ -14,34 +12,21 @@
 	rareRate     = 0.3
 	lateShare    = 0.4
 	readingCost  = 1.5
+	diskCost     = 0.25
 	recentDemand = 20 * time.Second
 	roomSlack    = 0.001
 )
 
-type planner struct {
-	view    *View
-	backend *layout.Backend
-	runtime *layout.Runtime
-	sizes   map[string]layout.Model
-	used    map[string]bool
-	actions []Action
-	tokens  float64
-}
-
 func Plan(view *View) []Action {
 	var actions []Action
 	if view.Table == nil {
 		return nil
 	}
-	for index := range view.Table.Layout.Backends {
-		backend := &view.Table.Layout.Backends[index]
-		if backend.Runtime == nil {
-			continue
-		}
-		p := &planner{view: view, backend: backend, runtime: backend.Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}, tokens: view.Tokens}
-		for _, model := range backend.Runtime.Models {
-			p.sizes[model.Name] = model
-		}
+	if !view.Catalog.Of(view.Table) {
+		view.Catalog = NewCatalog(view.Table)
+	}
+	for _, shelf := range view.Catalog.shelves {
+		p := newPlanner(view, shelf)
 		p.intents()
 		p.adapters()
 		p.spread()
@@ -54,66 +39,52 @@
 	return actions
 }
 
-func (p *planner) act(server *Server, action Action) {
-	action.Server = server.ID
-	p.used[server.ID] = true
-	if action.Load && action.Stored {
-		p.tokens--
-	}
-	p.actions = append(p.actions, action)
+func (p *planner) fits(one *post, model int) bool {
+	return one.size+p.item(model).size <= p.runtime.WeightSizeMb+roomSlack
 }
 
-func (p *planner) idle() []*Server {
-	var found []*Server
-	for _, server := range p.view.idle(p.backend.Name) {
-		if !p.used[server.ID] {
-			found = append(found, server)
-		}
-	}
-	return found
+func (p *planner) loadable(one *post, model int) bool {
+	return one.server.Held[p.item(model).name] || p.tokens >= 1
 }
 
-func (p *planner) fits(server *Server, model string) bool {
-	return server.size(p.runtime)+p.sizes[model].WeightSizeMb <= p.runtime.WeightSizeMb+roomSlack
-}
-
-func (p *planner) loadable(server *Server, model string) bool {
-	return server.Held[model] || p.tokens >= 1
-}
-
-func (p *planner) load(server *Server, model, why string) {
-	p.view.Loading[key(p.backend.Name, model)]++
-	server.Intent = ""
-	p.act(server, Action{Load: true, Model: model, Stored: !server.Held[model], Why: why})
+func (p *planner) load(one *post, model int, why string) {
+	p.view.Loading[p.item(model).key]++
+	p.intend(one, "")
+	name := p.item(model).name
+	p.act(one, Action{Load: true, Model: name, Stored: !one.server.Held[name], Why: why})
 }
 
 func (p *planner) intents() {
-	for _, server := range p.idle() {
-		model := server.Intent
-		if model == "" || server.Models[model] {
-			server.Intent = ""
+	for index := range p.posts {
+		one := &p.posts[index]
+		if !one.idle() || one.server.Intent == "" {
+			continue
+		}
+		model := p.number(one.server.Intent)
+		if one.holds(model) {
+			p.intend(one, "")
 			continue
 		}
-		if p.fits(server, model) {
-			if p.loadable(server, model) {
-				p.load(server, model, "room was made for it")
+		if p.fits(one, model) {
+			if p.loadable(one, model) {
+				p.load(one, model, "room was made for it")
 			}
 			continue
 		}
-		p.evict(server, model)
+		p.evict(one, model)
 	}
 }
 
 func (p *planner) missing() {
 	type want struct {
-		model string
+		model int
 		gain  float64
 	}
 	var wanted []want
-	for _, model := range p.runtime.Models {
-		demand := p.view.modelPressure(p.backend.Name, model.Name)
-		if demand.Waiting > 0 && len(p.view.copies(p.backend.Name, model.Name)) == 0 && p.view.Loading[key(p.backend.Name, model.Name)] == 0 && !p.intended(model.Name) {
-			wanted = append(wanted, want{model.Name, p.gain(model, demand)})
+	for _, model := range p.active {
+		demand := p.demand(model)
+		if model < len(p.runtime.Models) && demand.Waiting > 0 && p.copies[model] == 0 && p.loading(model) == 0 && p.intended[p.item(model).name] == 0 {
+			wanted = append(wanted, want{model, p.gain(model, demand)})
 		}
 	}
 	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].gain > wanted[right].gain })
@@ -122,80 +93,10 @@
 	}
 }
 
-func (p *planner) gain(model layout.Model, demand Pressure) float64 {
+func (p *planner) gain(model int, demand *Pressure) float64 {
 	gain := float64(demand.Waiting)
-	if demand.Aim > 0 && demand.OldestMs+model.LoadTimeS*1000 > demand.Aim {
+	if demand.Aim > 0 && demand.OldestMs+p.loadTime(model)*1000 > demand.Aim {
 		gain = gain*lateShare + demand.OldestMs/demand.Aim*lateShare
 	}
 	return gain
 }
-
-func (p *planner) intended(model string) bool {
-	for _, server := range p.view.Servers {
-		if server.Backend == p.backend.Name && server.Intent == model && !server.Draining {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *planner) bring(model, why string) bool {
-	var best *Server
-	bestCost := 0.0
-	for _, server := range p.idle() {
-		if server.Models[model] || server.Intent != "" || !p.loadable(server, model) || p.reserved(server, model) {
-			continue
-		}
-		cost, possible := p.cost(server, model)
-		if possible && (best == nil || cost < bestCost) {
-			best, bestCost = server, cost
-		}
-	}
-	if best == nil {
-		return false
-	}
-	if p.fits(best, model) {
-		p.load(best, model, why)
-		return true
-	}
-	best.Intent = model
-	p.evict(best, model)
-	return true
-}
-
-func (p *planner) reserved(server *Server, wanted string) bool {
-	for _, model := range p.runtime.Models {
-		if model.Adapters == 0 || model.Name == wanted || !server.Models[model.Name] {
-			continue
-		}
-		copies := p.view.copies(p.backend.Name, model.Name)
-		free := 0
-		for _, holder := range copies {
-			if holder.Ready && !p.used[holder.ID] && holder.Intent == "" {
-				free++
-			}
-		}
-		if p.view.modelPressure(p.backend.Name, model.Name).Rate > hotRate && 2*free <= len(copies) {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *planner) cost(server *Server, model string) (float64, bool) {
-	cost := readingCost * p.reading(server)
-	if !server.Held[model] {
-		cost += p.sizes[model].LoadTimeS
-	} else {
-		cost += p.sizes[model].LoadTimeS * 0.25
-	}
-	need := server.size(p.runtime) + p.sizes[model].WeightSizeMb - p.runtime.WeightSizeMb
-	for _, victim := range p.victims(server, model) {
-		if need <= roomSlack {
-			break
-		}
-		need -= p.freed(server, victim)
-		cost += p.loss(server, victim)
-	}
-	return cost, need <= roomSlack
-}
--- a/internal/place/plan_test.go
+++ b/internal/place/plan_test.go
@@ -11,7 +11,7 @@
 
 var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func market(servers ...*Server) *View {
+func small(servers ...*Server) *View {
 	runtime := &layout.Runtime{Slots: 10, WeightSizeMb: 200, AdapterCapacity: 2, LoadsPerS: 1, Models: []layout.Model{
 		{Name: "hot", WeightSizeMb: 90, LoadTimeS: 5, Adapters: 4, AdapterSizeMb: 1}, {Name: "rare", WeightSizeMb: 90, LoadTimeS: 5}, {Name: "old", WeightSizeMb: 90, LoadTimeS: 5},
 	}}
@@ -38,7 +38,7 @@
 }
 
 func TestGivenAModelAskedForAndRoomThenItIsLoadedOnce(t *testing.T) {
-	view := market(server("a", "old"), server("b", "old"))
+	view := small(server("a", "old"), server("b", "old"))
 	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 2, OldestMs: 50, LastSeen: now}
 	actions := Plan(view)
 	assert.Equal(t, len(find(actions, true, "rare")), 1)
@@ -50,7 +50,7 @@
 func TestGivenAFullReplicaThenAnIdleModelMakesWayAndTheIntentEndsWithTheLoad(t *testing.T) {
 	one := server("a", "old", "rare2")
 	one.Models = map[string]bool{"old": true, "hot": true}
-	view := market(one)
+	view := small(one)
 	view.Pressure[Key("s", "hot")] = &Pressure{Rate: 3, Running: 2, LastSeen: now}
 	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
 	one.Models["hot/a1"], one.Models["hot/a2"] = true, true
@@ -70,19 +70,16 @@
 }
 
 func TestGivenACopyWithTheLastAdapterThenItIsNotEvicted(t *testing.T) {
-	view := market(server("a", "hot", "hot/a1", "old"), server("b", "hot", "old"))
+	view := small(server("a", "hot", "hot/a1", "old"), server("b", "hot", "old"))
 	view.Pressure[Key("s", "hot")] = &Pressure{Rate: 3, LastSeen: now}
-	p := &planner{view: view, backend: &view.Table.Layout.Backends[0], runtime: view.Table.Layout.Backends[0].Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}}
-	for _, model := range p.runtime.Models {
-		p.sizes[model.Name] = model
-	}
-	assert.Assert(t, !p.expendable(view.Servers[0], "hot"))
+	p := newPlanner(view, NewCatalog(view.Table).shelves[0])
+	assert.Assert(t, !p.expendable(&p.posts[0], p.number("hot")))
 }
 
 func TestGivenNoStoreLoadsLeftThenOnlyModelsHeldBeforeAreLoaded(t *testing.T) {
 	fresh, returned := server("a"), server("b")
 	returned.Held["rare"] = true
-	view := market(fresh, returned)
+	view := small(fresh, returned)
 	view.Tokens = 0
 	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
 	loads := find(Plan(view), true, "rare")
@@ -100,7 +97,7 @@
 			}
 		}
 		one := server("a", models...)
-		view := market(one, server("b", "hot"))
+		view := small(one, server("b", "hot"))
 		for _, name := range []string{"hot/a4", "rare", "old", "hot"} {
 			view.Pressure[Key("s", name)] = &Pressure{Waiting: 1, OldestMs: 10, Rate: 2, LastSeen: now}
 		}
@@ -123,7 +120,7 @@
 func TestGivenASuspectedReplicaThenItsCopiesDoNotCount(t *testing.T) {
 	lost := server("a", "rare")
 	lost.Lost = true
-	view := market(lost, server("b"))
+	view := small(lost, server("b"))
 	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
 	loads := find(Plan(view), true, "rare")
 	assert.Equal(t, len(loads), 1)
@@ -131,7 +128,7 @@
 }
 
 func TestGivenAHolderThatKnowsNoRatesYetThenModelsOnSeveralReplicasStay(t *testing.T) {
-	view := market(server("a", "hot", "old"), server("b", "hot", "old"))
+	view := small(server("a", "hot", "old"), server("b", "hot", "old"))
 	view.Table.Layout.Backends[0].Runtime.AdapterCapacity = 0
 	view.Pressure[Key("s", "rare")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
 	view.Learned = false
@@ -150,7 +147,7 @@
 }
 
 func TestGivenPromptsThatTakeLongToReadThenTheirCopiesAreKept(t *testing.T) {
-	view := market(server("a", "rare", "old"), server("b", "rare", "old"), server("c", "rare", "old"))
+	view := small(server("a", "rare", "old"), server("b", "rare", "old"), server("c", "rare", "old"))
 	view.Table.Layout.Backends[0].Runtime.AdapterCapacity = 0
 	view.Pressure[Key("s", "hot")] = &Pressure{Waiting: 1, OldestMs: 50, LastSeen: now}
 	view.Pressure[Key("s", "rare")] = &Pressure{Rate: 9, Reading: 0.5, LastSeen: now}
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -1,8 +1,7 @@
 package place
 
 import (
-	"sort"
-	"strconv"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,6 +33,7 @@
 type View struct {
 	Now       time.Time
 	Table     *layout.Table
+	Catalog   *Catalog
 	Servers   []*Server
 	Pressure  map[string]*Pressure
 	Loading   map[string]int
@@ -65,102 +65,82 @@
 	return model, adapter
 }
 
-func (s *Server) adapters() int {
-	total := 0
-	for reference := range s.Models {
-		if strings.Contains(reference, "/") {
-			total++
-		}
-	}
-	return total
-}
-
-func (s *Server) size(runtime *layout.Runtime) float64 {
-	sizes := map[string]layout.Model{}
-	for _, model := range runtime.Models {
-		sizes[model.Name] = model
-	}
-	total := 0.0
-	for reference := range s.Models {
-		model, adapter := split(reference)
-		if adapter == "" {
-			total += sizes[model].WeightSizeMb
-		} else {
-			total += sizes[model].AdapterSizeMb
-		}
-	}
-	return total
-}
-
 func key(backend, reference string) string { return backend + " " + reference }
 
 func Key(backend, reference string) string { return key(backend, reference) }
 
-func (v *View) pressure(backend, reference string) Pressure {
-	if found := v.Pressure[key(backend, reference)]; found != nil {
-		return *found
+func (s *Server) counts(v *View) bool { return !s.Draining && !s.Lost && !v.Drained[s.Area] }
+
+func (p *Pressure) add(one *Pressure) {
+	p.Waiting += one.Waiting
+	p.OldestMs = max(p.OldestMs, one.OldestMs)
+	p.Rate += one.Rate
+	p.Running += one.Running
+	p.Reading += one.Reading
+	p.Aim = max(p.Aim, one.Aim)
+	if one.LastSeen.After(p.LastSeen) {
+		p.LastSeen = one.LastSeen
 	}
-	return Pressure{}
 }
 
-func (v *View) modelPressure(backend, model string) Pressure {
-	total := Pressure{}
-	for name, one := range v.Pressure {
-		owner, reference, _ := strings.Cut(name, " ")
-		base, _ := split(reference)
-		if owner != backend || base != model {
-			continue
-		}
-		total.Waiting += one.Waiting
-		total.OldestMs = max(total.OldestMs, one.OldestMs)
-		total.Rate += one.Rate
-		total.Running += one.Running
-		total.Reading += one.Reading
-		total.Aim = max(total.Aim, one.Aim)
-		if one.LastSeen.After(total.LastSeen) {
-			total.LastSeen = one.LastSeen
-		}
+func (p *planner) demand(model int) *Pressure {
+	if total := p.totals[model]; total != nil {
+		return total
 	}
-	return total
+	return nothing
 }
 
-func (s *Server) counts(v *View) bool { return !s.Draining && !s.Lost && !v.Drained[s.Area] }
-
-func (v *View) copies(backend, reference string) []*Server {
-	var found []*Server
-	for _, server := range v.Servers {
-		if server.Backend == backend && server.counts(v) && server.Models[reference] {
-			found = append(found, server)
-		}
+func (p *planner) asked(number int) *Pressure {
+	if one := p.pressure[number]; one != nil {
+		return one
 	}
-	return found
+	return nothing
+}
+
+func (p *planner) loading(number int) int { return p.view.Loading[p.item(number).key] }
+
+func (o *post) holds(number int) bool {
+	return slices.Contains(o.models, number) || slices.Contains(o.adapters, number)
 }
 
-func (v *View) idleOrBusy(backend string) []*Server {
-	var found []*Server
-	for _, server := range v.Servers {
-		if server.Backend == backend && server.counts(v) {
-			found = append(found, server)
+func (o *post) idle() bool { return o.counts && o.server.Ready && !o.used }
+
+func (o *post) free() bool { return o.idle() && o.server.Intent == "" }
+
+func (p *planner) alter(one *post, change func()) {
+	before := one.free()
+	change()
+	after := one.free()
+	if before == after {
+		return
+	}
+	step := 1
+	if before {
+		step = -1
+	}
+	for _, model := range one.models {
+		if p.adapterCount(model) > 0 {
+			p.free[model] += step
 		}
 	}
-	return found
 }
 
-func (v *View) idle(backend string) []*Server {
-	var found []*Server
-	for _, server := range v.Servers {
-		if server.Backend == backend && server.counts(v) && server.Ready {
-			found = append(found, server)
-		}
+func (p *planner) intend(one *post, model string) {
+	if one.server.Intent == model {
+		return
+	}
+	if !one.server.Draining {
+		p.intended[one.server.Intent]--
+		p.intended[model]++
 	}
-	sort.Slice(found, func(left, right int) bool { return found[left].ID < found[right].ID })
-	return found
+	p.alter(one, func() { one.server.Intent = model })
 }
 
-func adapterNames(model layout.Model) []string {
-	names := make([]string, model.Adapters)
-	for index := range names {
-		names[index] = "a" + strconv.Itoa(index+1)
+func (p *planner) act(one *post, action Action) {
+	action.Server = one.server.ID
+	p.alter(one, func() { one.used = true })
+	if action.Load && action.Stored {
+		p.tokens--
 	}
-	return names
+	p.actions = append(p.actions, action)
 }
