--- a/internal/place/adapters.go
+++ b/internal/place/adapters.go
@@ -1,6 +1,9 @@
 package place
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 func (p *planner) adapters() {
 	type want struct {
@@ -25,15 +28,8 @@
 			}
 		}
 	}
-	sort.SliceStable(wanted, func(left, right int) bool {
-		one, other := wanted[left], wanted[right]
-		if one.copies != other.copies {
-			return one.copies < other.copies
-		}
-		if one.waiting != other.waiting {
-			return one.waiting > other.waiting
-		}
-		return one.rate > other.rate
+	slices.SortFunc(wanted, func(left, right want) int {
+		return cmp.Or(left.copies-right.copies, right.waiting-left.waiting, cmp.Compare(right.rate, left.rate), left.number-right.number)
 	})
 	for _, one := range wanted {
 		p.bringAdapter(one.number, one.copies == 0 && (one.waiting > 0 || one.rate > 0))
--- a/internal/place/bring.go
+++ b/internal/place/bring.go
@@ -1,12 +1,20 @@
 package place
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 type ranking struct {
 	post   int
 	burden float64
 }
 
+type keeping struct {
+	post int
+	next int
+}
+
 func (p *planner) bring(model int, why string) bool {
 	best := -1
 	bestCost := 0.0
@@ -16,10 +24,10 @@
 			best, bestCost = number, cost
 		}
 	}
-	for _, number := range p.keepers(model) {
-		if one := &p.posts[number]; p.suits(one, model) {
+	for next := p.firstKept(model); next > 0; next = p.kept[next].next {
+		if one := &p.posts[p.kept[next].post]; p.suits(one, model) {
 			if burden, possible := p.burden(one, size); possible {
-				consider(number, burden+loadTime*diskCost)
+				consider(one.number, burden+loadTime*diskCost)
 			}
 		}
 	}
@@ -45,21 +53,26 @@
 	return one.free() && !one.holds(model) && !p.reserved(one)
 }
 
-func (p *planner) keepers(model int) []int {
+func (p *planner) firstKept(model int) int {
 	if p.kept == nil {
-		p.kept = map[int][]int{}
+		p.kept = []keeping{{}}
+		p.firsts = make([]int, len(p.shelf.items))
 		for index := range p.posts {
-			if !p.posts[index].idle() {
+			if !p.posts[index].free() {
 				continue
 			}
 			for reference := range p.posts[index].server.Held {
 				if number, known := p.shelf.names[reference]; known {
-					p.kept[number] = append(p.kept[number], index)
+					p.kept = append(p.kept, keeping{index, p.firsts[number]})
+					p.firsts[number] = len(p.kept) - 1
 				}
 			}
 		}
 	}
-	return p.kept[model]
+	if model < len(p.firsts) {
+		return p.firsts[model]
+	}
+	return 0
 }
 
 func (p *planner) leastBurdened(model int, size float64) (ranking, bool) {
@@ -72,7 +85,9 @@
 				}
 			}
 		}
-		sort.SliceStable(list, func(left, right int) bool { return list[left].burden < list[right].burden })
+		slices.SortFunc(list, func(left, right ranking) int {
+			return cmp.Or(cmp.Compare(left.burden, right.burden), left.post-right.post)
+		})
 	}
 	rest := list[:0]
 	for index, one := range list {
--- a/internal/place/cleanse.go
+++ b/internal/place/cleanse.go
@@ -14,6 +14,12 @@
 	if p.view.Cleansing {
 		return
 	}
+	if len(p.view.Cleanse) > 0 {
+		p.places = make(map[string]int, len(p.posts))
+		for index := range p.posts {
+			p.places[p.posts[index].server.ID] = index
+		}
+	}
 	for _, pair := range p.view.Cleanse {
 		place, known := p.places[pair.Server]
 		if !known {
--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -1,8 +1,9 @@
 package place
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 func (p *planner) weigh(one *post) {
@@ -16,12 +17,8 @@
 			one.victims = append(one.victims, victim{model, p.loss(model), p.freed(one, model)})
 		}
 	}
-	sort.Slice(one.victims, func(left, right int) bool {
-		first, second := one.victims[left], one.victims[right]
-		if first.loss != second.loss {
-			return first.loss < second.loss
-		}
-		return p.item(first.model).name < p.item(second.model).name
+	slices.SortFunc(one.victims, func(left, right victim) int {
+		return cmp.Or(cmp.Compare(left.loss, right.loss), cmp.Compare(p.item(left.model).name, p.item(right.model).name))
 	})
 }
 
--- a/internal/place/index.go
+++ b/internal/place/index.go
@@ -44,7 +44,8 @@
 	free     []int
 	intended map[string]int
 	ranked   map[float64][]ranking
-	kept     map[int][]int
+	kept     []keeping
+	firsts   []int
 	open     map[int][]int
 	stuck    map[int]bool
 	actions  []Action
@@ -57,7 +58,7 @@
 	amount := len(shelf.items)
 	p := &planner{
 		view: view, shelf: shelf, runtime: shelf.runtime, tokens: view.Tokens, unknown: map[string]int{}, pressure: make([]*Pressure, amount), totals: make([]*Pressure, amount),
-		copies: make([]int, amount), holders: make([][]int, len(shelf.adapters)), free: make([]int, len(shelf.adapters)), intended: map[string]int{}, places: map[string]int{},
+		copies: make([]int, amount), holders: make([][]int, len(shelf.adapters)), free: make([]int, len(shelf.adapters)), intended: map[string]int{},
 		ranked: map[float64][]ranking{}, open: map[int][]int{}, stuck: map[int]bool{},
 	}
 	p.indexPressure()
@@ -152,7 +153,6 @@
 	for index := range p.posts {
 		one := &p.posts[index]
 		one.number = index
-		p.places[one.server.ID] = index
 		p.indexHoldings(one)
 		if one.server.Intent != "" && !one.server.Draining {
 			p.intended[one.server.Intent]++
--- a/internal/place/plain_evict_test.go
+++ b/internal/place/plain_evict_test.go
@@ -1,14 +1,16 @@
 package place
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 )
 
 func (p *plainPlanner) reading(server *Server) float64 {
 	total := 0.0
-	for reference := range server.Models {
+	for _, reference := range slices.Sorted(maps.Keys(server.Models)) {
 		if model, adapter := split(reference); adapter == "" {
 			copies := max(len(p.view.copies(p.backend.Name, model)), 1)
 			total += p.view.modelPressure(p.backend.Name, model).Reading / float64(copies)
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -1,7 +1,8 @@
 package place
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -87,7 +88,9 @@
 			wanted = append(wanted, want{model, p.gain(model, demand)})
 		}
 	}
-	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].gain > wanted[right].gain })
+	slices.SortFunc(wanted, func(left, right want) int {
+		return cmp.Or(cmp.Compare(right.gain, left.gain), left.model-right.model)
+	})
 	for _, one := range wanted {
 		p.bring(one.model, "asked for and nowhere loaded")
 	}
--- a/internal/place/spread.go
+++ b/internal/place/spread.go
@@ -1,6 +1,9 @@
 package place
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 func (p *planner) spread() {
 	type want struct {
@@ -17,7 +20,9 @@
 			wanted = append(wanted, want{model, demand.Rate})
 		}
 	}
-	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].rate > wanted[right].rate })
+	slices.SortFunc(wanted, func(left, right want) int {
+		return cmp.Or(cmp.Compare(right.rate, left.rate), left.model-right.model)
+	})
 	for _, one := range wanted {
 		p.bring(one.model, "in high demand")
 	}
