Feed the planner from sums kept as reports come

Waiting, running and suspicion are summed when an edge reports and taken back when its report ages, instead of over all edges at every plan; the planner reads the demand in place, holdings are shared and copied on write, the roster is followed only when it changed, overlays are built again only for replicas that changed and at most every 50 ms unless an unload is to be told. When nothing new was told, heard or listed the plan is made every 500 ms only, and never for more than a fortieth of the time up to 300 ms apart. Demand that was idle for two minutes is dropped.

--- a/internal/controlplane/charges.go
+++ b/internal/controlplane/charges.go
@@ -6,48 +6,77 @@
 	"ferryspar/internal/place"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 )
 
 func (w *Warden) follow(listed []platform.Replica) {
-	present := map[string]bool{}
-	for _, one := range listed {
+	if len(listed) > 0 && w.followed == &listed[0] && len(w.charges) == len(listed) {
+		return
+	}
+	w.followed, w.stirred, w.order = nil, true, w.order[:0]
+	present := make(map[string]bool, len(listed))
+	for index := range listed {
+		one := &listed[index]
 		present[one.ID] = true
+		w.order = append(w.order, one.ID)
 		if w.charges[one.ID] == nil {
-			w.charges[one.ID] = &charge{models: references(one.Models), barred: map[string]bool{}}
+			w.charges[one.ID] = &charge{models: references(one.Models), barred: map[string]bool{}, stale: true}
 		}
-		w.charges[one.ID].listed = one
-		w.notice(one)
+		w.charges[one.ID].listed = *one
+		w.notice(*one)
 	}
+	sort.Strings(w.order)
+	w.order = slices.Compact(w.order)
 	for id := range w.charges {
 		if !present[id] {
 			delete(w.charges, id)
+			w.unshown = true
 		}
 	}
+	if len(listed) > 0 {
+		w.followed = &listed[0]
+	}
 }
 
 func (w *Warden) notice(listed platform.Replica) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.remember(listed.Address, references(listed.Models))
+	known := w.heldOnce[listed.Address]
+	for _, one := range listed.Models {
+		if !known[one.Name] {
+			w.remember(listed.Address, references(listed.Models))
+			return
+		}
+	}
 }
 
 func (w *Warden) showOverlays() {
-	shown := map[string]overlay{}
+	now := w.daemon.clock()
+	w.lock.Lock()
+	for id := range w.overlays {
+		if w.charges[id] == nil {
+			delete(w.overlays, id)
+		}
+	}
 	for id, one := range w.charges {
+		if _, shown := w.overlays[id]; shown && !one.stale {
+			continue
+		}
+		one.stale = false
 		next := overlay{at: one.overlayAt, models: held(one.models)}
 		for name := range one.barred {
 			next.barred = append(next.barred, name)
 		}
-		shown[id] = next
+		w.overlays[id] = next
 	}
-	w.lock.Lock()
-	w.overlays = shown
 	w.lock.Unlock()
+	w.unshown, w.shown = false, now
 	w.daemon.publishRoster()
-	_ = w.daemon.bus.Publish(event.Placement, len(shown))
+	_ = w.daemon.bus.Publish(event.Placement, len(w.charges))
 }
 
 func held(models map[string]bool) []platform.Held {
@@ -71,11 +100,19 @@
 }
 
 func (w *Warden) remember(address string, models map[string]bool) {
-	if w.heldOnce[address] == nil {
-		w.heldOnce[address] = map[string]bool{}
-	}
+	known := w.heldOnce[address]
+	var next map[string]bool
 	for reference := range models {
-		w.heldOnce[address][reference] = true
+		if known[reference] || strings.Contains(reference, "/") {
+			continue
+		}
+		if next == nil {
+			if next = maps.Clone(known); next == nil {
+				next = map[string]bool{}
+			}
+			w.heldOnce[address] = next
+		}
+		next[reference] = true
 	}
 }
 
@@ -94,7 +131,7 @@
 
 func (w *Warden) looked(one *charge, state replica.State, err error) {
 	now := w.daemon.clock()
-	one.asking = false
+	one.asking, w.stirred = false, true
 	one.lookAt = now.Add(busyPause)
 	if err != nil {
 		one.lookAt = now.Add(2 * busyPause)
@@ -118,34 +155,25 @@
 	w.lock.Lock()
 	w.remember(one.listed.Address, one.models)
 	w.lock.Unlock()
-	w.showOverlays()
-}
-
-func (w *Warden) server(id string, one *charge, now time.Time) *place.Server {
-	server := &place.Server{
-		ID: id, Backend: one.listed.Backend, Area: one.listed.Area, Draining: one.listed.State == platform.Draining, Lost: w.suspects(id, now), Models: map[string]bool{},
-		Held: w.heldOnce[one.listed.Address], Intent: one.intent, Ready: one.known && one.pending == nil && !one.asking && !now.Before(one.blocked),
+	one.stale, w.unshown = true, true
+	if now.Sub(w.shown) >= showPause {
+		w.showOverlays()
 	}
-	for reference := range one.models {
-		server.Models[reference] = true
-	}
-	return server
 }
 
-func (w *Warden) suspects(id string, now time.Time) bool {
+func (w *Warden) servers(view *place.View, now time.Time) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	suspected, told := 0, 0
-	for _, one := range w.told {
-		if now.Sub(one.at) > time.Second {
+	for _, id := range w.order {
+		one := w.charges[id]
+		if !places(view.Table, one.listed.Backend) {
 			continue
 		}
-		told++
-		if one.pressure.Replicas[id].Suspect {
-			suspected++
-		}
+		view.Servers = append(view.Servers, &place.Server{
+			ID: id, Backend: one.listed.Backend, Area: one.listed.Area, Draining: one.listed.State == platform.Draining, Lost: w.tally.Suspected(id), Models: one.models,
+			Held: w.heldOnce[one.listed.Address], Intent: one.intent, Ready: one.known && one.pending == nil && !one.asking && !now.Before(one.blocked),
+		})
 	}
-	return suspected >= suspectsNeeded || suspected > 0 && suspected == told
 }
 
 func references(models []platform.Held) map[string]bool {
--- a/internal/controlplane/demand.go
+++ b/internal/controlplane/demand.go
@@ -16,14 +16,13 @@
 	if w.learning.IsZero() && len(pressure.Models) > 0 {
 		w.learning = now
 	}
-	waiting := false
-	for _, model := range pressure.Models {
-		name := place.Key(model.Backend, model.Model)
-		w.counted[name] += float64(model.Arrivals)
-		w.reading[name] += model.ReadMs
-		waiting = waiting || model.Waiting > 0
+	names := make([]string, len(pressure.Models))
+	for index, model := range pressure.Models {
+		names[index] = place.Key(model.Backend, model.Model)
+		w.counted[names[index]] += float64(model.Arrivals)
+		w.reading[names[index]] += model.ReadMs
 	}
-	if waiting {
+	if w.tally.Hear(pressure, names, now) {
 		select {
 		case w.nudge <- struct{}{}:
 		default:
@@ -49,9 +48,16 @@
 	now := w.daemon.clock()
 	w.lock.Lock()
 	defer w.lock.Unlock()
+	w.applyRates(now)
+	for edge, one := range w.told {
+		if now.Sub(one.at) > toldFor {
+			delete(w.told, edge)
+		}
+	}
+	w.tally.Expire(now)
+	w.tally.Pour(w.demand, now)
 	span := now.Sub(w.lastRate).Seconds()
 	if span < 0.25 {
-		w.gather(now)
 		return
 	}
 	w.lastRate = now
@@ -70,44 +76,38 @@
 		if demand.Rate < 0.003 {
 			demand.Rate = 0
 		}
+		if demand.Rate == 0 && demand.Waiting == 0 && demand.Running == 0 && now.Sub(demand.LastSeen) > forgetAfter {
+			delete(w.demand, name)
+		}
 	}
-	w.counted = map[string]float64{}
-	w.reading = map[string]float64{}
-	w.gather(now)
+	clear(w.counted)
+	clear(w.reading)
 }
 
-func (w *Warden) gather(now time.Time) {
-	for _, demand := range w.demand {
-		demand.Waiting, demand.OldestMs, demand.Running = 0, 0, 0
+func (w *Warden) applyRates(now time.Time) {
+	told := w.heardRates
+	w.heardRates = nil
+	if len(told) == 0 {
+		return
 	}
-	for edge, one := range w.told {
-		age := now.Sub(one.at)
-		if age > 10*time.Second {
-			delete(w.told, edge)
-		}
-		if age > 1500*time.Millisecond {
-			continue
+	for name, demand := range w.demand {
+		if _, known := told[name]; !known {
+			demand.Rate, demand.Reading = min(demand.Rate, toldRate), 0
 		}
-		for _, model := range one.pressure.Models {
-			name := place.Key(model.Backend, model.Model)
-			if w.demand[name] == nil {
-				w.demand[name] = &place.Pressure{}
-			}
-			demand := w.demand[name]
-			demand.Waiting += model.Waiting
-			demand.Running += float64(model.Running)
-			demand.Aim = max(demand.Aim, model.Aim)
-			if model.Waiting > 0 {
-				demand.OldestMs = max(demand.OldestMs, model.OldestMs)
-				demand.LastSeen = now
-			}
+	}
+	for name, rate := range told {
+		if w.demand[name] == nil {
+			w.demand[name] = &place.Pressure{}
 		}
+		w.demand[name].Rate, w.demand[name].Reading, w.demand[name].LastSeen = rate.PerS, rate.Reading, now
 	}
 }
 
 const (
-	toldRate  = 0.3
-	learnTime = 6 * time.Second
+	toldRate    = 0.3
+	learnTime   = 6 * time.Second
+	toldFor     = 10 * time.Second
+	forgetAfter = 2 * time.Minute
 )
 
 func (w *Warden) rates() map[string]partner.Rate {
@@ -128,19 +128,8 @@
 	if len(told) == 0 {
 		return
 	}
-	now := w.daemon.clock()
-	w.learning = now.Add(-learnTime)
-	for name, demand := range w.demand {
-		if _, known := told[name]; !known {
-			demand.Rate, demand.Reading = min(demand.Rate, toldRate), 0
-		}
-	}
-	for name, rate := range told {
-		if w.demand[name] == nil {
-			w.demand[name] = &place.Pressure{}
-		}
-		w.demand[name].Rate, w.demand[name].Reading, w.demand[name].LastSeen = rate.PerS, rate.Reading, now
-	}
+	w.learning = w.daemon.clock().Add(-learnTime)
+	w.heardRates = told
 }
 
 func (w *Warden) learned(now time.Time) bool {
--- /dev/null
+++ b/internal/controlplane/feed.go
@@ -0,0 +1,54 @@
+package controlplane
+
+import (
+	"time"
+
+	"ferryspar/internal/layout"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/place"
+	"ferryspar/internal/platform"
+)
+
+const (
+	planWithin  = 500 * time.Millisecond
+	planPause   = 20 * time.Millisecond
+	planLongest = 300 * time.Millisecond
+	planShare   = 40
+	showPause   = 50 * time.Millisecond
+)
+
+type feed struct {
+	tally      *Tally
+	heardRates map[string]partner.Rate
+	catalog    *place.Catalog
+	order      []string
+	followed   *platform.Replica
+	stirred    bool
+	version    uint64
+	planned    time.Time
+	spent      time.Duration
+	unshown    bool
+	shown      time.Time
+}
+
+func (w *Warden) mayPlan(bulletin *Bulletin, now time.Time) bool {
+	since := now.Sub(w.planned)
+	if since < min(max(planPause, planShare*w.spent), planLongest) {
+		return false
+	}
+	w.lock.Lock()
+	waited := w.tally.Stirred() || len(w.tally.waiting) > 0
+	w.lock.Unlock()
+	changed := waited || w.stirred || w.version != bulletin.Version || since >= planWithin
+	if changed {
+		w.stirred, w.version = false, bulletin.Version
+	}
+	return changed
+}
+
+func (w *Warden) currentCatalog(table *layout.Table) *place.Catalog {
+	if !w.catalog.Of(table) {
+		w.catalog = place.NewCatalog(table)
+	}
+	return w.catalog
+}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sort"
 	"strings"
 	"time"
 
@@ -48,21 +47,45 @@
 		return
 	}
 	w.follow(w.daemon.roster.listed())
-	view := &place.View{Now: now, Table: table, Pressure: w.copyDemand(), Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: w.tokens(now, table), Learned: w.learned(now)}
+	for _, id := range w.order {
+		if one := w.charges[id]; places(table, one.listed.Backend) {
+			w.look(ctx, id, one, now)
+		}
+	}
+	if w.unshown && now.Sub(w.shown) >= showPause {
+		w.showOverlays()
+	}
+	if !w.mayPlan(bulletin, now) {
+		return
+	}
+	w.plan(ctx, bulletin, table, now)
+	w.planned = w.daemon.clock()
+	w.spent = w.planned.Sub(now)
+}
+
+func places(table *layout.Table, backend string) bool {
+	found, _, known := table.Backend(backend)
+	return known && found.Runtime != nil
+}
+
+func (w *Warden) plan(ctx context.Context, bulletin *Bulletin, table *layout.Table, now time.Time) {
+	view := &place.View{
+		Now: now, Table: table, Catalog: w.currentCatalog(table), Pressure: w.demand, Loading: map[string]int{}, Drained: map[string]bool{},
+		Tokens: w.tokens(now, table), Learned: w.learned(now), Servers: make([]*place.Server, 0, len(w.order)),
+	}
 	for area, state := range bulletin.Areas {
 		view.Drained[area] = state.Drained
 	}
-	for id, one := range w.charges {
-		if backend, _, found := table.Backend(one.listed.Backend); !found || backend.Runtime == nil {
+	for _, id := range w.order {
+		one := w.charges[id]
+		if !places(table, one.listed.Backend) {
 			continue
 		}
-		w.look(ctx, id, one, now)
 		if one.pending != nil && one.pending.Load {
 			view.Loading[place.Key(one.listed.Backend, one.pending.Model)]++
 		}
-		view.Servers = append(view.Servers, w.server(id, one, now))
 	}
-	sort.Slice(view.Servers, func(left, right int) bool { return view.Servers[left].ID < view.Servers[right].ID })
+	w.servers(view, now)
 	w.cleanse(ctx, bulletin, view)
 	for _, action := range place.Plan(view) {
 		if action.Why == place.CleanseReason {
@@ -73,6 +96,9 @@
 	for _, server := range view.Servers {
 		w.charges[server.ID].intent = server.Intent
 	}
+	if w.unshown {
+		w.showOverlays()
+	}
 	w.explain(view, now)
 }
 
@@ -80,17 +106,6 @@
 
 const suspectsNeeded = 2
 
-func (w *Warden) copyDemand() map[string]*place.Pressure {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	copied := make(map[string]*place.Pressure, len(w.demand))
-	for name, demand := range w.demand {
-		one := *demand
-		copied[name] = &one
-	}
-	return copied
-}
-
 func (w *Warden) tokens(now time.Time, table *layout.Table) float64 {
 	span := env.Seconds(w.daemon.settings.TimingBounds.OriginPeriodS)
 	kept := w.loads[:0]
@@ -125,7 +140,7 @@
 				one.barred[action.Server+" "+reference] = true
 			}
 		}
-		w.showOverlays()
+		one.stale, w.unshown = true, true
 		pause = barTime
 	}
 	address := one.listed.Address
@@ -173,6 +188,7 @@
 }
 
 func (w *Warden) ordered(one *charge, action place.Action, status int, err error) {
+	w.stirred = true
 	w.log(action, status, err)
 	if err != nil {
 		status = 0
--- /dev/null
+++ b/internal/controlplane/tally_test.go
@@ -0,0 +1,93 @@
+package controlplane
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/partner"
+	"ferryspar/internal/place"
+)
+
+func plainDemand(told map[string]told, now time.Time) map[string]place.Pressure {
+	demands := map[string]place.Pressure{}
+	for _, one := range told {
+		if now.Sub(one.at) > countedFor {
+			continue
+		}
+		for _, model := range one.pressure.Models {
+			name := place.Key(model.Backend, model.Model)
+			demand := demands[name]
+			demand.Waiting += model.Waiting
+			demand.Running += float64(model.Running)
+			if model.Waiting > 0 {
+				demand.OldestMs = max(demand.OldestMs, model.OldestMs)
+			}
+			demands[name] = demand
+		}
+	}
+	return demands
+}
+
+func plainSuspects(told map[string]told, id string, now time.Time) bool {
+	suspected, counted := 0, 0
+	for _, one := range told {
+		if now.Sub(one.at) > doubtFor {
+			continue
+		}
+		counted++
+		if one.pressure.Replicas[id].Suspect {
+			suspected++
+		}
+	}
+	return suspected >= suspectsNeeded || suspected > 0 && suspected == counted
+}
+
+func randomReport(random *rand.Rand) partner.Pressure {
+	report := partner.Pressure{Daemon: fmt.Sprint("edge", random.IntN(5)), Replicas: map[string]partner.ReplicaPressure{}}
+	for index := range 6 {
+		if random.IntN(2) == 0 {
+			report.Models = append(report.Models, partner.ModelPressure{
+				Backend: "s", Model: fmt.Sprint("m", index), Waiting: random.IntN(3), Running: random.IntN(3), OldestMs: float64(random.IntN(900)),
+			})
+		}
+		report.Replicas[fmt.Sprint("r", index)] = partner.ReplicaPressure{Suspect: random.IntN(4) == 0}
+	}
+	return report
+}
+
+func TestGivenReportsInAnyOrderThenTheTallyIsTheSumOfThoseStillFresh(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+		tally, heard, demands := NewTally(), map[string]told{}, map[string]*place.Pressure{}
+		for range 200 {
+			now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond)
+			if random.IntN(3) > 0 {
+				report := randomReport(random)
+				names := make([]string, len(report.Models))
+				for index, model := range report.Models {
+					names[index] = place.Key(model.Backend, model.Model)
+				}
+				heard[report.Daemon] = told{now, report}
+				tally.Hear(report, names, now)
+			}
+			tally.Expire(now)
+			tally.Pour(demands, now)
+			plain := plainDemand(heard, now)
+			for name, demand := range demands {
+				got := place.Pressure{Waiting: demand.Waiting, Running: demand.Running, OldestMs: demand.OldestMs}
+				assert.Equal(t, got, plain[name], "seed %d: %s", seed, name)
+				assert.Equal(t, tally.waiting[name], demand.Waiting > 0, "seed %d: %s", seed, name)
+			}
+			for index := range 6 {
+				id := fmt.Sprint("r", index)
+				assert.Equal(t, tally.Suspected(id), plainSuspects(heard, id, now), "seed %d: %s", seed, id)
+			}
+			assert.Assert(t, len(tally.reports) <= 5 && len(tally.sums) <= 6, "seed %d", seed)
+		}
+	}
+}
--- a/internal/controlplane/warden.go
+++ b/internal/controlplane/warden.go
@@ -32,6 +32,7 @@
 	overlayAt time.Time
 	intent    string
 	barred    map[string]bool
+	stale     bool
 }
 
 type overlay struct {
@@ -67,6 +68,7 @@
 	explained time.Time
 	overlays  map[string]overlay
 	cleanser  *Cleanser
+	feed
 }
 
 func NewWarden(daemon *Daemon) *Warden {
@@ -79,7 +81,7 @@
 		},
 		commander: replica.NewCommander(daemon.network),
 		told:      map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
-		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), lastRate: daemon.clock(),
+		nudge: make(chan struct{}, 1), results: make(chan func(), 64), charges: map[string]*charge{}, overlays: map[string]overlay{}, cleanser: newCleanser(), feed: feed{tally: NewTally()}, lastRate: daemon.clock(),
 	}
 }
 
