--- /dev/null
+++ b/internal/controlplane/feed_bench_test.go
@@ -0,0 +1,52 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ferryspar/internal/layout"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/place"
+	"ferryspar/internal/platform"
+)
+
+func BenchmarkFeed(b *testing.B) {
+	for _, size := range [][2]int{{9, 6}, {140, 80}, {720, 400}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+			w := &Warden{
+				daemon: &Daemon{clock: func() time.Time { return now }}, told: map[string]told{}, demand: map[string]*place.Pressure{}, counted: map[string]float64{},
+				reading: map[string]float64{}, heldOnce: map[string]map[string]bool{}, charges: map[string]*charge{}, feed: feed{tally: NewTally()},
+			}
+			var listed []platform.Replica
+			for index := range size[0] {
+				held := []platform.Held{{Name: fmt.Sprint("m", index), Adapters: []string{"a1", "a2", "a3"}}, {Name: fmt.Sprint("m", index/2)}}
+				listed = append(listed, platform.Replica{ID: fmt.Sprintf("r%04d", index), Address: fmt.Sprint("at", index), Backend: "s", Models: held})
+			}
+			table := layout.Build(layout.Layout{Backends: []layout.Backend{{Name: "s", Runtime: &layout.Runtime{Slots: 12}}}}, nil)
+			var reports []partner.Pressure
+			for edge := range size[1] {
+				report := partner.Pressure{Daemon: fmt.Sprint("edge", edge), Replicas: map[string]partner.ReplicaPressure{}}
+				for index := range 40 {
+					report.Models = append(report.Models, partner.ModelPressure{Backend: "s", Model: fmt.Sprint("m", (edge*7+index)%size[0]), Running: 1, Waiting: index % 2})
+				}
+				reports = append(reports, report)
+			}
+			names := make([]string, 40)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(100 * time.Millisecond)
+				for _, report := range reports[:max(len(reports)/10, 1)] {
+					for index, model := range report.Models {
+						names[index] = place.Key(model.Backend, model.Model)
+					}
+					w.tally.Hear(report, append([]string{}, names...), now)
+				}
+				w.measure()
+				w.follow(listed)
+				w.servers(&place.View{Table: table}, now)
+			}
+		})
+	}
+}
