Choose loads and victims for many rare models

- Waiting models are ordered by the waiters that can still be served in time, the more urgent first; late ones climb with their age, so none is passed over for good.
- Copies follow the running load also for models asked for seldom but run long, and no eviction leaves a model fewer copies than its runs need; while models wait that stand nowhere, a copy may carry 0.6 of its slots instead of 0.4.
- Two replicas no longer give up the same model in one plan: what the plan took counts at once.
- Room is made only for loads that the ceiling allows now; evictions ahead of it left replicas empty.
- A room whose model is not waited for any more, or stands by now, is given back instead of loaded.
- Victims are also weighed by how often they are asked for over two minutes.
- Copies for safety and adapters nobody waits for come after what is waited for; intents of replicas that do not count (drained, lost) no longer hold a model back.

--- a/internal/controlplane/demand.go
+++ b/internal/controlplane/demand.go
@@ -61,7 +61,7 @@
 		return
 	}
 	w.lastRate = now
-	share := min(span/rateSpan, 1)
+	share, slowShare := min(span/rateSpan, 1), min(span/oftenSpan, 1)
 	for name, amount := range w.counted {
 		if w.demand[name] == nil {
 			w.demand[name] = &place.Pressure{}
@@ -72,6 +72,7 @@
 	}
 	for name, demand := range w.demand {
 		demand.Rate += share * (w.counted[name]/span - demand.Rate)
+		demand.Often += slowShare * (w.counted[name]/span - demand.Often)
 		demand.Reading += share * (w.reading[name]/span/1000 - demand.Reading)
 		if demand.Rate < 0.003 {
 			demand.Rate = 0
@@ -107,7 +108,8 @@
 	toldRate    = 0.3
 	learnTime   = 6 * time.Second
 	toldFor     = 10 * time.Second
-	forgetAfter = 2 * time.Minute
+	forgetAfter = 6 * time.Minute
+	oftenSpan   = 120.0
 )
 
 func (w *Warden) rates() map[string]partner.Rate {
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -9,6 +9,7 @@
 	"ferryspar/internal/env"
 	"ferryspar/internal/layout"
 	"ferryspar/internal/place"
+	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
 )
 
@@ -81,7 +82,7 @@
 		if !places(table, one.listed.Backend) {
 			continue
 		}
-		if one.pending != nil && one.pending.Load {
+		if one.pending != nil && one.pending.Load && one.listed.State != platform.Draining {
 			view.Loading[place.Key(one.listed.Backend, one.pending.Model)]++
 		}
 	}
--- a/internal/place/adapters.go
+++ b/internal/place/adapters.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-func (p *planner) adapters() {
+func (p *planner) adapters(pressing bool) {
 	type want struct {
 		number  int
 		waiting int
@@ -22,8 +22,8 @@
 			if copies < 2 {
 				copies += p.loading(number)
 			}
-			if copies < 2 {
-				demand := p.asked(number)
+			demand := p.asked(number)
+			if urgent := demand.Waiting > 0 || copies == 0 && demand.Rate > 0; copies < 2 && urgent == pressing {
 				wanted = append(wanted, want{number, demand.Waiting, copies, demand.Rate})
 			}
 		}
@@ -86,7 +86,7 @@
 			continue
 		}
 		for _, number := range one.adapters {
-			demand, copies := p.asked(number), p.copies[number]
+			demand, copies := p.asked(number), p.left(number)
 			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > 0) {
 				continue
 			}
--- a/internal/place/bring.go
+++ b/internal/place/bring.go
@@ -31,7 +31,7 @@
 			}
 		}
 	}
-	if p.tokens >= 1 {
+	if p.tokens-p.promised >= 1 {
 		if one, found := p.leastBurdened(model, size); found {
 			consider(one.post, one.burden+loadTime)
 		}
@@ -45,7 +45,12 @@
 		return true
 	}
 	p.intend(one, p.item(model).name)
-	p.evict(one, model)
+	if !p.evict(one, model) {
+		return false
+	}
+	if !one.server.Held[p.item(model).name] {
+		p.promised++
+	}
 	return true
 }
 
--- a/internal/place/cleanse.go
+++ b/internal/place/cleanse.go
@@ -40,7 +40,7 @@
 	if demand := p.demand(model); demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
 		return true
 	}
-	if p.copies[model] < 2 {
+	if p.left(model) < 2 {
 		if p.loading(model) == 0 && p.intended[p.item(model).name] == 0 {
 			p.bring(model, "a second copy before context on the first is let go")
 		}
@@ -52,7 +52,7 @@
 		}
 		asked := p.asked(adapter)
 		wanted := asked.Waiting > 0 || asked.Running > 0 || asked.Rate >= adapterDemand
-		if wanted && p.copies[adapter] < 2 {
+		if wanted && p.left(adapter) < 2 {
 			if p.loading(adapter) == 0 {
 				p.bringAdapter(adapter, true)
 			}
--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -13,7 +13,7 @@
 	one.weighed = true
 	for _, model := range one.models {
 		one.reading += p.demand(model).Reading / float64(max(p.copies[model], 1))
-		if p.expendable(one, model) {
+		if p.expendable(one, model, p.standing) {
 			one.victims = append(one.victims, victim{model, p.loss(model), p.freed(one, model)})
 		}
 	}
@@ -39,41 +39,48 @@
 	if !demand.LastSeen.IsZero() && p.view.Now.Sub(demand.LastSeen) < recentDemand {
 		loss += 1 - p.view.Now.Sub(demand.LastSeen).Seconds()/recentDemand.Seconds()
 	}
-	loss += demand.Rate * 4 / float64(1+others*others*4)
+	loss += (demand.Rate*4 + demand.Often*keepFor) / float64(1+others*others*4)
 	if p.adapterCount(model) > 0 {
 		loss += 3
 	}
 	return loss
 }
 
-func (p *planner) expendable(one *post, model int) bool {
+func (p *planner) expendable(one *post, model int, count func(number int) int) bool {
 	demand := p.demand(model)
-	copies := p.copies[model]
+	copies := count(model)
 	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
 		return false
 	}
 	if !p.view.Learned && copies >= 2 {
 		return false
 	}
-	if demand.Rate > hotRate && p.lastAdapter(one, model) {
+	if demand.Rate > hotRate && p.lastAdapter(one, model, count) {
 		return false
 	}
-	return float64(copies-1) >= max(p.target(model), math.Ceil(demand.Reading/readShare)) || demand.Rate < rareRate
+	rest := float64(copies - 1)
+	return rest >= max(p.target(model), math.Ceil(demand.Reading/readShare)) || demand.Rate < rareRate && rest >= p.needed(demand)
 }
 
-func (p *planner) lastAdapter(one *post, model int) bool {
+func (p *planner) lastAdapter(one *post, model int, count func(number int) int) bool {
 	for _, adapter := range one.adapters {
-		if p.item(adapter).model == model && p.copies[adapter] <= 1 {
+		if p.item(adapter).model == model && count(adapter) <= 1 {
 			return true
 		}
 	}
 	return false
 }
 
+func (p *planner) needed(demand *Pressure) float64 {
+	if demand.Running == 0 {
+		return 0
+	}
+	return 1 + math.Floor(demand.Running/(p.share*float64(max(p.runtime.Slots, 1))))
+}
+
 func (p *planner) target(model int) float64 {
 	demand := p.demand(model)
-	slots := float64(max(p.runtime.Slots, 1))
-	target := 1 + float64(int(demand.Running/(copyShare*slots)))
+	target := max(1, p.needed(demand))
 	if demand.Rate > hotRate {
 		target = max(target, 2)
 		if adapters := p.adapterCount(model); adapters > 0 && p.runtime.AdapterCapacity > 0 {
@@ -83,11 +90,22 @@
 	return min(target, float64(max(p.counting-1, 1)))
 }
 
-func (p *planner) evict(one *post, model int) {
+func (p *planner) evict(one *post, model int) bool {
 	p.weigh(one)
-	if len(one.victims) == 0 {
+	need := one.size + p.item(model).size - p.runtime.WeightSizeMb
+	first := -1
+	for _, next := range one.victims {
+		if p.expendable(one, next.model, p.left) {
+			need -= next.freed
+			if first < 0 {
+				first = next.model
+			}
+		}
+	}
+	if first < 0 || need > roomSlack {
 		p.intend(one, "")
-		return
+		return false
 	}
-	p.act(one, Action{Model: p.item(one.victims[0].model).name, Intent: p.item(model).name, Why: "makes way for " + p.item(model).name})
+	p.act(one, Action{Model: p.item(first).name, Intent: p.item(model).name, Why: "makes way for " + p.item(model).name})
+	return true
 }
--- /dev/null
+++ b/internal/place/fleet_test.go
@@ -0,0 +1,91 @@
+package place
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func checkPlan(t *testing.T, view *View, actions []Action, tokens float64, note string) {
+	t.Helper()
+	runtime := view.Table.Layout.Backends[0].Runtime
+	plain := plainView{view, map[string]Pressure{}}
+	servers, used, taken, fresh := map[string]*Server{}, map[string]bool{}, map[string]int{}, map[string]int{}
+	for _, one := range view.Servers {
+		servers[one.ID] = one
+	}
+	stored := 0.0
+	for _, action := range actions {
+		one := servers[action.Server]
+		assert.Assert(t, !used[one.ID] && one.Ready, "%s: %v", note, action)
+		used[one.ID] = true
+		model, adapter := split(action.Model)
+		if action.Load {
+			assert.Assert(t, one.counts(view) && !one.Models[action.Model], "%s: %v", note, action)
+			if action.Stored && adapter == "" {
+				stored++
+			}
+			if fresh[action.Model]++; adapter == "" && len(plain.copies("s", model)) == 0 && plain.modelPressure("s", model).Rate <= hotRate && action.Stored {
+				assert.Equal(t, fresh[action.Model], 1, "%s: %v", note, action)
+			}
+			one.Models[action.Model] = true
+			assert.Assert(t, one.size(runtime) <= runtime.WeightSizeMb+roomSlack && (adapter == "" || one.adapters() <= runtime.AdapterCapacity), "%s: %v", note, action)
+			delete(one.Models, action.Model)
+			continue
+		}
+		assert.Assert(t, one.Models[action.Model], "%s: %v", note, action)
+		taken[action.Model]++
+		demand, rest := plain.modelPressure("s", model), len(plain.copies("s", action.Model))-taken[action.Model]
+		if adapter != "" {
+			demand = plain.pressure("s", action.Model)
+		}
+		if one.counts(view) && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
+			assert.Assert(t, rest >= 1, "%s: %v", note, action)
+		}
+		if action.Why != CleanseReason && adapter == "" && demand.Running > 0 {
+			assert.Assert(t, float64(rest) >= demand.Running/(tightShare*float64(runtime.Slots)), "%s: %v", note, action)
+		}
+	}
+	assert.Assert(t, stored <= math.Max(tokens, 0), "%s: %v loads, %v allowed", note, stored, tokens)
+}
+
+func TestGivenLargeRandomFleetsThenRoomCeilingsAndLastCopiesAreKept(t *testing.T) {
+	for seed := range uint64(20) {
+		one := market{replicas: 20 + int(seed)*9, models: 60 + int(seed)*18, adapters: int(seed) * 20, active: 0.2 + float64(seed%5)*0.2, waiting: float64(seed%7) / 7}
+		view := one.view(seed)
+		tokens := view.Tokens
+		for round := range 3 {
+			actions := Plan(view)
+			checkPlan(t, view, actions, tokens, fmt.Sprintf("seed %d, round %d", seed, round))
+			tokens = view.Tokens
+			apply(view, actions)
+		}
+	}
+}
+
+func TestGivenRandomScenesThenRoomCeilingsAndLastCopiesAreKept(t *testing.T) {
+	for seed := range uint64(600) {
+		view := scene(seed)
+		tokens := view.Tokens
+		checkPlan(t, view, Plan(view), tokens, fmt.Sprintf("seed %d", seed))
+	}
+}
+
+func apply(view *View, actions []Action) {
+	clear(view.Loading)
+	for _, action := range actions {
+		for _, one := range view.Servers {
+			if one.ID == action.Server && action.Load {
+				one.Models[action.Model] = true
+			} else if one.ID == action.Server {
+				for reference := range one.Models {
+					if base, _ := split(reference); reference == action.Model || base == action.Model {
+						delete(one.Models, reference)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/place/index.go
+++ b/internal/place/index.go
@@ -50,6 +50,9 @@
 	stuck    map[int]bool
 	actions  []Action
 	tokens   float64
+	share    float64
+	promised float64
+	taken    map[int]int
 }
 
 var nothing = &Pressure{}
@@ -59,7 +62,7 @@
 	p := &planner{
 		view: view, shelf: shelf, runtime: shelf.runtime, tokens: view.Tokens, unknown: map[string]int{}, pressure: make([]*Pressure, amount), totals: make([]*Pressure, amount),
 		copies: make([]int, amount), holders: make([][]int, len(shelf.adapters)), free: make([]int, len(shelf.adapters)), intended: map[string]int{},
-		ranked: map[float64][]ranking{}, open: map[int][]int{}, stuck: map[int]bool{},
+		ranked: map[float64][]ranking{}, taken: map[int]int{}, open: map[int][]int{}, stuck: map[int]bool{},
 	}
 	p.indexPressure()
 	p.indexServers()
@@ -154,7 +157,7 @@
 		one := &p.posts[index]
 		one.number = index
 		p.indexHoldings(one)
-		if one.server.Intent != "" && !one.server.Draining {
+		if one.server.Intent != "" && one.counts {
 			p.intended[one.server.Intent]++
 		}
 	}
--- a/internal/place/market_test.go
+++ b/internal/place/market_test.go
@@ -70,7 +70,7 @@
 	if random.Float64() >= m.active {
 		return
 	}
-	pressure := &Pressure{Rate: float64(random.IntN(64)) / 64, LastSeen: now.Add(-time.Duration(random.IntN(40)) * time.Second), Aim: 2000}
+	pressure := &Pressure{Rate: float64(random.IntN(64)) / 64, Often: float64(random.IntN(64)) / 512, LastSeen: now.Add(-time.Duration(random.IntN(40)) * time.Second), Aim: 2000}
 	if random.IntN(4) == 0 {
 		pressure.Rate, pressure.Running, pressure.Reading = float64(random.IntN(512))/64, float64(random.IntN(40)), float64(random.IntN(64))/64
 	}
--- a/internal/place/plain_evict_test.go
+++ b/internal/place/plain_evict_test.go
@@ -36,7 +36,7 @@
 	if !demand.LastSeen.IsZero() && p.view.Now.Sub(demand.LastSeen) < recentDemand {
 		loss += 1 - p.view.Now.Sub(demand.LastSeen).Seconds()/recentDemand.Seconds()
 	}
-	loss += demand.Rate * 4 / float64(1+others*others*4)
+	loss += (demand.Rate*4 + demand.Often*keepFor) / float64(1+others*others*4)
 	if p.sizes[model].Adapters > 0 {
 		loss += 3
 	}
@@ -47,7 +47,7 @@
 	var found []string
 	for reference := range server.Models {
 		model, adapter := split(reference)
-		if adapter != "" || model == wanted || !p.expendable(server, model) {
+		if adapter != "" || model == wanted || !p.expendable(server, model, p.standing) {
 			continue
 		}
 		found = append(found, model)
@@ -62,34 +62,41 @@
 	return found
 }
 
-func (p *plainPlanner) expendable(server *Server, model string) bool {
+func (p *plainPlanner) expendable(server *Server, model string, count func(reference string) int) bool {
 	demand := p.view.modelPressure(p.backend.Name, model)
-	copies := len(p.view.copies(p.backend.Name, model))
+	copies := count(model)
 	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
 		return false
 	}
 	if !p.view.Learned && copies >= 2 {
 		return false
 	}
-	if demand.Rate > hotRate && p.lastAdapter(server, model) {
+	if demand.Rate > hotRate && p.lastAdapter(server, model, count) {
 		return false
 	}
-	return float64(copies-1) >= max(p.target(model), math.Ceil(demand.Reading/readShare)) || demand.Rate < rareRate
+	rest := float64(copies - 1)
+	return rest >= max(p.target(model), math.Ceil(demand.Reading/readShare)) || demand.Rate < rareRate && rest >= p.needed(demand)
 }
 
-func (p *plainPlanner) lastAdapter(server *Server, model string) bool {
+func (p *plainPlanner) lastAdapter(server *Server, model string, count func(reference string) int) bool {
 	for reference := range server.Models {
-		if base, adapter := split(reference); base == model && adapter != "" && len(p.view.copies(p.backend.Name, reference)) <= 1 {
+		if base, adapter := split(reference); base == model && adapter != "" && count(reference) <= 1 {
 			return true
 		}
 	}
 	return false
 }
 
+func (p *plainPlanner) needed(demand Pressure) float64 {
+	if demand.Running == 0 {
+		return 0
+	}
+	return 1 + math.Floor(demand.Running/(p.share*float64(max(p.runtime.Slots, 1))))
+}
+
 func (p *plainPlanner) target(model string) float64 {
 	demand := p.view.modelPressure(p.backend.Name, model)
-	slots := float64(max(p.runtime.Slots, 1))
-	target := 1 + float64(int(demand.Running/(copyShare*slots)))
+	target := max(1, p.needed(demand))
 	if demand.Rate > hotRate {
 		target = max(target, 2)
 		if adapters := p.sizes[model].Adapters; adapters > 0 && p.runtime.AdapterCapacity > 0 {
@@ -99,15 +106,31 @@
 	return min(target, float64(max(len(p.view.idleOrBusy(p.backend.Name))-1, 1)))
 }
 
-func (p *plainPlanner) evict(server *Server, model string) {
-	victims := p.victims(server, model)
-	if len(victims) == 0 {
+func (p *plainPlanner) evict(server *Server, model string) bool {
+	need := server.size(p.runtime) + p.sizes[model].WeightSizeMb - p.runtime.WeightSizeMb
+	first := ""
+	for _, victim := range p.victims(server, model) {
+		if p.expendable(server, victim, p.left) {
+			need -= p.freed(server, victim)
+			if first == "" {
+				first = victim
+			}
+		}
+	}
+	if first == "" || need > roomSlack {
 		server.Intent = ""
-		return
+		return false
 	}
-	p.act(server, Action{Model: victims[0], Intent: model, Why: "makes way for " + model})
+	p.act(server, Action{Model: first, Intent: model, Why: "makes way for " + model})
+	return true
 }
 
+func (p *plainPlanner) standing(reference string) int {
+	return len(p.view.copies(p.backend.Name, reference))
+}
+
+func (p *plainPlanner) left(reference string) int { return p.standing(reference) - p.taken[reference] }
+
 func (p *plainPlanner) cleanse() {
 	if p.view.Cleansing {
 		return
@@ -141,7 +164,7 @@
 	if demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
 		return true
 	}
-	if len(p.view.copies(p.backend.Name, model)) < 2 {
+	if p.left(model) < 2 {
 		if p.view.Loading[key(p.backend.Name, model)] == 0 && !p.intended(model) {
 			p.bring(model, "a second copy before context on the first is let go")
 		}
@@ -153,7 +176,7 @@
 		}
 		asked := p.view.pressure(p.backend.Name, reference)
 		wanted := asked.Waiting > 0 || asked.Running > 0 || asked.Rate >= adapterDemand
-		if wanted && len(p.view.copies(p.backend.Name, reference)) < 2 {
+		if wanted && p.left(reference) < 2 {
 			if p.view.Loading[key(p.backend.Name, reference)] == 0 {
 				p.bringAdapter(reference, true)
 			}
--- a/internal/place/plain_plan_test.go
+++ b/internal/place/plain_plan_test.go
@@ -3,16 +3,19 @@
 import (
 	"ferryspar/internal/layout"
 	"sort"
+	"strings"
 )
 
 type plainPlanner struct {
-	view    plainView
-	backend *layout.Backend
-	runtime *layout.Runtime
-	sizes   map[string]layout.Model
-	used    map[string]bool
-	actions []Action
-	tokens  float64
+	view            plainView
+	backend         *layout.Backend
+	runtime         *layout.Runtime
+	sizes           map[string]layout.Model
+	used            map[string]bool
+	actions         []Action
+	tokens          float64
+	share, promised float64
+	taken           map[string]int
 }
 
 func plainPlan(view *View) []Action {
@@ -25,14 +28,20 @@
 		if backend.Runtime == nil {
 			continue
 		}
-		p := &plainPlanner{view: plainView{view}, backend: backend, runtime: backend.Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}, tokens: view.Tokens}
+		p := &plainPlanner{view: plainView{view, map[string]Pressure{}}, backend: backend, runtime: backend.Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}, taken: map[string]int{}, tokens: view.Tokens}
 		for _, model := range backend.Runtime.Models {
 			p.sizes[model.Name] = model
 		}
+		wanted := p.absent()
+		if p.share = copyShare; len(wanted) > 0 {
+			p.share = tightShare
+		}
 		p.intents()
-		p.adapters()
-		p.spread()
-		p.missing()
+		p.adapters(true)
+		p.spread(true)
+		p.missing(wanted)
+		p.adapters(false)
+		p.spread(false)
 		p.cleanse()
 		p.restoreAll()
 		actions = append(actions, p.actions...)
@@ -48,6 +57,14 @@
 		p.tokens--
 	}
 	p.actions = append(p.actions, action)
+	if action.Load {
+		return
+	}
+	for reference := range server.Models {
+		if reference == action.Model || strings.HasPrefix(reference, action.Model+"/") {
+			p.taken[reference]++
+		}
+	}
 }
 
 func (p *plainPlanner) idle() []*Server {
@@ -75,51 +92,83 @@
 }
 
 func (p *plainPlanner) intents() {
+	var rooms []*Server
 	for _, server := range p.idle() {
-		model := server.Intent
-		if model == "" || server.Models[model] {
+		if server.Intent == "" || server.Models[server.Intent] || p.idleIntent(server) {
 			server.Intent = ""
 			continue
 		}
-		if p.fits(server, model) {
-			if p.loadable(server, model) {
-				p.load(server, model, "room was made for it")
-			}
-			continue
+		rooms = append(rooms, server)
+	}
+	gains := map[string]float64{}
+	for _, server := range rooms {
+		gains[server.Intent] = p.gain(p.sizes[server.Intent], p.view.modelPressure(p.backend.Name, server.Intent))
+	}
+	sort.SliceStable(rooms, func(left, right int) bool { return gains[rooms[left].Intent] > gains[rooms[right].Intent] })
+	for _, server := range rooms {
+		if model := server.Intent; !p.fits(server, model) {
+			p.evict(server, model)
+		} else if p.loadable(server, model) {
+			p.load(server, model, "room was made for it")
+		}
+	}
+	for _, server := range p.view.Servers {
+		if server.Backend == p.backend.Name && server.counts(p.view.View) && server.Intent != "" && !server.Held[server.Intent] {
+			p.promised++
 		}
-		p.evict(server, model)
 	}
 }
 
-func (p *plainPlanner) missing() {
-	type want struct {
-		model string
-		gain  float64
+func (p *plainPlanner) idleIntent(server *Server) bool {
+	model := server.Intent
+	if server.Held[model] {
+		return false
 	}
-	var wanted []want
+	demand := p.view.modelPressure(p.backend.Name, model)
+	present := len(p.view.copies(p.backend.Name, model)) + p.view.Loading[key(p.backend.Name, model)]
+	return demand.Waiting == 0 && demand.Rate < rareRate || float64(present) >= p.target(model)
+}
+
+func (p *plainPlanner) absent() []layout.Model {
+	var wanted []layout.Model
+	gains := map[string]float64{}
 	for _, model := range p.runtime.Models {
 		demand := p.view.modelPressure(p.backend.Name, model.Name)
 		if demand.Waiting > 0 && len(p.view.copies(p.backend.Name, model.Name)) == 0 && p.view.Loading[key(p.backend.Name, model.Name)] == 0 && !p.intended(model.Name) {
-			wanted = append(wanted, want{model.Name, p.gain(model, demand)})
+			wanted, gains[model.Name] = append(wanted, model), p.gain(model, demand)
 		}
 	}
-	sort.SliceStable(wanted, func(left, right int) bool { return wanted[left].gain > wanted[right].gain })
-	for _, one := range wanted {
-		p.bring(one.model, "asked for and nowhere loaded")
+	gain := func(model layout.Model) float64 {
+		return p.gain(model, p.view.modelPressure(p.backend.Name, model.Name))
+	}
+	sort.SliceStable(wanted, func(left, right int) bool { return gain(wanted[left]) > gain(wanted[right]) })
+	return wanted
+}
+
+func (p *plainPlanner) missing(wanted []layout.Model) {
+	for _, model := range wanted {
+		if p.view.Loading[key(p.backend.Name, model.Name)] == 0 && !p.intended(model.Name) {
+			p.bring(model.Name, "asked for and nowhere loaded")
+		}
 	}
 }
 
 func (p *plainPlanner) gain(model layout.Model, demand Pressure) float64 {
-	gain := float64(demand.Waiting)
-	if demand.Aim > 0 && demand.OldestMs+model.LoadTimeS*1000 > demand.Aim {
-		gain = gain*lateShare + demand.OldestMs/demand.Aim*lateShare
+	if demand.Waiting == 0 {
+		return 0
+	}
+	left := max(demand.Aim-model.LoadTimeS*1000, 0)
+	if demand.Aim <= 0 || demand.OldestMs <= left {
+		return float64(demand.Waiting) * (1 + urgentShare*demand.OldestMs/max(left, 1))
 	}
-	return gain
+	others := float64(demand.Waiting - 1)
+	prompt := others * left / demand.OldestMs
+	return prompt + (others-prompt)*lateShare + lateShare*min(demand.OldestMs/demand.Aim, 4)
 }
 
 func (p *plainPlanner) intended(model string) bool {
 	for _, server := range p.view.Servers {
-		if server.Backend == p.backend.Name && server.Intent == model && !server.Draining {
+		if server.Backend == p.backend.Name && server.Intent == model && server.counts(p.view.View) {
 			return true
 		}
 	}
@@ -130,7 +179,7 @@
 	var best *Server
 	bestCost := 0.0
 	for _, server := range p.idle() {
-		if server.Models[model] || server.Intent != "" || !p.loadable(server, model) || p.reserved(server, model) {
+		if server.Models[model] || server.Intent != "" || !server.Held[model] && p.tokens-p.promised < 1 || p.reserved(server, model) {
 			continue
 		}
 		cost, possible := p.cost(server, model)
@@ -146,7 +195,12 @@
 		return true
 	}
 	best.Intent = model
-	p.evict(best, model)
+	if !p.evict(best, model) {
+		return false
+	}
+	if !best.Held[model] {
+		p.promised++
+	}
 	return true
 }
 
--- a/internal/place/plain_spread_test.go
+++ b/internal/place/plain_spread_test.go
@@ -2,7 +2,7 @@
 
 import "sort"
 
-func (p *plainPlanner) spread() {
+func (p *plainPlanner) spread(pressing bool) {
 	type want struct {
 		model string
 		rate  float64
@@ -10,8 +10,10 @@
 	var wanted []want
 	for _, model := range p.runtime.Models {
 		demand := p.view.modelPressure(p.backend.Name, model.Name)
-		copies := len(p.view.copies(p.backend.Name, model.Name)) + p.view.Loading[key(p.backend.Name, model.Name)]
-		if float64(copies) < p.target(model.Name) && demand.Rate > hotRate && !p.intended(model.Name) {
+		copies := len(p.view.copies(p.backend.Name, model.Name))
+		present := float64(copies + p.view.Loading[key(p.backend.Name, model.Name)])
+		urgent := demand.Waiting > 0 || present < p.needed(demand)
+		if present < p.target(model.Name) && urgent == pressing && (demand.Rate > hotRate || copies > 0) && !p.intended(model.Name) {
 			wanted = append(wanted, want{model.Name, demand.Rate})
 		}
 	}
@@ -46,7 +48,7 @@
 	}
 }
 
-func (p *plainPlanner) adapters() {
+func (p *plainPlanner) adapters(pressing bool) {
 	type want struct {
 		reference string
 		waiting   int
@@ -62,7 +64,8 @@
 			reference := Reference(model.Name, adapter)
 			demand := p.view.pressure(p.backend.Name, reference)
 			copies := len(p.view.copies(p.backend.Name, reference)) + p.view.Loading[key(p.backend.Name, reference)]
-			if copies < 2 {
+			urgent := demand.Waiting > 0 || copies == 0 && demand.Rate > 0
+			if copies < 2 && urgent == pressing {
 				wanted = append(wanted, want{reference, demand.Waiting, copies, demand.Rate})
 			}
 		}
@@ -119,7 +122,7 @@
 				continue
 			}
 			demand := p.view.pressure(p.backend.Name, reference)
-			copies := len(p.view.copies(p.backend.Name, reference))
+			copies := p.left(reference)
 			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > 0) {
 				continue
 			}
--- a/internal/place/plain_view_test.go
+++ b/internal/place/plain_view_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"ferryspar/internal/layout"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 )
 
-type plainView struct{ *View }
+type plainView struct {
+	*View
+	known map[string]Pressure
+}
 
 func (v plainView) pressure(backend, reference string) Pressure {
 	if found := v.Pressure[key(backend, reference)]; found != nil {
@@ -17,6 +21,9 @@
 }
 
 func (v plainView) modelPressure(backend, model string) Pressure {
+	if total, known := v.known[key(backend, model)]; known {
+		return total
+	}
 	total := Pressure{}
 	for name, one := range v.Pressure {
 		owner, reference, _ := strings.Cut(name, " ")
@@ -27,6 +34,7 @@
 		total.Waiting += one.Waiting
 		total.OldestMs = max(total.OldestMs, one.OldestMs)
 		total.Rate += one.Rate
+		total.Often += one.Often
 		total.Running += one.Running
 		total.Reading += one.Reading
 		total.Aim = max(total.Aim, one.Aim)
@@ -34,6 +42,7 @@
 			total.LastSeen = one.LastSeen
 		}
 	}
+	v.known[key(backend, model)] = total
 	return total
 }
 
@@ -79,17 +88,16 @@
 }
 
 func (s *Server) size(runtime *layout.Runtime) float64 {
-	sizes := map[string]layout.Model{}
-	for _, model := range runtime.Models {
-		sizes[model.Name] = model
-	}
 	total := 0.0
 	for reference := range s.Models {
 		model, adapter := split(reference)
-		if adapter == "" {
-			total += sizes[model].WeightSizeMb
-		} else {
-			total += sizes[model].AdapterSizeMb
+		index := slices.IndexFunc(runtime.Models, func(one layout.Model) bool { return one.Name == model })
+		switch {
+		case index < 0:
+		case adapter == "":
+			total += runtime.Models[index].WeightSizeMb
+		default:
+			total += runtime.Models[index].AdapterSizeMb
 		}
 	}
 	return total
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -8,13 +8,16 @@
 
 const (
 	copyShare    = 0.4
+	tightShare   = 0.6
 	readShare    = 0.2
 	hotRate      = 1.5
 	rareRate     = 0.3
 	lateShare    = 0.4
+	urgentShare  = 0.5
 	readingCost  = 1.5
 	diskCost     = 0.25
 	recentDemand = 20 * time.Second
+	keepFor      = 15.0
 	roomSlack    = 0.001
 )
 
@@ -28,10 +31,16 @@
 	}
 	for _, shelf := range view.Catalog.shelves {
 		p := newPlanner(view, shelf)
+		wanted := p.absent()
+		if p.share = copyShare; len(wanted) > 0 {
+			p.share = tightShare
+		}
 		p.intents()
-		p.adapters()
-		p.spread()
-		p.missing()
+		p.adapters(true)
+		p.spread(true)
+		p.missing(wanted)
+		p.adapters(false)
+		p.spread(false)
 		p.cleanse()
 		p.restoreAll()
 		actions = append(actions, p.actions...)
@@ -56,31 +65,53 @@
 }
 
 func (p *planner) intents() {
+	type room struct {
+		post *post
+		want
+	}
+	var rooms []room
 	for index := range p.posts {
 		one := &p.posts[index]
 		if !one.idle() || one.server.Intent == "" {
 			continue
 		}
 		model := p.number(one.server.Intent)
-		if one.holds(model) {
+		if one.holds(model) || p.idleIntent(one, model) {
 			p.intend(one, "")
 			continue
 		}
-		if p.fits(one, model) {
-			if p.loadable(one, model) {
-				p.load(one, model, "room was made for it")
-			}
-			continue
+		rooms = append(rooms, room{one, want{model, p.gain(model, p.demand(model))}})
+	}
+	slices.SortStableFunc(rooms, func(left, right room) int { return cmp.Compare(right.gain, left.gain) })
+	for _, one := range rooms {
+		if !p.fits(one.post, one.model) {
+			p.evict(one.post, one.model)
+		} else if p.loadable(one.post, one.model) {
+			p.load(one.post, one.model, "room was made for it")
+		}
+	}
+	for index := range p.posts {
+		if one := &p.posts[index]; one.server.Intent != "" && one.counts && !one.server.Held[one.server.Intent] {
+			p.promised++
 		}
-		p.evict(one, model)
 	}
 }
 
-func (p *planner) missing() {
-	type want struct {
-		model int
-		gain  float64
+func (p *planner) idleIntent(one *post, model int) bool {
+	if one.server.Held[p.item(model).name] {
+		return false
 	}
+	demand := p.demand(model)
+	present := float64(p.copies[model] + p.loading(model))
+	return demand.Waiting == 0 && demand.Rate < rareRate || present >= p.target(model)
+}
+
+type want struct {
+	model int
+	gain  float64
+}
+
+func (p *planner) absent() []want {
 	var wanted []want
 	for _, model := range p.active {
 		demand := p.demand(model)
@@ -91,15 +122,26 @@
 	slices.SortFunc(wanted, func(left, right want) int {
 		return cmp.Or(cmp.Compare(right.gain, left.gain), left.model-right.model)
 	})
+	return wanted
+}
+
+func (p *planner) missing(wanted []want) {
 	for _, one := range wanted {
-		p.bring(one.model, "asked for and nowhere loaded")
+		if p.loading(one.model) == 0 && p.intended[p.item(one.model).name] == 0 {
+			p.bring(one.model, "asked for and nowhere loaded")
+		}
 	}
 }
 
 func (p *planner) gain(model int, demand *Pressure) float64 {
-	gain := float64(demand.Waiting)
-	if demand.Aim > 0 && demand.OldestMs+p.loadTime(model)*1000 > demand.Aim {
-		gain = gain*lateShare + demand.OldestMs/demand.Aim*lateShare
+	if demand.Waiting == 0 {
+		return 0
+	}
+	left := max(demand.Aim-p.loadTime(model)*1000, 0)
+	if demand.Aim <= 0 || demand.OldestMs <= left {
+		return float64(demand.Waiting) * (1 + urgentShare*demand.OldestMs/max(left, 1))
 	}
-	return gain
+	others := float64(demand.Waiting - 1)
+	prompt := others * left / demand.OldestMs
+	return prompt + (others-prompt)*lateShare + lateShare*min(demand.OldestMs/demand.Aim, 4)
 }
--- a/internal/place/plan_test.go
+++ b/internal/place/plan_test.go
@@ -73,7 +73,7 @@
 	view := small(server("a", "hot", "hot/a1", "old"), server("b", "hot", "old"))
 	view.Pressure[Key("s", "hot")] = &Pressure{Rate: 3, LastSeen: now}
 	p := newPlanner(view, NewCatalog(view.Table).shelves[0])
-	assert.Assert(t, !p.expendable(&p.posts[0], p.number("hot")))
+	assert.Assert(t, !p.expendable(&p.posts[0], p.number("hot"), p.standing))
 }
 
 func TestGivenNoStoreLoadsLeftThenOnlyModelsHeldBeforeAreLoaded(t *testing.T) {
--- a/internal/place/spread.go
+++ b/internal/place/spread.go
@@ -5,23 +5,20 @@
 	"slices"
 )
 
-func (p *planner) spread() {
-	type want struct {
-		model int
-		rate  float64
-	}
+func (p *planner) spread(pressing bool) {
 	var wanted []want
 	for _, model := range p.active {
 		demand := p.demand(model)
-		if model >= len(p.runtime.Models) || demand.Rate <= hotRate || p.intended[p.item(model).name] > 0 {
+		if model >= len(p.runtime.Models) || demand.Rate <= hotRate && p.copies[model] == 0 || p.intended[p.item(model).name] > 0 {
 			continue
 		}
-		if float64(p.copies[model]+p.loading(model)) < p.target(model) {
+		present := float64(p.copies[model] + p.loading(model))
+		if present < p.target(model) && pressing == (demand.Waiting > 0 || present < p.needed(demand)) {
 			wanted = append(wanted, want{model, demand.Rate})
 		}
 	}
 	slices.SortFunc(wanted, func(left, right want) int {
-		return cmp.Or(cmp.Compare(right.rate, left.rate), left.model-right.model)
+		return cmp.Or(cmp.Compare(right.gain, left.gain), left.model-right.model)
 	})
 	for _, one := range wanted {
 		p.bring(one.model, "in high demand")
--- a/internal/place/state.go
+++ b/internal/place/state.go
@@ -12,6 +12,7 @@
 	Waiting  int
 	OldestMs float64
 	Rate     float64
+	Often    float64
 	Running  float64
 	Reading  float64
 	LastSeen time.Time
@@ -75,6 +76,7 @@
 	p.Waiting += one.Waiting
 	p.OldestMs = max(p.OldestMs, one.OldestMs)
 	p.Rate += one.Rate
+	p.Often += one.Often
 	p.Running += one.Running
 	p.Reading += one.Reading
 	p.Aim = max(p.Aim, one.Aim)
@@ -129,7 +131,7 @@
 	if one.server.Intent == model {
 		return
 	}
-	if !one.server.Draining {
+	if one.counts {
 		p.intended[one.server.Intent]--
 		p.intended[model]++
 	}
@@ -142,5 +144,21 @@
 	if action.Load && action.Stored {
 		p.tokens--
 	}
+	if !action.Load {
+		p.take(one, p.number(action.Model))
+	}
 	p.actions = append(p.actions, action)
 }
+
+func (p *planner) take(one *post, number int) {
+	p.taken[number]++
+	for _, adapter := range one.adapters {
+		if p.item(adapter).model == number {
+			p.taken[adapter]++
+		}
+	}
+}
+
+func (p *planner) standing(number int) int { return p.copies[number] }
+
+func (p *planner) left(number int) int { return p.copies[number] - p.taken[number] }
