--- a/internal/controlplane/charges.go
+++ b/internal/controlplane/charges.go
@@ -1,11 +1,9 @@
 package controlplane
 
 import (
-	"context"
 	"ferryspar/internal/event"
 	"ferryspar/internal/place"
 	"ferryspar/internal/platform"
-	"ferryspar/internal/replica"
 	"maps"
 	"slices"
 	"sort"
@@ -116,51 +114,6 @@
 	}
 }
 
-func (w *Warden) look(ctx context.Context, id string, one *charge, now time.Time) {
-	due := !one.known || one.pending != nil
-	if one.asking || !due || now.Before(one.lookAt) || now.Before(one.blocked) {
-		return
-	}
-	one.asking = true
-	address := one.listed.Address
-	go func() {
-		state, err := w.commander.Report(ctx, address, id)
-		w.results <- func() { w.looked(one, state, err) }
-	}()
-}
-
-func (w *Warden) looked(one *charge, state replica.State, err error) {
-	now := w.daemon.clock()
-	one.asking, w.stirred = false, true
-	one.lookAt = now.Add(busyPause)
-	if err != nil {
-		one.lookAt = now.Add(2 * busyPause)
-		return
-	}
-	if state.Busy || state.Sequence < one.sequence {
-		return
-	}
-	if one.pending != nil && one.pending.Load != references(state.Models)[one.pending.Model] {
-		if one.doubts++; one.doubts < doubtsNeeded || now.Sub(one.began) < reportLag {
-			return
-		}
-	}
-	one.doubts = 0
-	one.models = references(state.Models)
-	one.overlayAt = now
-	one.sequence = state.Sequence
-	one.known = true
-	one.pending = nil
-	one.barred = map[string]bool{}
-	w.lock.Lock()
-	w.remember(one.listed.Address, one.models)
-	w.lock.Unlock()
-	one.stale, w.unshown = true, true
-	if now.Sub(w.shown) >= showPause {
-		w.showOverlays()
-	}
-}
-
 func (w *Warden) servers(view *place.View, now time.Time) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -48,10 +48,8 @@
 		return
 	}
 	w.follow(w.daemon.roster.listed())
-	for _, id := range w.order {
-		if one := w.charges[id]; places(table, one.listed.Backend) {
-			w.look(ctx, id, one, now)
-		}
+	for _, id := range w.dueLooks(table, now) {
+		w.look(ctx, id)
 	}
 	if w.unshown && now.Sub(w.shown) >= showPause {
 		w.showOverlays()
