--- a/internal/controlplane/demand.go
+++ b/internal/controlplane/demand.go
@@ -40,7 +40,7 @@
 		return
 	}
 	w.lastRate = now
-	share := min(span/rateSpan, 1)
+	share, slowShare := min(span/rateSpan, 1), min(span/oftenSpan, 1)
 	for name, amount := range w.counted {
 		if w.demand[name] == nil {
 			w.demand[name] = &place.Pressure{}
@@ -51,6 +51,7 @@
 	}
 	for name, demand := range w.demand {
 		demand.Rate += share * (w.counted[name]/span - demand.Rate)
+		demand.Often += slowShare * (w.counted[name]/span - demand.Often)
 		demand.Reading += share * (w.reading[name]/span/1000 - demand.Reading)
 		if demand.Rate < 0.003 {
 			demand.Rate = 0
@@ -85,7 +86,8 @@
 const (
 	toldRate    = 0.3
 	learnTime   = 6 * time.Second
-	forgetAfter = 2 * time.Minute
+	forgetAfter = 6 * time.Minute
+	oftenSpan   = 120.0
 )
 
 func (w *Warden) rates() map[string]partner.Rate {
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -9,6 +9,7 @@
 	"ferryspar/internal/env"
 	"ferryspar/internal/layout"
 	"ferryspar/internal/place"
+	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
 )
 
@@ -47,10 +48,8 @@
 		return
 	}
 	w.follow(w.daemon.roster.listed())
-	for _, id := range w.order {
-		if one := w.charges[id]; places(table, one.listed.Backend) {
-			w.look(ctx, id, one, now)
-		}
+	for _, id := range w.dueLooks(table, now) {
+		w.look(ctx, id)
 	}
 	if w.unshown && now.Sub(w.shown) >= showPause {
 		w.showOverlays()
@@ -81,7 +80,7 @@
 		if !places(table, one.listed.Backend) {
 			continue
 		}
-		if one.pending != nil && one.pending.Load {
+		if one.pending != nil && one.pending.Load && one.listed.State != platform.Draining {
 			view.Loading[place.Key(one.listed.Backend, one.pending.Model)]++
 		}
 	}
--- /dev/null
+++ b/internal/place/rare_bench_test.go
@@ -0,0 +1,39 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func BenchmarkRare(b *testing.B) {
+	step := 100 * time.Millisecond
+	for _, one := range []trade{
+		{market{replicas: 140, models: 450}, 120, 1, 10, 4, 16}, {market{replicas: 140, models: 450}, 60, 0.6, 10, 4, 16}, {market{replicas: 140, models: 450}, 250, 1, 10, 6, 16},
+		{market{replicas: 9, models: 28}, 6, 1, 10, 4, 1}, {market{replicas: 40, models: 200}, 20, 0.8, 10, 4, 4},
+	} {
+		b.Run(fmt.Sprintf("%dx%d/%g/%g", one.replicas, one.models, one.perS, one.zipf), func(b *testing.B) {
+			var total outcome
+			for b.Loop() {
+				for seed := range uint64(2) {
+					f := newFair(one, seed)
+					for range 1800 {
+						f.view.Now = f.view.Now.Add(step)
+						f.arrive(step)
+						f.serve()
+						f.press(step)
+						f.plan()
+					}
+					total.asked, total.prompt, total.late, total.lost = total.asked+f.outcome.asked, total.prompt+f.outcome.prompt, total.late+f.outcome.late, total.lost+f.outcome.lost
+					total.stored, total.disk = total.stored+f.outcome.stored, total.disk+f.outcome.disk
+				}
+			}
+			share := func(part int) float64 { return float64(part) / float64(total.asked) }
+			b.ReportMetric(share(total.prompt), "prompt")
+			b.ReportMetric(share(total.late), "late")
+			b.ReportMetric(share(total.lost), "lost")
+			b.ReportMetric(share(total.stored), "stored")
+			b.ReportMetric(share(total.disk), "disk")
+		})
+	}
+}
