--- a/internal/match/health.go
+++ b/internal/match/health.go
@@ -12,7 +12,8 @@
 	stalledAfter = 1200 * time.Millisecond
 	surelyFailed = 0.8
 	lateFactor   = 4
-	lateWeight   = 0.5
+	calmLoad     = 0.25
+	lateWeight   = 0.25
 	halfServed   = 0.5
 )
 
@@ -60,16 +61,33 @@
 
 func (m *Matcher) judge(report Report) {
 	ticket := report.Ticket
-	switch failed, counts := failures[report.Outcome]; {
+	failed, counts := failures[report.Outcome]
+	late := report.Outcome == OutcomeLagging || report.Outcome == OutcomeFirst && !ticket.answered && report.At.Sub(ticket.sent) > ticket.overdue()
+	switch {
+	case report.Outcome == OutcomeFirst && ticket.silent:
+		ticket.silent = false
+		m.health.note(ticket.replica, 0, -1, report.At)
+	case (late || report.Outcome == OutcomeFull) && m.loaded(ticket.replica):
+		ticket.blamed = true
 	case counts:
 		m.blame(ticket, failed, report.At)
-	case report.Outcome == OutcomeFirst && !ticket.answered && report.At.Sub(ticket.sent) > ticket.overdue():
+	case late:
 		m.blame(ticket, lateWeight, report.At)
 	case report.Outcome == OutcomeFirst && !ticket.answered, report.Outcome == OutcomeServed && !ticket.blamed:
 		m.health.note(ticket.replica, halfServed, 0, report.At)
 	}
 }
 
+func (m *Matcher) loaded(id string) bool {
+	running := m.bank(id).running + m.fleet.Others[id].Running - 1
+	for _, replica := range m.fleet.Replicas {
+		if replica.ID == id {
+			return float64(running) > calmLoad*float64(replica.Slots)
+		}
+	}
+	return true
+}
+
 func (m *Matcher) blame(ticket *Ticket, failed float64, now time.Time) {
 	if ticket.blamed {
 		return
@@ -94,6 +112,7 @@
 			if since > stalledAfter {
 				ticket.blamed = true
 			} else if now.Sub(ticket.sent) > ticket.overdue() {
+				ticket.silent = !ticket.blamed
 				m.blame(ticket, 1, now)
 			}
 		}
--- a/internal/match/order.go
+++ b/internal/match/order.go
@@ -47,6 +47,7 @@
 	sent      time.Time
 	answered  bool
 	blamed    bool
+	silent    bool
 }
 
 type Outcome int
--- a/internal/match/tally.go
+++ b/internal/match/tally.go
@@ -33,7 +33,7 @@
 func (t *tally) add(served, failed float64, now time.Time) {
 	t.advance(now)
 	t.Served += served
-	t.Failed += failed
+	t.Failed = max(t.Failed+failed, 0)
 }
 
 func (t *tally) told(now time.Time) partner.Outcomes {
--- a/internal/replica/sessions.go
+++ b/internal/replica/sessions.go
@@ -16,7 +16,7 @@
 const (
 	idlePerReplica   = 24
 	idleTime         = 3 * time.Second
-	onceIdleTime     = 1500 * time.Millisecond
+	onceIdleTime     = 2 * time.Second
 	leastIdleTime    = 150 * time.Millisecond
 	learnedShare     = 0.7
 	relearnTime      = 20 * time.Second
