--- a/internal/match/order.go
+++ b/internal/match/order.go
@@ -50,6 +50,7 @@
 	sent      time.Time
 	answered  bool
 	blamed    bool
+	silent    bool
 }
 
 type Outcome int
