Five members over areas in the random schedules; calls of operators are answered in time

The simulation now plays 5 members over 3 or 4 areas: an area lost and back at once with its disks, bridge and region cuts, two disks stalled or slow, two wiped at once, a frozen machine, two operators in storms on two keys, and a member replaced while another area is lost, these also together. A seed now replays exactly (a test plays schedules twice): delays are drawn by message, not by order of sending; calls end with their context as HTTP does; ring and catch-up are written in the order of keys.

Found and mended: - a change whose caller had left went on and took the key from its owner; - a refused promise or write was waited out for 900 ms beside silent members, though a majority was out of reach already; - back-off before taking a key again was the same each time and unbounded: now drawn, at most half a second; - a stale call took the key from its owner only to answer 412: now a committed value that a majority shows is compared first; - an owner that had lost the key answered 503 at once: now it takes the key back, and goes on only from what is committed (its own value found: acknowledged).

Variants caught: wiped voters, answers before the sync, silence counted as agreement. The tests of keystore and tenure run on one processor: a schedule is serial work.

--- a/internal/keystore/ask.go
+++ b/internal/keystore/ask.go
@@ -8,40 +8,66 @@
 type answered struct {
 	address string
 	reply   Reply
-	err     error
 }
 
-func (s *Store) ask(ctx context.Context, message Message, enough func(map[string]Reply) bool) (map[string]Reply, Members) {
-	members := s.Members()
-	message.Sender, message.Members = s.self, members
-	addresses := members.All()
+type judge func(address string, reply Reply) bool
+
+func byGrant(_ string, reply Reply) bool { return reply.Granted }
+
+type verdict struct {
+	members Members
+	replies map[string]Reply
+	agreed  bool
+}
+
+const unreached = "not reached"
+
+func (s *Store) ask(ctx context.Context, message Message, agrees judge) verdict {
+	return s.askUntil(ctx, message, func(v *verdict) bool {
+		agreed, possible := map[string]bool{}, map[string]bool{}
+		for _, address := range v.members.All() {
+			reply, known := v.replies[address]
+			agreed[address] = known && agrees(address, reply)
+			possible[address] = !known || agreed[address]
+		}
+		v.agreed = v.members.Quorum(agreed)
+		return v.agreed || !v.members.Quorum(possible)
+	})
+}
+
+func (s *Store) askUntil(ctx context.Context, message Message, done func(v *verdict) bool) verdict {
+	v := verdict{members: s.Members(), replies: map[string]Reply{}}
+	message.Sender, message.Members = s.self, v.members
+	if ctx.Err() != nil {
+		return v
+	}
+	addresses := v.members.All()
 	answers := make(chan answered, len(addresses))
 	bounded, cancel := context.WithTimeout(ctx, askBound)
 	for _, address := range addresses {
 		go func() {
 			reply, err := s.transport.Send(bounded, address, message)
-			answers <- answered{address, reply, err}
+			if err != nil {
+				reply = Reply{Reason: unreached}
+			}
+			s.Adopt(reply.Members)
+			s.observe(reply.Slot.Promised)
+			answers <- answered{address, reply}
 		}()
 	}
-	replies := map[string]Reply{}
 	for range addresses {
 		one := <-answers
-		if one.err != nil {
-			continue
-		}
-		s.Adopt(one.reply.Members)
-		s.observe(one.reply.Slot.Promised)
-		replies[one.address] = one.reply
-		if enough(replies) {
+		v.replies[one.address] = one.reply
+		if done(&v) {
 			break
 		}
 	}
-	if enough(replies) && message.Operation != OperationAccept && message.Operation != OperationPromise {
-		cancel()
-	} else {
+	if message.Operation == OperationAccept || message.Operation == OperationPromise {
 		time.AfterFunc(askBound, cancel)
+	} else {
+		cancel()
 	}
-	return replies, members
+	return v
 }
 
 func (s *Store) observe(ballot Ballot) {
@@ -52,13 +78,3 @@
 		}
 	}
 }
-
-func granted(members Members) func(map[string]Reply) bool {
-	return func(replies map[string]Reply) bool {
-		agreed := map[string]bool{}
-		for address, reply := range replies {
-			agreed[address] = reply.Granted
-		}
-		return members.Quorum(agreed)
-	}
-}
--- a/internal/keystore/catchup.go
+++ b/internal/keystore/catchup.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -53,8 +55,8 @@
 	value, _ := json.Marshal(Self{Incarnation: self.Incarnation, Voting: true, Number: members.Number})
 	present, _ := json.Marshal(members)
 	slots := []Slot{{Key: membersKey, Value: present}}
-	for _, slot := range newest {
-		slots = append(slots, slot)
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		slots = append(slots, newest[key])
 	}
 	slots = append(slots, Slot{Key: selfKey, Value: value})
 	bounded, cancel := context.WithTimeout(ctx, 5*time.Second)
--- a/internal/keystore/evaluate.go
+++ b/internal/keystore/evaluate.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -126,9 +128,9 @@
 
 func (a *Acceptor) catchUp(message Message, reply Reply) (Reply, []Slot) {
 	value, _ := json.Marshal(message.Incarnation)
-	for key, slot := range a.staged {
+	for _, key := range slices.Sorted(maps.Keys(a.staged)) {
 		if !reserved(key) {
-			reply.Slots = append(reply.Slots, slot)
+			reply.Slots = append(reply.Slots, a.staged[key])
 		}
 	}
 	reply.Granted = true
--- a/internal/keystore/journal.go
+++ b/internal/keystore/journal.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -109,8 +111,8 @@
 	if err := add(recordBegin, Slot{}); err != nil {
 		return err
 	}
-	for _, slot := range next {
-		if err := add(recordSlot, slot); err != nil {
+	for _, key := range slices.Sorted(maps.Keys(next)) {
+		if err := add(recordSlot, next[key]); err != nil {
 			return err
 		}
 	}
--- a/internal/keystore/proposer.go
+++ b/internal/keystore/proposer.go
@@ -1,8 +1,10 @@
 package keystore
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,7 @@
 	members   atomic.Pointer[Members]
 	round     atomic.Uint32
 	lock      sync.Mutex
+	draw      *rand.Rand
 	keys      map[string]*owned
 }
 
@@ -39,7 +42,7 @@
 )
 
 func NewStore(self string, nonce uint32, transport Transport, clock Clock, members Members) *Store {
-	store := &Store{self: self, nonce: nonce, transport: transport, clock: clock, keys: map[string]*owned{}}
+	store := &Store{self: self, nonce: nonce, transport: transport, clock: clock, draw: rand.New(rand.NewPCG(uint64(nonce), 0)), keys: map[string]*owned{}}
 	store.members.Store(&members)
 	return store
 }
@@ -83,9 +86,9 @@
 func (s *Store) take(ctx context.Context, key *owned, name string) error {
 	key.held = false
 	ballot := MakeBallot(s.round.Add(1), s.nonce)
-	replies, members := s.ask(ctx, Message{Operation: OperationPromise, Key: name, Ballot: ballot}, granted(s.Members()))
-	if !granted(members)(replies) {
-		for _, reply := range replies {
+	promised := s.ask(ctx, Message{Operation: OperationPromise, Key: name, Ballot: ballot}, byGrant)
+	if !promised.agreed {
+		for _, reply := range promised.replies {
 			if !reply.Granted && (reply.Reason == "promised higher" || reply.Reason == "tenure runs") {
 				return ErrContended
 			}
@@ -94,7 +97,7 @@
 	}
 	newest := Slot{Key: name}
 	incarnations := map[string]uint64{}
-	for address, reply := range replies {
+	for address, reply := range promised.replies {
 		if !reply.Granted {
 			continue
 		}
@@ -116,18 +119,11 @@
 
 func (s *Store) commit(ctx context.Context, key *owned, slot Slot) error {
 	message := Message{Operation: OperationAccept, Key: slot.Key, Ballot: slot.Ballot, Sequence: slot.Sequence, Value: slot.Value, Incarnations: key.incarnations}
-	enough := func(members Members) func(map[string]Reply) bool {
-		return func(replies map[string]Reply) bool {
-			agreed := map[string]bool{}
-			for address, reply := range replies {
-				promised, seen := key.incarnations[address]
-				agreed[address] = reply.Granted && (!seen || promised == reply.Incarnation)
-			}
-			return members.Quorum(agreed)
-		}
-	}
-	replies, members := s.ask(ctx, message, enough(s.Members()))
-	if enough(members)(replies) {
+	written := s.ask(ctx, message, func(address string, reply Reply) bool {
+		promised, seen := key.incarnations[address]
+		return reply.Granted && (!seen || promised == reply.Incarnation)
+	})
+	if written.agreed {
 		return nil
 	}
 	key.held = false
@@ -141,6 +137,11 @@
 	}
 	defer key.leave()
 	if !key.held {
+		if slot, known := s.committed(ctx, name); known {
+			if _, refused := decide(slot); refused != nil {
+				return slot, refused
+			}
+		}
 		if err := s.takeWithin(ctx, key, name); err != nil {
 			return Slot{}, err
 		}
@@ -157,40 +158,67 @@
 			return key.slot, refused
 		}
 	}
-	next := key.slot
-	next.Sequence++
-	next.Value = value
-	if err := s.commit(ctx, key, next); err != nil {
-		return Slot{}, err
+	return s.write(ctx, key, name, value, decide)
+}
+
+func (s *Store) write(ctx context.Context, key *owned, name string, value json.RawMessage, decide func(current Slot) (json.RawMessage, error)) (Slot, error) {
+	for {
+		next := key.slot
+		next.Sequence++
+		next.Value = value
+		err := s.commit(ctx, key, next)
+		if err == nil {
+			key.slot = next
+			return next, nil
+		}
+		if ctx.Err() != nil || s.takeWithin(ctx, key, name) != nil {
+			return Slot{}, err
+		}
+		if bytes.Equal(key.slot.Value, value) {
+			return key.slot, nil
+		}
+		again, refused := decide(key.slot)
+		if refused != nil {
+			return key.slot, refused
+		}
+		value = again
 	}
-	key.slot = next
-	return next, nil
 }
 
+const (
+	firstPause   = 20 * time.Millisecond
+	longestPause = 320 * time.Millisecond
+)
+
 func (s *Store) takeWithin(ctx context.Context, key *owned, name string) error {
-	pause := 10 * time.Millisecond
+	pause := firstPause
 	for {
 		err := s.take(ctx, key, name)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		wait := time.NewTimer(pause + time.Duration(s.nonce%17)*time.Millisecond)
+		wait := time.NewTimer(pause/2 + s.jitter(pause))
 		select {
 		case <-wait.C:
 		case <-ctx.Done():
 			wait.Stop()
 			return err
 		}
-		pause *= 2
+		pause = min(2*pause, longestPause)
 	}
 }
 
+func (s *Store) jitter(bound time.Duration) time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return time.Duration(s.draw.Int64N(int64(bound)))
+}
+
 func (s *Store) confirm(ctx context.Context, key *owned, name string) error {
 	if !key.held {
 		return ErrContended
 	}
-	replies, members := s.ask(ctx, Message{Operation: OperationRenew, Key: name, Ballot: key.slot.Promised}, granted(s.Members()))
-	if !granted(members)(replies) {
+	if !s.ask(ctx, Message{Operation: OperationRenew, Key: name, Ballot: key.slot.Promised}, byGrant).agreed {
 		return ErrNoMajority
 	}
 	return nil
--- a/internal/keystore/read.go
+++ b/internal/keystore/read.go
@@ -14,11 +14,8 @@
 	if key.held && s.confirm(ctx, key, name) == nil {
 		return key.slot, nil
 	}
-	committed, _ := s.Digest(ctx)
-	if found, ok := committed[name]; ok {
-		if whole, err := s.Fetch(ctx, found); err == nil {
-			return whole, nil
-		}
+	if whole, known := s.committed(ctx, name); known {
+		return whole, nil
 	}
 	if err := s.takeWithin(ctx, key, name); err != nil {
 		return Slot{}, err
@@ -26,13 +23,25 @@
 	return key.slot, nil
 }
 
+func (s *Store) committed(ctx context.Context, name string) (Slot, bool) {
+	found, known := Slot{}, false
+	if all, err := s.Digest(ctx); err == nil {
+		found, known = all[name]
+	}
+	if !known {
+		return Slot{}, false
+	}
+	whole, err := s.Fetch(ctx, found)
+	return whole, err == nil
+}
+
 func (s *Store) Digest(ctx context.Context) (map[string]Slot, error) {
-	replies, members := s.ask(ctx, Message{Operation: OperationDigest}, granted(s.Members()))
-	if !granted(members)(replies) {
+	told := s.ask(ctx, Message{Operation: OperationDigest}, byGrant)
+	if !told.agreed {
 		return nil, ErrNoMajority
 	}
 	newest := map[string]Slot{}
-	for _, reply := range replies {
+	for _, reply := range told.replies {
 		for _, slot := range reply.Slots {
 			if slot.Newer(newest[slot.Key]) {
 				newest[slot.Key] = slot
@@ -42,12 +51,12 @@
 	committed := map[string]Slot{}
 	for name, slot := range newest {
 		agreed := map[string]bool{}
-		for address, reply := range replies {
+		for address, reply := range told.replies {
 			for _, other := range reply.Slots {
 				agreed[address] = agreed[address] || reply.Granted && other.Key == name && other.Same(slot)
 			}
 		}
-		if members.Quorum(agreed) {
+		if told.members.Quorum(agreed) {
 			committed[name] = slot
 		}
 	}
@@ -55,22 +64,19 @@
 }
 
 func (s *Store) Fetch(ctx context.Context, wanted Slot) (Slot, error) {
-	message := Message{Operation: OperationFetch, Key: wanted.Key}
-	found := func(replies map[string]Reply) bool {
-		for _, reply := range replies {
+	var whole Slot
+	s.askUntil(ctx, Message{Operation: OperationFetch, Key: wanted.Key}, func(v *verdict) bool {
+		for _, reply := range v.replies {
 			if reply.Granted && reply.Slot.Same(wanted) {
-				return true
+				whole = reply.Slot
 			}
 		}
-		return false
-	}
-	replies, _ := s.ask(ctx, message, found)
-	for _, reply := range replies {
-		if reply.Granted && reply.Slot.Same(wanted) {
-			return reply.Slot, nil
-		}
+		return whole.Key != ""
+	})
+	if whole.Key == "" {
+		return Slot{}, ErrNoMajority
 	}
-	return Slot{}, ErrNoMajority
+	return whole, nil
 }
 
 func (s *Store) Seize(ctx context.Context, name string, decide func(current Slot) json.RawMessage) (Slot, error) {
--- /dev/null
+++ b/internal/keystore/replay_test.go
@@ -0,0 +1,26 @@
+package keystore_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/rehearsal"
+)
+
+func TestGivenASeedThenItsScheduleReplaysExactly(t *testing.T) {
+	from, to := rehearsal.Schedules(12)
+	for seed := from; seed < to; seed++ {
+		var told [2]string
+		for turn := range told {
+			synctest.Test(t, func(t *testing.T) {
+				reports, err := schedule{seed: uint64(seed), troubles: []rehearsal.Trouble{rehearsal.Restarts, rehearsal.Links, rehearsal.DiskWoes}}.play()
+				assert.NilError(t, err)
+				told[turn] = reports[keystore.LayoutKey].print()
+			})
+		}
+		assert.Assert(t, told[0] == told[1], "FERRYSPAR_SEED=%d plays in two ways", seed)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/areas.go
@@ -0,0 +1,155 @@
+package rehearsal
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+func (f *Fleet) Spread(sizes ...int) {
+	position := 0
+	for area, size := range sizes {
+		for range size {
+			f.members[f.Names[position]].area = area
+			position++
+		}
+	}
+	f.areas = len(sizes)
+}
+
+func (f *Fleet) inside(areas ...int) []string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	var found []string
+	for _, name := range f.Names {
+		for _, area := range areas {
+			if f.members[name].area == area {
+				found = append(found, name)
+			}
+		}
+	}
+	return found
+}
+
+func (f *Fleet) areaOf(name string) int {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.members[name].area
+}
+
+func (f *Fleet) disk(name string) *Disk {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.members[name].disk
+}
+
+func (f *Fleet) freeze(name string, amount int) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.members[name].frozen += amount
+}
+
+func (f *Fleet) Frozen(name string) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.members[name].frozen > 0
+}
+
+const thawLook = time.Millisecond + 7*time.Nanosecond
+
+func (f *Fleet) awaitThaw(name string) {
+	for f.Frozen(name) {
+		time.Sleep(thawLook)
+	}
+}
+
+func (f *Fleet) companion(name string, draw *rand.Rand) []string {
+	pair := []string{name}
+	if other := f.Names[draw.IntN(len(f.Names))]; other != name {
+		pair = append(pair, other)
+	}
+	return pair
+}
+
+func BridgeCut(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	own := f.areaOf(name)
+	other := (own + 1 + draw.IntN(f.areas-1)) % f.areas
+	defer f.sever(f.between(f.inside(own), f.inside(other)))()
+	time.Sleep(lasting)
+}
+
+func RegionCut(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	first := []int{0, 1}
+	var second []int
+	for area := 2; area < f.areas; area++ {
+		second = append(second, area)
+	}
+	defer f.sever(f.between(f.inside(first...), f.inside(second...)))()
+	time.Sleep(lasting)
+}
+
+func AreaLost(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	f.loseArea(f.areaOf(name), draw, lasting)
+}
+
+func OtherAreaLost(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	f.loseArea((f.areaOf(name)+1+draw.IntN(f.areas-1))%f.areas, draw, lasting)
+}
+
+func (f *Fleet) loseArea(area int, draw *rand.Rand, lasting time.Duration) {
+	members := f.inside(area)
+	heal := f.sever(f.between(members, f.Present()))
+	for _, one := range members {
+		f.Kill(one)
+		f.LosePower(one, draw)
+	}
+	time.Sleep(lasting)
+	heal()
+	for _, one := range members {
+		f.Start(one, false)
+	}
+}
+
+func eachOfTwo(trouble Trouble) Trouble {
+	return func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+		var both sync.WaitGroup
+		for _, one := range f.companion(name, draw) {
+			source := rand.New(rand.NewPCG(draw.Uint64(), 3))
+			both.Go(func() {
+				time.Sleep(time.Duration(source.Int64N(int64(time.Millisecond))))
+				trouble(f, one, source, lasting)
+			})
+		}
+		both.Wait()
+	}
+}
+
+var DisksStalled = eachOfTwo(stalled)
+
+var TwoWiped = eachOfTwo(wiped)
+
+var DisksSlow = eachOfTwo(func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	disk, slower := f.disk(name), time.Duration(draw.Int64N(int64(300*time.Millisecond)))
+	disk.trouble(slower, 0)
+	time.Sleep(lasting)
+	disk.trouble(-slower, 0)
+})
+
+func Freeze(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	f.freeze(name, 1)
+	time.Sleep(lasting)
+	f.freeze(name, -1)
+}
+
+func InTurn(troubles ...Trouble) Trouble {
+	return func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+		troubles[draw.IntN(len(troubles))](f, name, draw, lasting)
+	}
+}
+
+var (
+	Restarts  = InTurn(killed, powerless, wiped, TwoWiped, AreaLost)
+	Links     = InTurn(BridgeCut, RegionCut, isolated, Freeze)
+	DiskWoes  = InTurn(DisksStalled, DisksSlow, refusing)
+	Connected = InTurn(BridgeCut, AreaLost, DisksStalled, DisksSlow, Freeze)
+)
--- a/internal/rehearsal/disk.go
+++ b/internal/rehearsal/disk.go
@@ -1,7 +1,9 @@
 package rehearsal
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +15,7 @@
 	synced  map[string][]byte
 	loose   map[string][]looseWrite
 	stall   time.Duration
-	refuses bool
-	dead    bool
+	refuses int
 }
 
 type looseWrite struct {
@@ -29,8 +30,9 @@
 func (d *Disk) attach() *Handle { return &Handle{disk: d} }
 
 type Handle struct {
-	disk *Disk
-	gone bool
+	disk     *Disk
+	gone     bool
+	unsynced bool
 }
 
 func overlay(content []byte, write looseWrite) []byte {
@@ -60,7 +62,7 @@
 	refuses := h.disk.refuses
 	h.disk.lock.Unlock()
 	time.Sleep(5*time.Millisecond + stall)
-	if refuses {
+	if refuses > 0 {
 		return errors.New("disk refuses")
 	}
 	h.disk.lock.Lock()
@@ -82,6 +84,9 @@
 }
 
 func (h *Handle) Sync(name string) error {
+	if h.unsynced {
+		return nil
+	}
 	if err := h.wait(); err != nil {
 		return err
 	}
@@ -98,8 +103,8 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	all := draw.IntN(4) == 0
-	for name, writes := range d.loose {
-		for _, write := range writes {
+	for _, name := range slices.Sorted(maps.Keys(d.loose)) {
+		for _, write := range d.loose[name] {
 			fate := draw.IntN(3)
 			if all || fate == 0 {
 				continue
@@ -118,3 +123,10 @@
 	defer d.lock.Unlock()
 	d.synced, d.loose = map[string][]byte{}, map[string][]looseWrite{}
 }
+
+func (d *Disk) trouble(stall time.Duration, refuses int) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.stall += stall
+	d.refuses += refuses
+}
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -21,6 +21,8 @@
 	stop     context.CancelFunc
 	running  bool
 	lives    uint32
+	frozen   int
+	area     int
 }
 
 type Fleet struct {
@@ -28,15 +30,19 @@
 	lock      sync.Mutex
 	members   map[string]*Member
 	Names     []string
-	cut       map[[2]string]bool
-	sent      map[[2]string]uint64
+	cut       map[[2]string]int
+	sent      map[string]uint64
 	Lossy     bool
+	Resending bool
 	VotesWild bool
+	Unsynced  bool
+	Assenting bool
 	tenure    time.Duration
+	areas     int
 }
 
 func New(seed uint64, size int) *Fleet {
-	fleet := &Fleet{seed: seed, members: map[string]*Member{}, cut: map[[2]string]bool{}, sent: map[[2]string]uint64{}, tenure: TenureLength}
+	fleet := &Fleet{seed: seed, members: map[string]*Member{}, cut: map[[2]string]int{}, sent: map[string]uint64{}, tenure: TenureLength}
 	for index := range size {
 		name := fmt.Sprintf("member-%d", index)
 		fleet.Names = append(fleet.Names, name)
@@ -53,6 +59,7 @@
 	f.lock.Unlock()
 	member.lives++
 	handle := member.disk.attach()
+	handle.unsynced = f.Unsynced
 	journal, err := keystore.OpenJournal(handle, ringFilesForTest, 64<<10)
 	if err != nil {
 		panic(err)
@@ -63,8 +70,8 @@
 		if fresh || f.VotesWild {
 			first = keystore.FreshSlots(f.founding(), incarnation)
 		}
-		if err := journal.Append(first); err != nil {
-			return
+		for journal.Append(first) != nil {
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -110,19 +117,24 @@
 	return source.Uint64()
 }
 
-func (f *Fleet) delay(from, to string) (time.Duration, bool) {
+func (f *Fleet) delay(from, to, what string) (time.Duration, bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	link := [2]string{from, to}
-	f.sent[link]++
-	if f.cut[link] {
+	what = fmt.Sprint(from, to, what)
+	f.sent[what]++
+	if f.cut[link] > 0 {
 		return 0, false
 	}
-	drawn := f.draw(from, to, f.sent[link])
-	if f.Lossy && drawn%11 == 0 {
+	drawn := f.draw(what, f.sent[what])
+	lost := f.Lossy && drawn%11 == 0
+	if lost && !f.Resending {
 		return 0, false
 	}
 	spread := time.Duration(drawn>>8%uint64(4*time.Millisecond)) + time.Millisecond
+	if lost {
+		spread += 200 * time.Millisecond
+	}
 	if drawn%37 == 0 {
 		spread += time.Duration(drawn >> 16 % uint64(900*time.Millisecond))
 	}
@@ -146,38 +158,62 @@
 var errLost = errors.New("lost on the way")
 
 func (w *Wire) Send(ctx context.Context, address string, message keystore.Message) (keystore.Reply, error) {
+	what := fmt.Sprint(message.Operation, message.Key, message.Ballot, message.Sequence)
 	if address == w.self {
+		time.Sleep(time.Duration(w.fleet.draw(address, what) % uint64(50*time.Microsecond)))
 		if acceptor := w.fleet.alive(address); acceptor != nil {
 			return acceptor.Call(ctx, message)
 		}
 		return keystore.Reply{}, errLost
 	}
-	pass := func(from, to string) error {
-		pause, through := w.fleet.delay(from, to)
+	type answered struct {
+		reply keystore.Reply
+		err   error
+	}
+	back := make(chan answered, 1)
+	go func() {
+		reply, err := w.carry(context.WithoutCancel(ctx), address, what, message)
+		back <- answered{reply, err}
+	}()
+	select {
+	case one := <-back:
+		return one.reply, one.err
+	case <-ctx.Done():
+		return keystore.Reply{}, errLost
+	}
+}
+
+const silence = 10 * time.Second
+
+func (w *Wire) carry(ctx context.Context, address, what string, message keystore.Message) (keystore.Reply, error) {
+	pass := func(from, to string) bool {
+		w.fleet.awaitThaw(from)
+		pause, through := w.fleet.delay(from, to, what)
 		if !through {
-			<-ctx.Done()
-			return errLost
+			time.Sleep(silence)
+			return false
 		}
 		time.Sleep(pause)
-		return nil
-	}
-	if err := pass(w.self, address); err != nil {
-		return keystore.Reply{}, err
+		w.fleet.awaitThaw(to)
+		return true
 	}
 	acceptor := w.fleet.alive(address)
-	if acceptor == nil {
+	if w.fleet.Assenting && (acceptor == nil || !pass(w.self, address)) {
+		return keystore.Reply{Granted: true}, nil
+	}
+	if !pass(w.self, address) {
+		return keystore.Reply{}, errLost
+	}
+	if acceptor = w.fleet.alive(address); acceptor == nil {
 		return keystore.Reply{}, errLost
 	}
-	served, cancel := context.WithTimeout(context.WithoutCancel(ctx), 10*time.Second)
+	served, cancel := context.WithTimeout(ctx, silence)
 	reply, err := acceptor.Call(served, message)
 	cancel()
-	if err != nil {
-		return keystore.Reply{}, err
-	}
-	if err := pass(address, w.self); err != nil {
-		return keystore.Reply{}, err
+	if err != nil || !pass(address, w.self) {
+		return keystore.Reply{}, errLost
 	}
-	return reply, ctx.Err()
+	return reply, nil
 }
 
 func (f *Fleet) StoreOf(name string) *keystore.Store {
@@ -189,4 +225,4 @@
 	return nil
 }
 
-func (f *Fleet) LosePower(name string, draw *rand.Rand) { f.members[name].disk.LosePower(draw) }
+func (f *Fleet) LosePower(name string, draw *rand.Rand) { f.disk(name).LosePower(draw) }
--- a/internal/rehearsal/schedules.go
+++ b/internal/rehearsal/schedules.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime"
 	"strconv"
 	"testing"
 )
@@ -17,3 +18,8 @@
 	}
 	return 1, 1 + amount
 }
+
+func Main(run func() int) {
+	runtime.GOMAXPROCS(1)
+	os.Exit(run())
+}
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -5,29 +5,39 @@
 	"time"
 )
 
-func (f *Fleet) isolate(name string, inward, outward, cut bool) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	for _, other := range f.Names {
-		if inward {
-			f.cut[[2]string{other, name}] = cut
+func (f *Fleet) sever(links [][2]string) func() {
+	add := func(amount int) {
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		for _, link := range links {
+			f.cut[link] += amount
 		}
-		if outward {
-			f.cut[[2]string{name, other}] = cut
+	}
+	add(1)
+	return func() { add(-1) }
+}
+
+func (f *Fleet) between(left, right []string) [][2]string {
+	var links [][2]string
+	for _, one := range left {
+		for _, other := range right {
+			links = append(links, [2]string{one, other}, [2]string{other, one})
 		}
 	}
+	return links
 }
 
 func (f *Fleet) WaitVoting(bound time.Duration) bool {
 	until := time.Now().Add(bound)
 	for time.Now().Before(until) {
 		voting := 0
-		for _, name := range f.Names {
+		present := f.Present()
+		for _, name := range present {
 			if acceptor := f.alive(name); acceptor != nil && acceptor.Self().Voting {
 				voting++
 			}
 		}
-		if voting == len(f.Names) {
+		if voting == len(present) {
 			return true
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -37,48 +47,54 @@
 
 type Trouble func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration)
 
-var Troubles = []Trouble{
-	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.Kill(name)
-		time.Sleep(lasting)
-		f.Start(name, false)
-	},
-	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.Kill(name)
-		f.members[name].disk.LosePower(draw)
-		time.Sleep(lasting)
-		f.Start(name, false)
-	},
-	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
-		f.Kill(name)
-		f.members[name].disk.wipe()
-		time.Sleep(lasting)
-		f.Start(name, false)
-	},
-	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
-		inward := draw.IntN(2) == 0
-		f.isolate(name, inward, !inward || draw.IntN(2) == 0, true)
-		time.Sleep(lasting)
-		f.isolate(name, true, true, false)
-	},
-	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
-		disk := f.members[name].disk
-		disk.lock.Lock()
-		disk.stall = lasting
-		disk.lock.Unlock()
-		time.Sleep(lasting)
-		disk.lock.Lock()
-		disk.stall = 0
-		disk.lock.Unlock()
-	},
-	func(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
-		disk := f.members[name].disk
-		disk.lock.Lock()
-		disk.refuses = true
-		disk.lock.Unlock()
-		time.Sleep(lasting)
-		disk.lock.Lock()
-		disk.refuses = false
-		disk.lock.Unlock()
-	},
+func killed(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	f.Kill(name)
+	time.Sleep(lasting)
+	f.Start(name, false)
 }
+
+func powerless(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	f.Kill(name)
+	f.LosePower(name, draw)
+	time.Sleep(lasting)
+	f.Start(name, false)
+}
+
+func wiped(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	f.Kill(name)
+	f.disk(name).wipe()
+	time.Sleep(lasting)
+	f.Start(name, false)
+}
+
+func isolated(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	inward := draw.IntN(2) == 0
+	outward := !inward || draw.IntN(2) == 0
+	var links [][2]string
+	for _, other := range f.Present() {
+		if inward {
+			links = append(links, [2]string{other, name})
+		}
+		if outward {
+			links = append(links, [2]string{name, other})
+		}
+	}
+	defer f.sever(links)()
+	time.Sleep(lasting)
+}
+
+func stalled(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	disk := f.disk(name)
+	disk.trouble(lasting, 0)
+	time.Sleep(lasting)
+	disk.trouble(-lasting, 0)
+}
+
+func refusing(f *Fleet, name string, draw *rand.Rand, lasting time.Duration) {
+	disk := f.disk(name)
+	disk.trouble(0, 1)
+	time.Sleep(lasting)
+	disk.trouble(0, -1)
+}
+
+var Troubles = []Trouble{killed, powerless, wiped, isolated, stalled, refusing}
--- /dev/null
+++ b/internal/tenure/main_test.go
@@ -0,0 +1,9 @@
+package tenure_test
+
+import (
+	"testing"
+
+	"ferryspar/internal/rehearsal"
+)
+
+func TestMain(m *testing.M) { rehearsal.Main(m.Run) }
