--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -71,7 +71,7 @@
 	poll.Revision = d.wants.revision.Load()
 	poll.AreaNumber = d.wants.areas.Load()
 	poll.Context, poll.Forgot = d.wants.context.Load(), d.wants.forgot.Load()
-	poll.Leaving, poll.Drill = d.wants.leaving.Load(), d.rehearsal.report()
+	poll.Leaving, poll.Drill = d.wants.leaving.Load(), d.rehearsal.report(d.clock())
 	primary := *d.wants.primary.Load()
 	poll.Wants = primary == "" || primary == address
 }
--- a/internal/dataplane/rehearse.go
+++ b/internal/dataplane/rehearse.go
@@ -24,12 +24,12 @@
 	ended string
 }
 
-func (r *rehearsal) report() *drill.Report {
+func (r *rehearsal) report(now time.Time) *drill.Report {
 	shown := r.shown.Load()
 	if shown == nil {
 		return nil
 	}
-	return shown.drill.Report(shown.ended)
+	return shown.drill.Report(shown.ended, now)
 }
 
 func (d *Desk) rehearse(one heard) bool {
--- a/internal/match/drill.go
+++ b/internal/match/drill.go
@@ -23,6 +23,8 @@
 	elsewhere func(m *Matcher, order *Order, now time.Time) bool
 	lock      sync.Mutex
 	routes    map[string]*drive
+	told      *drill.Report
+	toldAt    time.Time
 }
 
 type drive struct {
@@ -155,14 +157,20 @@
 	})
 }
 
-func (d *Drill) Report(ended string) *drill.Report {
+const toldLife = 400 * time.Millisecond
+
+func (d *Drill) Report(ended string, now time.Time) *drill.Report {
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	if d.told != nil && d.told.Ended == ended && now.Sub(d.toldAt) < toldLife {
+		return d.told
+	}
 	report := &drill.Report{Number: d.Number, Ended: ended, Routes: map[string]drill.EdgeDrive{}}
 	for name, one := range d.routes {
 		told := one.counted
 		told.FirstDrilled, told.FirstRest = drill.Pack(one.firstIn), drill.Pack(one.firstRest)
 		report.Routes[name] = told
 	}
+	d.told, d.toldAt = report, now
 	return report
 }
--- a/internal/match/drill_test.go
+++ b/internal/match/drill_test.go
@@ -35,7 +35,7 @@
 			harmed = append(harmed, order.Attempt)
 		}
 	}
-	return served, atLost, active.Report("").Routes, harmed
+	return served, atLost, active.Report("", drilled.now).Routes, harmed
 }
 
 func TestGivenADrillThenNoOrderLosesItsLastCopyAndAVariantThatTakesItIsCaught(t *testing.T) {
@@ -56,7 +56,9 @@
 
 func TestGivenSharesThenStagesNestAndFollowTheShare(t *testing.T) {
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	stage := func(share float64) *Drill { return NewDrill(drill.Notice{Share: share, LeftMs: 1000}, now, time.Second) }
+	stage := func(share float64) *Drill {
+		return NewDrill(drill.Notice{Share: share, LeftMs: 1000}, now, time.Second)
+	}
 	small, large, all := stage(0.1), stage(0.5), stage(1)
 	counted := [3]int{}
 	for number := range 2000 {
--- a/internal/match/forecast.go
+++ b/internal/match/forecast.go
@@ -32,14 +32,17 @@
 	}
 	m.load(answer.Replicas, func(load *drill.Load, running int) { load.Running = running })
 	after.moveOn(m.inflight(lost, now), &answer, now)
+	most := max(scoresBound/(2*max(len(m.fleet.Replicas), 1)*max(len(m.ledger.recent.routes), 1)), recentLeast)
 	for _, route := range m.fleet.Table.Layout.Routes {
 		if held := m.ledger.recent.routes[route.Name]; held != nil && len(held.orders) > 0 {
-			answer.Routes = append(answer.Routes, m.foresee(after, lost, held.orders, now))
+			answer.Routes = append(answer.Routes, m.foresee(after, lost, held.orders[max(len(held.orders)-most, 0):], now))
 		}
 	}
 	return answer
 }
 
+const scoresBound = 100_000
+
 func (m *Matcher) load(into map[string]drill.Load, set func(load *drill.Load, running int)) {
 	for id, held := range m.banks {
 		if held.running > 0 {
--- a/internal/match/fork.go
+++ b/internal/match/fork.go
@@ -17,11 +17,11 @@
 	copied.recent.routes = make(map[string]*ring, len(l.recent.routes))
 	for route, held := range l.recent.routes {
 		one := &ring{}
-		for _, order := range held.orders {
+		held.each(func(order *Order) {
 			if order.settled {
 				one.orders = append(one.orders, order.again())
 			}
-		}
+		})
 		copied.recent.routes[route] = one
 	}
 	return copied
--- a/internal/match/recent.go
+++ b/internal/match/recent.go
@@ -4,6 +4,8 @@
 
 const (
 	recentBound       = 200
+	recentLeast       = 8
+	recentTotal       = 2000
 	recentRoutesBound = 256
 )
 
@@ -28,23 +30,28 @@
 		held = &ring{}
 		r.routes[order.Route] = held
 	}
-	if len(held.orders) < recentBound {
+	if len(held.orders) < min(max(recentTotal/len(r.routes), recentLeast), recentBound) {
 		held.orders = append(held.orders, order)
 		return
 	}
 	held.orders[held.next] = order
-	held.next = (held.next + 1) % recentBound
+	held.next = (held.next + 1) % len(held.orders)
+}
+
+func (r *ring) each(visit func(order *Order)) {
+	for position := range r.orders {
+		visit(r.orders[(r.next+position)%len(r.orders)])
+	}
 }
 
 func (r *recent) drop(gone func(order *Order) bool) {
 	for route, held := range r.routes {
 		kept := &ring{}
-		for position := range held.orders {
-			order := held.orders[(held.next+position)%len(held.orders)]
+		held.each(func(order *Order) {
 			if !gone(order) {
 				kept.orders = append(kept.orders, order)
 			}
-		}
+		})
 		r.routes[route] = kept
 		if len(kept.orders) == 0 {
 			delete(r.routes, route)
