--- a/cmd/ferryspar-operator/drill.go
+++ b/cmd/ferryspar-operator/drill.go
@@ -9,8 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"ferryspar/internal/drill"
 )
 
@@ -18,7 +16,7 @@
 
 func (r *rehearse) drill(scope drill.Scope) error {
 	if r.Share <= 0 || r.For <= 0 || r.Margin <= 0 {
-		return errors.New("--share, --for and --margin must be above 0")
+		return usage("--share, --for and --margin must be above 0")
 	}
 	wish := drill.Wish{Kind: drill.KindDrill, Scope: scope, Share: r.Share, ForMs: r.For.Milliseconds(), Margin: r.Margin, Mark: rand.Text()}
 	status, err := readDrill(http.MethodPost, wish)
--- a/cmd/ferryspar-operator/rehearse.go
+++ b/cmd/ferryspar-operator/rehearse.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"ferryspar/internal/drill"
+	"ferryspar/internal/launch"
 )
 
 const (
@@ -29,6 +30,8 @@
 	message string
 }
 
+func usage(message string) error { return outcome{launch.ExitUsage, message} }
+
 func (o outcome) Error() string { return o.message }
 
 type rehearse struct {
@@ -49,7 +52,7 @@
 func (r *rehearse) scope() (drill.Scope, error) {
 	scope := drill.Scope{Region: r.Args.Region, Area: r.Zone}
 	if (scope.Region == "") == (scope.Area == "") {
-		return scope, errors.New("name either REGION or --zone ZONE")
+		return scope, usage("name either REGION or --zone ZONE")
 	}
 	return scope, nil
 }
@@ -60,7 +63,7 @@
 		return r.follow(r.Stop)
 	}
 	if r.Forecast && r.Drill {
-		return errors.New("name either --forecast or --drill")
+		return usage("name either --forecast or --drill")
 	}
 	scope, err := r.scope()
 	if err != nil {
@@ -154,6 +157,11 @@
 				line(one.Backend, one.Model, fmt.Sprintf("%.2f", one.PerS))
 			}
 		})
+	table("what placement would do first", "replica model load why", func(line func(...any)) {
+		for _, one := range told.Placement {
+			line(one.Replica, one.Model, one.Load, one.Why)
+		}
+	})
 	table("replicas left", "replica zone slots running moved_to full", func(line func(...any)) {
 		for _, one := range told.Replicas {
 			line(one.Replica, one.Area, one.Slots, one.Running, one.Moved, one.Full)
--- a/cmd/ferryspar-operator/rehearse_test.go
+++ b/cmd/ferryspar-operator/rehearse_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"ferryspar/internal/drill"
+	"ferryspar/internal/launch"
 )
 
 func printed(t *testing.T, run func() error) (string, error) {
@@ -85,7 +86,7 @@
 		assert.Equal(t, status(err), one.exit, "%d: %v", one.code, err)
 		assert.Assert(t, strings.Contains(shown, one.shows), shown)
 	}
-	assert.Equal(t, status((&rehearse{}).Execute(nil)), 1, "neither region nor zone")
+	assert.Equal(t, status((&rehearse{}).Execute(nil)), launch.ExitUsage, "neither region nor zone")
 	calls := answering(t, http.StatusOK, good)
 	_, err := printed(t, func() error { return (&rehearse{Stop: true}).Execute(nil) })
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/controlplane/foresee.go
@@ -0,0 +1,55 @@
+package controlplane
+
+import (
+	"context"
+	"sort"
+
+	"ferryspar/internal/drill"
+	"ferryspar/internal/place"
+)
+
+func (d *Daemon) addPlan(ctx context.Context, merged *drill.Forecast, question drill.Question) {
+	var plan drill.Plan
+	holder := d.board.Read().Holder
+	if holder == d.self {
+		plan = d.hearPlan(ctx, question)
+	} else if holder != "" {
+		_ = d.session.Ask(ctx, "plan", holder, question, &plan)
+	}
+	if !plan.Holds {
+		merged.Partial = true
+		merged.Missing = append(merged.Missing, "placement holder "+holder)
+		sort.Strings(merged.Missing)
+		return
+	}
+	merged.Placement = plan.Steps
+}
+
+func (d *Daemon) hearPlan(ctx context.Context, question drill.Question) drill.Plan {
+	reply := make(chan drill.Plan, 1)
+	select {
+	case d.warden.results <- func() { reply <- d.warden.foresee(question.Scope) }:
+	case <-ctx.Done():
+		return drill.Plan{}
+	}
+	select {
+	case plan := <-reply:
+		return plan
+	case <-ctx.Done():
+		return drill.Plan{}
+	}
+}
+
+func (w *Warden) foresee(scope drill.Scope) drill.Plan {
+	bulletin := w.daemon.board.Read()
+	if table := w.currentTable(bulletin); table == nil || !w.Holding() {
+		return drill.Plan{}
+	}
+	view := w.view(bulletin, w.table, w.daemon.clock())
+	view.Without(func(area string) bool { return scope.Covers(area, w.daemon.settings.Areas[area]) })
+	plan := drill.Plan{Holds: true, Steps: []drill.Step{}}
+	for _, action := range place.Foresee(view) {
+		plan.Steps = append(plan.Steps, drill.Step{Replica: action.Server, Load: action.Load, Model: action.Model, Why: action.Why})
+	}
+	return plan
+}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -48,21 +48,12 @@
 		return
 	}
 	w.follow(w.daemon.roster.listed())
-	view := &place.View{Now: now, Table: table, Pressure: w.copyDemand(), Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: w.tokens(now, table), Learned: w.learned(now)}
-	for area, state := range bulletin.Areas {
-		view.Drained[area] = state.Drained
-	}
 	for id, one := range w.charges {
-		if backend, _, found := table.Backend(one.listed.Backend); !found || backend.Runtime == nil {
-			continue
-		}
-		w.look(ctx, id, one, now)
-		if one.pending != nil && one.pending.Load {
-			view.Loading[place.Key(one.listed.Backend, one.pending.Model)]++
+		if w.runs(table, one) {
+			w.look(ctx, id, one, now)
 		}
-		view.Servers = append(view.Servers, w.server(id, one, now))
 	}
-	sort.Slice(view.Servers, func(left, right int) bool { return view.Servers[left].ID < view.Servers[right].ID })
+	view := w.view(bulletin, table, now)
 	w.cleanse(ctx, bulletin, view)
 	for _, action := range place.Plan(view) {
 		if action.Why == place.CleanseReason {
@@ -76,6 +67,29 @@
 	w.explain(view, now)
 }
 
+func (w *Warden) runs(table *layout.Table, one *charge) bool {
+	backend, _, found := table.Backend(one.listed.Backend)
+	return found && backend.Runtime != nil
+}
+
+func (w *Warden) view(bulletin *Bulletin, table *layout.Table, now time.Time) *place.View {
+	view := &place.View{Now: now, Table: table, Pressure: w.copyDemand(), Loading: map[string]int{}, Drained: map[string]bool{}, Tokens: w.tokens(now, table), Learned: w.learned(now)}
+	for area, state := range bulletin.Areas {
+		view.Drained[area] = state.Drained
+	}
+	for id, one := range w.charges {
+		if !w.runs(table, one) {
+			continue
+		}
+		if one.pending != nil && one.pending.Load {
+			view.Loading[place.Key(one.listed.Backend, one.pending.Model)]++
+		}
+		view.Servers = append(view.Servers, w.server(id, one, now))
+	}
+	sort.Slice(view.Servers, func(left, right int) bool { return view.Servers[left].ID < view.Servers[right].ID })
+	return view
+}
+
 const explainEvery = 2 * time.Second
 
 const suspectsNeeded = 2
--- a/internal/controlplane/rehearse.go
+++ b/internal/controlplane/rehearse.go
@@ -89,6 +89,7 @@
 	d.gather(ctx, ground.Edges)
 	ask(nil)
 	merged := drill.Merge(ground, d.forecasts.end())
+	d.addPlan(ctx, &merged, *question)
 	logrus.WithFields(logrus.Fields{"scope": scope.String(), "answered": len(merged.Answered), "missing": merged.Missing}).Info("forecast gathered")
 	return merged, nil
 }
--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -43,6 +43,7 @@
 	router.Post(partner.Calls["roster"].Path, answer(d.hearRoster))
 	router.Post(partner.Calls["greet"].Path, answer(d.hearGreeting))
 	router.Post(partner.Calls["forecast"].Path, answer(d.hearForecast))
+	router.Post(partner.Calls["plan"].Path, answer(d.hearPlan))
 	return router
 }
 
--- a/internal/drill/forecast.go
+++ b/internal/drill/forecast.go
@@ -55,6 +55,18 @@
 	Full    bool   `json:"full"`
 }
 
+type Step struct {
+	Replica string `json:"replica"`
+	Load    bool   `json:"load"`
+	Model   string `json:"model"`
+	Why     string `json:"why"`
+}
+
+type Plan struct {
+	Holds bool   `json:"holds"`
+	Steps []Step `json:"steps"`
+}
+
 type Control struct {
 	Members      []string `json:"members"`
 	Lost         []string `json:"lost"`
@@ -77,12 +89,13 @@
 	Store        Store           `json:"store"`
 	Warm         map[string]Warm `json:"warm"`
 	Flight       Flight          `json:"inFlight"`
+	Placement    []Step          `json:"placement"`
 	Replicas     []Full          `json:"replicas"`
 	Control      Control         `json:"control"`
 }
 
 func Merge(ground Ground, answers []Answer) Forecast {
-	merged := Forecast{Scope: ground.Scope, Answered: []string{}, Missing: []string{}, EdgesLost: []string{}, Warm: map[string]Warm{}, Control: ground.control()}
+	merged := Forecast{Scope: ground.Scope, Answered: []string{}, Missing: []string{}, EdgesLost: []string{}, Warm: map[string]Warm{}, Placement: []Step{}, Control: ground.control()}
 	heard := map[string]bool{}
 	loads := map[string]Load{}
 	for _, answer := range answers {
--- a/internal/partner/session.go
+++ b/internal/partner/session.go
@@ -29,6 +29,7 @@
 	"roster":   {"/partner/roster", 600 * time.Millisecond},
 	"greet":    {"/partner/greet", 600 * time.Millisecond},
 	"forecast": {"/partner/forecast", 900 * time.Millisecond},
+	"plan":     {"/partner/plan", 900 * time.Millisecond},
 }
 
 func Dialer(connectBound, silence time.Duration) *net.Dialer {
--- /dev/null
+++ b/internal/place/foresee.go
@@ -0,0 +1,66 @@
+package place
+
+import (
+	"math"
+	"strings"
+)
+
+const foreseenRounds = 6
+
+func (v *View) Without(lost func(area string) bool) {
+	kept := v.Servers[:0]
+	before := map[string]bool{}
+	for _, server := range v.Servers {
+		if lost(server.Area) {
+			for reference := range server.Models {
+				before[key(server.Backend, reference)] = true
+			}
+			continue
+		}
+		kept = append(kept, server)
+	}
+	v.Servers, v.Loading, v.Cleanse, v.Cleansing = kept, map[string]int{}, nil, false
+	for name := range before {
+		backend, reference, _ := strings.Cut(name, " ")
+		demand := v.Pressure[name]
+		if demand == nil || demand.Rate == 0 || len(v.copies(backend, reference)) > 0 {
+			continue
+		}
+		demand.Waiting = max(demand.Waiting, int(math.Ceil(demand.Rate)))
+		demand.LastSeen = v.Now
+	}
+}
+
+func Foresee(view *View) []Action {
+	var foreseen []Action
+	for range foreseenRounds {
+		view.Tokens = max(view.Tokens, 1)
+		actions := Plan(view)
+		if len(actions) == 0 {
+			break
+		}
+		for _, action := range actions {
+			view.apply(action)
+		}
+		view.Loading = map[string]int{}
+		foreseen = append(foreseen, actions...)
+	}
+	return foreseen
+}
+
+func (v *View) apply(action Action) {
+	for _, server := range v.Servers {
+		if server.ID != action.Server {
+			continue
+		}
+		if action.Load {
+			server.Models[action.Model] = true
+			continue
+		}
+		for reference := range server.Models {
+			if reference == action.Model || strings.HasPrefix(reference, action.Model+"/") {
+				delete(server.Models, reference)
+			}
+		}
+	}
+}
--- a/internal/story/rehearse_test.go
+++ b/internal/story/rehearse_test.go
@@ -65,7 +65,7 @@
 
 func TestGivenTwoRegionsWhenOneIsForecastLostThenItsRealLossShowsTheSame(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, _ := twoRegions(t, 2)
+		f, stands := twoRegions(t, 2)
 		for round := range 4 {
 			for number := range 8 {
 				edge := number%2 + 1
@@ -85,6 +85,9 @@
 		assert.Equal(t, told.Uncopied[0].Model, "rare")
 		assert.Assert(t, told.Uncopied[0].PerS > 0)
 		assert.Equal(t, told.Store.LeastMs, 2000.0)
+		where := slices.IndexFunc(told.Placement, func(step drill.Step) bool { return step.Load && step.Model == "rare" })
+		assert.Assert(t, where >= 0, "%+v", told.Placement)
+		bringer := stands[told.Placement[where].Replica]
 		assert.Assert(t, told.Control.Majority && len(told.Control.Lost) == 0)
 		quick, bound := findRoute(t, told, "quick"), findRoute(t, told, "bound")
 		assert.Equal(t, quick.Sampled, 38)
@@ -102,9 +105,11 @@
 			assert.Equal(t, f.talk(number%2+1, fmt.Sprint("then-", number), "/quick/", "swift", fmt.Sprintf("aa:100,b%d:100,c9:100", number)).status, http.StatusOK)
 		}
 		asked := time.Now()
+		assert.Assert(t, !bringer.entry().Holds("rare", ""))
 		late := f.talk(1, "rare-then", "/patient/", "rare", "dd:300")
 		assert.Equal(t, late.status, http.StatusOK)
 		took := time.Since(asked)
+		assert.Assert(t, bringer.entry().Holds("rare", ""), "loaded where the forecast said: %+v", told.Placement)
 		assert.Assert(t, took >= env.Milliseconds(told.Store.LeastMs) && took < env.Milliseconds(told.Store.LeastMs)+4*time.Second, "loaded again in %s, forecast at least %v", took, told.Store.LeastMs)
 	})
 }
