--- /dev/null
+++ b/internal/dataplane/rehearse_test.go
@@ -0,0 +1,55 @@
+package dataplane
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/drill"
+	"ferryspar/internal/env"
+	"ferryspar/internal/match"
+	"ferryspar/internal/partner"
+)
+
+func TestGivenNewsOfADrillThenItIsFollowedToItsEndAndNeverAgain(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	var fleet atomic.Pointer[match.Fleet]
+	desk := NewDesk(env.Settings{}, func() time.Time { return now }, &fleet, func() {})
+	number := uint64(1)
+	told := func(running bool, areas map[string]partner.AreaState) bool {
+		notice := &drill.Notice{Number: number, Scope: drill.Scope{Area: "south"}, Share: 1, LeftMs: 60000, Running: running}
+		if desk.hear(heard{address: "one", at: now, news: partner.News{Fresh: true, Drill: notice, Areas: areas}}) {
+			desk.publish()
+		}
+		return fleet.Load().Drill != nil
+	}
+	ended := func() string { return desk.rehearsal.report(now).Ended }
+
+	assert.Assert(t, told(true, nil))
+	now = now.Add(2 * time.Second)
+	assert.Assert(t, told(true, nil), "in touch")
+	now = now.Add(outOfTouch)
+	assert.Assert(t, !told(true, nil), "thawed after too long: its own clock ends it before the news is heard")
+	assert.Equal(t, ended(), drill.OutOfTouch)
+	assert.Assert(t, !told(true, nil), "what ended stays ended")
+	assert.Assert(t, !told(false, nil))
+	assert.Assert(t, desk.rehearsal.report(now) == nil, "once the end is known there is nothing more to tell")
+
+	number = 2
+	assert.Assert(t, told(true, nil))
+	number = 1
+	assert.Assert(t, told(false, nil), "an older end says nothing of a newer drill")
+	number = 2
+	now = now.Add(outOfTouch)
+	desk.overseeDrill()
+	assert.Assert(t, fleet.Load().Drill == nil, "without any news as well")
+
+	number = 3
+	assert.Assert(t, told(true, nil))
+	assert.Assert(t, !told(true, map[string]partner.AreaState{"north": {Number: 1, Drained: true}}))
+	assert.Equal(t, ended(), drill.Evacuation)
+	number = 4
+	assert.Assert(t, !told(true, nil), "none while a zone is evacuated")
+}
--- a/internal/match/drill_test.go
+++ b/internal/match/drill_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"ferryspar/internal/drill"
+	"ferryspar/internal/platform"
 )
 
 func drilledOutcomes(seed uint64, share float64, change func(active *Drill)) (served, atLost int, routes map[string]drill.EdgeDrive, harmed []string) {
@@ -86,3 +87,25 @@
 	active.mark(early, now)
 	assert.Assert(t, early.drill == nil, "what came before is left alone")
 }
+
+func TestGivenNoFreePlaceOutsideThenADrilledOrderIsLetGoBeforeItWouldBeRefused(t *testing.T) {
+	w := newWorld(1, 0)
+	fleet := *w.current.Load()
+	for index, area := range []string{"east", "isle"} {
+		fleet.Replicas = append(fleet.Replicas, NewReplica(index, platform.Replica{ID: area, Backend: "s", Area: area, Slots: 4, Models: []platform.Held{{Name: "m"}}}, w.now, nil))
+	}
+	fleet.Drill = NewDrill(drill.Notice{Number: 1, Scope: drill.Scope{Area: "isle"}, Share: 1, LeftMs: 60000}, w.now, time.Hour)
+	w.current.Store(&fleet)
+	w.matcher.bank("east").fullUntil = w.now.Add(time.Hour)
+	order := &Order{Attempt: "a", Backend: "s", Model: "m", Route: "quick", Arrived: w.now, Deadline: w.now.Add(20 * time.Second), Aim: 600 * time.Millisecond}
+	w.matcher.Begin(order)
+	for range 3 {
+		assert.Equal(t, len(order.Answer), 0, "it does without at first")
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.matcher.Wake()
+	}
+	assert.Equal(t, len(order.Answer), 1, "it waits no longer")
+	command := <-order.Answer
+	assert.Equal(t, command.Replica.ID, "isle")
+	assert.Equal(t, fleet.Drill.Report("", w.now).Routes["quick"].Drilled.Spared, 1)
+}
