--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -55,6 +55,8 @@
 	leaving    chan struct{}
 	started    time.Time
 	network    partner.Network
+	forecasts  forecasts
+	drills     drills
 }
 
 func nonce() uint64 {
@@ -143,7 +145,7 @@
 		return err
 	}
 	cleanup = append(cleanup, d.bus.Close)
-	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run, d.sumsLoop,
+	loops := []func(context.Context){d.digestLoop, d.greetLoop, d.membersLoop, d.rosterLoop, d.warden.Run, d.sumsLoop, d.drillLoop,
 		func(ctx context.Context) {
 			env.Watch(ctx, d.path, "control", signals.Hangup, func(fresh env.Settings) { d.noteControls(fresh.SeedPartners()) })
 		}}
--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -121,7 +121,7 @@
 	d.watching.Unlock()
 	self := d.acceptor.Self()
 	voting := self.Voting
-	greeting := partner.Greeting{Daemon: d.settings.NodeName, Address: d.self, Joining: !voting, Number: self.Number, Leaving: leaving}
+	greeting := partner.Greeting{Daemon: d.settings.NodeName, Address: d.self, Joining: !voting, Number: self.Number, Leaving: leaving, Area: d.settings.Area}
 	if d.greetings++; d.greetings%edgesTurns == 1 || leaving {
 		greeting.Edges = edges
 	}
--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -67,7 +67,7 @@
 	return known && found.Runtime != nil
 }
 
-func (w *Warden) plan(ctx context.Context, bulletin *Bulletin, table *layout.Table, now time.Time) {
+func (w *Warden) view(bulletin *Bulletin, table *layout.Table, now time.Time) *place.View {
 	view := &place.View{
 		Now: now, Table: table, Catalog: w.currentCatalog(table), Pressure: w.demand, Loading: map[string]int{}, Drained: map[string]bool{},
 		Tokens: w.tokens(now, table), Learned: w.learned(now), Servers: make([]*place.Server, 0, len(w.order)),
@@ -85,6 +85,11 @@
 		}
 	}
 	w.servers(view, now)
+	return view
+}
+
+func (w *Warden) plan(ctx context.Context, bulletin *Bulletin, table *layout.Table, now time.Time) {
+	view := w.view(bulletin, table, now)
 	w.cleanse(ctx, bulletin, view)
 	for _, action := range place.Plan(view) {
 		if action.Why == place.CleanseReason {
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -56,6 +56,7 @@
 	guarded    atomic.Bool
 	forget     func(func(*match.Ledger))
 	askAgain   func(address string)
+	rehearsal  rehearsal
 }
 
 func NewDesk(settings env.Settings, clock func() time.Time, fleet *atomic.Pointer[match.Fleet], notify func()) *Desk {
@@ -75,7 +76,7 @@
 	poll.Revision = d.wants.revision.Load()
 	poll.AreaNumber = d.wants.areas.Load()
 	poll.Context, poll.Forgot = d.wants.context.Load(), d.wants.forgot.Load()
-	poll.Leaving = d.wants.leaving.Load()
+	poll.Leaving, poll.Drill = d.wants.leaving.Load(), d.rehearsal.report(d.clock())
 	primary := *d.wants.primary.Load()
 	poll.Wants = primary == "" || primary == address
 	poll.Follows = 0
@@ -119,6 +120,7 @@
 			d.publish()
 		case <-schedule.C:
 			d.choose()
+			d.overseeDrill()
 			d.follow(ctx, listener.session)
 		}
 	}
@@ -144,6 +146,7 @@
 	if news.Fresh {
 		changed = d.adopt(news)
 		d.heard.Store(&one.at)
+		changed = d.rehearse(one) || changed
 	}
 	held.area = news.Area
 	d.choose()
@@ -236,7 +239,7 @@
 }
 
 func (d *Desk) publish() {
-	fleet := &match.Fleet{Table: d.table, Drained: map[string]bool{}, Edges: 1, Fetched: d.shown, Others: d.others.Replicas, OthersAt: d.othersAt, Total: d.others.Total}
+	fleet := &match.Fleet{Table: d.table, Drained: map[string]bool{}, Edges: 1, Fetched: d.shown, Others: d.others.Replicas, OthersAt: d.othersAt, Total: d.others.Total, Drill: d.rehearsal.drill}
 	for area, state := range d.areas {
 		fleet.Drained[area] = state.Drained
 	}
--- a/internal/launch/exit.go
+++ b/internal/launch/exit.go
@@ -21,6 +21,10 @@
 		return ExitGood
 	}
 	fmt.Fprintf(os.Stderr, "%s: %s\n", program, err)
+	var ended interface{ ExitStatus() int }
+	if errors.As(err, &ended) {
+		return ended.ExitStatus()
+	}
 	var usage *flags.Error
 	var wrong WrongUse
 	if errors.As(err, &usage) || errors.As(err, &wrong) {
--- a/internal/match/fleet.go
+++ b/internal/match/fleet.go
@@ -33,6 +33,7 @@
 	OthersAt time.Time
 	Index    *Index
 	Total    partner.Outcomes
+	Drill    *Drill
 }
 
 func NewReplica(index int, listed platform.Replica, fetched time.Time, barred map[string]bool) *Replica {
--- a/internal/match/matcher.go
+++ b/internal/match/matcher.go
@@ -21,6 +21,7 @@
 	asked      chan chan partner.Pressure
 	forgets    chan func(*Ledger)
 	changed    chan struct{}
+	copies     chan chan *Matcher
 	index      *Index
 	held       []*bank
 	market     market
@@ -49,7 +50,7 @@
 	return &Matcher{
 		parameters: parameters, area: area, clock: clock, current: current, fleet: &Fleet{},
 		submitted: make(chan *Order, 256), withdrawn: make(chan *Order, 256), reports: make(chan Report, 1024),
-		asked: make(chan chan partner.Pressure), forgets: make(chan func(*Ledger), 8), changed: make(chan struct{}, 1),
+		asked: make(chan chan partner.Pressure), forgets: make(chan func(*Ledger), 8), changed: make(chan struct{}, 1), copies: make(chan chan *Matcher),
 		index: NewIndex(nil), banks: map[string]*bank{}, watched: map[string]*bank{}, paces: map[string]float64{}, ledger: NewLedger(parameters.LedgerBound, parameters.LedgerLife),
 		arrivals: map[[2]string]int{}, running: map[[2]string]int{}, aims: map[[2]string]float64{}, reads: map[[2]string]float64{}, Nudge: make(chan struct{}, 1), health: newHealth(),
 	}
@@ -120,6 +121,8 @@
 			answer <- m.pressure()
 		case change := <-m.forgets:
 			change(m.ledger)
+		case answer := <-m.copies:
+			answer <- m.fork(m.clock(), m.ledger.fork())
 		case <-m.changed:
 			m.adopt()
 			m.emit()
--- a/internal/match/order.go
+++ b/internal/match/order.go
@@ -22,6 +22,8 @@
 	Homes      []string
 	Returned   bool
 	Repeatable bool
+	Route      string
+	Resumed    bool
 	Answer     chan Command
 	unplaced   bool
 	told       bool
@@ -29,10 +31,22 @@
 
 	indexed *Index
 	holders []int
+	taken   bool
+	warm    int
+	drill   *Drill
+	drilled bool
+	alone   bool
 }
 
 func (o *Order) Tokens() float64 { return o.Prompt + o.Output }
 
+func (o *Order) noteWarm(kept float64) {
+	o.taken, o.warm = true, 0
+	for ; o.warm < len(o.Parts) && kept > 0; o.warm++ {
+		kept -= o.Parts[o.warm].Tokens
+	}
+}
+
 type Command struct {
 	Replica *Replica
 	Ticket  *Ticket
--- a/internal/match/settle.go
+++ b/internal/match/settle.go
@@ -38,6 +38,7 @@
 		return
 	}
 	m.answeredFirst(held, ticket)
+	delete(held.inside, ticket)
 	held.running--
 	held.tokens -= ticket.order.Tokens()
 	key := [2]string{ticket.order.Backend, ticket.order.Model}
@@ -71,6 +72,9 @@
 }
 
 func (m *Matcher) brokenOff(held *bank, report Report) {
+	if taken := report.Ticket.order; taken.drill != nil {
+		taken.drill.broken(taken)
+	}
 	held.predictor.Outcome(false)
 	held.distrust(report.At)
 }
@@ -82,6 +86,9 @@
 	}
 	ticket.answered = true
 	held.trust(report.At)
+	if ticket.order.drill != nil {
+		ticket.order.drill.first(ticket.order, report.At)
+	}
 	m.answeredFirst(held, ticket)
 	observed := float64(report.At.Sub(ticket.sent).Microseconds()) / 1000
 	held.predictor.Observe(ticket.features, observed)
--- a/internal/partner/session.go
+++ b/internal/partner/session.go
@@ -30,6 +30,8 @@
 	"sums":     {"/partner/sums", 600 * time.Millisecond},
 	"roster":   {"/partner/roster", 600 * time.Millisecond},
 	"greet":    {"/partner/greet", 600 * time.Millisecond},
+	"forecast": {"/partner/forecast", 900 * time.Millisecond},
+	"plan":     {"/partner/plan", 900 * time.Millisecond},
 }
 
 func Dialer(connectBound, silence time.Duration) *net.Dialer {
--- a/internal/partner/words.go
+++ b/internal/partner/words.go
@@ -1,25 +1,27 @@
 package partner
 
 import (
+	"ferryspar/internal/drill"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/retention"
 )
 
 type Poll struct {
-	Life       string `json:"life"`
-	Daemon     string `json:"daemon"`
-	Area       string `json:"area"`
-	Revision   int64  `json:"revision"`
-	AreaNumber uint64 `json:"areaNumber"`
-	Roster     uint64 `json:"roster"`
-	Wants      bool   `json:"wants"`
-	HoldMs     int64  `json:"holdMs"`
-	Version    uint64 `json:"version"`
-	Context    uint64 `json:"context,omitempty"`
-	Forgot     uint64 `json:"forgot,omitempty"`
-	Leaving    bool   `json:"leaving,omitempty"`
-	Follows    uint64 `json:"follows,omitempty"`
+	Life       string        `json:"life"`
+	Daemon     string        `json:"daemon"`
+	Area       string        `json:"area"`
+	Revision   int64         `json:"revision"`
+	AreaNumber uint64        `json:"areaNumber"`
+	Roster     uint64        `json:"roster"`
+	Wants      bool          `json:"wants"`
+	HoldMs     int64         `json:"holdMs"`
+	Version    uint64        `json:"version"`
+	Context    uint64        `json:"context,omitempty"`
+	Forgot     uint64        `json:"forgot,omitempty"`
+	Leaving    bool          `json:"leaving,omitempty"`
+	Follows    uint64        `json:"follows,omitempty"`
+	Drill      *drill.Report `json:"drill,omitempty"`
 }
 
 type Forget struct {
@@ -56,6 +58,8 @@
 	Holder     string               `json:"holder"`
 	Control    []string             `json:"control"`
 	Context    *ContextNews         `json:"context,omitempty"`
+	Question   *drill.Question      `json:"question,omitempty"`
+	Drill      *drill.Notice        `json:"drill,omitempty"`
 }
 
 type ModelPressure struct {
@@ -150,4 +154,5 @@
 	Number  uint64   `json:"number"`
 	Leaving bool     `json:"leaving"`
 	Edges   []string `json:"edges,omitempty"`
+	Area    string   `json:"zone,omitempty"`
 }
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -40,6 +40,7 @@
 	loadTime  time.Duration
 	highest   uint64
 	overfull  bool
+	slow      time.Duration
 	fails     string
 	failEvery int
 	probed    int
@@ -187,7 +188,7 @@
 	from := 0
 	_, _ = fmt.Sscanf(request.Header.Get(replica.HeaderLastEvent), "%d", &from)
 	s.runs = append(s.runs, arrival{attempt, request.Header.Get(replica.HeaderLastEvent), request.RequestURI, time.Now()})
-	cutAfter, events := s.cutAfter, s.events
+	cutAfter, events, slow := s.cutAfter, s.events, s.slow
 	fail := failings[s.fails]
 	failing := fail != nil && len(s.runs)%max(s.failEvery, 1) == 0
 	s.lock.Unlock()
@@ -197,6 +198,7 @@
 	}
 	writer.Header().Set(replica.HeaderSeal, "seal-"+s.listed.ID)
 	writer.Header().Set("Content-Type", "text/event-stream")
+	time.Sleep(slow)
 	for number := from + 1; number <= events; number++ {
 		time.Sleep(20 * time.Millisecond)
 		fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", number, number)
