--- a/internal/controlplane/follow.go
+++ b/internal/controlplane/follow.go
@@ -87,7 +87,7 @@
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	held := p.followings[poll.Daemon]
-	if held == nil || poll.Follows > held.number {
+	if held == nil || poll.Follows == 0 || poll.Follows > held.number {
 		return nil, poll.Roster, poll.Follows > 0
 	}
 	held.heard = now
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -27,6 +27,7 @@
 	number    uint64
 	fetchedAt time.Time
 	area      string
+	aside     bool
 }
 
 type Desk struct {
@@ -56,6 +57,7 @@
 	guarded    atomic.Bool
 	forget     func(func(*match.Ledger))
 	askAgain   func(address string)
+	behind     time.Time
 	rehearsal  rehearsal
 }
 
@@ -138,7 +140,7 @@
 		return false
 	}
 	news := one.news
-	held.fresh, held.heardAt, held.revision, held.edges = news.Fresh, one.at, news.Revision, news.Edges
+	held.fresh, held.heardAt, held.revision, held.edges, held.aside = news.Fresh, one.at, news.Revision, news.Edges, one.aside
 	if news.Holder != "" && news.Fresh {
 		d.holder.Store(&news.Holder)
 	}
@@ -192,26 +194,41 @@
 	return changed
 }
 
+func (d *Desk) lag(now time.Time, newest int64) {
+	for _, held := range d.sources {
+		if held.fresh && held.revision > newest {
+			if d.behind.IsZero() {
+				d.behind = now
+			}
+			return
+		}
+	}
+	d.behind = time.Time{}
+}
+
+const behindPause = 150 * time.Millisecond
+
 const distrustAfter = 1700 * time.Millisecond
 
 func (d *Desk) choose() {
 	now := d.clock()
 	current := *d.wants.primary.Load()
 	newest := d.wants.revision.Load()
-	usable := func(address string, held *source) bool {
+	usable := func(held *source) bool {
 		patience := distrustAfter
-		if address != current {
+		if held.aside {
 			patience += longestHold * time.Millisecond / 2
 		}
 		return held.fresh && now.Sub(held.heardAt) < patience
 	}
+	d.lag(now, newest)
 	best, bestRank := "", -1
 	for address, held := range d.sources {
-		if !usable(address, held) {
+		if !usable(held) {
 			continue
 		}
 		rank := 0
-		if held.revision > newest {
+		if held.revision > newest && now.Sub(d.behind) > behindPause {
 			rank += 4
 		}
 		if held.area == d.settings.Area {
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -17,6 +17,7 @@
 	news    partner.News
 	at      time.Time
 	failed  bool
+	aside   bool
 }
 
 type Listener struct {
@@ -105,7 +106,7 @@
 		}
 		now := l.clock()
 		select {
-		case l.news <- heard{address: address, news: news, at: now, failed: err != nil}:
+		case l.news <- heard{address: address, news: news, at: now, failed: err != nil, aside: !poll.Wants}:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/dataplane/parts.go
+++ b/internal/dataplane/parts.go
@@ -62,6 +62,7 @@
 	d.beginLife(held, one.answer.Life)
 	if one.question.Whole {
 		held.whole = true
+		held.only(one.question.Add)
 		d.wants.told.Store(&toldParts{one.address, one.answer.Life, one.question.Number, one.answer.Roster})
 	} else {
 		told := *d.wants.told.Load()
@@ -88,6 +89,18 @@
 	}
 }
 
+func (s *source) only(names []partner.PartName) {
+	followed := make(map[partner.PartName]bool, len(names))
+	for _, name := range names {
+		followed[name] = true
+	}
+	for name := range s.parts {
+		if !followed[name] {
+			delete(s.parts, name)
+		}
+	}
+}
+
 func (d *Desk) keep(held *source, parts []partner.Part) []partner.Part {
 	var touched []partner.Part
 	for _, part := range parts {
