--- a/internal/place/plain_plan_test.go
+++ b/internal/place/plain_plan_test.go
@@ -107,7 +107,9 @@
 	}
 	sort.SliceStable(rooms, func(left, right int) bool { return gains[rooms[left].Intent] > gains[rooms[right].Intent] })
 	for _, server := range rooms {
-		if model := server.Intent; !p.fits(server, model) {
+		if model := server.Intent; p.idleIntent(server) {
+			server.Intent = ""
+		} else if !p.fits(server, model) {
 			p.evict(server, model)
 		} else if p.loadable(server, model) {
 			p.load(server, model, "room was made for it")
@@ -127,7 +129,7 @@
 	}
 	demand := p.view.modelPressure(p.backend.Name, model)
 	present := len(p.view.copies(p.backend.Name, model)) + p.view.Loading[key(p.backend.Name, model)]
-	return demand.Waiting == 0 && demand.Rate < rareRate || float64(present) >= p.target(model)
+	return present == 0 && demand.Waiting == 0 && demand.Rate < rareRate || float64(present) >= p.target(model)
 }
 
 func (p *plainPlanner) absent() []layout.Model {
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -84,7 +84,9 @@
 	}
 	slices.SortStableFunc(rooms, func(left, right room) int { return cmp.Compare(right.gain, left.gain) })
 	for _, one := range rooms {
-		if !p.fits(one.post, one.model) {
+		if p.idleIntent(one.post, one.model) {
+			p.intend(one.post, "")
+		} else if !p.fits(one.post, one.model) {
 			p.evict(one.post, one.model)
 		} else if p.loadable(one.post, one.model) {
 			p.load(one.post, one.model, "room was made for it")
@@ -103,7 +105,7 @@
 	}
 	demand := p.demand(model)
 	present := float64(p.copies[model] + p.loading(model))
-	return demand.Waiting == 0 && demand.Rate < rareRate || present >= p.target(model)
+	return present == 0 && demand.Waiting == 0 && demand.Rate < rareRate || present >= p.target(model)
 }
 
 type want struct {
