--- a/internal/place/fair_test.go
+++ b/internal/place/fair_test.go
@@ -8,7 +8,7 @@
 )
 
 type visitor struct {
-	model  int
+	wanted string
 	at     time.Time
 	server *stand
 	ends   time.Time
@@ -38,12 +38,12 @@
 	loads   []time.Time
 	random  *rand.Rand
 	outcome outcome
-	counts  []int
+	counts  map[string]int
 }
 
 func newFair(t trade, seed uint64) *fair {
 	view := t.view(seed)
-	f := &fair{trade: t, view: view, random: rand.New(rand.NewPCG(seed, 29)), counts: make([]int, t.models)}
+	f := &fair{trade: t, view: view, random: rand.New(rand.NewPCG(seed, 29)), counts: map[string]int{}}
 	runtime := view.Table.Layout.Backends[0].Runtime
 	runtime.Slots, runtime.LoadsPerS = 24, t.loadsPerS
 	clear(view.Pressure)
@@ -70,8 +70,14 @@
 		for f.shares[model] < pick {
 			model++
 		}
-		f.waiting = append(f.waiting, &visitor{model: model, at: f.view.Now})
-		f.counts[model]++
+		wanted := f.view.Table.Layout.Backends[0].Runtime.Models[model]
+		reference := wanted.Name
+		if wanted.Adapters > 0 && f.random.IntN(4) > 0 {
+			share := f.random.Float64()
+			reference = Reference(reference, adapterNames(wanted)[int(share*share*float64(wanted.Adapters))])
+		}
+		f.waiting = append(f.waiting, &visitor{wanted: reference, at: f.view.Now})
+		f.counts[reference]++
 		f.outcome.asked++
 	}
 }
@@ -87,19 +93,19 @@
 		}
 	}
 	f.running = running
-	holders := map[int][]*stand{}
+	holders := map[string][]*stand{}
 	for _, one := range f.stands {
 		for reference := range one.server.Models {
-			if one.action == nil || one.action.Load || one.action.Model != reference {
-				number := f.number(reference)
-				holders[number] = append(holders[number], one)
+			base, _ := split(reference)
+			if one.action == nil || one.action.Load || one.action.Model != reference && one.action.Model != base {
+				holders[reference] = append(holders[reference], one)
 			}
 		}
 	}
 	waiting := f.waiting[:0]
 	for _, one := range f.waiting {
 		var best *stand
-		for _, holder := range holders[one.model] {
+		for _, holder := range holders[one.wanted] {
 			if holder.runs < 24 && (best == nil || holder.runs < best.runs || holder.runs == best.runs && holder.server.ID < best.server.ID) {
 				best = holder
 			}
@@ -136,31 +142,29 @@
 	for _, one := range f.view.Pressure {
 		one.Waiting, one.OldestMs, one.Running = 0, 0, 0
 	}
-	of := func(model int) *Pressure {
-		name := Key("s", fmt.Sprintf("m%04d", model))
+	of := func(reference string) *Pressure {
+		name := Key("s", reference)
 		if f.view.Pressure[name] == nil {
 			f.view.Pressure[name] = &Pressure{Aim: f.aimS * 1000}
 		}
 		return f.view.Pressure[name]
 	}
 	for _, one := range f.waiting {
-		demand := of(one.model)
+		demand := of(one.wanted)
 		demand.Waiting++
 		demand.OldestMs = max(demand.OldestMs, float64(now.Sub(one.at).Milliseconds()))
 		demand.LastSeen = now
 	}
 	for _, one := range f.running {
-		of(one.model).Running++
+		of(one.wanted).Running++
 	}
-	for model, amount := range f.counts {
-		if amount > 0 {
-			of(model).LastSeen = now
-		}
-		if demand := f.view.Pressure[Key("s", fmt.Sprintf("m%04d", model))]; demand != nil {
-			learn(demand, float64(amount)/step.Seconds(), step)
-		}
-		f.counts[model] = 0
+	for reference := range f.counts {
+		of(reference).LastSeen = now
+	}
+	for name, demand := range f.view.Pressure {
+		learn(demand, float64(f.counts[name[2:]])/step.Seconds(), step)
 	}
+	clear(f.counts)
 }
 
 func learn(demand *Pressure, rate float64, step time.Duration) {
@@ -179,8 +183,11 @@
 		if one.action != nil && !now.Before(one.ends) {
 			if one.action.Load {
 				one.server.Models[one.action.Model], one.server.Held[one.action.Model] = true, true
-			} else {
-				delete(one.server.Models, one.action.Model)
+			}
+			for reference := range one.server.Models {
+				if base, _ := split(reference); !one.action.Load && (reference == one.action.Model || base == one.action.Model) {
+					delete(one.server.Models, reference)
+				}
 			}
 			one.action = nil
 		}
@@ -208,6 +215,10 @@
 			if !action.Load {
 				continue
 			}
+			if _, adapter := split(action.Model); adapter != "" {
+				one.ends = now.Add(300 * time.Millisecond)
+				continue
+			}
 			seconds := runtime.Models[f.number(action.Model)].LoadTimeS
 			f.outcome.loads++
 			if action.Stored {
