A seldom asked adapter makes way for one that is waited for

The last copy of an adapter asked for at all within half a minute was never swapped, so orders for other adapters of a model on one full replica waited to the end.

--- a/internal/place/adapters.go
+++ b/internal/place/adapters.go
@@ -70,12 +70,16 @@
 		return
 	}
 	if urgent {
-		p.swapAdapter(p.item(number).model)
+		p.swapAdapter(p.item(number).model, p.asked(number).Waiting > 0)
 	}
 }
 
-func (p *planner) swapAdapter(model int) {
-	if p.stuck[model] || model >= len(p.holders) {
+func (p *planner) swapAdapter(model int, waited bool) {
+	bearable, state := 0.0, 2*model
+	if waited {
+		bearable, state = rareRate, 2*model+1
+	}
+	if p.stuck[state] || model >= len(p.holders) {
 		return
 	}
 	var best *post
@@ -87,7 +91,7 @@
 		}
 		for _, number := range one.adapters {
 			demand, copies := p.asked(number), p.left(number)
-			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > 0) {
+			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > bearable) {
 				continue
 			}
 			loss, name := demand.Rate/float64(copies)-float64(copies), p.item(number).name
@@ -97,7 +101,7 @@
 		}
 	}
 	if best == nil {
-		p.stuck[model] = true
+		p.stuck[state] = true
 		return
 	}
 	p.act(best, Action{Model: victim, Why: "adapter makes way for one asked for"})
--- a/internal/place/plain_spread_test.go
+++ b/internal/place/plain_spread_test.go
@@ -105,11 +105,15 @@
 		return
 	}
 	if urgent {
-		p.swapAdapter(model)
+		p.swapAdapter(model, p.view.pressure(p.backend.Name, reference).Waiting > 0)
 	}
 }
 
-func (p *plainPlanner) swapAdapter(model string) {
+func (p *plainPlanner) swapAdapter(model string, waited bool) {
+	bearable := 0.0
+	if waited {
+		bearable = rareRate
+	}
 	var best *Server
 	victim, lowest := "", 0.0
 	for _, server := range p.idle() {
@@ -123,7 +127,7 @@
 			}
 			demand := p.view.pressure(p.backend.Name, reference)
 			copies := p.left(reference)
-			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > 0) {
+			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > bearable) {
 				continue
 			}
 			loss := demand.Rate/float64(copies) - float64(copies)
