--- a/internal/place/bring.go
+++ b/internal/place/bring.go
@@ -121,7 +121,7 @@
 
 func (p *planner) burden(one *post, size float64) (float64, bool) {
 	p.weigh(one)
-	burden := readingCost * one.reading
+	burden := readingCost * one.disturbance
 	need := one.size + size - p.runtime.WeightSizeMb
 	for _, next := range one.victims {
 		if need <= roomSlack {
--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -12,7 +12,11 @@
 	}
 	one.weighed = true
 	for _, model := range one.models {
-		one.reading += p.demand(model).Reading / float64(max(p.copies[model], 1))
+		demand, copies := p.demand(model), float64(max(p.copies[model], 1))
+		one.disturbance += demand.Reading / copies
+		if p.adapterCount(model) > 0 {
+			one.disturbance += adapterCost * min(demand.Rate, 1) / copies
+		}
 		if p.expendable(one, model, p.standing) {
 			one.victims = append(one.victims, victim{model, p.loss(model), p.freed(one, model)})
 		}
--- a/internal/place/index.go
+++ b/internal/place/index.go
@@ -9,17 +9,17 @@
 )
 
 type post struct {
-	server   *Server
-	number   int
-	models   []int
-	adapters []int
-	size     float64
-	counts   bool
-	used     bool
-	barren   bool
-	weighed  bool
-	reading  float64
-	victims  []victim
+	server      *Server
+	number      int
+	models      []int
+	adapters    []int
+	size        float64
+	counts      bool
+	used        bool
+	barren      bool
+	weighed     bool
+	disturbance float64
+	victims     []victim
 }
 
 type victim struct {
--- a/internal/place/plain_evict_test.go
+++ b/internal/place/plain_evict_test.go
@@ -12,8 +12,11 @@
 	total := 0.0
 	for _, reference := range slices.Sorted(maps.Keys(server.Models)) {
 		if model, adapter := split(reference); adapter == "" {
-			copies := max(len(p.view.copies(p.backend.Name, model)), 1)
-			total += p.view.modelPressure(p.backend.Name, model).Reading / float64(copies)
+			demand, copies := p.view.modelPressure(p.backend.Name, model), float64(max(p.standing(model), 1))
+			total += demand.Reading / copies
+			if p.sizes[model].Adapters > 0 {
+				total += adapterCost * min(demand.Rate, 1) / copies
+			}
 		}
 	}
 	return total
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -15,6 +15,7 @@
 	lateShare    = 0.4
 	urgentShare  = 0.5
 	readingCost  = 1.5
+	adapterCost  = 3.0
 	diskCost     = 0.25
 	recentDemand = 20 * time.Second
 	keepFor      = 15.0
