--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -15,6 +15,7 @@
 	lateShare    = 0.4
 	urgentShare  = 0.5
 	readingCost  = 1.5
+	adapterCost  = 3.0
 	diskCost     = 0.25
 	recentDemand = 20 * time.Second
 	keepFor      = 15.0
@@ -84,7 +85,9 @@
 	}
 	slices.SortStableFunc(rooms, func(left, right room) int { return cmp.Compare(right.gain, left.gain) })
 	for _, one := range rooms {
-		if !p.fits(one.post, one.model) {
+		if p.idleIntent(one.post, one.model) {
+			p.intend(one.post, "")
+		} else if !p.fits(one.post, one.model) {
 			p.evict(one.post, one.model)
 		} else if p.loadable(one.post, one.model) {
 			p.load(one.post, one.model, "room was made for it")
@@ -103,7 +106,7 @@
 	}
 	demand := p.demand(model)
 	present := float64(p.copies[model] + p.loading(model))
-	return demand.Waiting == 0 && demand.Rate < rareRate || present >= p.target(model)
+	return present == 0 && demand.Waiting == 0 && demand.Rate < rareRate || present >= p.target(model)
 }
 
 type want struct {
