--- a/internal/controlplane/drill.go
+++ b/internal/controlplane/drill.go
@@ -69,12 +69,12 @@
 	return current
 }
 
-func (d *Daemon) drives(number uint64) []drill.Drive {
+func (d *Daemon) told(number uint64) []drill.Report {
 	var list []drill.Report
 	for _, report := range d.reports(number) {
 		list = append(list, report)
 	}
-	return drill.MergeReports(list)
+	return list
 }
 
 func (d *Daemon) applyDrill(slot keystore.Slot) {
@@ -117,7 +117,7 @@
 			status.Edges[edge] = report.Ended
 		}
 	}
-	status.Routes = d.drives(record.Number)
+	status.Routes = drill.MergeReports(d.told(record.Number))
 	return status
 }
 
@@ -205,7 +205,7 @@
 		if !ended.Running || number > 0 && ended.Number != number {
 			return nil, errTaken
 		}
-		ended = ended.End(why, guard, d.drives(ended.Number))
+		ended = ended.End(why, guard, drill.MergeReports(d.told(ended.Number)))
 		return ended, nil
 	})
 	if err == nil {
--- a/internal/controlplane/guard.go
+++ b/internal/controlplane/guard.go
@@ -111,7 +111,7 @@
 			return "edge " + edge + " ended it: " + report.Ended, true
 		}
 	}
-	why := drill.Judge(view.Record, d.drives(view.Number))
+	why := drill.Judge(view.Record, drill.MergeTallies(d.told(view.Number)))
 	return why, why != ""
 }
 
--- a/internal/drill/tally.go
+++ b/internal/drill/tally.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"sort"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 type Tally struct {
@@ -52,31 +50,40 @@
 	FirstRest    Quantiles `json:"firstRest"`
 }
 
-func MergeReports(reports []Report) []Drive {
-	type spreads struct{ drilled, rest *hdrhistogram.Histogram }
-	found, kept := map[string]*Drive{}, map[string]spreads{}
+func MergeTallies(reports []Report) []Drive {
+	found := map[string]*Drive{}
 	for _, report := range reports {
 		for name, one := range report.Routes {
 			if found[name] == nil {
 				found[name] = &Drive{Name: name}
-				kept[name] = spreads{NewSpread(), NewSpread()}
 			}
 			found[name].Drilled.Add(one.Drilled)
 			found[name].Rest.Add(one.Rest)
 			found[name].Kept += one.Kept
-			MergePacked(kept[name].drilled, one.FirstDrilled)
-			MergePacked(kept[name].rest, one.FirstRest)
 		}
 	}
 	list := []Drive{}
-	for name, one := range found {
-		one.FirstDrilled, one.FirstRest = Measure(kept[name].drilled), Measure(kept[name].rest)
+	for _, one := range found {
 		list = append(list, *one)
 	}
 	sort.Slice(list, func(left, right int) bool { return list[left].Name < list[right].Name })
 	return list
 }
 
+func MergeReports(reports []Report) []Drive {
+	list := MergeTallies(reports)
+	for index := range list {
+		drilled, rest := NewSpread(), NewSpread()
+		for _, report := range reports {
+			one := report.Routes[list[index].Name]
+			MergePacked(drilled, one.FirstDrilled)
+			MergePacked(rest, one.FirstRest)
+		}
+		list[index].FirstDrilled, list[index].FirstRest = Measure(drilled), Measure(rest)
+	}
+	return list
+}
+
 const enough = 30
 
 func Judge(record Record, routes []Drive) string {
--- a/internal/match/forecast.go
+++ b/internal/match/forecast.go
@@ -32,10 +32,10 @@
 	}
 	m.load(answer.Replicas, func(load *drill.Load, running int) { load.Running = running })
 	after.moveOn(m.inflight(lost), loss, &answer, now)
-	most := max(scoresBound/(2*max(len(m.fleet.Replicas), 1)*max(len(m.ledger.recent.routes), 1)), recentLeast)
+	budget := scoresBound / max(len(m.ledger.recent.routes), 1)
 	for _, route := range m.fleet.Table.Layout.Routes {
 		if held := m.ledger.recent.routes[route.Name]; held != nil && len(held.orders) > 0 {
-			answer.Routes = append(answer.Routes, m.foresee(after, lost, loss, held.orders[max(len(held.orders)-most, 0):], now))
+			answer.Routes = append(answer.Routes, m.foresee(after, lost, loss, held.orders, budget, now))
 		}
 	}
 	return answer
@@ -147,12 +147,14 @@
 	return m.market.columns[m.market.arcs[at].column].replica, m.market.pairs[at]
 }
 
-func (m *Matcher) foresee(after *Matcher, lost map[string]*Replica, loss drill.Loss, sample []*Order, now time.Time) drill.EdgeRoute {
+func (m *Matcher) foresee(after *Matcher, lost map[string]*Replica, loss drill.Loss, sample []*Order, budget int, now time.Time) drill.EdgeRoute {
 	first := sample[0]
 	route := drill.EdgeRoute{Name: first.Route, Priority: first.Priority, AimMs: float64(first.Aim.Milliseconds())}
 	firstNow, firstThen := drill.NewSpread(), drill.NewSpread()
 	oldest := now
-	for _, taken := range sample {
+	for position := len(sample) - 1; position >= 0 && budget > 0; position-- {
+		taken := sample[position]
+		budget -= 2*len(m.index.Holders(taken.Backend, taken.Model)) + 1
 		if taken.Arrived.Before(oldest) {
 			oldest = taken.Arrived
 		}
@@ -198,7 +200,7 @@
 			route.Wait++
 		}
 	}
-	route.PerS = float64(len(sample)) / max(now.Sub(oldest).Seconds(), 1)
+	route.PerS = float64(route.Sampled+route.Stale) / max(now.Sub(oldest).Seconds(), 1)
 	route.FirstNow, route.FirstThen = drill.Pack(firstNow), drill.Pack(firstThen)
 	return route
 }
