--- a/internal/controlplane/drill.go
+++ b/internal/controlplane/drill.go
@@ -69,12 +69,12 @@
 	return current
 }
 
-func (d *Daemon) drives(number uint64) []drill.Drive {
+func (d *Daemon) told(number uint64) []drill.Report {
 	var list []drill.Report
 	for _, report := range d.reports(number) {
 		list = append(list, report)
 	}
-	return drill.MergeReports(list)
+	return list
 }
 
 func (d *Daemon) applyDrill(slot keystore.Slot) {
@@ -105,8 +105,14 @@
 		return status
 	}
 	if view.Number == record.Number {
-		status.LeftMs = max(view.until.Sub(d.clock()), 0).Milliseconds()
-		status.Running = view.on(d.clock())
+		now := d.clock()
+		status.LeftMs, status.Running = max(view.until.Sub(now), 0).Milliseconds(), view.on(now)
+		if !status.Running {
+			status.Why, status.Guard = drill.TimeUp, now.Before(view.until)
+		}
+		if status.Guard {
+			status.Why = drill.Lapsed
+		}
 	}
 	for _, edge := range d.knownEdges() {
 		status.Edges[edge] = drill.Silent
@@ -117,7 +123,7 @@
 			status.Edges[edge] = report.Ended
 		}
 	}
-	status.Routes = d.drives(record.Number)
+	status.Routes = drill.MergeReports(d.told(record.Number))
 	return status
 }
 
@@ -205,7 +211,7 @@
 		if !ended.Running || number > 0 && ended.Number != number {
 			return nil, errTaken
 		}
-		ended = ended.End(why, guard, d.drives(ended.Number))
+		ended = ended.End(why, guard, drill.MergeReports(d.told(ended.Number)))
 		return ended, nil
 	})
 	if err == nil {
