Tenures at five members over areas with clock steps: only steady clocks count

Members and holders read clocks whose time of day jumps by up to an hour while the steady reading goes on; 120 schedules of 40 s over areas, disks, links, freezes and steps hold one holder per fence and a lease between holders. A variant that goes by the time of day is caught, as is one that overstays. Schedules are played twice and must be the same.

--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -37,12 +37,14 @@
 	VotesWild bool
 	Unsynced  bool
 	Assenting bool
+	DayClocks bool
+	steps     map[string]time.Duration
 	tenure    time.Duration
 	areas     int
 }
 
 func New(seed uint64, size int) *Fleet {
-	fleet := &Fleet{seed: seed, members: map[string]*Member{}, cut: map[[2]string]int{}, sent: map[string]uint64{}, tenure: TenureLength}
+	fleet := &Fleet{seed: seed, members: map[string]*Member{}, cut: map[[2]string]int{}, sent: map[string]uint64{}, steps: map[string]time.Duration{}, tenure: TenureLength}
 	for index := range size {
 		name := fmt.Sprintf("member-%d", index)
 		fleet.Names = append(fleet.Names, name)
@@ -75,12 +77,12 @@
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	acceptor := keystore.NewAcceptor(name, journal, keystore.Rules{Tenure: f.tenure, Clock: time.Now}, fresh)
+	acceptor := keystore.NewAcceptor(name, journal, keystore.Rules{Tenure: f.tenure, Clock: f.Clock(name)}, fresh)
 	known := acceptor.Members()
 	if known.Number == 0 {
 		known = f.founding()
 	}
-	store := keystore.NewStore(name, uint32(f.draw(name, "nonce", uint64(member.lives))), &Wire{f, name}, time.Now, known)
+	store := keystore.NewStore(name, uint32(f.draw(name, "nonce", uint64(member.lives))), &Wire{f, name}, f.Clock(name), known)
 	f.lock.Lock()
 	member.handle, member.acceptor, member.store, member.stop, member.running = handle, acceptor, store, cancel, true
 	f.lock.Unlock()
--- a/internal/tenure/simulation_test.go
+++ b/internal/tenure/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -60,15 +61,18 @@
 	var hold *tenure.Hold
 	var held *keystore.Store
 	for time.Now().Before(until) {
-		time.Sleep(time.Duration(80+draw.IntN(80)) * time.Millisecond)
+		time.Sleep(80*time.Millisecond + time.Duration(draw.Int64N(int64(80*time.Millisecond))))
 		store := fleet.StoreOf(name)
+		for fleet.Frozen(name) {
+			time.Sleep(3 * time.Millisecond)
+		}
 		if store == nil || store != held {
 			hold, held = nil, store
 		}
 		if store == nil {
 			continue
 		}
-		keeper := &tenure.Tenure{Key: keystore.TenurePrefix + "duty", Holder: name, Length: length, Settle: settle, Keeper: store, Clock: time.Now}
+		keeper := &tenure.Tenure{Key: keystore.TenurePrefix + "duty", Holder: name, Length: length, Settle: settle, Keeper: store, Clock: fleet.Clock(name)}
 		if hold != nil {
 			hold = keeper.Renew(context.Background(), hold)
 		} else {
@@ -76,15 +80,30 @@
 			hold, _ = keeper.Seize(ctx)
 			cancel()
 		}
-		if hold.Allows(time.Now(), 0) && fleet.StoreOf(name) == store {
+		if !fleet.Frozen(name) && hold.Allows(fleet.Clock(name)(), 0) && fleet.StoreOf(name) == store {
 			told.add(act{time.Now(), name, hold.Record.Fence})
 		}
 	}
 }
 
-func play(seed uint64, lengthens time.Duration, settle time.Duration) (*deeds, error) {
-	fleet := rehearsal.New(seed, 3)
-	draw := rand.New(rand.NewPCG(seed, 11))
+type schedule struct {
+	seed      uint64
+	areas     []int
+	troubles  []rehearsal.Trouble
+	lengthens time.Duration
+	settle    time.Duration
+	dayClocks bool
+}
+
+func (s schedule) play() (*deeds, error) {
+	size := 0
+	for _, members := range s.areas {
+		size += members
+	}
+	fleet := rehearsal.New(s.seed, size)
+	fleet.Spread(s.areas...)
+	fleet.DayClocks = s.dayClocks
+	draw := rand.New(rand.NewPCG(s.seed, 11))
 	for _, name := range fleet.Names {
 		fleet.Start(name, true)
 	}
@@ -92,13 +111,13 @@
 	until := time.Now().Add(40 * time.Second)
 	var keepers sync.WaitGroup
 	for index, name := range fleet.Names {
-		source := rand.New(rand.NewPCG(seed, uint64(50+index)))
-		keepers.Go(func() { keep(fleet, name, rehearsal.TenureLength+lengthens, settle, source, until, told) })
+		source := rand.New(rand.NewPCG(s.seed, uint64(50+index)))
+		keepers.Go(func() { keep(fleet, name, rehearsal.TenureLength+s.lengthens, s.settle, source, until, told) })
 	}
 	for time.Now().Before(until) {
-		time.Sleep(time.Duration(draw.IntN(4000)+200) * time.Millisecond)
-		name := fleet.Names[draw.IntN(3)]
-		rehearsal.Troubles[draw.IntN(len(rehearsal.Troubles))](fleet, name, draw, time.Duration(draw.IntN(5000)+50)*time.Millisecond)
+		time.Sleep(time.Duration(draw.Int64N(int64(4*time.Second))) + 200*time.Millisecond)
+		name := fleet.Names[draw.IntN(size)]
+		s.troubles[draw.IntN(len(s.troubles))](fleet, name, draw, time.Duration(draw.Int64N(int64(5*time.Second)))+50*time.Millisecond)
 		if !fleet.WaitVoting(time.Minute) {
 			return told, fmt.Errorf("a member never voted again")
 		}
@@ -111,32 +130,86 @@
 	return told, told.check()
 }
 
+var (
+	single = []int{1, 1, 1}
+	spread = []int{2, 2, 1}
+	wider  = append([]rehearsal.Trouble{rehearsal.Restarts, rehearsal.Links, rehearsal.DiskWoes, rehearsal.ClockStep}, rehearsal.Troubles...)
+)
+
 func TestGivenTroublesOfEveryKindThenNoTwoHoldersActWithinALease(t *testing.T) {
-	acted, turns := 0, 0
-	from, to := rehearsal.Schedules(300)
-	for seed := from; seed < to; seed++ {
-		synctest.Test(t, func(t *testing.T) {
-			told, err := play(uint64(seed), 0, lease)
-			assert.NilError(t, err, "FERRYSPAR_SEED=%d replays this schedule", seed)
-			acted += len(told.done)
-			for index := 1; index < len(told.done); index++ {
-				if told.done[index].holder != told.done[index-1].holder {
-					turns++
-				}
+	fleets := map[string]struct {
+		schedules int
+		areas     []int
+		troubles  []rehearsal.Trouble
+	}{
+		"three members":         {300, single, rehearsal.Troubles},
+		"five members in areas": {120, spread, wider},
+	}
+	for name, fleet := range fleets {
+		t.Run(name, func(t *testing.T) {
+			acted, turns := 0, 0
+			from, to := rehearsal.Schedules(fleet.schedules)
+			for seed := from; seed < to; seed++ {
+				synctest.Test(t, func(t *testing.T) {
+					told, err := schedule{seed: uint64(seed), areas: fleet.areas, troubles: fleet.troubles, settle: lease}.play()
+					assert.NilError(t, err, "FERRYSPAR_SEED=%d replays this schedule", seed)
+					acted += len(told.done)
+					for index := 1; index < len(told.done); index++ {
+						if told.done[index].holder != told.done[index-1].holder {
+							turns++
+						}
+					}
+				})
 			}
+			t.Logf("%d acts, %d turns in %d schedules", acted, turns, to-from)
+			assert.Assert(t, acted > 100*(to-from)/2 && turns > (to-from)/4, "the duty is done (%d) and changes hands (%d)", acted, turns)
 		})
 	}
-	assert.Assert(t, acted > 100*(to-from)/2 && turns > (to-from)/4, "the duty is done (%d) and changes hands (%d)", acted, turns)
 }
 
-func TestGivenAHolderThatOverstaysThenTheChecksCatchIt(t *testing.T) {
-	caught := 0
-	for seed := 1; seed < 120 && caught == 0; seed++ {
-		synctest.Test(t, func(t *testing.T) {
-			if _, err := play(uint64(seed), 4*time.Second, 0); err != nil {
-				caught = seed
+func TestGivenBrokenHoldersThenTheChecksCatchThem(t *testing.T) {
+	variants := map[string]schedule{
+		"overstays":             {areas: single, troubles: rehearsal.Troubles, lengthens: 4 * time.Second},
+		"goes by the day clock": {areas: spread, troubles: append(wider, rehearsal.ClockStep, rehearsal.ClockStep), settle: lease, dayClocks: true},
+	}
+	for name, variant := range variants {
+		t.Run(name, func(t *testing.T) {
+			caught := 0
+			for seed := 1; seed < 120 && caught == 0; seed++ {
+				synctest.Test(t, func(t *testing.T) {
+					variant.seed = uint64(seed)
+					if _, err := variant.play(); err != nil {
+						t.Log(err)
+						caught = seed
+					}
+				})
 			}
+			assert.Assert(t, caught > 0, "no schedule shows two holders")
 		})
 	}
-	assert.Assert(t, caught > 0, "no schedule shows two holders")
+}
+
+func TestGivenASteppedClockThenOnlyTheTimeOfDayMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before := rehearsal.Stepped(time.Now(), 0)
+		time.Sleep(time.Second)
+		after := rehearsal.Stepped(time.Now(), -time.Hour)
+		assert.Equal(t, after.Sub(before), time.Second)
+		assert.Equal(t, after.Unix()-before.Unix(), int64(1-3600))
+	})
+}
+
+func TestGivenASeedThenItsScheduleReplaysExactly(t *testing.T) {
+	from, to := rehearsal.Schedules(20)
+	for seed := from; seed < to; seed++ {
+		var played [2][]act
+		for turn := range played {
+			synctest.Test(t, func(t *testing.T) {
+				told, err := schedule{seed: uint64(seed), areas: spread, troubles: wider, settle: lease}.play()
+				assert.NilError(t, err)
+				played[turn] = told.done
+			})
+		}
+		assert.Assert(t, slices.Equal(played[0], played[1]), "FERRYSPAR_SEED=%d plays in two ways", seed)
+	}
 }
