Marks of taken changes take a third of the room; a benchmark of a change's cost at five members

Marks stay bounded at 400. A record of an older version is read without its marks: only a resend across an update could meet a 412.

--- /dev/null
+++ b/internal/controlplane/cost_test.go
@@ -0,0 +1,123 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/layout"
+)
+
+type meter struct {
+	written atomic.Int64
+	syncs   atomic.Int64
+}
+
+func (m *meter) Read(name string) ([]byte, error) { return nil, nil }
+
+func (m *meter) Prepare(name string, size int64) error { return nil }
+
+func (m *meter) Write(name string, offset int64, content []byte) error {
+	m.written.Add(int64(len(content)))
+	return nil
+}
+
+func (m *meter) Sync(name string) error {
+	m.syncs.Add(1)
+	return nil
+}
+
+type cluster struct {
+	members   map[string]*keystore.Acceptor
+	messages  atomic.Int64
+	sentBytes atomic.Int64
+}
+
+func (c *cluster) Send(ctx context.Context, address string, message keystore.Message) (keystore.Reply, error) {
+	content, _ := json.Marshal(message)
+	if address != message.Sender {
+		c.messages.Add(1)
+		c.sentBytes.Add(int64(len(content)))
+	}
+	return c.members[address].Call(ctx, message)
+}
+
+func grown(models, routes int, draw *rand.Rand) layout.Layout {
+	made := layout.Layout{Revision: 1, Limits: layout.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000}}
+	word := func() string { return fmt.Sprintf("%08x", draw.Uint32()) }
+	for backend := range 9 {
+		runtime := &layout.Runtime{Slots: 64, KvCacheTokens: float64(100000 + draw.IntN(50000)), KvTokenBytes: 163840, StepSize: 3, WeightSizeMb: 230000, AdapterCapacity: 8, LoadsPerS: 1}
+		for range models / 9 {
+			runtime.Models = append(runtime.Models, layout.Model{Name: "m" + word(), WeightSizeMb: 65099.9, LoadTimeS: 5.3, Adapters: draw.IntN(30), AdapterSizeMb: 12})
+		}
+		made.Backends = append(made.Backends, layout.Backend{Name: fmt.Sprintf("b%d%s", backend, word()), HealthPath: "/healthz", MaxConns: 360, ColdStartS: 3, ColdPerS: 12, Runtime: runtime})
+	}
+	for range routes {
+		backend := made.Backends[draw.IntN(9)].Name
+		made.Routes = append(made.Routes, layout.Route{Name: "r-" + word(), Hostname: word() + ".example", PathPrefix: "/" + word() + "/", RouteType: layout.Streaming, TimeoutMs: 15000, TargetLatencyMs: 600, Priority: 1, Backend: backend, RetryCount: 1, TokenGapMs: 300})
+	}
+	return made
+}
+
+func BenchmarkLayoutChangeAtFiveMembers(b *testing.B) {
+	draw := rand.New(rand.NewPCG(1, 1))
+	made := grown(450, 350, draw)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	wire := &cluster{members: map[string]*keystore.Acceptor{}}
+	members := keystore.Members{Number: 1}
+	for index := range 5 {
+		members.Present = append(members.Present, fmt.Sprintf("10.0.0.%d:9000", index+1))
+	}
+	disks := []*meter{}
+	for _, name := range members.Present {
+		disk := &meter{}
+		journal, err := keystore.OpenJournal(disk, ringFiles, largestRing)
+		assert.NilError(b, err)
+		assert.NilError(b, journal.Append(keystore.FreshSlots(members, 1)))
+		acceptor := keystore.NewAcceptor(name, journal, keystore.Rules{Clock: time.Now}, true)
+		go acceptor.Run(ctx, journal)
+		wire.members[name] = acceptor
+		disks = append(disks, disk)
+	}
+	store := keystore.NewStore(members.Present[0], 1, wire, time.Now, members)
+	document, err := json.Marshal(made)
+	assert.NilError(b, err)
+	record := layoutRecord{}
+	change := func() {
+		made.Revision++
+		made.Routes[draw.IntN(len(made.Routes))].TimeoutMs = float64(1000 + draw.IntN(60000))
+		document, err = json.Marshal(made)
+		assert.NilError(b, err)
+		record = record.next(made.Revision, document, mark("PATCH", fmt.Sprint(made.Revision), document))
+		_, err = store.Change(ctx, keystore.LayoutKey, func(keystore.Slot) (json.RawMessage, error) { return json.Marshal(record) })
+		assert.NilError(b, err)
+	}
+	for range marksBound {
+		change()
+	}
+	value, _ := json.Marshal(record)
+	marks, _ := json.Marshal(record.Marks)
+	written, syncs, messages, sent := disks[1].written.Load(), disks[1].syncs.Load(), wire.messages.Load(), wire.sentBytes.Load()
+	changes := 0
+	for b.Loop() {
+		change()
+		changes++
+	}
+	per := func(now, before int64) float64 { return float64(now-before) / float64(changes) }
+	b.ReportMetric(float64(len(document)), "document-bytes")
+	b.ReportMetric(float64(len(record.Packed)), "packed-bytes")
+	b.ReportMetric(float64(len(marks)), "marks-bytes")
+	b.ReportMetric(float64(len(value)), "value-bytes")
+	b.ReportMetric(per(disks[1].written.Load(), written), "disk-bytes/member")
+	b.ReportMetric(per(disks[1].syncs.Load(), syncs), "syncs/member")
+	b.ReportMetric(per(wire.messages.Load(), messages), "messages")
+	b.ReportMetric(per(wire.sentBytes.Load(), sent), "sent-bytes")
+}
--- a/internal/controlplane/layouts.go
+++ b/internal/controlplane/layouts.go
@@ -88,11 +88,7 @@
 		if revision <= record.Revision {
 			return nil, problem.New(problem.InvalidLayout, "revision %d is not above %d", revision, record.Revision)
 		}
-		marks := append(append([]taken{}, record.Taken...), taken{revision, stamp})
-		if len(marks) > takenBound {
-			marks = marks[len(marks)-takenBound:]
-		}
-		return json.Marshal(layoutRecord{Revision: revision, Packed: layout.Pack(document), Taken: marks})
+		return json.Marshal(record.next(revision, document, stamp))
 	})
 	if errors.Is(err, errTaken) {
 		return nil
--- a/internal/controlplane/records.go
+++ b/internal/controlplane/records.go
@@ -2,26 +2,23 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/keystore"
+	"ferryspar/internal/layout"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/tenure"
 )
 
-type taken struct {
-	Revision int64  `json:"revision"`
-	Mark     string `json:"mark"`
-}
-
 type layoutRecord struct {
-	Revision int64   `json:"revision"`
-	Packed   []byte  `json:"packed"`
-	Taken    []taken `json:"taken"`
+	Revision int64    `json:"revision"`
+	Packed   []byte   `json:"packed"`
+	Marks    []string `json:"marks"`
 }
 
 type areaRecord struct {
@@ -29,22 +26,21 @@
 	Drained bool   `json:"drained"`
 }
 
-const takenBound = 400
+const marksBound = 400
 
 func mark(method, condition string, body []byte) string {
 	sum := sha256.New()
 	sum.Write([]byte(method + " " + condition + "\n"))
 	sum.Write(body)
-	return hex.EncodeToString(sum.Sum(nil)[:16])
+	return base64.RawURLEncoding.EncodeToString(sum.Sum(nil)[:12])
 }
 
-func (r layoutRecord) has(wanted string) bool {
-	for _, one := range r.Taken {
-		if one.Mark == wanted {
-			return true
-		}
-	}
-	return false
+func (r layoutRecord) has(wanted string) bool { return slices.Contains(r.Marks, wanted) }
+
+func (r layoutRecord) next(revision int64, document []byte, stamp string) layoutRecord {
+	marks := append(append([]string{}, r.Marks...), stamp)
+	marks = marks[max(0, len(marks)-marksBound):]
+	return layoutRecord{Revision: revision, Packed: layout.Pack(document), Marks: marks}
 }
 
 func (d *Daemon) apply(slot keystore.Slot) {
