Questions in SQL on the fleet's state: ferryspar-operator query

Tables of replicas, models, adapters, zones, edges, routes, members and tenures are made from the operator interface's status and layout and answered by an in-memory engine (modernc.org/sqlite, pure Go) within the command; the daemons do not import it. One SELECT, read only, bounded in rows and time; table or JSON; an unknown table or column is answered with the list.

--- a/cmd/ferryspar-operator/commands.go
+++ b/cmd/ferryspar-operator/commands.go
@@ -30,6 +30,7 @@
 	{"undrain", "take a zone's evacuation back", &drainZone{method: http.MethodDelete}},
 	{"retention", "print or set how long cached context may live", &retain{}},
 	{"forget", "have cached context forgotten, and watch it go", &forgetContext{}},
+	{"query", "ask questions in SQL about the fleet (see the operators' page)", &queryFleet{}},
 	{"status", "print the fleet as one control daemon sees it", &showStatus{}},
 }
 
--- /dev/null
+++ b/internal/query/print.go
@@ -0,0 +1,36 @@
+package query
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+func (r Result) Table(writer io.Writer) error {
+	aligned := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(aligned, strings.Join(r.Columns, "\t"))
+	for _, row := range r.Rows {
+		cells := make([]string, len(row))
+		for position, value := range row {
+			if value != nil {
+				cells[position] = fmt.Sprint(value)
+			}
+		}
+		fmt.Fprintln(aligned, strings.Join(cells, "\t"))
+	}
+	return aligned.Flush()
+}
+
+func (r Result) JSON(writer io.Writer) error {
+	rows := make([]map[string]any, 0, len(r.Rows))
+	for _, row := range r.Rows {
+		one := map[string]any{}
+		for position, column := range r.Columns {
+			one[column] = row[position]
+		}
+		rows = append(rows, one)
+	}
+	return json.NewEncoder(writer).Encode(map[string]any{"rows": rows, "cut": r.Cut})
+}
--- /dev/null
+++ b/internal/query/query_test.go
@@ -0,0 +1,77 @@
+package query
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/layout"
+	"ferryspar/internal/operator"
+	"ferryspar/internal/platform"
+)
+
+func fleet() []Table {
+	held := []platform.Held{{Name: "big", Revision: 2, Adapters: []string{"a1", "a2"}}}
+	seen := operator.Fleet{
+		Member: "10.0.0.1:9000", Fresh: true, Members: []string{"10.0.0.1:9000", "10.0.0.2:9000"}, Next: []string{"10.0.0.3:9000"},
+		Holder: "10.0.0.2:9000", Drained: []string{"b"}, Edges: []string{"edge-1"},
+		Replicas: []platform.Replica{
+			{ID: "r1", Backend: "chat", Area: "a", State: "ready", Slots: 8, Models: held},
+			{ID: "r2", Backend: "chat", Area: "b", State: "ready", Slots: 8, Models: held},
+			{ID: "r3", Backend: "chat", Area: "a", State: "starting", Slots: 4},
+		},
+	}
+	return Tables(seen, layout.Layout{Routes: []layout.Route{
+		{Name: "plain", Backend: "chat", TimeoutMs: 1000},
+		{Name: "split", TrafficSplit: []layout.Split{{Backend: "chat", Weight: 90}, {Backend: "gone", Weight: 10}}},
+	}})
+}
+
+var wide = Bounds{Rows: 100, Time: 10 * time.Second}
+
+func TestGivenAFleetWhenAskedInSQLThenTheAnswerIsPrintedAsTableOrJSON(t *testing.T) {
+	for statement, wanted := range map[string]string{
+		"SELECT zone, count(*) AS n FROM replicas GROUP BY zone;":                                                                                                 "zone  n\na     2\nb     1\n",
+		"SELECT model, count(*) AS copies FROM models JOIN zones USING (zone) WHERE NOT drained GROUP BY model":                                                   "model  copies\nbig    1\n",
+		"SELECT r.name, r.backend FROM routes r LEFT JOIN replicas p ON p.backend = r.backend WHERE p.id IS NULL":                                                 "name   backend\nsplit  gone\n",
+		"with held as (select replica from models) select id from replicas where id not in (select replica from held)":                                            "id\nr3\n",
+		"SELECT address, part FROM members ORDER BY address DESC LIMIT 1":                                                                                         "address        part\n10.0.0.3:9000  next\n",
+		"SELECT duty, holder, (SELECT count(*) FROM edges) AS edges, (SELECT max(adapter) FROM adapters) AS adapter, time_left_ms FROM tenures, replicas LIMIT 1": "duty       holder         edges  adapter  time_left_ms\nplacement  10.0.0.2:9000  1      a2       \n",
+	} {
+		result, err := Ask(context.Background(), fleet(), statement, wide)
+		assert.NilError(t, err, statement)
+		var printed bytes.Buffer
+		assert.NilError(t, result.Table(&printed))
+		assert.Equal(t, printed.String(), wanted)
+	}
+	result, err := Ask(context.Background(), fleet(), "SELECT id, slots FROM replicas ORDER BY id", Bounds{Rows: 1, Time: wide.Time})
+	assert.NilError(t, err)
+	var printed bytes.Buffer
+	assert.NilError(t, result.JSON(&printed))
+	assert.Equal(t, printed.String(), `{"cut":true,"rows":[{"id":"r1","slots":8}]}`+"\n")
+}
+
+func TestGivenAStatementThatCannotBeAnsweredThenItSaysWhy(t *testing.T) {
+	endless := "WITH RECURSIVE n(x) AS (SELECT 1 UNION ALL SELECT x + 1 FROM n) SELECT max(x) FROM n"
+	for statement, wanted := range map[string]string{
+		"SELECT * FROM servers":                             "replicas (id, backend, zone",
+		"SELECT colour FROM replicas":                       "no such column: colour",
+		"SELECT id FROM replicas WHERE":                     "incomplete input",
+		"DELETE FROM replicas":                              "only SELECT",
+		"ATTACH 'file' AS other":                            "only SELECT",
+		"SELECT 1; DROP TABLE replicas":                     "one statement at a time",
+		"WITH x AS (SELECT 1) DELETE FROM replicas":         "readonly",
+		"WITH x AS (SELECT 1) INSERT INTO edges VALUES (1)": "readonly",
+		endless: "took longer than",
+	} {
+		bounds := wide
+		if statement == endless {
+			bounds.Time = 300 * time.Millisecond
+		}
+		_, err := Ask(context.Background(), fleet(), statement, bounds)
+		assert.ErrorContains(t, err, wanted, statement)
+	}
+}
--- /dev/null
+++ b/internal/query/tables.go
@@ -0,0 +1,99 @@
+package query
+
+import (
+	"maps"
+	"slices"
+
+	"ferryspar/internal/layout"
+	"ferryspar/internal/operator"
+)
+
+type Table struct {
+	Name    string
+	Columns []string
+	Rows    [][]any
+}
+
+func Tables(fleet operator.Fleet, current layout.Layout) []Table {
+	return []Table{replicas(fleet), models(fleet), adapters(fleet), zones(fleet), edges(fleet), routes(current), members(fleet), tenures(fleet)}
+}
+
+func replicas(fleet operator.Fleet) Table {
+	table := Table{Name: "replicas", Columns: []string{"id", "backend", "zone", "address", "revision", "slots", "state", "phase", "cold_remaining_ms", "time_left_ms"}}
+	for _, one := range fleet.Replicas {
+		table.Rows = append(table.Rows, []any{one.ID, one.Backend, one.Area, one.Address, one.Revision, one.Slots, one.State, one.Phase, one.ColdRemainingMs, one.TimeLeftMs})
+	}
+	return table
+}
+
+func models(fleet operator.Fleet) Table {
+	table := Table{Name: "models", Columns: []string{"replica", "backend", "zone", "model", "revision", "adapters"}}
+	for _, one := range fleet.Replicas {
+		for _, held := range one.Models {
+			table.Rows = append(table.Rows, []any{one.ID, one.Backend, one.Area, held.Name, held.Revision, len(held.Adapters)})
+		}
+	}
+	return table
+}
+
+func adapters(fleet operator.Fleet) Table {
+	table := Table{Name: "adapters", Columns: []string{"replica", "model", "adapter"}}
+	for _, one := range fleet.Replicas {
+		for _, held := range one.Models {
+			for _, adapter := range held.Adapters {
+				table.Rows = append(table.Rows, []any{one.ID, held.Name, adapter})
+			}
+		}
+	}
+	return table
+}
+
+func zones(fleet operator.Fleet) Table {
+	drained := map[string]bool{}
+	for _, one := range fleet.Replicas {
+		drained[one.Area] = false
+	}
+	for _, area := range fleet.Drained {
+		drained[area] = true
+	}
+	table := Table{Name: "zones", Columns: []string{"zone", "drained"}}
+	for _, area := range slices.Sorted(maps.Keys(drained)) {
+		table.Rows = append(table.Rows, []any{area, drained[area]})
+	}
+	return table
+}
+
+func edges(fleet operator.Fleet) Table {
+	table := Table{Name: "edges", Columns: []string{"name"}}
+	for _, name := range fleet.Edges {
+		table.Rows = append(table.Rows, []any{name})
+	}
+	return table
+}
+
+func routes(current layout.Layout) Table {
+	table := Table{Name: "routes", Columns: []string{"name", "hostname", "path_prefix", "route_type", "backend", "weight", "timeout_ms", "target_latency_ms", "priority", "retry_count", "sticky", "resumable", "token_gap_ms"}}
+	for _, one := range current.Routes {
+		for _, split := range one.Splits() {
+			table.Rows = append(table.Rows, []any{one.Name, one.Hostname, one.PathPrefix, one.RouteType, split.Backend, split.Weight, one.TimeoutMs, one.TargetLatencyMs, one.Priority, one.RetryCount, one.Sticky, one.Resumable, one.TokenGapMs})
+		}
+	}
+	return table
+}
+
+func members(fleet operator.Fleet) Table {
+	table := Table{Name: "members", Columns: []string{"address", "part"}}
+	for _, address := range fleet.Members {
+		table.Rows = append(table.Rows, []any{address, "present"})
+	}
+	for _, address := range fleet.Next {
+		table.Rows = append(table.Rows, []any{address, "next"})
+	}
+	return table
+}
+
+func tenures(fleet operator.Fleet) Table {
+	table := Table{Name: "tenures", Columns: []string{"duty", "holder", "seen_by", "fresh", "layout_revision", "list_age_ms"}}
+	table.Rows = append(table.Rows, []any{"placement", fleet.Holder, fleet.Member, fleet.Fresh, fleet.Revision, fleet.ListMs})
+	return table
+}
