--- a/cmd/ferryspar-operator/commands.go
+++ b/cmd/ferryspar-operator/commands.go
@@ -31,6 +31,7 @@
 	{"retention", "print or set how long cached context may live", &retain{}},
 	{"forget", "have cached context forgotten, and watch it go", &forgetContext{}},
 	{"rehearse", "rehearse the loss of a region or zone", &rehearse{}},
+	{"query", "ask questions in SQL about the fleet (see the operators' page)", &queryFleet{}},
 	{"status", "print the fleet as one control daemon sees it", &showStatus{}},
 }
 
