--- a/internal/controlplane/sums.go
+++ b/internal/controlplane/sums.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	failedPerEdge = 1.0
+	failedPerEdge = 2.0
 	nothing       = 1e-6
 )
 
--- a/internal/match/health.go
+++ b/internal/match/health.go
@@ -8,13 +8,15 @@
 )
 
 const (
-	reviewEvery  = 100 * time.Millisecond
-	stalledAfter = 1200 * time.Millisecond
-	surelyFailed = 0.8
-	lateFactor   = 4
-	calmLoad     = 0.25
-	lateWeight   = 0.25
-	halfServed   = 0.5
+	reviewEvery   = 100 * time.Millisecond
+	stalledAfter  = 1200 * time.Millisecond
+	surelyFailed  = 0.8
+	lateFactor    = 4
+	calmLoad      = 0.25
+	busyLoad      = 0.6
+	failedSpacing = 800 * time.Millisecond
+	lateWeight    = 0.25
+	halfServed    = 0.5
 )
 
 type health struct {
@@ -51,7 +53,16 @@
 }
 
 func (h *health) note(id string, served, failed float64, now time.Time) {
-	h.tally(id).add(served, failed, now)
+	one := h.tally(id)
+	one.advance(now)
+	if failed > 0 {
+		if now.Sub(one.failedAt) < failedSpacing {
+			return
+		}
+		one.failedAt = now
+	}
+	failed = max(failed, -one.Failed)
+	one.add(served, failed, now)
 	h.total.add(served, failed, now)
 }
 
@@ -67,7 +78,7 @@
 	case report.Outcome == OutcomeFirst && ticket.silent:
 		ticket.silent = false
 		m.health.note(ticket.replica, 0, -1, report.At)
-	case (late || report.Outcome == OutcomeFull) && m.loaded(ticket.replica):
+	case (late || report.Outcome == OutcomeFull) && m.loaded(ticket.replica, calmLoad):
 		ticket.blamed = true
 	case counts:
 		m.blame(ticket, failed, report.At)
@@ -78,11 +89,11 @@
 	}
 }
 
-func (m *Matcher) loaded(id string) bool {
+func (m *Matcher) loaded(id string, share float64) bool {
 	running := m.bank(id).running + m.fleet.Others[id].Running - 1
 	for _, replica := range m.fleet.Replicas {
 		if replica.ID == id {
-			return float64(running) > calmLoad*float64(replica.Slots)
+			return float64(running) > share*float64(replica.Slots)
 		}
 	}
 	return true
@@ -111,8 +122,8 @@
 		for ticket := range held.unanswered {
 			if since > stalledAfter {
 				ticket.blamed = true
-			} else if now.Sub(ticket.sent) > ticket.overdue() {
-				ticket.silent = !ticket.blamed
+			} else if !ticket.blamed && now.Sub(ticket.sent) > ticket.overdue() && !m.loaded(ticket.replica, busyLoad) {
+				ticket.silent = true
 				m.blame(ticket, 1, now)
 			}
 		}
--- a/internal/match/tally.go
+++ b/internal/match/tally.go
@@ -20,7 +20,8 @@
 
 type tally struct {
 	partner.Outcomes
-	at time.Time
+	at       time.Time
+	failedAt time.Time
 }
 
 func (t *tally) advance(now time.Time) {
