--- a/internal/match/recent.go
+++ b/internal/match/recent.go
@@ -4,9 +4,9 @@
 
 const (
 	recentBound       = 200
-	recentLeast       = 8
+	recentLeast       = 4
 	recentTotal       = 2000
-	recentRoutesBound = 256
+	recentRoutesBound = 1024
 )
 
 type ring struct {
