--- a/internal/match/health.go
+++ b/internal/match/health.go
@@ -1,16 +1,16 @@
 package match
 
 import (
-	"sort"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ferryspar/internal/partner"
 )
 
 const (
 	reviewEvery   = 100 * time.Millisecond
 	stalledAfter  = 1200 * time.Millisecond
-	surelyFailed  = 0.8
 	lateFactor    = 4
 	calmLoad      = 0.25
 	busyLoad      = 0.6
@@ -156,6 +156,7 @@
 	if m.health.total.Served+m.health.total.Failed > ownTotal {
 		peers = max(peers, peerShare(m.health.total.Outcomes, own))
 	}
+	before := held.stage
 	held.review(seen, max(evidence(seen, peers), evidence(m.near(replica.ID, now), peers)), now)
 	if doubted && held.stage == stageIn {
 		held.leave(now)
@@ -164,53 +165,9 @@
 	if held.stage != stageIn {
 		m.health.outside++
 	}
-}
-
-func (m *Matcher) admits(order *Order, replica *Replica, now time.Time) bool {
-	if m.health.outside == 0 {
-		return true
-	}
-	held := m.health.standings[replica.ID]
-	if held == nil || held.stage == stageIn || !m.mayLeaveOut(order, now)[replica.ID] {
-		return true
-	}
-	alone := m.bank(replica.ID).running+m.fleet.Others[replica.ID].Running == 0
-	return alone && (held.stage == stageTrickle || held.stage == stageProbe && order.Repeatable)
-}
-
-func (m *Matcher) mayLeaveOut(order *Order, now time.Time) map[string]bool {
-	key := [2]string{order.Backend, order.Model}
-	if left, known := m.health.leftOut[key]; known && len(order.Homes) == 0 {
-		return left
-	}
-	var flagged []*Replica
-	holders, certain := 0, 0
-	for _, replica := range m.fleet.Replicas {
-		if !replica.Serves(order) || m.fleet.Drained[replica.Area] {
-			continue
-		}
-		holders++
-		held := m.health.standings[replica.ID]
-		if held == nil || held.stage == stageIn {
-			continue
-		}
-		flagged = append(flagged, replica)
-		seen := m.seen(replica.ID, now)
-		if seen.Failed > surelyFailed*(seen.Failed+seen.Served) && held.evidence > 2*outEvidence {
-			certain++
-		}
-	}
-	sort.SliceStable(flagged, func(left, right int) bool {
-		return m.health.standings[flagged[left].ID].evidence > m.health.standings[flagged[right].ID].evidence
-	})
-	left := map[string]bool{}
-	for _, replica := range flagged[:min(len(flagged), max(holders/2, min(certain, holders-1)))] {
-		left[replica.ID] = true
-	}
-	if len(order.Homes) == 0 {
-		m.health.leftOut[key] = left
+	if held.stage == stageOut && before != stageOut {
+		logrus.WithFields(logrus.Fields{"replica": replica.ID, "evidence": held.evidence, "served": seen.Served, "failed": seen.Failed, "zone": doubted, "pause_ms": held.hold.Milliseconds()}).Info("replica left out")
 	}
-	return left
 }
 
 func (m *Matcher) others(id string, now time.Time) partner.ReplicaPressure {
