--- /dev/null
+++ b/internal/controlplane/loads_test.go
@@ -0,0 +1,42 @@
+package controlplane
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/layout"
+)
+
+func TestGivenAnyHurryThenLoadsFromTheStoreStayWithinTheRule(t *testing.T) {
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 29))
+		rate, span, overage := 0.5+float64(random.IntN(20)), 5.0, 1+float64(random.IntN(3))/10
+		table := layout.Build(layout.Layout{Backends: []layout.Backend{{Name: "s", Runtime: &layout.Runtime{LoadsPerS: rate}}}}, nil)
+		warden := &Warden{daemon: &Daemon{settings: env.Settings{TimingBounds: env.TimingBounds{OriginPeriodS: span, OriginOverage: overage}}}}
+		now := partsNow
+		var began []time.Time
+		for range 1200 {
+			now = now.Add(time.Duration(random.IntN(60)) * time.Millisecond)
+			for tokens := warden.tokens(now, table); tokens >= 1; tokens-- {
+				warden.loads = append(warden.loads, now)
+				began = append(began, now.Add(time.Duration(random.IntN(int(loadsJourney)))))
+			}
+		}
+		most := 0
+		for _, from := range began {
+			within := 0
+			for _, at := range began {
+				if !at.Before(from) && at.Sub(from) < time.Duration(span*float64(time.Second)) {
+					within++
+				}
+			}
+			most = max(most, within)
+		}
+		assert.Assert(t, float64(most) <= rate*span*overage+3, "seed %d: %d loads of %f a second", seed, most, rate)
+		assert.Assert(t, float64(len(began)) >= 0.7*rate*now.Sub(partsNow).Seconds(), "seed %d: only %d", seed, len(began))
+	}
+}
