Nothing told by another life of a member counts: parts follow on after all restart

Ruled out: the list (read every 450 ms), the sharing among members. A story restarts all members and drains a replica; it fails without the change.

--- a/internal/controlplane/follow.go
+++ b/internal/controlplane/follow.go
@@ -88,6 +88,9 @@
 	defer p.lock.Unlock()
 	held := p.followings[poll.Daemon]
 	if held == nil || poll.Follows == 0 || poll.Follows > held.number {
+		if poll.Life != life {
+			poll.Roster = 0
+		}
 		return nil, poll.Roster, poll.Follows > 0
 	}
 	held.heard = now
--- a/internal/controlplane/parts_test.go
+++ b/internal/controlplane/parts_test.go
@@ -66,6 +66,8 @@
 	_, version, refollow := parts.News(partner.Poll{Daemon: "edge", Life: "a", Follows: 9, Roster: 7}, "a", partsNow)
 	assert.Assert(t, refollow)
 	assert.Equal(t, version, uint64(7), "nothing is counted as told")
+	_, version, _ = parts.News(partner.Poll{Daemon: "edge", Life: "before", Follows: 9, Roster: 7}, "a", partsNow)
+	assert.Equal(t, version, uint64(0), "what another life told counts for nothing")
 	later := partsNow.Add(followingLife + time.Second)
 	parts.Follow(partner.Follow{Daemon: "other", Number: 1, Whole: true}, later)
 	assert.Assert(t, parts.Follow(partner.Follow{Daemon: "edge", Number: 2}, later).Refollow, "silent for long")
--- a/internal/story/parts_test.go
+++ b/internal/story/parts_test.go
@@ -23,3 +23,36 @@
 		}
 	})
 }
+
+func TestGivenAllMembersRestartWhenAReplicaDrainsThenNoDataPlaneSendsItMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.2.2.1", "south", "swift")
+		f := settled(t, 3, one, two)
+		for round := range 12 {
+			one.drain(round%2 == 0)
+			time.Sleep(time.Second)
+			f.ask(1+round%3, fmt.Sprint("before-", round), "/quick/", "swift")
+		}
+		one.drain(false)
+		time.Sleep(time.Second)
+		for core := 1; core <= 3; core++ {
+			f.kill(coreHost(core))
+		}
+		for core := 1; core <= 3; core++ {
+			f.startCore(coreHost(core), false, 1, 2, 3)
+		}
+		time.Sleep(3 * time.Second)
+		for edge := 1; edge <= 3; edge++ {
+			assert.Equal(t, f.ask(edge, fmt.Sprint("after-", edge), "/quick/", "swift").status, http.StatusOK)
+		}
+		one.drain(true)
+		time.Sleep(2 * time.Second)
+		ran := len(one.ran())
+		for edge := 1; edge <= 3; edge++ {
+			for number := range 4 {
+				assert.Equal(t, f.ask(edge, fmt.Sprintf("late-%d-%d", edge, number), "/quick/", "swift").status, http.StatusOK)
+			}
+		}
+		assert.Equal(t, len(one.ran()), ran, "a draining replica was sent orders")
+	})
+}
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -85,6 +85,15 @@
 	return stand
 }
 
+func (s *standInReplica) drain(leaving bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.listed.State = "ready"
+	if leaving {
+		s.listed.State = "draining"
+	}
+}
+
 func (s *standInReplica) entry() platform.Replica {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/internal/story/serving_test.go
+++ b/internal/story/serving_test.go
@@ -172,9 +172,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		one, two := newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.2.2.1", "south", "swift")
 		f := settled(t, 1, one, two)
-		one.lock.Lock()
-		one.listed.State = "draining"
-		one.lock.Unlock()
+		one.drain(true)
 		time.Sleep(1500 * time.Millisecond)
 		for range 4 {
 			assert.Equal(t, f.ask(1, "attempt", "/quick/", "swift").status, http.StatusOK)
