--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -8,7 +8,7 @@
 
 const (
 	copyShare    = 0.4
-	tightShare   = 0.6
+	tightShare   = 0.45
 	readShare    = 0.2
 	hotRate      = 1.5
 	rareRate     = 0.3
