Measure hollow fleets: the daemons' own code for many daemons over loopback

ferryspar-hollow runs control planes in a process each and the data planes in a few, with stand-in replicas, platform list, clients and operator, and prints per role what is sent, heard, held and burnt at several fleet sizes, with exponents. A small fleet runs as a test.

--- /dev/null
+++ b/cmd/ferryspar-hollow/slopes.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"ferryspar/internal/hollow"
+	"ferryspar/internal/launch"
+)
+
+func slopes(arguments []string, asJSON bool) int {
+	if len(arguments) != 1 {
+		fmt.Fprintln(os.Stderr, "ferryspar-hollow: slopes takes one FILE, the output of go test -bench")
+		return launch.ExitUsage
+	}
+	file, err := os.Open(arguments[0])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "ferryspar-hollow:", err)
+		return launch.ExitFailed
+	}
+	defer file.Close()
+	fitted, err := hollow.ReadBench(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "ferryspar-hollow:", err)
+		return launch.ExitFailed
+	}
+	if asJSON {
+		_ = json.NewEncoder(os.Stdout).Encode(fitted)
+		return launch.ExitGood
+	}
+	hollow.PrintBench(os.Stdout, fitted)
+	return launch.ExitGood
+}
--- /dev/null
+++ b/internal/hollow/bench.go
@@ -0,0 +1,108 @@
+package hollow
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+type BenchSlope struct {
+	Benchmark string    `json:"benchmark"`
+	Along     string    `json:"along"`
+	Figure    string    `json:"figure"`
+	Sizes     []float64 `json:"sizes"`
+	Values    []float64 `json:"values"`
+	Exponent  float64   `json:"exponent"`
+	Fit       float64   `json:"fit"`
+}
+
+var (
+	benchLine  = regexp.MustCompile(`^Benchmark(\w+)/(\w+)=(\d+)(?:-\d+)?\s+\d+\s+(.*)$`)
+	benchUnits = []string{"ns/op", "B/op", "bytes/message", "bytes/answer"}
+)
+
+func ReadBench(input io.Reader) ([]BenchSlope, error) {
+	found := map[[3]string]map[float64][]float64{}
+	lines := bufio.NewScanner(input)
+	for lines.Scan() {
+		parts := benchLine.FindStringSubmatch(lines.Text())
+		if parts == nil {
+			continue
+		}
+		size, err := strconv.ParseFloat(parts[3], 64)
+		if err != nil {
+			return nil, errors.Wrap(err, lines.Text())
+		}
+		words := strings.Fields(parts[4])
+		for position := 0; position+1 < len(words); position += 2 {
+			value, err := strconv.ParseFloat(words[position], 64)
+			if err != nil {
+				return nil, errors.Wrap(err, lines.Text())
+			}
+			key := [3]string{parts[1], parts[2], words[position+1]}
+			if found[key] == nil {
+				found[key] = map[float64][]float64{}
+			}
+			found[key][size] = append(found[key][size], value)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, err
+	}
+	if len(found) == 0 {
+		return nil, errors.New("no benchmark lines of the form BenchmarkName/edges=80")
+	}
+	return fitBench(found), nil
+}
+
+func fitBench(found map[[3]string]map[float64][]float64) []BenchSlope {
+	var slopes []BenchSlope
+	for key, sizes := range found {
+		slope := BenchSlope{Benchmark: key[0], Along: key[1], Figure: key[2]}
+		for size := range sizes {
+			slope.Sizes = append(slope.Sizes, size)
+		}
+		sort.Float64s(slope.Sizes)
+		for _, size := range slope.Sizes {
+			sort.Float64s(sizes[size])
+			slope.Values = append(slope.Values, sizes[size][len(sizes[size])/2])
+		}
+		slope.Exponent, slope.Fit, _ = Exponent(slope.Sizes, slope.Values)
+		slopes = append(slopes, slope)
+	}
+	rank := func(figure string) int {
+		for position, unit := range benchUnits {
+			if unit == figure {
+				return position
+			}
+		}
+		return len(benchUnits)
+	}
+	sort.Slice(slopes, func(left, right int) bool {
+		one, other := slopes[left], slopes[right]
+		if one.Benchmark+one.Along != other.Benchmark+other.Along {
+			return one.Benchmark+one.Along < other.Benchmark+other.Along
+		}
+		return rank(one.Figure) < rank(other.Figure)
+	})
+	return slopes
+}
+
+func PrintBench(output io.Writer, slopes []BenchSlope) {
+	table := tabwriter.NewWriter(output, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "benchmark\talong\tfigure\tsizes\tvalues\texponent\tfit")
+	for _, one := range slopes {
+		if one.Figure == "allocs/op" {
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%v\t%.4g\t%.2f\t%.2f\n", one.Benchmark, one.Along, one.Figure, one.Sizes, one.Values, one.Exponent, one.Fit)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/internal/hollow/clients.go
@@ -0,0 +1,151 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ferryspar/internal/partner"
+	"ferryspar/internal/replica"
+)
+
+func split(reference string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(reference, "/")
+	return model, adapter
+}
+
+type Spread struct {
+	lock   sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+func NewSpread() *Spread {
+	return &Spread{values: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+}
+
+func (s *Spread) Add(value time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	_ = s.values.RecordValue(min(max(value.Microseconds(), 1), time.Minute.Microseconds()))
+}
+
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50Ms float64 `json:"p50Ms"`
+	P95Ms float64 `json:"p95Ms"`
+	P99Ms float64 `json:"p99Ms"`
+	MaxMs float64 `json:"maxMs"`
+}
+
+func (s *Spread) Read() Quantiles {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	at := func(part float64) float64 { return float64(s.values.ValueAtQuantile(part)) / 1000 }
+	return Quantiles{s.values.TotalCount(), at(50), at(95), at(99), float64(s.values.Max()) / 1000}
+}
+
+type Clients struct {
+	plan    Plan
+	client  *http.Client
+	first   *Spread
+	asked   atomic.Int64
+	whole   atomic.Int64
+	refused atomic.Int64
+	cut     atomic.Int64
+	running sync.WaitGroup
+}
+
+func NewClients(plan Plan) *Clients {
+	transport := partner.NewTransport(partner.Machine{}, 2*time.Second, 10*time.Second, 64)
+	return &Clients{plan: plan, client: &http.Client{Transport: transport}, first: NewSpread()}
+}
+
+const modelSkew = 1.1
+
+func (c *Clients) reference(draw *rand.Rand, models *rand.Zipf) string {
+	model := int(models.Uint64())
+	adapters := c.plan.adaptersOf(model)
+	if adapters == 0 || draw.IntN(10) > 0 {
+		return modelName(model)
+	}
+	return fmt.Sprintf("%s/a%d", modelName(model), 1+draw.IntN(adapters))
+}
+
+func (c *Clients) Run(ctx context.Context) {
+	if c.plan.OrdersPerS <= 0 {
+		return
+	}
+	for index := range c.plan.Data {
+		c.running.Go(func() { c.follow(ctx, index) })
+	}
+}
+
+func (c *Clients) Wait() { c.running.Wait() }
+
+func (c *Clients) follow(ctx context.Context, index int) {
+	draw := rand.New(rand.NewPCG(uint64(index), 1))
+	models := rand.NewZipf(draw, modelSkew, 4, uint64(c.plan.Models-1))
+	number := 0
+	for {
+		pause := time.Duration(draw.ExpFloat64() / c.plan.OrdersPerS * float64(time.Second))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		number++
+		attempt, reference := fmt.Sprintf("h-%d-%d", index, number), c.reference(draw, models)
+		route, part := draw.IntN(c.plan.Routes), draw.IntN(1000)
+		c.running.Go(func() { c.order(ctx, index, attempt, reference, route, part) })
+	}
+}
+
+func (c *Clients) order(ctx context.Context, index int, attempt, reference string, route, part int) {
+	address := c.plan.at(c.plan.dataHost(index), doorPort)
+	order, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/tell%04d/", address, route), strings.NewReader("prompt"))
+	if err != nil {
+		return
+	}
+	order.Host = hostName
+	order.Header.Set(replica.HeaderAttempt, attempt)
+	order.Header.Set(replica.HeaderModel, reference)
+	order.Header.Set(replica.HeaderTokens, fmt.Sprintf("%d,%d", c.plan.Tokens, c.plan.Tokens/4+1))
+	order.Header.Set(replica.HeaderPrefix, fmt.Sprintf("%x:%d,%x:%d", 1000+part, c.plan.Tokens/2+1, part+index*1000+100000, c.plan.Tokens/2+1))
+	order.Header.Set(replica.HeaderRemaining, "20000")
+	began := time.Now()
+	c.asked.Add(1)
+	answer, err := c.client.Do(order)
+	if err != nil {
+		c.note(ctx, &c.cut)
+		return
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, answer.Body)
+		c.note(ctx, &c.refused)
+		return
+	}
+	var one [1]byte
+	if _, err := io.ReadFull(answer.Body, one[:]); err == nil {
+		c.first.Add(time.Since(began))
+	}
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		c.note(ctx, &c.cut)
+		return
+	}
+	c.whole.Add(1)
+}
+
+func (c *Clients) note(ctx context.Context, count *atomic.Int64) {
+	if ctx.Err() == nil {
+		count.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/hollow/hollow_test.go
@@ -0,0 +1,91 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	if IsChild() {
+		if ServeChild(os.Stdin, os.Stdout) != nil {
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func smallPlan() Plan {
+	plan := Target{Data: 380, Replicas: 720, Models: 480, Adapters: 1100, Routes: 350}.Scaled(6)
+	plan.Members, plan.Resident, plan.Slots, plan.OrdersPerS, plan.Hold, plan.Events, plan.Tokens = 3, 2, 16, 5, 200*time.Millisecond, 2, 100
+	plan.Processors, plan.Processes = 1, 1
+	return plan
+}
+
+func TestAHollowFleetAdoptsEveryLayoutIsCountedAndEndsClean(t *testing.T) {
+	var progress bytes.Buffer
+	bounded, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+
+	result, err := Run(bounded, smallPlan(), Options{
+		Window: 700 * time.Millisecond, ChangeEach: 500 * time.Millisecond, MemoryMb: 2000, Troubles: []string{TroubleZone}, Trouble: time.Second, Progress: &progress,
+	})
+
+	assert.NilError(t, err, progress.String())
+	assert.Equal(t, result.Ready.Count, int64(6))
+	assert.Assert(t, result.Changes.Made > 0)
+	assert.Equal(t, result.Changes.Missed, 0)
+	assert.Equal(t, result.Changes.InForce.Count, int64(6*result.Changes.Made))
+	assert.Assert(t, result.Orders.Whole > 0)
+	assert.Equal(t, len(result.Phases), 4)
+	for _, phase := range result.Phases[1:] {
+		assert.Equal(t, phase.Roles[roleData].Daemons+phase.Roles[roleAlone].Daemons, 6)
+		assert.Assert(t, phase.Roles[roleData].Calls["/partner/news"].PerS > 0)
+		assert.Assert(t, phase.Roles[roleHolder] != nil && phase.Roles[roleHolder].Calls["/replicas"].PerS > 0)
+	}
+	busy := result.Phases[2]
+	assert.Assert(t, busy.Roles[roleData].Calls["/partner/pressure"].PerS > 0)
+	assert.Assert(t, busy.Roles[roleMember].MessagesIn > 0)
+	assert.Equal(t, result.Troubles[0].Data, 1)
+	assert.Equal(t, result.Troubles[0].Ready.Count, int64(1))
+	assert.Equal(t, result.Troubles[0].ChangeKnown, "in force at all spared daemons")
+	_, err = os.Stat(result.Plan.Folder)
+	assert.Assert(t, os.IsNotExist(err), "temporary folder is left")
+}
+
+func TestAFleetBeyondItsMemoryIsEndedWithAClearMessage(t *testing.T) {
+	plan := smallPlan()
+	plan.Data = 1
+
+	_, err := Run(t.Context(), plan, Options{MemoryMb: 0.5, Progress: io.Discard})
+
+	assert.ErrorContains(t, err, "more than the 0 MB allowed")
+}
+
+func TestPlansOutOfBoundsAreRefused(t *testing.T) {
+	plan := smallPlan()
+	plan.Members, plan.Data = 4, 0
+
+	assert.Error(t, plan.Check(), "data planes must be 1 to 1000; members must be 3 or 5")
+}
+
+func TestExponentsComeFromBenchmarkLines(t *testing.T) {
+	output := "goos: linux\nBenchmarkHear/edges=8-4  100  1000 ns/op  64 B/op\nBenchmarkHear/edges=80-4  100  100000 ns/op  640 B/op\nPASS\n"
+
+	slopes, err := ReadBench(strings.NewReader(output))
+
+	assert.NilError(t, err)
+	assert.Equal(t, len(slopes), 2)
+	assert.Equal(t, slopes[0].Figure, "ns/op")
+	assert.Assert(t, slopes[0].Exponent > 1.999 && slopes[0].Exponent < 2.001)
+	assert.Assert(t, slopes[1].Exponent > 0.999 && slopes[1].Exponent < 1.001)
+	_, err = ReadBench(strings.NewReader("PASS\n"))
+	assert.ErrorContains(t, err, "no benchmark lines")
+}
--- /dev/null
+++ b/internal/hollow/report.go
@@ -0,0 +1,140 @@
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/floats"
+	"gonum.org/v1/gonum/stat"
+)
+
+type Slope struct {
+	Phase    string    `json:"phase"`
+	Role     string    `json:"role"`
+	Figure   string    `json:"figure"`
+	Sizes    []float64 `json:"sizes"`
+	Values   []float64 `json:"values"`
+	Exponent float64   `json:"exponent"`
+	Fit      float64   `json:"fit"`
+	AtTarget float64   `json:"atTarget"`
+}
+
+type Report struct {
+	Results []Result `json:"results"`
+	Slopes  []Slope  `json:"slopes"`
+}
+
+var figures = []struct {
+	name string
+	read func(*Role) float64
+}{
+	{"processor %", func(r *Role) float64 { return r.ProcessorPart }},
+	{"in kB/s", func(r *Role) float64 { return r.InKbPerS }},
+	{"out kB/s", func(r *Role) float64 { return r.OutKbPerS }},
+	{"messages in/s", func(r *Role) float64 { return r.MessagesIn }},
+	{"messages out/s", func(r *Role) float64 { return r.MessagesOut }},
+	{"heap MB", func(r *Role) float64 { return r.HeapMb }},
+	{"held MB", func(r *Role) float64 { return r.HeldMb }},
+	{"peak MB", func(r *Role) float64 { return r.PeakMb }},
+	{"goroutines", func(r *Role) float64 { return r.Goroutines }},
+	{"descriptors", func(r *Role) float64 { return r.Descriptors }},
+	{"connections in", func(r *Role) float64 { return r.Inside }},
+	{"connections out", func(r *Role) float64 { return r.Outside }},
+	{"dialed/s", func(r *Role) float64 { return r.DialedPerS }},
+	{"disk syncs/s", func(r *Role) float64 { return r.DiskPerS }},
+	{"disk kB/s", func(r *Role) float64 { return r.DiskKbPerS }},
+}
+
+func Exponent(sizes, values []float64) (exponent, fit, factor float64) {
+	var across, up []float64
+	for index := range sizes {
+		if sizes[index] > 0 && values[index] > 0 {
+			across, up = append(across, math.Log(sizes[index])), append(up, math.Log(values[index]))
+		}
+	}
+	if len(across) < 2 {
+		return 0, 0, 0
+	}
+	start, slope := stat.LinearRegression(across, up, nil, false)
+	return slope, stat.RSquared(across, up, nil, start, slope), math.Exp(start)
+}
+
+func Summarize(results []Result, target int) Report {
+	report := Report{Results: results}
+	if len(results) == 0 {
+		return report
+	}
+	for position, phase := range results[0].Phases {
+		for _, role := range []string{roleData, roleAlone, roleMember, roleHolder} {
+			for _, figure := range figures {
+				slope := Slope{Phase: phase.Name, Role: role, Figure: figure.name}
+				for _, result := range results {
+					if len(result.Phases) <= position || result.Phases[position].Roles[role] == nil {
+						continue
+					}
+					slope.Sizes = append(slope.Sizes, float64(result.Plan.Data))
+					slope.Values = append(slope.Values, figure.read(result.Phases[position].Roles[role]))
+				}
+				var factor float64
+				slope.Exponent, slope.Fit, factor = Exponent(slope.Sizes, slope.Values)
+				slope.AtTarget = factor * math.Pow(float64(target), slope.Exponent)
+				if len(slope.Sizes) > 0 && floats.Max(slope.Values) > 0 {
+					report.Slopes = append(report.Slopes, slope)
+				}
+			}
+		}
+	}
+	return report
+}
+
+func (r Report) Print(output io.Writer, target int) {
+	table := tabwriter.NewWriter(output, 0, 4, 2, ' ', 0)
+	fmt.Fprint(table, "phase\trole\tfigure")
+	for _, result := range r.Results {
+		fmt.Fprintf(table, "\t%d", result.Plan.Data)
+	}
+	fmt.Fprintf(table, "\texponent\tfit\tfitted at %d\n", target)
+	for _, slope := range r.Slopes {
+		fmt.Fprintf(table, "%s\t%s\t%s", slope.Phase, slope.Role, slope.Figure)
+		position := 0
+		for _, result := range r.Results {
+			value := "-"
+			if position < len(slope.Sizes) && int(slope.Sizes[position]) == result.Plan.Data {
+				value = fmt.Sprintf("%.4g", slope.Values[position])
+				position++
+			}
+			fmt.Fprintf(table, "\t%s", value)
+		}
+		fmt.Fprintf(table, "\t%.2f\t%.2f\t%.4g\n", slope.Exponent, slope.Fit, slope.AtTarget)
+	}
+	_ = table.Flush()
+	r.printCalls(output)
+	for _, result := range r.Results {
+		fmt.Fprintf(output, "\n%d data planes: ready in %.0f ms at most; %d changes acknowledged in %.0f ms (median), in force everywhere in %.0f ms (median) %.0f ms (most), missed %d; orders %d asked, %d whole, %d refused, %d cut, first event %.1f ms (median) %.1f ms (95 of 100); %d orders and %d reports at replicas; %d processes, %.0f MB, %.0f s\n",
+			result.Plan.Data, result.Ready.MaxMs, result.Changes.Made, result.Changes.Acknowledged.P50Ms, result.Changes.Everywhere.P50Ms, result.Changes.Everywhere.MaxMs, result.Changes.Missed,
+			result.Orders.Asked, result.Orders.Whole, result.Orders.Refused, result.Orders.Cut, result.Orders.First.P50Ms, result.Orders.First.P95Ms, result.Placed.Orders, result.Placed.Reports, result.Processes, result.MemoryMb, result.TookS)
+		for _, trouble := range result.Troubles {
+			fmt.Fprintf(output, "  %s: %d data planes and %d control planes; a change during it: %s, %.0f ms; ready again in %.0f ms at most, a change after it in force everywhere in %.0f ms; control messages a second %.0f before, %.0f during, %.0f after; orders cut %d, refused %d\n",
+				trouble.Name, trouble.Data, trouble.Members, trouble.ChangeKnown, trouble.ChangeMs, trouble.Ready.MaxMs, trouble.AgainMs,
+				float64(trouble.Phase.Messages)/trouble.Phase.Seconds, float64(trouble.During.Messages)/trouble.During.Seconds, float64(trouble.After.Messages)/trouble.After.Seconds, trouble.Cut, trouble.Refused)
+		}
+	}
+}
+
+func (r Report) printCalls(output io.Writer) {
+	table := tabwriter.NewWriter(output, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "\nsize\tphase\trole\tcall\tper s and daemon\tbytes sent\tbytes received")
+	for _, result := range r.Results {
+		for _, phase := range result.Phases {
+			for _, role := range names(phase.Roles) {
+				for _, path := range names(phase.Roles[role].Calls) {
+					call := phase.Roles[role].Calls[path]
+					fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%.3g\t%.0f\t%.0f\n", result.Plan.Data, phase.Name, role, path, call.PerS, call.SentBytes, call.ReceivedBytes)
+				}
+			}
+		}
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/internal/hollow/troubles.go
@@ -0,0 +1,135 @@
+package hollow
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type Trouble struct {
+	Name        string    `json:"name"`
+	Phase       Phase     `json:"phase"`
+	During      Phase     `json:"during"`
+	After       Phase     `json:"after"`
+	Data        int       `json:"dataPlanes"`
+	Members     int       `json:"controlPlanes"`
+	Ready       Quantiles `json:"ready"`
+	ChangeMs    float64   `json:"changeDuringMs"`
+	ChangeKnown string    `json:"changeDuring"`
+	AgainMs     float64   `json:"changeAfterMs"`
+	Cut         int64     `json:"ordersCut"`
+	Refused     int64     `json:"ordersRefused"`
+}
+
+const (
+	TroubleHolder = "holder"
+	TroubleZone   = "zone"
+	TroubleRegion = "region"
+	TroubleAll    = "restart"
+)
+
+type victims struct {
+	data, members func(host string) bool
+	severed       bool
+}
+
+func nobody(string) bool { return false }
+
+func (f *Fleet) victims(name, holder string) (victims, error) {
+	zone := func(host string) bool { return f.plan.areaOf(host) == areas[1] }
+	cases := map[string]victims{
+		TroubleHolder: {data: nobody, members: func(host string) bool { return host == holder }},
+		TroubleZone:   {data: zone, members: func(host string) bool { return f.plan.areaOf(host) == areas[1] }},
+		TroubleRegion: {data: nobody, members: nobody, severed: true},
+		TroubleAll:    {data: anyHost, members: nobody},
+	}
+	found, known := cases[name]
+	if !known {
+		return found, errors.Errorf("no such trouble; known are %v", names(cases))
+	}
+	return found, nil
+}
+
+func CheckTrouble(name string) error {
+	_, err := (&Fleet{}).victims(name, "")
+	return err
+}
+
+func (f *Fleet) suffer(ctx context.Context, name string, options Options) (Trouble, error) {
+	trouble := Trouble{Name: name}
+	before, err := f.window(name+", before", 0, options.Window, nil)
+	if err != nil {
+		return trouble, err
+	}
+	trouble.Phase = before
+	hit, err := f.victims(name, before.Holder)
+	if err != nil {
+		return trouble, err
+	}
+	spared := func(host string) bool {
+		return !hit.data(host) && (!hit.severed || f.plan.regionOf(host) == regions[areas[0]])
+	}
+	lost := f.dataIndices(hit.data)
+	trouble.Data = len(lost)
+	var asked []int
+	for index := range f.plan.Members {
+		host := f.plan.memberHost(index)
+		if hit.members(host) {
+			trouble.Members++
+		} else if !hit.severed || f.plan.regionOf(host) == regions[areas[0]] {
+			asked = append(asked, index)
+		}
+	}
+	cut, refused := f.clients.cut.Load(), f.clients.refused.Load()
+	trouble.During, err = f.window(name+", during", 0, 0, func() error {
+		if err := f.strike(hit, doStop, true); err != nil {
+			return err
+		}
+		end := time.Now().Add(options.Trouble)
+		trouble.ChangeKnown, trouble.ChangeMs = f.timeChange(ctx, f.dataIndices(spared), asked)
+		settle(time.Until(end))
+		return nil
+	})
+	if err != nil {
+		return trouble, err
+	}
+	trouble.After, err = f.window(name+", after", 0, 0, func() error {
+		end := time.Now().Add(options.Trouble)
+		if err := f.strike(hit, doStart, false); err != nil {
+			return err
+		}
+		ready, err := f.operator.AwaitReady(ctx, lost, readyBound)
+		if err != nil {
+			return err
+		}
+		trouble.Ready = ready.Read()
+		_, trouble.AgainMs = f.timeChange(ctx, f.dataIndices(anyHost), f.plan.everyMember(0))
+		settle(time.Until(end))
+		return nil
+	})
+	trouble.Cut, trouble.Refused = f.clients.cut.Load()-cut, f.clients.refused.Load()-refused
+	return trouble, err
+}
+
+func (f *Fleet) strike(hit victims, do string, severed bool) error {
+	if hit.severed {
+		return f.sever(severed)
+	}
+	if err := f.tellAll(f.members, do, hit.members); err != nil {
+		return err
+	}
+	return f.tellAll(f.data, do, hit.data)
+}
+
+func (f *Fleet) timeChange(ctx context.Context, daemons, members []int) (string, float64) {
+	began, missed := time.Now(), f.operator.missed
+	if err := f.operator.Change(ctx, daemons, members); err != nil {
+		return err.Error(), 0
+	}
+	took := float64(time.Since(began).Milliseconds())
+	if f.operator.missed > missed {
+		return "acknowledged, not in force at all spared daemons within the bound", took
+	}
+	return "in force at all spared daemons", took
+}
--- /dev/null
+++ b/internal/hollow/usage.go
@@ -0,0 +1,61 @@
+package hollow
+
+import (
+	"os"
+	"runtime"
+	"runtime/metrics"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+type Snapshot struct {
+	At          time.Time                  `json:"at"`
+	Daemons     int                        `json:"daemons"`
+	ProcessorS  float64                    `json:"processorS"`
+	PeakMb      float64                    `json:"peakMb"`
+	HeapMb      float64                    `json:"heapMb"`
+	HeldMb      float64                    `json:"heldMb"`
+	Goroutines  int                        `json:"goroutines"`
+	Descriptors int                        `json:"descriptors"`
+	Dialed      int64                      `json:"dialed"`
+	Accepted    int64                      `json:"accepted"`
+	Outside     int64                      `json:"outside"`
+	Inside      int64                      `json:"inside"`
+	DiskWrites  int64                      `json:"diskWrites"`
+	DiskBytes   int64                      `json:"diskBytes"`
+	DiskSyncs   int64                      `json:"diskSyncs"`
+	Flows       map[string]map[string]Flow `json:"flows"`
+}
+
+func seconds(value unix.Timeval) float64 { return float64(value.Sec) + float64(value.Usec)/1e6 }
+
+const (
+	liveHeap  = "/gc/heap/live:bytes"
+	allHeld   = "/memory/classes/total:bytes"
+	given     = "/memory/classes/heap/released:bytes"
+	megabyte  = 1 << 20
+	kilobytes = 1 << 10
+)
+
+func TakeSnapshot(counter *Counter) (Snapshot, error) {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return Snapshot{}, errors.Wrap(err, "use of the processor")
+	}
+	samples := []metrics.Sample{{Name: liveHeap}, {Name: allHeld}, {Name: given}}
+	metrics.Read(samples)
+	descriptors, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return Snapshot{}, errors.Wrap(err, "descriptors")
+	}
+	return Snapshot{
+		At: time.Now(), ProcessorS: seconds(usage.Utime) + seconds(usage.Stime), PeakMb: float64(usage.Maxrss) / kilobytes,
+		HeapMb:     float64(samples[0].Value.Uint64()) / megabyte,
+		HeldMb:     float64(samples[1].Value.Uint64()-samples[2].Value.Uint64()) / megabyte,
+		Goroutines: runtime.NumGoroutine(), Descriptors: len(descriptors),
+		Dialed: counter.dialed.Load(), Accepted: counter.accepted.Load(), Outside: counter.outside.Load(), Inside: counter.inside.Load(),
+		DiskWrites: counter.writes.Load(), DiskBytes: counter.disk.Load(), DiskSyncs: counter.sync.Load(), Flows: counter.read(),
+	}, nil
+}
--- /dev/null
+++ b/internal/hollow/world.go
@@ -0,0 +1,237 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+	"ferryspar/internal/replica"
+)
+
+type standIn struct {
+	lock      sync.Mutex
+	listed    platform.Replica
+	held      []string
+	adapters  map[string][]string
+	busyUntil time.Time
+	sequence  int64
+	highest   uint64
+	active    atomic.Int64
+}
+
+type World struct {
+	plan     Plan
+	replicas []*standIn
+	byHost   map[string]*standIn
+	servers  []*http.Server
+	pages    atomic.Int64
+	orders   atomic.Int64
+	reports  atomic.Int64
+	served   atomic.Int64
+}
+
+func NewWorld(plan Plan) *World {
+	world := &World{plan: plan, byHost: map[string]*standIn{}}
+	for index := range plan.Replicas {
+		host := plan.replicaHost(index)
+		one := &standIn{adapters: map[string][]string{}}
+		one.listed = platform.Replica{ID: fmt.Sprintf("i-%08x", index+1), Backend: serviceName, Address: plan.at(host, replicaPort), Area: plan.areaOf(host), Revision: "v1", Slots: plan.Slots, State: "ready", Phase: "unified"}
+		for place := range min(plan.Resident, plan.Models) {
+			one.held = append(one.held, modelName((index*plan.Resident+place)%plan.Models))
+		}
+		world.replicas = append(world.replicas, one)
+		world.byHost[host] = one
+	}
+	return world
+}
+
+func (w *World) Open() error {
+	open := func(address string, handler http.Handler) error {
+		listener, err := partner.Machine{}.Listen(address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+		w.servers = append(w.servers, server)
+		go func() { _ = server.Serve(listener) }()
+		return nil
+	}
+	if err := open(w.plan.listAddress(), http.HandlerFunc(w.list)); err != nil {
+		return err
+	}
+	for _, one := range w.replicas {
+		if err := open(one.listed.Address, http.HandlerFunc(w.serveReplica)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) Close() {
+	for _, server := range w.servers {
+		_ = server.Close()
+	}
+}
+
+const pageSize = 50
+
+func (w *World) list(writer http.ResponseWriter, request *http.Request) {
+	w.pages.Add(1)
+	from, _ := strconv.Atoi(request.URL.Query().Get("pageToken"))
+	to := min(from+pageSize, len(w.replicas))
+	page := platform.Page{Instances: []platform.Replica{}}
+	for _, one := range w.replicas[min(from, to):to] {
+		one.lock.Lock()
+		listed := one.listed
+		listed.Models = one.models()
+		one.lock.Unlock()
+		page.Instances = append(page.Instances, listed)
+	}
+	if to < len(w.replicas) {
+		token := strconv.Itoa(to)
+		page.NextToken = &token
+	}
+	_ = json.NewEncoder(writer).Encode(page)
+}
+
+func (s *standIn) models() []platform.Held {
+	list := make([]platform.Held, 0, len(s.held))
+	for _, name := range s.held {
+		list = append(list, platform.Held{Name: name, Revision: 1, Adapters: append([]string{}, s.adapters[name]...)})
+	}
+	return list
+}
+
+func (w *World) serveReplica(writer http.ResponseWriter, request *http.Request) {
+	host, _, _ := net.SplitHostPort(request.Context().Value(http.LocalAddrContextKey).(net.Addr).String())
+	one := w.byHost[host]
+	if request.Header.Get(replica.HeaderTarget) != one.listed.ID {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	handlers := map[string]func(*standIn, http.ResponseWriter, *http.Request){
+		replica.Calls["report"].Path: w.report, replica.Calls["order"].Path: w.order,
+	}
+	if handle, known := handlers[request.URL.Path]; known {
+		handle(one, writer, request)
+		return
+	}
+	w.serve(one, writer, request)
+}
+
+func (w *World) report(one *standIn, writer http.ResponseWriter, request *http.Request) {
+	w.reports.Add(1)
+	one.lock.Lock()
+	state := replica.State{Phase: "unified", Models: one.models(), Busy: time.Now().Before(one.busyUntil), Sequence: one.sequence, Active: int(one.active.Load()), KvTotal: 114820}
+	one.lock.Unlock()
+	_ = json.NewEncoder(writer).Encode(state)
+}
+
+const (
+	loadTakes    = 1500 * time.Millisecond
+	adapterTakes = 10 * time.Millisecond
+)
+
+func (w *World) order(one *standIn, writer http.ResponseWriter, request *http.Request) {
+	w.orders.Add(1)
+	var told replica.Instruction
+	if json.NewDecoder(request.Body).Decode(&told) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	one.lock.Lock()
+	defer one.lock.Unlock()
+	if told.Fence < one.highest {
+		writer.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	one.highest = told.Fence
+	if time.Now().Before(one.busyUntil) {
+		writer.WriteHeader(http.StatusConflict)
+		return
+	}
+	takes := adapterTakes
+	if told.Adapter == "" {
+		takes = loadTakes
+	}
+	one.sequence++
+	one.busyUntil = time.Now().Add(takes)
+	time.AfterFunc(takes, func() {
+		one.lock.Lock()
+		defer one.lock.Unlock()
+		one.change(told)
+	})
+	writer.WriteHeader(http.StatusAccepted)
+}
+
+func without(list []string, name string) []string {
+	var kept []string
+	for _, one := range list {
+		if one != name {
+			kept = append(kept, one)
+		}
+	}
+	return kept
+}
+
+func (s *standIn) change(told replica.Instruction) {
+	load := told.Operation == replica.OperationLoad
+	if told.Adapter != "" {
+		s.adapters[told.Model] = without(s.adapters[told.Model], told.Adapter)
+		if load {
+			s.adapters[told.Model] = append(s.adapters[told.Model], told.Adapter)
+		}
+		return
+	}
+	s.held = without(s.held, told.Model)
+	if load {
+		s.held = append(s.held, told.Model)
+		return
+	}
+	delete(s.adapters, told.Model)
+}
+
+func (s *standIn) stands(reference string) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	listed := s.listed
+	listed.Models = s.models()
+	model, adapter := split(reference)
+	return listed.Holds(model, adapter)
+}
+
+func (w *World) serve(one *standIn, writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set(replica.HeaderAttempt, request.Header.Get(replica.HeaderAttempt))
+	if !one.stands(request.Header.Get(replica.HeaderModel)) {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if one.active.Add(1); one.active.Load() > int64(w.plan.Slots) {
+		one.active.Add(-1)
+		writer.Header().Set(replica.HeaderNotExecuted, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer one.active.Add(-1)
+	w.served.Add(1)
+	writer.Header().Set(replica.HeaderSeal, "seal-"+one.listed.ID)
+	writer.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(request.Header.Get(replica.HeaderLastEvent))
+	gap := w.plan.Hold / time.Duration(w.plan.Events)
+	for number := from + 1; number <= w.plan.Events; number++ {
+		fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", number, number)
+		_ = http.NewResponseController(writer).Flush()
+		select {
+		case <-request.Context().Done():
+			return
+		case <-time.After(gap):
+		}
+	}
+}
