--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -159,11 +159,12 @@
 
 type sight struct {
 	at        time.Time
+	placed    int64
 	snapshots []Snapshot
 }
 
 func (f *Fleet) look() (sight, error) {
-	seen := sight{at: time.Now()}
+	seen := sight{at: time.Now(), placed: f.world.orders.Load()}
 	total := 0.0
 	for _, one := range f.every() {
 		answer, err := one.tell(command{Do: doSnapshot})
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -44,13 +44,13 @@
 	assert.Equal(t, result.Changes.Missed, 0)
 	assert.Equal(t, result.Changes.InForce.Count, int64(6*result.Changes.Made))
 	assert.Assert(t, result.Orders.Whole > 0)
-	assert.Equal(t, len(result.Phases), 4)
+	assert.Equal(t, len(result.Phases), 5)
 	for _, phase := range result.Phases[1:] {
 		assert.Equal(t, phase.Roles[roleData].Daemons+phase.Roles[roleAlone].Daemons, 6)
 		assert.Assert(t, phase.Roles[roleData].Calls["/partner/news"].PerS > 0)
 		assert.Assert(t, phase.Roles[roleHolder] != nil && phase.Roles[roleHolder].Calls["/replicas"].PerS > 0)
 	}
-	busy := result.Phases[2]
+	busy := result.Phases[3]
 	assert.Assert(t, busy.Roles[roleData].Calls["/partner/pressure"].PerS > 0)
 	assert.Assert(t, busy.Roles[roleMember].MessagesIn > 0)
 	assert.Equal(t, result.Troubles[0].Data, 1)
--- a/internal/hollow/phases.go
+++ b/internal/hollow/phases.go
@@ -35,6 +35,7 @@
 	Name     string           `json:"name"`
 	Seconds  float64          `json:"seconds"`
 	Holder   string           `json:"holder,omitempty"`
+	Placed   int64            `json:"placementOrders"`
 	Messages int64            `json:"controlMessages"`
 	Bytes    int64            `json:"controlBytes"`
 	Roles    map[string]*Role `json:"roles"`
@@ -49,7 +50,7 @@
 
 func (f *Fleet) measure(name string, from, to sight) Phase {
 	span := to.at.Sub(from.at).Seconds()
-	phase := Phase{Name: name, Seconds: span, Roles: map[string]*Role{}}
+	phase := Phase{Name: name, Seconds: span, Placed: to.placed - from.placed, Roles: map[string]*Role{}}
 	heard := map[string]Flow{}
 	for index := range to.snapshots {
 		for path, targets := range to.snapshots[index].Flows {
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -54,11 +54,14 @@
 			across, up = append(across, math.Log(sizes[index])), append(up, math.Log(values[index]))
 		}
 	}
-	if len(across) < 2 {
+	if len(across) < 2 || floats.Max(across) == floats.Min(across) {
 		return 0, 0, 0
 	}
 	start, slope := stat.LinearRegression(across, up, nil, false)
-	return slope, stat.RSquared(across, up, nil, start, slope), math.Exp(start)
+	if fit = stat.RSquared(across, up, nil, start, slope); math.IsNaN(fit) {
+		fit = 1
+	}
+	return slope, fit, math.Exp(start)
 }
 
 func Summarize(results []Result, target int) Report {
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -56,6 +56,7 @@
 
 const (
 	phaseStart   = "start"
+	phaseFill    = "fill"
 	phaseQuiet   = "quiet"
 	phaseTraffic = "traffic"
 	phaseChanges = "changes"
@@ -113,11 +114,16 @@
 		return Phase{}, err
 	}
 	phase := f.measure(name, from, to)
-	f.say("%s: %.1f s, %d control messages, %.1f MB", name, phase.Seconds, phase.Messages, float64(phase.Bytes)/megabyte)
+	f.say("%s: %.1f s, %d control messages, %.1f MB, %d placement orders", name, phase.Seconds, phase.Messages, float64(phase.Bytes)/megabyte, phase.Placed)
 	return phase, nil
 }
 
 func (f *Fleet) steady(ctx context.Context, options Options, result *Result) error {
+	filling, err := f.window(phaseFill, 0, 0, func() error { return f.fill(ctx) })
+	if err != nil {
+		return err
+	}
+	result.Phases = append(result.Phases, filling)
 	quiet, err := f.window(phaseQuiet, options.Settle, options.Window, nil)
 	if err != nil {
 		return err
@@ -152,6 +158,23 @@
 	return nil
 }
 
+const (
+	fillBound = 30 * time.Second
+	fillCalm  = 1500 * time.Millisecond
+	fillLook  = 50 * time.Millisecond
+)
+
+func (f *Fleet) fill(ctx context.Context) error {
+	end, placed, last := time.Now().Add(fillBound), f.world.orders.Load(), time.Now()
+	for time.Now().Before(end) && time.Since(last) < fillCalm && ctx.Err() == nil {
+		settle(fillLook)
+		if now := f.world.orders.Load(); now != placed {
+			placed, last = now, time.Now()
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) change(ctx context.Context, options Options) error {
 	end := time.Now().Add(options.Window)
 	everyone := f.dataIndices(anyHost)
--- a/internal/hollow/usage.go
+++ b/internal/hollow/usage.go
@@ -4,6 +4,8 @@
 	"os"
 	"runtime"
 	"runtime/metrics"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,12 +48,16 @@
 	}
 	samples := []metrics.Sample{{Name: liveHeap}, {Name: allHeld}, {Name: given}}
 	metrics.Read(samples)
+	peak, err := peakMb()
+	if err != nil {
+		return Snapshot{}, err
+	}
 	descriptors, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
 		return Snapshot{}, errors.Wrap(err, "descriptors")
 	}
 	return Snapshot{
-		At: time.Now(), ProcessorS: seconds(usage.Utime) + seconds(usage.Stime), PeakMb: float64(usage.Maxrss) / kilobytes,
+		At: time.Now(), ProcessorS: seconds(usage.Utime) + seconds(usage.Stime), PeakMb: peak,
 		HeapMb:     float64(samples[0].Value.Uint64()) / megabyte,
 		HeldMb:     float64(samples[1].Value.Uint64()-samples[2].Value.Uint64()) / megabyte,
 		Goroutines: runtime.NumGoroutine(), Descriptors: len(descriptors),
@@ -59,3 +65,20 @@
 		DiskWrites: counter.writes.Load(), DiskBytes: counter.disk.Load(), DiskSyncs: counter.sync.Load(), Flows: counter.read(),
 	}, nil
 }
+
+const peakField = "VmHWM:"
+
+func peakMb() (float64, error) {
+	status, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return 0, errors.Wrap(err, "peak of memory")
+	}
+	fields := strings.Fields(string(status))
+	for position, field := range fields[:max(len(fields)-1, 0)] {
+		if field == peakField {
+			kept, err := strconv.ParseFloat(fields[position+1], 64)
+			return kept / kilobytes, err
+		}
+	}
+	return 0, errors.New("peak of memory: the system tells none")
+}
