--- a/internal/hollow/child.go
+++ b/internal/hollow/child.go
@@ -106,11 +106,7 @@
 		return reply{}, errors.New("no plan given")
 	}
 	c.plan, c.folder, c.role = *told.Plan, told.Folder, told.Role
-	processors := c.plan.Processors
-	if c.role != roleData {
-		processors = 1
-	}
-	runtime.GOMAXPROCS(processors)
+	runtime.GOMAXPROCS(c.plan.processors(c.role))
 	return reply{}, nil
 }
 
--- a/internal/hollow/phases.go
+++ b/internal/hollow/phases.go
@@ -35,12 +35,22 @@
 	Name     string           `json:"name"`
 	Seconds  float64          `json:"seconds"`
 	Holder   string           `json:"holder,omitempty"`
+	Full     []string         `json:"processorsFull,omitempty"`
 	Placed   int64            `json:"placementOrders"`
 	Messages int64            `json:"controlMessages"`
 	Bytes    int64            `json:"controlBytes"`
 	Roles    map[string]*Role `json:"roles"`
 }
 
+const fullPart = 0.85
+
+func (p Plan) processors(role string) int {
+	if role == roleData {
+		return p.Processors
+	}
+	return 1
+}
+
 func control(path string) bool { return path != servingPath }
 
 func between(before, after Snapshot, path, target string) Flow {
@@ -75,6 +85,9 @@
 		if phase.Roles[role] == nil {
 			phase.Roles[role] = &Role{Calls: map[string]Call{}}
 		}
+		if worked := (to.snapshots[index].ProcessorS - from.snapshots[index].ProcessorS) / span; worked > fullPart*float64(f.plan.processors(one.role)) {
+			phase.Full = append(phase.Full, role)
+		}
 		phase.Roles[role].add(from.snapshots[index], to.snapshots[index], span, one, heard)
 	}
 	for _, role := range phase.Roles {
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -118,10 +118,15 @@
 		fmt.Fprintf(output, "\n%d data planes: ready in %.0f ms at most; %d changes acknowledged in %.0f ms (median), in force everywhere in %.0f ms (median) %.0f ms (most), missed %d; orders %d asked, %d whole, %d refused, %d cut, first event %.1f ms (median) %.1f ms (95 of 100); %d orders and %d reports at replicas; %d processes, %.0f MB, %.0f s\n",
 			result.Plan.Data, result.Ready.MaxMs, result.Changes.Made, result.Changes.Acknowledged.P50Ms, result.Changes.Everywhere.P50Ms, result.Changes.Everywhere.MaxMs, result.Changes.Missed,
 			result.Orders.Asked, result.Orders.Whole, result.Orders.Refused, result.Orders.Cut, result.Orders.First.P50Ms, result.Orders.First.P95Ms, result.Placed.Orders, result.Placed.Reports, result.Processes, result.MemoryMb, result.TookS)
+		for _, phase := range result.Phases {
+			if len(phase.Full) > 0 {
+				fmt.Fprintf(output, "  %s: processors were full at %v, so its delays say nothing of daemons with processors of their own\n", phase.Name, phase.Full)
+			}
+		}
 		for _, trouble := range result.Troubles {
-			fmt.Fprintf(output, "  %s: %d data planes and %d control planes; a change during it: %s, %.0f ms; ready again in %.0f ms at most, a change after it in force everywhere in %.0f ms; control messages a second %.0f before, %.0f during, %.0f after; orders cut %d, refused %d\n",
+			fmt.Fprintf(output, "  %s: %d data planes and %d control planes; a change during it: %s, %.0f ms; ready again in %.0f ms at most, a change after it in force everywhere in %.0f ms; control messages a second %.0f before, %.0f during, %.0f after; orders cut %d, refused %d; told to another holder after %.0f ms; cut-off side answers %s\n",
 				trouble.Name, trouble.Data, trouble.Members, trouble.ChangeKnown, trouble.ChangeMs, trouble.Ready.MaxMs, trouble.AgainMs,
-				float64(trouble.Phase.Messages)/trouble.Phase.Seconds, float64(trouble.During.Messages)/trouble.During.Seconds, float64(trouble.After.Messages)/trouble.After.Seconds, trouble.Cut, trouble.Refused)
+				float64(trouble.Phase.Messages)/trouble.Phase.Seconds, float64(trouble.During.Messages)/trouble.During.Seconds, float64(trouble.After.Messages)/trouble.After.Seconds, trouble.Cut, trouble.Refused, trouble.TakenMs, trouble.OtherSide)
 		}
 	}
 }
--- a/internal/hollow/troubles.go
+++ b/internal/hollow/troubles.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"ferryspar/internal/partner"
 )
 
 type Trouble struct {
@@ -18,6 +22,8 @@
 	ChangeMs    float64   `json:"changeDuringMs"`
 	ChangeKnown string    `json:"changeDuring"`
 	AgainMs     float64   `json:"changeAfterMs"`
+	TakenMs     float64   `json:"otherHolderMs"`
+	OtherSide   string    `json:"cutOffSide"`
 	Cut         int64     `json:"ordersCut"`
 	Refused     int64     `json:"ordersRefused"`
 }
@@ -72,13 +78,15 @@
 	}
 	lost := f.dataIndices(hit.data)
 	trouble.Data = len(lost)
-	var asked []int
+	var asked, beyond []int
 	for index := range f.plan.Members {
 		host := f.plan.memberHost(index)
 		if hit.members(host) {
 			trouble.Members++
 		} else if !hit.severed || f.plan.regionOf(host) == regions[areas[0]] {
 			asked = append(asked, index)
+		} else {
+			beyond = append(beyond, index)
 		}
 	}
 	cut, refused := f.clients.cut.Load(), f.clients.refused.Load()
@@ -87,6 +95,10 @@
 			return err
 		}
 		end := time.Now().Add(options.Trouble)
+		taken := make(chan float64, 1)
+		go func() { taken <- f.awaitHolder(before.Holder, options.Trouble) }()
+		defer func() { trouble.TakenMs = <-taken }()
+		trouble.OtherSide = f.askBeyond(ctx, beyond)
 		trouble.ChangeKnown, trouble.ChangeMs = f.timeChange(ctx, f.dataIndices(spared), asked)
 		settle(time.Until(end))
 		return nil
@@ -133,3 +145,41 @@
 	}
 	return "in force at all spared daemons", took
 }
+
+func (f *Fleet) askBeyond(ctx context.Context, members []int) string {
+	if len(members) == 0 {
+		return "-"
+	}
+	document, err := patchDocument(f.operator.revision+1, f.operator.revision)
+	if err != nil {
+		return err.Error()
+	}
+	began := time.Now()
+	status, err := f.operator.call(ctx, http.MethodPatch, f.plan.at(f.plan.memberHost(members[0]), controlPort), f.operator.revision, document)
+	if err != nil {
+		return "nothing"
+	}
+	return fmt.Sprintf("%d after %d ms", status, time.Since(began).Milliseconds())
+}
+
+func (f *Fleet) awaitHolder(former string, bound time.Duration) float64 {
+	began := time.Now()
+	told := func() (count int64) {
+		answer, err := f.data[0].tell(command{Do: doSnapshot})
+		if err != nil {
+			return 0
+		}
+		for target, flow := range answer.Snapshot.Flows[partner.Calls["pressure"].Path] {
+			if target != former {
+				count += flow.Messages
+			}
+		}
+		return count
+	}
+	for first := told(); time.Since(began) < bound; settle(probePause) {
+		if told() > first {
+			return float64(time.Since(began).Milliseconds())
+		}
+	}
+	return 0
+}
