--- /dev/null
+++ b/internal/controlplane/daemon_bench_test.go
@@ -0,0 +1,143 @@
+package controlplane
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/env"
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/partner"
+	"ferryspar/internal/platform"
+)
+
+func benchDaemon(b *testing.B) *Daemon {
+	settings, err := env.Parse(nil)
+	assert.NilError(b, err)
+	settings.NodeName, settings.IPAddress, settings.InternalPorts, settings.Bootstrap = "daemon-1", "10.0.0.1", []int{7000, 7010}, true
+	settings.SeedNodes, settings.CloudAPI.Address = []string{"10.0.0.1:8166"}, "10.0.0.9:80"
+	settings.Areas, settings.Area = map[string]string{"north": "land"}, "north"
+	folder, err := keystore.NewFolder(b.TempDir())
+	assert.NilError(b, err)
+	daemon, err := New(settings, "", partner.Machine{}, folder)
+	assert.NilError(b, err)
+	daemon.board.Change(func(next *Bulletin) bool {
+		next.Fresh, next.Edges, next.Holder, next.Control = true, 80, "10.0.0.1:7000", []string{"10.0.0.1:7000"}
+		return true
+	})
+	return daemon
+}
+
+func benchRoster(replicas, turn int) []platform.Replica {
+	var list []platform.Replica
+	for index := range replicas {
+		one := platform.Replica{ID: fmt.Sprintf("i-%08x", index), Backend: "writers", Address: fmt.Sprintf("10.1.%d.%d:8080", index/200, index%200), Area: "north", Revision: "v1", Slots: 64, State: "ready", Phase: "unified"}
+		for place := range 2 {
+			one.Models = append(one.Models, platform.Held{Name: fmt.Sprintf("model%04d", 2*index+place), Revision: 1, Adapters: []string{"a1", "a2"}})
+		}
+		list = append(list, one)
+	}
+	if turn%2 == 1 {
+		list[0].Models = list[0].Models[:1]
+	}
+	return list
+}
+
+func post(b *testing.B, routes http.Handler, name string, question any) int {
+	content, err := json.Marshal(question)
+	assert.NilError(b, err)
+	writer := httptest.NewRecorder()
+	routes.ServeHTTP(writer, httptest.NewRequest(http.MethodPost, partner.Calls[name].Path, bytes.NewReader(content)))
+	assert.Equal(b, writer.Code, http.StatusOK)
+	return writer.Body.Len()
+}
+
+const (
+	runningAt  = 30
+	fewModels  = 20
+	middleSize = 80
+)
+
+func pressure(edge, replicas int) partner.Pressure {
+	told := partner.Pressure{Daemon: fmt.Sprintf("edge-%03d", edge), Area: "north", Replicas: map[string]partner.ReplicaPressure{}}
+	for index := range min(replicas, runningAt) {
+		told.Replicas[fmt.Sprintf("i-%08x", (edge*7+index)%replicas)] = partner.ReplicaPressure{Running: 3, Tokens: 4200, Prefill: 800}
+	}
+	for index := range fewModels {
+		told.Models = append(told.Models, partner.ModelPressure{Backend: "writers", Model: fmt.Sprintf("model%04d", (edge*3+index)%450), Arrivals: 1, Running: 2, Aim: 600, ReadMs: 20})
+	}
+	return told
+}
+
+func BenchmarkHearPressure(b *testing.B) {
+	run := func(edges, replicas int) func(b *testing.B) {
+		return func(b *testing.B) {
+			daemon := benchDaemon(b)
+			routes := daemon.partnerRoutes()
+			for edge := range edges {
+				post(b, routes, "pressure", pressure(edge, replicas))
+			}
+			size, turn := 0, 0
+			for b.Loop() {
+				size = post(b, routes, "pressure", pressure(turn%edges, replicas))
+				turn++
+			}
+			b.ReportMetric(float64(size), "bytes/answer")
+		}
+	}
+	for _, edges := range []int{8, 80, 400} {
+		b.Run(fmt.Sprintf("edges=%d", edges), run(edges, 140))
+	}
+	for _, replicas := range []int{9, 140, 720} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), run(middleSize, replicas))
+	}
+}
+
+func BenchmarkAnswerAPollWithTheRoster(b *testing.B) {
+	for _, replicas := range []int{9, 140, 720} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			daemon := benchDaemon(b)
+			daemon.post(benchRoster(replicas, 0), nil, time.Now())
+			routes, size := daemon.partnerRoutes(), 0
+			for b.Loop() {
+				size = post(b, routes, "news", partner.Poll{Daemon: "edge-001", Area: "north", Wants: true, HoldMs: 1})
+			}
+			b.ReportMetric(float64(size), "bytes/answer")
+		})
+	}
+}
+
+func BenchmarkPublishRoster(b *testing.B) {
+	for _, replicas := range []int{9, 140, 720} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			daemon, turn := benchDaemon(b), 0
+			rosters := [][]platform.Replica{benchRoster(replicas, 0), benchRoster(replicas, 1)}
+			for b.Loop() {
+				turn++
+				daemon.roster.set(rosters[turn%2], time.Now())
+				daemon.publishRoster()
+			}
+		})
+	}
+}
+
+func BenchmarkMeasureDemand(b *testing.B) {
+	for _, edges := range []int{8, 80, 400} {
+		b.Run(fmt.Sprintf("edges=%d", edges), func(b *testing.B) {
+			daemon := benchDaemon(b)
+			routes := daemon.partnerRoutes()
+			for edge := range edges {
+				post(b, routes, "pressure", pressure(edge, 140))
+			}
+			for b.Loop() {
+				daemon.warden.measure()
+			}
+		})
+	}
+}
