--- a/cmd/ferryspar-hollow/main.go
+++ b/cmd/ferryspar-hollow/main.go
@@ -61,7 +61,7 @@
 	var chosen options
 	parser := flags.NewParser(&chosen, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "ferryspar-hollow"
-	parser.LongDescription = "Runs the daemons' own code for many hollow daemons over loopback and prints what each costs. `ferryspar-hollow slopes FILE` reads the output of go test -bench instead."
+	parser.LongDescription = "Runs the daemons' own code for many hollow daemons over loopback and prints what each costs. `ferryspar-hollow slopes FILE` reads the output of go test -bench instead, `ferryspar-hollow table FILE...` joins what --output wrote."
 	rest, err := parser.Parse()
 	if flags.WroteHelp(err) {
 		fmt.Println(err)
@@ -70,6 +70,9 @@
 	if err == nil && len(rest) > 0 && rest[0] == "slopes" {
 		return slopes(rest[1:], chosen.JSON)
 	}
+	if err == nil && len(rest) > 0 && rest[0] == "table" {
+		return table(rest[1:], chosen)
+	}
 	if err == nil && len(rest) > 0 {
 		err = errors.Errorf("unexpected argument %q", rest[0])
 	}
--- a/cmd/ferryspar-hollow/slopes.go
+++ b/cmd/ferryspar-hollow/slopes.go
@@ -32,3 +32,28 @@
 	hollow.PrintBench(os.Stdout, fitted)
 	return launch.ExitGood
 }
+
+func table(arguments []string, chosen options) int {
+	if len(arguments) == 0 {
+		fmt.Fprintln(os.Stderr, "ferryspar-hollow: table takes FILEs written with --output")
+		return launch.ExitUsage
+	}
+	var results []hollow.Result
+	for _, name := range arguments {
+		content, err := os.ReadFile(name)
+		var report hollow.Report
+		if err == nil {
+			err = json.Unmarshal(content, &report)
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "ferryspar-hollow: %s: %s\n", name, err)
+			return launch.ExitFailed
+		}
+		results = append(results, report.Results...)
+	}
+	if err := chosen.print(hollow.Summarize(results, chosen.Target)); err != nil {
+		fmt.Fprintln(os.Stderr, "ferryspar-hollow:", err)
+		return launch.ExitFailed
+	}
+	return launch.ExitGood
+}
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -18,6 +18,9 @@
 	Values   []float64 `json:"values"`
 	Exponent float64   `json:"exponent"`
 	Fit      float64   `json:"fit"`
+	Fixed    float64   `json:"fixed"`
+	PerData  float64   `json:"perDataPlane"`
+	Linear   float64   `json:"linearFit"`
 	AtTarget float64   `json:"atTarget"`
 }
 
@@ -64,6 +67,17 @@
 	return slope, fit, math.Exp(start)
 }
 
+func straight(sizes, values []float64) (fixed, each, fit float64) {
+	if len(sizes) < 2 || floats.Max(sizes) == floats.Min(sizes) {
+		return 0, 0, 0
+	}
+	fixed, each = stat.LinearRegression(sizes, values, nil, false)
+	if fit = stat.RSquared(sizes, values, nil, fixed, each); math.IsNaN(fit) {
+		fit = 1
+	}
+	return fixed, each, fit
+}
+
 func Summarize(results []Result, target int) Report {
 	report := Report{Results: results}
 	if len(results) == 0 {
@@ -80,9 +94,9 @@
 					slope.Sizes = append(slope.Sizes, float64(result.Plan.Data))
 					slope.Values = append(slope.Values, figure.read(result.Phases[position].Roles[role]))
 				}
-				var factor float64
-				slope.Exponent, slope.Fit, factor = Exponent(slope.Sizes, slope.Values)
-				slope.AtTarget = factor * math.Pow(float64(target), slope.Exponent)
+				slope.Exponent, slope.Fit, _ = Exponent(slope.Sizes, slope.Values)
+				slope.Fixed, slope.PerData, slope.Linear = straight(slope.Sizes, slope.Values)
+				slope.AtTarget = slope.Fixed + slope.PerData*float64(target)
 				if len(slope.Sizes) > 0 && floats.Max(slope.Values) > 0 {
 					report.Slopes = append(report.Slopes, slope)
 				}
@@ -98,7 +112,7 @@
 	for _, result := range r.Results {
 		fmt.Fprintf(table, "\t%d", result.Plan.Data)
 	}
-	fmt.Fprintf(table, "\texponent\tfit\tfitted at %d\n", target)
+	fmt.Fprintf(table, "\texponent\tfit\tfixed\teach\tfit\tstraight at %d\n", target)
 	for _, slope := range r.Slopes {
 		fmt.Fprintf(table, "%s\t%s\t%s", slope.Phase, slope.Role, slope.Figure)
 		position := 0
@@ -110,7 +124,7 @@
 			}
 			fmt.Fprintf(table, "\t%s", value)
 		}
-		fmt.Fprintf(table, "\t%.2f\t%.2f\t%.4g\n", slope.Exponent, slope.Fit, slope.AtTarget)
+		fmt.Fprintf(table, "\t%.2f\t%.2f\t%.4g\t%.4g\t%.2f\t%.4g\n", slope.Exponent, slope.Fit, slope.Fixed, slope.PerData, slope.Linear, slope.AtTarget)
 	}
 	_ = table.Flush()
 	r.printCalls(output)
@@ -118,6 +132,8 @@
 		fmt.Fprintf(output, "\n%d data planes: ready in %.0f ms at most; %d changes acknowledged in %.0f ms (median), in force everywhere in %.0f ms (median) %.0f ms (most), missed %d; orders %d asked, %d whole, %d refused, %d cut, first event %.1f ms (median) %.1f ms (95 of 100); %d orders and %d reports at replicas; %d processes, %.0f MB, %.0f s\n",
 			result.Plan.Data, result.Ready.MaxMs, result.Changes.Made, result.Changes.Acknowledged.P50Ms, result.Changes.Everywhere.P50Ms, result.Changes.Everywhere.MaxMs, result.Changes.Missed,
 			result.Orders.Asked, result.Orders.Whole, result.Orders.Refused, result.Orders.Cut, result.Orders.First.P50Ms, result.Orders.First.P95Ms, result.Placed.Orders, result.Placed.Reports, result.Processes, result.MemoryMb, result.TookS)
+		order, change := result.Costs()
+		fmt.Fprintf(output, "  control bytes beyond the calm ones: %.1f kB a placement order, %.1f kB a change of the layout\n", order, change)
 		for _, phase := range result.Phases {
 			if len(phase.Full) > 0 {
 				fmt.Fprintf(output, "  %s: processors were full at %v, so its delays say nothing of daemons with processors of their own\n", phase.Name, phase.Full)
@@ -146,3 +162,23 @@
 	}
 	_ = table.Flush()
 }
+
+func (r Result) Costs() (orderKb, changeKb float64) {
+	found := map[string]Phase{}
+	for _, phase := range r.Phases {
+		found[phase.Name] = phase
+	}
+	beyond := func(phase, calm Phase) float64 {
+		if calm.Seconds == 0 {
+			return 0
+		}
+		return float64(phase.Bytes)/kilobytes - float64(calm.Bytes)/kilobytes/calm.Seconds*phase.Seconds
+	}
+	if fill := found[phaseFill]; fill.Placed > 0 {
+		orderKb = beyond(fill, found[phaseQuiet]) / float64(fill.Placed)
+	}
+	if r.Changes.Made > 0 {
+		changeKb = beyond(found[phaseChanges], found[phaseTraffic]) / float64(r.Changes.Made)
+	}
+	return orderKb, changeKb
+}
