--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -159,12 +159,16 @@
 }
 
 const (
-	fillBound = 30 * time.Second
-	fillCalm  = 1500 * time.Millisecond
-	fillLook  = 50 * time.Millisecond
+	fillBound  = 30 * time.Second
+	fillCalm   = 1500 * time.Millisecond
+	fillLook   = 50 * time.Millisecond
+	holderLook = 200 * time.Millisecond
 )
 
 func (f *Fleet) fill(ctx context.Context) error {
+	if err := f.awaitFirstHolder(ctx); err != nil {
+		return err
+	}
 	end, placed, last := time.Now().Add(fillBound), f.world.orders.Load(), time.Now()
 	for time.Now().Before(end) && time.Since(last) < fillCalm && ctx.Err() == nil {
 		settle(fillLook)
@@ -175,6 +179,20 @@
 	return nil
 }
 
+func (f *Fleet) awaitFirstHolder(ctx context.Context) error {
+	from, err := f.look()
+	for end := time.Now().Add(fillBound); err == nil && time.Now().Before(end) && ctx.Err() == nil; settle(holderLook) {
+		var now sight
+		if now, err = f.look(); err == nil && f.holder(from, now) != "" {
+			return nil
+		}
+	}
+	if err == nil {
+		err = errors.Errorf("no control plane holds the placement within %s", fillBound)
+	}
+	return err
+}
+
 func (f *Fleet) change(ctx context.Context, options Options) error {
 	end := time.Now().Add(options.Window)
 	everyone := f.dataIndices(anyHost)
