--- a/cmd/ferryspar-hollow/main.go
+++ b/cmd/ferryspar-hollow/main.go
@@ -36,7 +36,7 @@
 	Seconds    float64  `long:"seconds" default:"4" description:"length of each measured window"`
 	Settle     float64  `long:"settle" default:"1.5" description:"seconds before a window"`
 	ChangeEach float64  `long:"change-every" default:"2" description:"seconds between changes of the layout"`
-	Troubles   []string `long:"trouble" description:"afterwards: holder, zone, region or restart (may be given again)"`
+	Troubles   []string `long:"trouble" description:"afterwards: holder, machine, rack, zone, region or restart (may be given again)"`
 	Lasts      float64  `long:"trouble-seconds" default:"5" description:"length of a trouble, and of the window after it"`
 	Processors int      `long:"processors" default:"2" description:"processors each process of data planes may use at once"`
 	Processes  int      `long:"processes" default:"2" description:"processes that share the data planes"`
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -140,9 +140,9 @@
 			}
 		}
 		for _, trouble := range result.Troubles {
-			fmt.Fprintf(output, "  %s: %d data planes and %d control planes; a change during it: %s, %.0f ms; ready again in %.0f ms at most, a change after it in force everywhere in %.0f ms; control messages a second %.0f before, %.0f during, %.0f after; orders cut %d, refused %d; told to another holder after %.0f ms; cut-off side answers %s\n",
-				trouble.Name, trouble.Data, trouble.Members, trouble.ChangeKnown, trouble.ChangeMs, trouble.Ready.MaxMs, trouble.AgainMs,
-				float64(trouble.Phase.Messages)/trouble.Phase.Seconds, float64(trouble.During.Messages)/trouble.During.Seconds, float64(trouble.After.Messages)/trouble.After.Seconds, trouble.Cut, trouble.Refused, trouble.TakenMs, trouble.OtherSide)
+			fmt.Fprintf(output, "  %s: %d data planes, %d control planes, %d replicas; a change during it: %s, %.0f ms; ready again in %.0f ms at most, a change after it in force everywhere in %.0f ms; control messages a second %.0f before, %.0f during, %.0f after; orders cut %d, refused %d; told to another holder after %.0f ms; cut-off side answers %s; placement orders %d during, %d after, calm after %.0f ms\n",
+				trouble.Name, trouble.Data, trouble.Members, trouble.Replicas, trouble.ChangeKnown, trouble.ChangeMs, trouble.Ready.MaxMs, trouble.AgainMs,
+				float64(trouble.Phase.Messages)/trouble.Phase.Seconds, float64(trouble.During.Messages)/trouble.During.Seconds, float64(trouble.After.Messages)/trouble.After.Seconds, trouble.Cut, trouble.Refused, trouble.TakenMs, trouble.OtherSide, trouble.During.Placed, trouble.After.Placed, trouble.CalmMs)
 		}
 	}
 }
--- a/internal/hollow/troubles.go
+++ b/internal/hollow/troubles.go
@@ -24,20 +24,25 @@
 	AgainMs     float64   `json:"changeAfterMs"`
 	TakenMs     float64   `json:"otherHolderMs"`
 	OtherSide   string    `json:"cutOffSide"`
+	Replicas    int       `json:"replicas"`
+	CalmMs      float64   `json:"calmAfterMs"`
 	Cut         int64     `json:"ordersCut"`
 	Refused     int64     `json:"ordersRefused"`
 }
 
 const (
-	TroubleHolder = "holder"
-	TroubleZone   = "zone"
-	TroubleRegion = "region"
-	TroubleAll    = "restart"
+	TroubleHolder  = "holder"
+	TroubleMachine = "machine"
+	TroubleRack    = "rack"
+	TroubleZone    = "zone"
+	TroubleRegion  = "region"
+	TroubleAll     = "restart"
+	rackPart       = 10
 )
 
 type victims struct {
-	data, members func(host string) bool
-	severed       bool
+	data, members, replicas func(host string) bool
+	severed                 bool
 }
 
 func nobody(string) bool { return false }
@@ -45,10 +50,12 @@
 func (f *Fleet) victims(name, holder string) (victims, error) {
 	zone := func(host string) bool { return f.plan.areaOf(host) == areas[1] }
 	cases := map[string]victims{
-		TroubleHolder: {data: nobody, members: func(host string) bool { return host == holder }},
-		TroubleZone:   {data: zone, members: func(host string) bool { return f.plan.areaOf(host) == areas[1] }},
-		TroubleRegion: {data: nobody, members: nobody, severed: true},
-		TroubleAll:    {data: anyHost, members: nobody},
+		TroubleHolder:  {data: nobody, members: func(host string) bool { return host == holder }, replicas: nobody},
+		TroubleMachine: {data: func(host string) bool { return host == f.plan.dataHost(1) }, members: nobody, replicas: func(host string) bool { return host == f.plan.replicaHost(0) }},
+		TroubleRack:    {data: f.everyTenth(f.plan.Data, f.plan.dataHost), members: nobody, replicas: f.everyTenth(f.plan.Replicas, f.plan.replicaHost)},
+		TroubleZone:    {data: zone, members: zone, replicas: zone},
+		TroubleRegion:  {data: nobody, members: nobody, replicas: nobody, severed: true},
+		TroubleAll:     {data: anyHost, members: nobody, replicas: nobody},
 	}
 	found, known := cases[name]
 	if !known {
@@ -57,6 +64,14 @@
 	return found, nil
 }
 
+func (f *Fleet) everyTenth(count int, host func(index int) string) func(string) bool {
+	chosen := map[string]bool{}
+	for index := 1; index < count; index += rackPart {
+		chosen[host(index)] = true
+	}
+	return func(name string) bool { return chosen[name] }
+}
+
 func CheckTrouble(name string) error {
 	_, err := (&Fleet{}).victims(name, "")
 	return err
@@ -94,6 +109,7 @@
 		if err := f.strike(hit, doStop, true); err != nil {
 			return err
 		}
+		trouble.Replicas = f.world.lose(hit.replicas, true)
 		end := time.Now().Add(options.Trouble)
 		taken := make(chan float64, 1)
 		go func() { taken <- f.awaitHolder(before.Holder, options.Trouble) }()
@@ -107,18 +123,21 @@
 		return trouble, err
 	}
 	trouble.After, err = f.window(name+", after", 0, 0, func() error {
-		end := time.Now().Add(options.Trouble)
+		began := time.Now()
 		if err := f.strike(hit, doStart, false); err != nil {
 			return err
 		}
+		f.world.lose(hit.replicas, false)
 		ready, err := f.operator.AwaitReady(ctx, lost, readyBound)
 		if err != nil {
 			return err
 		}
 		trouble.Ready = ready.Read()
 		_, trouble.AgainMs = f.timeChange(ctx, f.dataIndices(anyHost), f.plan.everyMember(0))
-		settle(time.Until(end))
-		return nil
+		err = f.fill(ctx)
+		trouble.CalmMs = float64((time.Since(began) - fillCalm).Milliseconds())
+		settle(time.Until(began.Add(options.Trouble)))
+		return err
 	})
 	trouble.Cut, trouble.Refused = f.clients.cut.Load()-cut, f.clients.refused.Load()-refused
 	return trouble, err
--- a/internal/hollow/world.go
+++ b/internal/hollow/world.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,17 +14,6 @@
 	"ferryspar/internal/replica"
 )
 
-type standIn struct {
-	lock      sync.Mutex
-	listed    platform.Replica
-	held      []string
-	adapters  map[string][]string
-	busyUntil time.Time
-	sequence  int64
-	highest   uint64
-	active    atomic.Int64
-}
-
 type World struct {
 	plan     Plan
 	replicas []*standIn
@@ -88,11 +76,9 @@
 	to := min(from+pageSize, len(w.replicas))
 	page := platform.Page{Instances: []platform.Replica{}}
 	for _, one := range w.replicas[min(from, to):to] {
-		one.lock.Lock()
-		listed := one.listed
-		listed.Models = one.models()
-		one.lock.Unlock()
-		page.Instances = append(page.Instances, listed)
+		if listed, shown := one.entry(); shown {
+			page.Instances = append(page.Instances, listed)
+		}
 	}
 	if to < len(w.replicas) {
 		token := strconv.Itoa(to)
@@ -101,18 +87,34 @@
 	_ = json.NewEncoder(writer).Encode(page)
 }
 
-func (s *standIn) models() []platform.Held {
-	list := make([]platform.Held, 0, len(s.held))
-	for _, name := range s.held {
-		list = append(list, platform.Held{Name: name, Revision: 1, Adapters: append([]string{}, s.adapters[name]...)})
+func (w *World) lose(chosen func(host string) bool, lost bool) (count int) {
+	for host, one := range w.byHost {
+		if !chosen(host) {
+			continue
+		}
+		count++
+		one.lock.Lock()
+		one.lostAt = time.Time{}
+		if lost {
+			one.lostAt = time.Now()
+		} else {
+			one.life++
+			one.listed.ID = fmt.Sprintf("%s-%d", one.listed.ID, one.life)
+			one.held, one.adapters, one.sequence, one.highest, one.busyUntil = nil, map[string][]string{}, 0, 0, time.Time{}
+		}
+		one.lock.Unlock()
 	}
-	return list
+	return count
 }
 
 func (w *World) serveReplica(writer http.ResponseWriter, request *http.Request) {
 	host, _, _ := net.SplitHostPort(request.Context().Value(http.LocalAddrContextKey).(net.Addr).String())
 	one := w.byHost[host]
-	if request.Header.Get(replica.HeaderTarget) != one.listed.ID {
+	identity, lives := one.identity()
+	if !lives {
+		panic(http.ErrAbortHandler)
+	}
+	if request.Header.Get(replica.HeaderTarget) != identity {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -162,51 +164,18 @@
 		takes = loadTakes
 	}
 	one.sequence++
+	life := one.life
 	one.busyUntil = time.Now().Add(takes)
 	time.AfterFunc(takes, func() {
 		one.lock.Lock()
 		defer one.lock.Unlock()
-		one.change(told)
+		if one.life == life && one.lostAt.IsZero() {
+			one.change(told)
+		}
 	})
 	writer.WriteHeader(http.StatusAccepted)
 }
 
-func without(list []string, name string) []string {
-	var kept []string
-	for _, one := range list {
-		if one != name {
-			kept = append(kept, one)
-		}
-	}
-	return kept
-}
-
-func (s *standIn) change(told replica.Instruction) {
-	load := told.Operation == replica.OperationLoad
-	if told.Adapter != "" {
-		s.adapters[told.Model] = without(s.adapters[told.Model], told.Adapter)
-		if load {
-			s.adapters[told.Model] = append(s.adapters[told.Model], told.Adapter)
-		}
-		return
-	}
-	s.held = without(s.held, told.Model)
-	if load {
-		s.held = append(s.held, told.Model)
-		return
-	}
-	delete(s.adapters, told.Model)
-}
-
-func (s *standIn) stands(reference string) bool {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	listed := s.listed
-	listed.Models = s.models()
-	model, adapter := split(reference)
-	return listed.Holds(model, adapter)
-}
-
 func (w *World) serve(one *standIn, writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set(replica.HeaderAttempt, request.Header.Get(replica.HeaderAttempt))
 	if !one.stands(request.Header.Get(replica.HeaderModel)) {
@@ -221,7 +190,8 @@
 	}
 	defer one.active.Add(-1)
 	w.served.Add(1)
-	writer.Header().Set(replica.HeaderSeal, "seal-"+one.listed.ID)
+	identity, _ := one.identity()
+	writer.Header().Set(replica.HeaderSeal, "seal-"+identity)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(request.Header.Get(replica.HeaderLastEvent))
 	gap := w.plan.Hold / time.Duration(w.plan.Events)
@@ -233,5 +203,8 @@
 			return
 		case <-time.After(gap):
 		}
+		if now, lives := one.identity(); !lives || now != identity {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
