--- a/internal/controlplane/daemon_bench_test.go
+++ b/internal/controlplane/daemon_bench_test.go
@@ -58,6 +58,16 @@
 	return writer.Body.Len()
 }
 
+func followAll(b *testing.B, routes http.Handler, edges, replicas int) {
+	for edge := range edges {
+		question := partner.Follow{Daemon: fmt.Sprintf("edge-%03d", edge), Number: 1, Whole: true}
+		for _, model := range pressure(edge, replicas).Models {
+			question.Add = append(question.Add, partner.PartName{Backend: model.Backend, Model: model.Model})
+		}
+		post(b, routes, "follow", question)
+	}
+}
+
 const (
 	runningAt  = 30
 	fewModels  = 20
@@ -70,7 +80,7 @@
 		told.Replicas[fmt.Sprintf("i-%08x", (edge*7+index)%replicas)] = partner.ReplicaPressure{Running: 3, Tokens: 4200, Prefill: 800}
 	}
 	for index := range fewModels {
-		told.Models = append(told.Models, partner.ModelPressure{Backend: "writers", Model: fmt.Sprintf("model%04d", (edge*3+index)%450), Arrivals: 1, Running: 2, Aim: 600, ReadMs: 20})
+		told.Models = append(told.Models, partner.ModelPressure{Backend: "writers", Model: fmt.Sprintf("model%04d", (edge*3+index)%(2*replicas)), Arrivals: 1, Running: 2, Aim: 600, ReadMs: 20})
 	}
 	return told
 }
@@ -79,7 +89,9 @@
 	run := func(edges, replicas int) func(b *testing.B) {
 		return func(b *testing.B) {
 			daemon := benchDaemon(b)
+			daemon.post(benchRoster(replicas, 0), nil, time.Now())
 			routes := daemon.partnerRoutes()
+			followAll(b, routes, edges, replicas)
 			for edge := range edges {
 				post(b, routes, "pressure", pressure(edge, replicas))
 			}
@@ -99,20 +111,59 @@
 	}
 }
 
-func BenchmarkAnswerAPollWithTheRoster(b *testing.B) {
+func BenchmarkAnswerAPollWithItsParts(b *testing.B) {
 	for _, replicas := range []int{9, 140, 720} {
 		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
 			daemon := benchDaemon(b)
 			daemon.post(benchRoster(replicas, 0), nil, time.Now())
 			routes, size := daemon.partnerRoutes(), 0
+			followAll(b, routes, 1, replicas)
 			for b.Loop() {
-				size = post(b, routes, "news", partner.Poll{Daemon: "edge-001", Area: "north", Wants: true, HoldMs: 1})
+				size = post(b, routes, "news", partner.Poll{Daemon: "edge-000", Area: "north", Wants: true, HoldMs: 1, Follows: 1})
 			}
 			b.ReportMetric(float64(size), "bytes/answer")
 		})
 	}
 }
 
+func BenchmarkFollow(b *testing.B) {
+	for _, edges := range []int{8, 80, 400} {
+		b.Run(fmt.Sprintf("edges=%d", edges), func(b *testing.B) {
+			daemon := benchDaemon(b)
+			daemon.post(benchRoster(140, 0), nil, time.Now())
+			routes := daemon.partnerRoutes()
+			followAll(b, routes, edges, 140)
+			for b.Loop() {
+				followAll(b, routes, 1, 140)
+			}
+		})
+	}
+}
+
+func BenchmarkComposeSums(b *testing.B) {
+	run := func(edges, replicas int) func(b *testing.B) {
+		return func(b *testing.B) {
+			daemon := benchDaemon(b)
+			for edge := range edges {
+				daemon.sums.Hear(pressure(edge, replicas), time.Now())
+			}
+			size := 0
+			for b.Loop() {
+				content, err := json.Marshal(daemon.sums.Demand(daemon.sums.Share(daemon.self, time.Time{})))
+				assert.NilError(b, err)
+				size = len(content)
+			}
+			b.ReportMetric(float64(size), "bytes/message")
+		}
+	}
+	for _, edges := range []int{8, 80, 400} {
+		b.Run(fmt.Sprintf("edges=%d", edges), run(edges, 140))
+	}
+	for _, replicas := range []int{9, 140, 720} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), run(middleSize, replicas))
+	}
+}
+
 func BenchmarkPublishRoster(b *testing.B) {
 	for _, replicas := range []int{9, 140, 720} {
 		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
@@ -131,11 +182,12 @@
 	for _, edges := range []int{8, 80, 400} {
 		b.Run(fmt.Sprintf("edges=%d", edges), func(b *testing.B) {
 			daemon := benchDaemon(b)
-			routes := daemon.partnerRoutes()
 			for edge := range edges {
-				post(b, routes, "pressure", pressure(edge, 140))
+				daemon.sums.Hear(pressure(edge, 140), time.Now())
 			}
+			share := daemon.sums.Demand(partner.SumShare{Member: daemon.self})
 			for b.Loop() {
+				daemon.warden.hearDemand(share)
 				daemon.warden.measure()
 			}
 		})
--- a/internal/dataplane/desk_bench_test.go
+++ b/internal/dataplane/desk_bench_test.go
@@ -13,7 +13,6 @@
 	"ferryspar/internal/layout"
 	"ferryspar/internal/match"
 	"ferryspar/internal/partner"
-	"ferryspar/internal/platform"
 )
 
 func benchDesk(b *testing.B) (*Desk, *atomic.Pointer[match.Fleet]) {
@@ -24,24 +23,39 @@
 	return NewDesk(settings, time.Now, fleet, func() {}), fleet
 }
 
-func benchRoster(replicas int) []platform.Replica {
-	var list []platform.Replica
-	for index := range replicas {
-		one := platform.Replica{ID: fmt.Sprintf("i-%08x", index), Backend: "writers", Address: fmt.Sprintf("10.1.%d.%d:8080", index/200, index%200), Area: "north", Slots: 64, State: "ready"}
-		for place := range 2 {
-			one.Models = append(one.Models, platform.Held{Name: fmt.Sprintf("model%04d", 2*index+place), Revision: 1, Adapters: []string{"a1", "a2"}})
+const benchSource = "10.0.0.1:7000"
+
+func benchParts(count, holders int, version uint64) []partner.Part {
+	var list []partner.Part
+	for index := range count {
+		part := partner.Part{PartName: partner.PartName{Backend: "writers", Model: fmt.Sprintf("model%04d", index)}, Version: version}
+		for place := range holders {
+			number := index*holders + place
+			part.Holders = append(part.Holders, partner.Holder{ID: fmt.Sprintf("i-%08x", number), Address: fmt.Sprintf("10.1.%d.%d:8080", number/200, number%200), Area: "north", Slots: 64, Adapters: []string{"a1"}})
 		}
-		list = append(list, one)
+		list = append(list, part)
 	}
 	return list
 }
 
+func following(desk *Desk, parts []partner.Part) {
+	source := benchSource
+	desk.hear(heard{address: source, at: time.Now(), news: partner.News{Member: source, Area: "north", Life: "1", Fresh: true, Version: 1, Edges: 80}})
+	desk.followed(answered{source, partner.Follow{Number: 1, Whole: true}, partner.Followed{Life: "1", Fresh: true, Parts: parts}, time.Now(), false})
+}
+
+const (
+	followedParts = 20
+	holdersOfOne  = 3
+)
+
 func hearOver(b *testing.B, news func(turn uint64) partner.News) {
 	desk, fleet := benchDesk(b)
-	turn := uint64(0)
+	following(desk, benchParts(followedParts, holdersOfOne, 1))
+	turn := uint64(1)
 	for b.Loop() {
 		turn++
-		one := heard{address: "10.0.0.1:7000", at: time.Now(), news: news(turn)}
+		one := heard{address: benchSource, at: time.Now(), news: news(turn)}
 		if desk.hear(one) {
 			desk.publish()
 		}
@@ -49,14 +63,27 @@
 	assert.Assert(b, fleet.Load() != nil)
 }
 
-func BenchmarkDeskHearsAReplicaChange(b *testing.B) {
-	for _, replicas := range []int{9, 140, 720} {
-		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
-			roster := benchRoster(replicas)
-			hearOver(b, func(turn uint64) partner.News {
-				return partner.News{Member: "10.0.0.1:7000", Area: "north", Life: "1", Fresh: true, Version: 1, Roster: turn, Replicas: roster, Edges: 80}
-			})
-		})
+func BenchmarkDeskHearsAPartChange(b *testing.B) {
+	run := func(parts, holders int) func(b *testing.B) {
+		return func(b *testing.B) {
+			desk, fleet := benchDesk(b)
+			following(desk, benchParts(parts, holders, 1))
+			changed, turn := benchParts(1, holders, 1), uint64(1)
+			for b.Loop() {
+				turn++
+				changed[0].Version = turn
+				if desk.hear(heard{address: benchSource, at: time.Now(), news: partner.News{Member: benchSource, Area: "north", Life: "1", Fresh: true, Version: 1, Roster: turn, Parts: changed, Edges: 80}}) {
+					desk.publish()
+				}
+			}
+			assert.Equal(b, len(fleet.Load().Replicas), parts*holders)
+		}
+	}
+	for _, parts := range []int{5, 20, 100} {
+		b.Run(fmt.Sprintf("parts=%d", parts), run(parts, holdersOfOne))
+	}
+	for _, holders := range []int{1, 9, 140} {
+		b.Run(fmt.Sprintf("holders=%d", holders), run(1, holders))
 	}
 }
 
@@ -64,7 +91,7 @@
 	for _, edges := range []int{8, 80, 400} {
 		b.Run(fmt.Sprintf("edges=%d", edges), func(b *testing.B) {
 			hearOver(b, func(turn uint64) partner.News {
-				return partner.News{Member: "10.0.0.1:7000", Area: "north", Life: "1", Fresh: true, Version: 1, Edges: edges}
+				return partner.News{Member: benchSource, Area: "north", Life: "1", Fresh: true, Version: 1, Edges: edges}
 			})
 		})
 	}
@@ -82,7 +109,7 @@
 				defer b.StartTimer()
 				whole.Revision = int64(turn)
 				document, _ := json.Marshal(whole)
-				return partner.News{Member: "10.0.0.1:7000", Area: "north", Life: "1", Fresh: true, Version: turn, Revision: whole.Revision, Packed: layout.Pack(document), Edges: 80}
+				return partner.News{Member: benchSource, Area: "north", Life: "1", Fresh: true, Version: turn, Revision: whole.Revision, Packed: layout.Pack(document), Edges: 80}
 			})
 		})
 	}
--- a/internal/partner/words_bench_test.go
+++ b/internal/partner/words_bench_test.go
@@ -6,20 +6,19 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
-
-	"ferryspar/internal/platform"
 )
 
 var replicaCounts = []int{9, 140, 720}
 
-func listed(count int) []platform.Replica {
-	var list []platform.Replica
+func parts(count, holders int) []Part {
+	var list []Part
 	for index := range count {
-		one := platform.Replica{ID: fmt.Sprintf("i-%08x", index), Backend: "writers", Address: fmt.Sprintf("10.1.%d.%d:8080", index/200, index%200), Area: "north", Revision: "v1", Slots: 64, State: "ready", Phase: "unified"}
-		for place := range 2 {
-			one.Models = append(one.Models, platform.Held{Name: fmt.Sprintf("model%04d", 2*index+place), Revision: 1, Adapters: []string{"a1", "a2", "a3"}})
+		part := Part{PartName: PartName{Backend: "writers", Model: fmt.Sprintf("model%04d", index)}, Version: 7}
+		for place := range holders {
+			number := index*holders + place
+			part.Holders = append(part.Holders, Holder{ID: fmt.Sprintf("i-%08x", number), Address: fmt.Sprintf("10.1.%d.%d:8080", number/200, number%200), Area: "north", Slots: 64, Adapters: []string{"a1", "a2", "a3"}})
 		}
-		list = append(list, one)
+		list = append(list, part)
 	}
 	return list
 }
@@ -33,10 +32,17 @@
 }
 
 func BenchmarkNewsOverTheWire(b *testing.B) {
+	for _, followed := range []int{5, 20, 100} {
+		b.Run(fmt.Sprintf("parts=%d", followed), func(b *testing.B) {
+			travel[News](b, News{Member: "10.0.0.1:7000", Fresh: true, Version: 3, Roster: 5, Parts: parts(followed, 3), Edges: 80})
+		})
+	}
+}
+
+func BenchmarkSumsOverTheWire(b *testing.B) {
 	for _, replicas := range replicaCounts {
 		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
-			news := News{Member: "10.0.0.1:7000", Fresh: true, Version: 3, Roster: 5, Replicas: listed(replicas), Edges: 80}
-			travel[News](b, news)
+			travel[SumShare](b, SumShare{Member: "10.0.0.1:7000", Daemons: 80, Replicas: pressed(replicas)})
 		})
 	}
 }
