--- a/internal/hollow/troubles.go
+++ b/internal/hollow/troubles.go
@@ -183,22 +183,32 @@
 
 func (f *Fleet) awaitHolder(former string, bound time.Duration) float64 {
 	began := time.Now()
-	told := func() (count int64) {
-		answer, err := f.data[0].tell(command{Do: doSnapshot})
-		if err != nil {
-			return 0
+	var first []int64
+	for time.Since(began) < bound {
+		told := f.rostersTold()
+		if first == nil {
+			first = told
 		}
-		for target, flow := range answer.Snapshot.Flows[partner.Calls["pressure"].Path] {
-			if target != former {
-				count += flow.Messages
+		for index, count := range told {
+			if count > first[index] && f.members[index].hosts[0] != former {
+				return float64(time.Since(began).Milliseconds())
 			}
 		}
-		return count
+		settle(probePause)
 	}
-	for first := told(); time.Since(began) < bound; settle(probePause) {
-		if told() > first {
-			return float64(time.Since(began).Milliseconds())
+	return 0
+}
+
+func (f *Fleet) rostersTold() []int64 {
+	counts := make([]int64, len(f.members))
+	for index, one := range f.members {
+		answer, err := one.tell(command{Do: doSnapshot})
+		if err != nil {
+			continue
+		}
+		for _, flow := range answer.Snapshot.Flows[partner.Calls["roster"].Path] {
+			counts[index] += flow.Messages
 		}
 	}
-	return 0
+	return counts
 }
