--- a/cmd/ferryspar-hollow/main.go
+++ b/cmd/ferryspar-hollow/main.go
@@ -35,6 +35,7 @@
 	Tokens     int      `long:"tokens" default:"800" description:"tokens of a prompt"`
 	Seconds    float64  `long:"seconds" default:"4" description:"length of each measured window"`
 	Settle     float64  `long:"settle" default:"1.5" description:"seconds before a window"`
+	Fill       float64  `long:"fill" default:"30" description:"seconds at most until the placement is calm, at first and after a trouble"`
 	ChangeEach float64  `long:"change-every" default:"2" description:"seconds between changes of the layout"`
 	Troubles   []string `long:"trouble" description:"afterwards: holder, machine, rack, zone, region or restart (may be given again)"`
 	Lasts      float64  `long:"trouble-seconds" default:"5" description:"length of a trouble, and of the window after it"`
@@ -107,8 +108,8 @@
 	switch {
 	case o.Target < 1 || o.Replicas < 1 || o.Models < 1 || o.Adapters < 0 || o.Routes < 1:
 		return nil, errors.New("--target, --replicas, --models and --routes must be above 0")
-	case o.Seconds < 1 || o.Seconds > 60 || o.Settle < 0 || o.Settle > 60 || o.ChangeEach <= 0:
-		return nil, errors.New("--seconds must be 1 to 60, --settle 0 to 60, --change-every above 0")
+	case o.Seconds < 1 || o.Seconds > 60 || o.Settle < 0 || o.Settle > 60 || o.ChangeEach <= 0 || o.Fill < 0 || o.Fill > 300:
+		return nil, errors.New("--seconds must be 1 to 60, --settle 0 to 60, --fill 0 to 300, --change-every above 0")
 	case o.Lasts < 1 || o.Lasts > 60:
 		return nil, errors.New("--trouble-seconds must be 1 to 60")
 	case o.MemoryMb <= 0 || half > 0 && o.MemoryMb > half:
@@ -148,7 +149,7 @@
 	for _, plan := range plans {
 		bounded, cancel := context.WithTimeout(ctx, seconds(o.Bound))
 		result, err := hollow.Run(bounded, plan, hollow.Options{
-			Window: seconds(o.Seconds), Settle: seconds(o.Settle), ChangeEach: seconds(o.ChangeEach), MemoryMb: o.MemoryMb, Troubles: o.Troubles, Trouble: seconds(o.Lasts), Progress: os.Stderr,
+			Window: seconds(o.Seconds), Settle: seconds(o.Settle), Fill: seconds(o.Fill), ChangeEach: seconds(o.ChangeEach), MemoryMb: o.MemoryMb, Troubles: o.Troubles, Trouble: seconds(o.Lasts), Progress: os.Stderr,
 		})
 		cancel()
 		if err != nil {
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -35,7 +35,7 @@
 	defer cancel()
 
 	result, err := Run(bounded, smallPlan(), Options{
-		Window: 700 * time.Millisecond, ChangeEach: 500 * time.Millisecond, MemoryMb: 2000, Troubles: []string{TroubleZone}, Trouble: time.Second, Progress: &progress,
+		Window: 700 * time.Millisecond, ChangeEach: 500 * time.Millisecond, MemoryMb: 2000, Troubles: []string{TroubleZone}, Trouble: time.Second, Fill: 10 * time.Second, Progress: &progress,
 	})
 
 	assert.NilError(t, err, progress.String())
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -12,6 +12,7 @@
 type Options struct {
 	Window     time.Duration
 	Settle     time.Duration
+	Fill       time.Duration
 	ChangeEach time.Duration
 	MemoryMb   float64
 	Troubles   []string
@@ -119,7 +120,7 @@
 }
 
 func (f *Fleet) steady(ctx context.Context, options Options, result *Result) error {
-	filling, err := f.window(phaseFill, 0, 0, func() error { return f.fill(ctx) })
+	filling, err := f.window(phaseFill, 0, 0, func() error { return f.fill(ctx, options.Fill) })
 	if err != nil {
 		return err
 	}
@@ -159,17 +160,17 @@
 }
 
 const (
-	fillBound  = 30 * time.Second
-	fillCalm   = 1500 * time.Millisecond
-	fillLook   = 50 * time.Millisecond
-	holderLook = 200 * time.Millisecond
+	holderBound = 30 * time.Second
+	fillCalm    = 1500 * time.Millisecond
+	fillLook    = 50 * time.Millisecond
+	holderLook  = 200 * time.Millisecond
 )
 
-func (f *Fleet) fill(ctx context.Context) error {
+func (f *Fleet) fill(ctx context.Context, bound time.Duration) error {
 	if err := f.awaitFirstHolder(ctx); err != nil {
 		return err
 	}
-	end, placed, last := time.Now().Add(fillBound), f.world.orders.Load(), time.Now()
+	end, placed, last := time.Now().Add(bound), f.world.orders.Load(), time.Now()
 	for time.Now().Before(end) && time.Since(last) < fillCalm && ctx.Err() == nil {
 		settle(fillLook)
 		if now := f.world.orders.Load(); now != placed {
@@ -181,14 +182,14 @@
 
 func (f *Fleet) awaitFirstHolder(ctx context.Context) error {
 	from, err := f.look()
-	for end := time.Now().Add(fillBound); err == nil && time.Now().Before(end) && ctx.Err() == nil; settle(holderLook) {
+	for end := time.Now().Add(holderBound); err == nil && time.Now().Before(end) && ctx.Err() == nil; settle(holderLook) {
 		var now sight
 		if now, err = f.look(); err == nil && f.holder(from, now) != "" {
 			return nil
 		}
 	}
 	if err == nil {
-		err = errors.Errorf("no control plane holds the placement within %s", fillBound)
+		err = errors.Errorf("no control plane holds the placement within %s", holderBound)
 	}
 	return err
 }
--- a/internal/hollow/troubles.go
+++ b/internal/hollow/troubles.go
@@ -134,7 +134,7 @@
 		}
 		trouble.Ready = ready.Read()
 		_, trouble.AgainMs = f.timeChange(ctx, f.dataIndices(anyHost), f.plan.everyMember(0))
-		err = f.fill(ctx)
+		err = f.fill(ctx, options.Fill)
 		trouble.CalmMs = float64((time.Since(began) - fillCalm).Milliseconds())
 		settle(time.Until(began.Add(options.Trouble)))
 		return err
