--- a/internal/place/plain_plan_test.go
+++ b/internal/place/plain_plan_test.go
@@ -16,6 +16,7 @@
 	tokens          float64
 	share, promised float64
 	taken           map[string]int
+	barren          map[string]bool
 }
 
 func plainPlan(view *View) []Action {
@@ -28,7 +29,7 @@
 		if backend.Runtime == nil {
 			continue
 		}
-		p := &plainPlanner{view: plainView{view, map[string]Pressure{}}, backend: backend, runtime: backend.Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}, taken: map[string]int{}, tokens: view.Tokens}
+		p := &plainPlanner{view: plainView{view, map[string]Pressure{}}, backend: backend, runtime: backend.Runtime, sizes: map[string]layout.Model{}, used: map[string]bool{}, taken: map[string]int{}, barren: map[string]bool{}, tokens: view.Tokens}
 		for _, model := range backend.Runtime.Models {
 			p.sizes[model.Name] = model
 		}
@@ -106,7 +107,9 @@
 	}
 	sort.SliceStable(rooms, func(left, right int) bool { return gains[rooms[left].Intent] > gains[rooms[right].Intent] })
 	for _, server := range rooms {
-		if model := server.Intent; !p.fits(server, model) {
+		if model := server.Intent; p.idleIntent(server) {
+			server.Intent = ""
+		} else if !p.fits(server, model) {
 			p.evict(server, model)
 		} else if p.loadable(server, model) {
 			p.load(server, model, "room was made for it")
@@ -126,7 +129,7 @@
 	}
 	demand := p.view.modelPressure(p.backend.Name, model)
 	present := len(p.view.copies(p.backend.Name, model)) + p.view.Loading[key(p.backend.Name, model)]
-	return demand.Waiting == 0 && demand.Rate < rareRate || float64(present) >= p.target(model)
+	return present == 0 && demand.Waiting == 0 && demand.Rate < rareRate || float64(present) >= p.target(model)
 }
 
 func (p *plainPlanner) absent() []layout.Model {
@@ -179,7 +182,7 @@
 	var best *Server
 	bestCost := 0.0
 	for _, server := range p.idle() {
-		if server.Models[model] || server.Intent != "" || !server.Held[model] && p.tokens-p.promised < 1 || p.reserved(server, model) {
+		if server.Models[model] || server.Intent != "" || p.barren[server.ID] || !server.Held[model] && p.tokens-p.promised < 1 || p.reserved(server, model) {
 			continue
 		}
 		cost, possible := p.cost(server, model)
@@ -196,7 +199,8 @@
 	}
 	best.Intent = model
 	if !p.evict(best, model) {
-		return false
+		p.barren[best.ID] = true
+		return p.bring(model, why)
 	}
 	if !best.Held[model] {
 		p.promised++
