--- a/internal/match/share.go
+++ b/internal/match/share.go
@@ -29,7 +29,7 @@
 		c.capacity = max(1-c.held.running, 0)
 	}
 	c.room = trust*(memory-c.others.Tokens) + (1-trust)*memory*max(share/max(slots, 1), leastRoom) - c.held.tokens
-	if c.held.running == 0 {
+	if c.held.running == 0 && c.others.Running == 0 {
 		c.room = max(c.room, memory)
 	}
 }
