--- a/internal/hollow/clients.go
+++ b/internal/hollow/clients.go
@@ -17,11 +17,6 @@
 	"ferryspar/internal/replica"
 )
 
-func split(reference string) (model, adapter string) {
-	model, adapter, _ = strings.Cut(reference, "/")
-	return model, adapter
-}
-
 type Spread struct {
 	lock   sync.Mutex
 	values *hdrhistogram.Histogram
--- a/internal/hollow/standin.go
+++ b/internal/hollow/standin.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"ferryspar/internal/emulator/standin"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
 )
@@ -12,8 +13,7 @@
 type standIn struct {
 	lock      sync.Mutex
 	listed    platform.Replica
-	held      []string
-	adapters  map[string][]string
+	held      standin.Holdings
 	busyUntil time.Time
 	sequence  int64
 	highest   uint64
@@ -28,7 +28,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	listed := s.listed
-	listed.Models = s.models()
+	listed.Models = s.held.List()
 	return listed, s.lostAt.IsZero() || time.Since(s.lostAt) < staysListed
 }
 
@@ -38,46 +38,20 @@
 	return s.listed.ID, s.lostAt.IsZero()
 }
 
-func (s *standIn) models() []platform.Held {
-	list := make([]platform.Held, 0, len(s.held))
-	for _, name := range s.held {
-		list = append(list, platform.Held{Name: name, Revision: 1, Adapters: append([]string{}, s.adapters[name]...)})
-	}
-	return list
-}
-
-func without(list []string, name string) []string {
-	var kept []string
-	for _, one := range list {
-		if one != name {
-			kept = append(kept, one)
-		}
-	}
-	return kept
-}
-
 func (s *standIn) change(told replica.Instruction) {
-	load := told.Operation == replica.OperationLoad
+	reference := told.Model
 	if told.Adapter != "" {
-		s.adapters[told.Model] = without(s.adapters[told.Model], told.Adapter)
-		if load {
-			s.adapters[told.Model] = append(s.adapters[told.Model], told.Adapter)
-		}
-		return
+		reference += "/" + told.Adapter
 	}
-	s.held = without(s.held, told.Model)
-	if load {
-		s.held = append(s.held, told.Model)
+	if told.Operation == replica.OperationLoad {
+		s.held[reference] = true
 		return
 	}
-	delete(s.adapters, told.Model)
+	s.held.Drop(reference)
 }
 
 func (s *standIn) stands(reference string) bool {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	listed := s.listed
-	listed.Models = s.models()
-	model, adapter := split(reference)
-	return listed.Holds(model, adapter)
+	return s.held[reference]
 }
--- a/internal/hollow/world.go
+++ b/internal/hollow/world.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"ferryspar/internal/emulator/standin"
 	"ferryspar/internal/partner"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
@@ -29,10 +30,10 @@
 	world := &World{plan: plan, byHost: map[string]*standIn{}}
 	for index := range plan.Replicas {
 		host := plan.replicaHost(index)
-		one := &standIn{adapters: map[string][]string{}}
+		one := &standIn{held: standin.NewHoldings()}
 		one.listed = platform.Replica{ID: fmt.Sprintf("i-%08x", index+1), Backend: serviceName, Address: plan.at(host, replicaPort), Area: plan.areaOf(host), Revision: "v1", Slots: plan.Slots, State: "ready", Phase: "unified"}
 		for place := range min(plan.Resident, plan.Models) {
-			one.held = append(one.held, modelName((index*plan.Resident+place)%plan.Models))
+			one.held[modelName((index*plan.Resident+place)%plan.Models)] = true
 		}
 		world.replicas = append(world.replicas, one)
 		world.byHost[host] = one
@@ -100,7 +101,7 @@
 		} else {
 			one.life++
 			one.listed.ID = fmt.Sprintf("%s-%d", one.listed.ID, one.life)
-			one.held, one.adapters, one.sequence, one.highest, one.busyUntil = nil, map[string][]string{}, 0, 0, time.Time{}
+			one.held, one.sequence, one.highest, one.busyUntil = standin.NewHoldings(), 0, 0, time.Time{}
 		}
 		one.lock.Unlock()
 	}
@@ -131,7 +132,7 @@
 func (w *World) report(one *standIn, writer http.ResponseWriter, request *http.Request) {
 	w.reports.Add(1)
 	one.lock.Lock()
-	state := replica.State{Phase: "unified", Models: one.models(), Busy: time.Now().Before(one.busyUntil), Sequence: one.sequence, Active: int(one.active.Load()), KvTotal: 114820}
+	state := replica.State{Phase: "unified", Models: one.held.List(), Busy: time.Now().Before(one.busyUntil), Sequence: one.sequence, Active: int(one.active.Load()), KvTotal: 114820}
 	one.lock.Unlock()
 	_ = json.NewEncoder(writer).Encode(state)
 }
