--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -87,14 +87,19 @@
 	staleList = 1300 * time.Millisecond
 )
 
+const listShare = 3
+
+func listPause(perSecond float64, pages int) time.Duration {
+	return max(listEvery, time.Duration(float64(listShare*time.Second)*float64(pages)/max(perSecond, 0.1)))
+}
+
 func (d *Daemon) rosterLoop(ctx context.Context) {
-	pause := max(listEvery, time.Duration(float64(3*time.Second)/max(d.settings.CloudAPI.RatePerS, 0.1)))
-	schedule := time.NewTicker(pause)
+	schedule := time.NewTimer(0)
 	defer schedule.Stop()
 	for {
+		began := d.clock()
 		holding := d.warden.Holding()
-		if holding || d.roster.age(d.clock()) > staleList {
-			began := d.clock()
+		if holding || d.roster.age(began) > staleList {
 			replicas, err := d.list.Read(ctx)
 			if err == nil {
 				sort.Slice(replicas, func(left, right int) bool { return replicas[left].ID < replicas[right].ID })
@@ -108,6 +113,7 @@
 		if holding {
 			d.shareRoster(ctx, true)
 		}
+		schedule.Reset(max(listPause(d.settings.CloudAPI.RatePerS, d.list.Pages())-d.clock().Sub(began), listEvery/4))
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -18,6 +18,13 @@
 	at      time.Time
 	failed  bool
 	aside   bool
+	done    chan struct{}
+}
+
+func (h heard) taken() {
+	if h.done != nil {
+		close(h.done)
+	}
 }
 
 type Listener struct {
@@ -105,8 +112,14 @@
 			continue
 		}
 		now := l.clock()
+		done := make(chan struct{})
+		select {
+		case l.news <- heard{address: address, news: news, at: now, failed: err != nil, aside: !poll.Wants, done: done}:
+		case <-ctx.Done():
+			return
+		}
 		select {
-		case l.news <- heard{address: address, news: news, at: now, failed: err != nil, aside: !poll.Wants}:
+		case <-done:
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/internal/dataplane/primary.go
@@ -0,0 +1,68 @@
+package dataplane
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+func (d *Desk) lag(now time.Time, newest int64) {
+	for _, held := range d.sources {
+		if held.fresh && held.revision > newest {
+			if d.behind.IsZero() {
+				d.behind = now
+			}
+			return
+		}
+	}
+	d.behind = time.Time{}
+}
+
+const behindPause = 150 * time.Millisecond
+
+const distrustAfter = 1700 * time.Millisecond
+
+func (d *Desk) choose() {
+	now := d.clock()
+	current := *d.wants.primary.Load()
+	newest := d.wants.revision.Load()
+	usable := func(held *source) bool {
+		patience := distrustAfter
+		if held.aside {
+			patience += longestHold * time.Millisecond / 2
+		}
+		return held.fresh && now.Sub(held.heardAt) < patience
+	}
+	d.lag(now, newest)
+	best, bestRank := "", -1
+	for address, held := range d.sources {
+		if !usable(held) {
+			continue
+		}
+		rank := 0
+		if held.revision > newest && now.Sub(d.behind) > behindPause {
+			rank += 4
+		}
+		if held.area == d.settings.Area {
+			rank += 2
+		}
+		if address == current {
+			rank++
+		}
+		if rank > bestRank {
+			best, bestRank = address, rank
+		}
+	}
+	if best != current {
+		d.wants.primary.Store(&best)
+		for _, address := range []string{current, best} {
+			if held := d.sources[address]; held != nil {
+				held.whole = false
+			}
+		}
+		if best != "" {
+			d.askAgain(best)
+		}
+		logrus.WithFields(logrus.Fields{"from": current, "to": best}).Info("parts are followed at another control daemon")
+	}
+}
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -14,8 +14,11 @@
 type List struct {
 	Address string
 	Client  *http.Client
+	pages   int
 }
 
+func (l *List) Pages() int { return max(l.pages, 1) }
+
 var ErrThrottled = errors.New("platform list: over the rate")
 
 const (
@@ -28,13 +31,14 @@
 	defer cancel()
 	var replicas []Replica
 	token := ""
-	for range pagesBound {
+	for number := range pagesBound {
 		page, err := l.page(bounded, token)
 		if err != nil {
 			return nil, err
 		}
 		replicas = append(replicas, page.Instances...)
 		if page.NextToken == nil || *page.NextToken == "" {
+			l.pages = number + 1
 			return replicas, nil
 		}
 		token = *page.NextToken
