Counts of data planes are kept or taken high while members do not know; refusals count at small replicas

All members restarted told a count of one until polls arrived, so that each data plane's shares of the retry budget and of cold places were the whole.

--- a/internal/controlplane/news.go
+++ b/internal/controlplane/news.go
@@ -149,7 +149,11 @@
 	}
 	control := append(others, d.self)
 	sort.Strings(control)
-	d.board.Touch(func(next *Bulletin) { next.Edges, next.Control = max(total, 1), control })
+	counted := max(total, 1)
+	if d.clock().Sub(d.started) < settleTime {
+		counted = 0
+	}
+	d.board.Touch(func(next *Bulletin) { next.Edges, next.Control = counted, control })
 }
 
 func (d *Daemon) hearGreeting(ctx context.Context, greeting partner.Greeting) greeted {
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -58,6 +58,8 @@
 	forget     func(func(*match.Ledger))
 	askAgain   func(address string)
 	behind     time.Time
+	counted    int
+	countedAt  time.Time
 	rehearsal  rehearsal
 }
 
@@ -196,13 +198,10 @@
 }
 
 func (d *Desk) publish() {
-	fleet := &match.Fleet{Table: d.table, Drained: map[string]bool{}, Edges: 1, Fetched: d.shown, Others: d.others.Replicas, OthersAt: d.othersAt, Total: d.others.Total, Drill: d.rehearsal.drill}
+	fleet := &match.Fleet{Table: d.table, Drained: map[string]bool{}, Edges: d.count(), Fetched: d.shown, Others: d.others.Replicas, OthersAt: d.othersAt, Total: d.others.Total, Drill: d.rehearsal.drill}
 	for area, state := range d.areas {
 		fleet.Drained[area] = state.Drained
 	}
-	for _, held := range d.sources {
-		fleet.Edges = max(fleet.Edges, held.edges)
-	}
 	fleet.Replicas = d.replicas
 	d.fleet.Store(fleet)
 	d.record(fleet)
--- a/internal/dataplane/parts_test.go
+++ b/internal/dataplane/parts_test.go
@@ -132,3 +132,22 @@
 	assert.Equal(t, len(drop), interestBound)
 	assert.DeepEqual(t, interest.Whole(), add)
 }
+
+func TestGivenMembersThatDoNotKnowTheCountYetThenItIsKeptOrTakenHigh(t *testing.T) {
+	s := newDeskStory()
+	told := func(address string, edges int) {
+		s.desk.hear(heard{address: address, news: partner.News{Life: address, Fresh: true, Edges: edges}, at: s.now})
+	}
+	assert.Equal(t, s.desk.count(), uncounted, "nobody told it")
+	told("near", 80)
+	told("far", 79)
+	assert.Equal(t, s.desk.count(), 80)
+	told("near", 0)
+	told("far", 0)
+	assert.Equal(t, s.desk.count(), 80, "all members are new")
+	told("near", 3)
+	assert.Equal(t, s.desk.count(), 80, "they have not heard of all yet")
+	s.now = s.now.Add(countKept + time.Second)
+	told("near", 60)
+	assert.Equal(t, s.desk.count(), 60)
+}
--- a/internal/dataplane/primary.go
+++ b/internal/dataplane/primary.go
@@ -66,3 +66,25 @@
 		logrus.WithFields(logrus.Fields{"from": current, "to": best}).Info("parts are followed at another control daemon")
 	}
 }
+
+const (
+	uncounted  = 512
+	countKept  = 10 * time.Second
+	countFresh = 5 * time.Second
+)
+
+func (d *Desk) count() int {
+	now, most := d.clock(), 0
+	for _, held := range d.sources {
+		if now.Sub(held.heardAt) < countFresh {
+			most = max(most, held.edges)
+		}
+	}
+	if most >= d.counted || most > 0 && now.Sub(d.countedAt) > countKept {
+		d.counted, d.countedAt = most, now
+	}
+	if d.counted == 0 {
+		return uncounted
+	}
+	return d.counted
+}
--- a/internal/match/health.go
+++ b/internal/match/health.go
@@ -100,7 +100,7 @@
 	running := m.bank(id).running + m.fleet.Others[id].Running - 1
 	for _, replica := range m.fleet.Replicas {
 		if replica.ID == id {
-			return float64(running) > share*float64(replica.Slots)
+			return float64(running) > max(share*float64(replica.Slots), 1)
 		}
 	}
 	return true
--- a/internal/match/settle.go
+++ b/internal/match/settle.go
@@ -129,6 +129,9 @@
 		at(key).Running = amount
 	}
 	for _, order := range m.waiting {
+		if m.OnWanted != nil {
+			m.OnWanted(order.Backend, BaseModel(order.Model))
+		}
 		model := at([2]string{order.Backend, order.Model})
 		model.Waiting++
 		model.OldestMs = max(model.OldestMs, float64(now.Sub(order.Arrived).Milliseconds()))
