--- a/internal/match/queue.go
+++ b/internal/match/queue.go
@@ -63,6 +63,7 @@
 	if order.drill != nil && command.Problem != nil {
 		order.drill.refused(order)
 	}
+	order.indexed, order.holders = nil, nil
 	order.Answer <- command
 }
 
--- a/internal/match/queue_test.go
+++ b/internal/match/queue_test.go
@@ -53,3 +53,12 @@
 	assert.Equal(t, len(orders["model-1"].Answer), 1)
 	assert.Equal(t, len(orders["model-2"].Answer), 0)
 }
+
+func TestGivenAnsweredOrdersThatAreKeptThenTheyHoldNoSnapshotOfTheFleet(t *testing.T) {
+	made := newGrown(3, 1, 3, func(int) int { return 0 })
+	order := made.order()
+	made.matcher.Begin(order)
+	command := <-order.Answer
+	assert.Assert(t, command.Ticket != nil)
+	assert.Assert(t, order.indexed == nil && order.holders == nil)
+}
