--- a/internal/controlplane/parts_test.go
+++ b/internal/controlplane/parts_test.go
@@ -152,3 +152,45 @@
 		}
 	}
 }
+
+func TestGivenManyReplicasThenOrdersWithoutAModelFollowASampleOfEveryZoneThatRestsUntilOneOfItChanges(t *testing.T) {
+	parts := NewParts()
+	var listed []platform.Replica
+	for index := range 120 {
+		one := listedWith(fmt.Sprintf("i-%03d", index), "one")
+		if one.Area = "north"; index >= 100 {
+			one.Area = "far"
+		}
+		listed = append(listed, one)
+	}
+	parts.Publish(listed, nil, partsNow)
+	first := parts.compose(named(""), partsNow)
+	areas := map[string]int{}
+	held := map[string]bool{}
+	for _, holder := range first.Holders {
+		areas[holder.Area]++
+		held[holder.ID] = true
+	}
+	assert.Assert(t, len(first.Holders) == sampleBound && areas["far"] >= sampleOfArea && areas["north"] >= sampleOfArea)
+	for index := range listed {
+		if !held[listed[index].ID] {
+			listed[index].State = platform.Draining
+			break
+		}
+	}
+	parts.Publish(slices.Clone(listed), nil, partsNow)
+	assert.Equal(t, parts.compose(named(""), partsNow).Version, first.Version, "one outside the sample changes nothing")
+	for index := range listed {
+		if held[listed[index].ID] {
+			listed[index].State = platform.Draining
+			break
+		}
+	}
+	parts.Publish(slices.Clone(listed), nil, partsNow)
+	next := parts.compose(named(""), partsNow)
+	assert.Assert(t, next.Version > first.Version)
+	assert.Equal(t, len(next.Holders), sampleBound)
+	for _, holder := range next.Holders {
+		assert.Assert(t, !holder.Draining)
+	}
+}
--- a/internal/controlplane/sample.go
+++ b/internal/controlplane/sample.go
@@ -9,7 +9,10 @@
 	"ferryspar/internal/partner"
 )
 
-const sampleBound = 16
+const (
+	sampleBound  = 16
+	sampleOfArea = 4
+)
 
 func (p *Parts) resample(touched map[partner.PartName]bool) {
 	for name := range touched {
@@ -52,8 +55,16 @@
 		}
 		return 1
 	})
-	chosen := make(map[string]*fact, sampleBound)
-	for _, one := range able[:sampleBound] {
+	chosen, areas := make(map[string]*fact, sampleBound), map[string]int{}
+	for _, one := range able {
+		if areas[one.listed.Area]++; areas[one.listed.Area] <= sampleOfArea {
+			chosen[one.listed.ID] = one
+		}
+	}
+	for _, one := range able {
+		if len(chosen) >= sampleBound {
+			break
+		}
 		chosen[one.listed.ID] = one
 	}
 	return chosen
