--- a/internal/story/rehearse_test.go
+++ b/internal/story/rehearse_test.go
@@ -63,6 +63,8 @@
 	return drill.Route{}
 }
 
+const demandTravels = 1500 * time.Millisecond
+
 func TestGivenTwoRegionsWhenOneIsForecastLostThenItsRealLossShowsTheSame(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, stands := twoRegions(t, 2)
@@ -76,6 +78,7 @@
 			assert.Equal(t, f.talk(1, fmt.Sprint("rare-", number), "/quick/", "rare", "dd:300").status, http.StatusOK)
 			assert.Equal(t, f.talk(2, fmt.Sprint("bound-", number), "/bound/", "swift", "ee:300").status, http.StatusOK)
 		}
+		time.Sleep(demandTravels)
 		got, told := f.rehearse(2, drill.Wish{Kind: drill.KindForecast, Scope: drill.Scope{Region: "far"}})
 		assert.Equal(t, got.status, http.StatusOK, got.body)
 		assert.Assert(t, !told.Partial && len(told.Answered) == 2, got.body)
