--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -111,13 +111,12 @@
 const suspectsNeeded = 2
 
 const (
-	loadsSlack   = 1.5
-	loadsJourney = 600 * time.Millisecond
+	loadsSlack   = 1.0
+	loadsJourney = time.Second
 )
 
 func (w *Warden) tokens(now time.Time, table *layout.Table) float64 {
-	bounds := w.daemon.settings.TimingBounds
-	span := env.Seconds(bounds.OriginPeriodS)
+	span := env.Seconds(w.daemon.settings.TimingBounds.OriginPeriodS)
 	kept := w.loads[:0]
 	for _, at := range w.loads {
 		if now.Sub(at) < span+loadsJourney {
@@ -131,7 +130,7 @@
 			rate = max(rate, backend.Runtime.LoadsPerS)
 		}
 	}
-	return rate*span.Seconds()*max(bounds.OriginOverage, 1) + loadsSlack - float64(len(w.loads))
+	return rate*span.Seconds() + loadsSlack - float64(len(w.loads))
 }
 
 func (w *Warden) begin(ctx context.Context, action place.Action, now time.Time) {
