Hold the daemons' own forecast against the emulated loss

The emulator asks every emulated data plane's matcher for its forecast (the pure function, on a fork), merges with the drill package, adds placement's foreseen steps, and the forecast command compares each figure that a loss shows: requests caught, going on, placed and per replica, replicas full, copies, loads, warm and re-read tokens, and per class nowhere loaded, waiting, bound, late and first-token quantiles, then and now. Emulated requests now name their route and whether they may be repeated, as the daemons' do.

--- a/cmd/ferryspar-emulator/forecast.go
+++ b/cmd/ferryspar-emulator/forecast.go
@@ -25,6 +25,7 @@
 const (
 	mostSize         = 10
 	methodByPressure = "counted by pressures"
+	methodByMatchers = "the daemons' forecast"
 )
 
 func (f *forecastOn) Execute([]string) error {
@@ -44,7 +45,10 @@
 	if f.AtOnce <= 0 {
 		f.AtOnce = max(runtime.NumCPU()/2, 1)
 	}
-	found, err := experiment.Judge(interrupted, wanted, f.Sizes, methodByPressure, emulator.CountByPressure, f.AtOnce, os.Stderr)
+	forecasters := map[string]emulator.Forecaster{
+		methodByPressure: emulator.CountByPressure, methodByMatchers: emulator.ByMatchers(wanted.AfterS),
+	}
+	found, err := experiment.Judge(interrupted, wanted, f.Sizes, forecasters, f.AtOnce, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/internal/emulator/call.go
+++ b/internal/emulator/call.go
@@ -23,6 +23,9 @@
 	pass      *pass
 	ended     bool
 	endedAt   time.Time
+	caught    bool
+	waitMs    float64
+	nowhere   bool
 	outcome   string
 }
 
@@ -49,6 +52,7 @@
 func (c *call) begin() {
 	c.began = c.world.now()
 	c.deadline, c.reason = c.began.Add(milliseconds(c.class.TimeoutMs)), outcomeExpired
+	c.nowhere = !c.world.holds(c.request.Model)
 	c.world.agenda.At(c.deadline, func() { c.end(outcomeExpired) })
 	c.attempt()
 }
@@ -81,7 +85,7 @@
 		one.order = match.Order{
 			Attempt: fmt.Sprintf("%d.%d", c.request.Number, try), Backend: backendName, Model: c.request.Model, Parts: c.request.Parts,
 			Dialogues: match.Dialogues(c.request.Parts), Prompt: c.request.Prompt, Output: float64(c.request.Output), Arrived: now, Deadline: c.deadline,
-			Aim: c.aim(), Priority: c.class.Priority, Homes: c.class.Homes, Excluded: map[string]bool{},
+			Aim: c.aim(), Priority: c.class.Priority, Route: c.class.Name, Repeatable: c.class.Resumable, Homes: c.class.Homes, Excluded: map[string]bool{},
 			Returned: remaining < milliseconds(c.class.TimeoutMs)-returnedSlack-c.world.link(chosen.area, c.request.Area),
 		}
 		chosen.take(one)
--- a/internal/emulator/core.go
+++ b/internal/emulator/core.go
@@ -154,6 +154,16 @@
 func (c *core) plan() {
 	now := c.world.now()
 	c.demand.measure(now)
+	view := c.view(now)
+	for _, action := range place.Plan(view) {
+		c.begin(action, now)
+	}
+	for _, one := range view.Servers {
+		c.charges[one.ID].intent = one.Intent
+	}
+}
+
+func (c *core) view(now time.Time) *place.View {
 	view := &place.View{
 		Now: now, Table: c.world.table, Pressure: c.demand.copied(), Loading: map[string]int{}, Drained: map[string]bool{},
 		Tokens: c.tokens(now), Learned: c.demand.learned(now),
@@ -173,12 +183,7 @@
 			Held: c.held[one.listed.Address], Intent: one.intent, Ready: one.known && one.pending == nil,
 		})
 	}
-	for _, action := range place.Plan(view) {
-		c.begin(action, now)
-	}
-	for _, one := range view.Servers {
-		c.charges[one.ID].intent = one.Intent
-	}
+	return view
 }
 
 func cloned(models map[string]bool) map[string]bool {
--- a/internal/emulator/loss.go
+++ b/internal/emulator/loss.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"ferryspar/internal/drill"
 	"ferryspar/internal/layout"
 	"ferryspar/internal/match"
 	"ferryspar/internal/partner"
@@ -33,10 +34,12 @@
 	Edges  []EdgeState
 	Demand map[string]*place.Pressure
 	Held   map[string]map[string]bool
+	Loss   drill.Loss
+	View   *place.View
 }
 
-func (w *World) snapshot(areas []int) Snapshot {
-	before := Snapshot{At: w.now(), Table: w.table, Lost: map[string]bool{}, Listed: w.listing(), Demand: w.core.demand.copied(), Held: w.core.held}
+func (w *World) snapshot(areas []int, from Loss) Snapshot {
+	before := Snapshot{At: w.now(), Table: w.table, Lost: map[string]bool{}, Listed: w.listing(), Demand: w.core.demand.copied(), Held: w.core.held, Loss: w.scope(from), View: w.core.view(w.now())}
 	for _, area := range areas {
 		before.Lost[w.scenario.Areas[area].Name] = true
 	}
@@ -51,10 +54,13 @@
 	return before
 }
 
-func (w *World) noteLoss(areas []int) {
-	loss := LossResult{AtS: w.elapsed().Seconds(), Warm: map[string]float64{}, Moving: make([]int, len(w.scenario.Classes))}
-	if w.Forecaster != nil {
-		loss.Forecast = w.Forecaster(w.snapshot(areas))
+func (w *World) noteLoss(areas []int, from Loss) {
+	loss := LossResult{AtS: w.elapsed().Seconds(), Warm: map[string]float64{}, MovedTo: map[string]int{}, Moving: make([]int, len(w.scenario.Classes))}
+	for name, forecaster := range w.Forecasters {
+		if loss.Forecasts == nil {
+			loss.Forecasts = map[string]Forecast{}
+		}
+		loss.Forecasts[name] = forecaster(w.snapshot(areas, from))
 	}
 	kept, gone := map[string]bool{}, map[string]bool{}
 	for _, one := range w.machines {
@@ -70,6 +76,7 @@
 			}
 		}
 		if !lost {
+			loss.Left = append(loss.Left, one.up.id)
 			continue
 		}
 		loss.Running += len(one.up.running)
@@ -85,7 +92,14 @@
 			loss.Waiting += one.matcher.Waiting()
 		}
 	}
+	scope := w.scope(from)
 	for _, one := range w.calls {
+		if one.caught = one.isCaught(areas); one.caught {
+			loss.Caught++
+			if scope.Homeless(one.class.Homes) {
+				loss.Bound++
+			}
+		}
 		if one.moves(areas) {
 			loss.Moving[one.request.Class]++
 		}
@@ -94,6 +108,7 @@
 	loss.LastCopy = append([]string{}, slices.Sorted(maps.Keys(gone))...)
 	w.observer.losses = append(w.observer.losses, loss)
 	w.followCopies(len(w.observer.losses)-1, gone)
+	w.followFull(len(w.observer.losses)-1, w.elapsed(), map[string]bool{})
 }
 
 func (c *call) moves(areas []int) bool {
--- a/internal/emulator/observe.go
+++ b/internal/emulator/observe.go
@@ -21,6 +21,8 @@
 	FirstMs float64
 	Outcome string
 	InTime  bool
+	WaitMs  float64
+	Nowhere bool
 }
 
 type Bucket struct {
@@ -42,14 +44,19 @@
 }
 
 type LossResult struct {
-	AtS      float64            `json:"atS"`
-	Running  int                `json:"running"`
-	Waiting  int                `json:"waiting"`
-	Warm     map[string]float64 `json:"warmTokens"`
-	LastCopy []string           `json:"modelsWithoutCopy"`
-	Moving   []int              `json:"requestsMoving"`
-	Forecast Forecast           `json:"forecast,omitempty"`
-	BackS    float64            `json:"lastCopyBackS"`
+	AtS       float64             `json:"atS"`
+	Running   int                 `json:"running"`
+	Waiting   int                 `json:"waiting"`
+	Warm      map[string]float64  `json:"warmTokens"`
+	LastCopy  []string            `json:"modelsWithoutCopy"`
+	Moving    []int               `json:"requestsMoving"`
+	Forecasts map[string]Forecast `json:"forecasts,omitempty"`
+	BackS     float64             `json:"lastCopyBackS"`
+	MovedTo   map[string]int      `json:"movedTo"`
+	Bound     int                 `json:"boundToLost"`
+	Caught    int                 `json:"caught"`
+	Full      int                 `json:"replicasFull"`
+	Left      []string            `json:"replicasLeft"`
 }
 
 type Result struct {
@@ -112,6 +119,7 @@
 	bucket := &class.Buckets[min(int(one.request.At.Seconds()/o.scenario.BucketS), len(class.Buckets)-1)]
 	o.orders[one.request.Number] = Order{
 		Class: one.request.Class, AtS: one.request.At.Seconds(), FirstMs: one.firstMs(), Outcome: one.outcome, InTime: one.inTime(),
+		WaitMs: one.waitMs, Nowhere: one.nowhere,
 	}
 	class.Offered++
 	class.Outcomes[one.outcome]++
--- a/internal/emulator/pass.go
+++ b/internal/emulator/pass.go
@@ -9,25 +9,26 @@
 )
 
 type pass struct {
-	call     *call
-	edge     *edge
-	life     int
-	try      int
-	order    match.Order
-	pending  *match.Order
-	number   int
-	sent     int
-	reached  int
-	ran      bool
-	headed   bool
-	lastID   int
-	chosen   string
-	ticket   *match.Ticket
-	run      *run
-	lastByte time.Time
-	lastTold time.Time
-	first    bool
-	closed   bool
+	call      *call
+	edge      *edge
+	life      int
+	try       int
+	order     match.Order
+	pending   *match.Order
+	number    int
+	sent      int
+	reached   int
+	ran       bool
+	headed    bool
+	lastID    int
+	chosen    string
+	ticket    *match.Ticket
+	run       *run
+	lastByte  time.Time
+	lastTold  time.Time
+	first     bool
+	closed    bool
+	submitted time.Time
 }
 
 const (
@@ -42,7 +43,7 @@
 
 func (p *pass) submit() {
 	order := p.order
-	p.pending = &order
+	p.pending, p.submitted = &order, p.edge.world.now()
 	p.edge.waiting = append(p.edge.waiting, p)
 	p.edge.matcher.Begin(p.pending)
 	p.edge.collect()
@@ -56,6 +57,7 @@
 	}
 	w := p.edge.world
 	p.ticket = command.Ticket
+	p.noteDispatch(command.Replica.ID)
 	if p.sent > 0 && !p.edge.budget.Take(w.now(), p.edge.fleet.Load().Edges) {
 		p.edge.report(p.ticket, match.OutcomeCancelled)
 		p.fail(problem.Later(problem.NotExecuted, 100*time.Millisecond))
--- a/internal/emulator/troubles.go
+++ b/internal/emulator/troubles.go
@@ -39,7 +39,7 @@
 }
 
 func (w *World) lose(areas []int, loss Loss) {
-	w.noteLoss(areas)
+	w.noteLoss(areas, loss)
 	for _, one := range w.edges {
 		if !one.alive || !slices.Contains(areas, one.area) {
 			continue
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -17,22 +17,22 @@
 const backendName = "scribes"
 
 type World struct {
-	scenario   Scenario
-	agenda     *agenda.Agenda
-	began      time.Time
-	table      *layout.Table
-	machines   []*machine
-	servers    map[string]*server
-	edges      []*edge
-	core       *core
-	calls      []*call
-	lost       map[int]bool
-	listed     map[string]platform.Replica
-	storeLoads int
-	observer   *observer
-	faults     []string
-	begun      map[string]bool
-	Forecaster Forecaster
+	scenario    Scenario
+	agenda      *agenda.Agenda
+	began       time.Time
+	table       *layout.Table
+	machines    []*machine
+	servers     map[string]*server
+	edges       []*edge
+	core        *core
+	calls       []*call
+	lost        map[int]bool
+	listed      map[string]platform.Replica
+	storeLoads  int
+	observer    *observer
+	faults      []string
+	begun       map[string]bool
+	Forecasters map[string]Forecaster
 }
 
 func NewWorld(scenario Scenario) (*World, error) {
--- /dev/null
+++ b/internal/experiment/foretold_test.go
@@ -0,0 +1,41 @@
+package experiment
+
+import (
+	"io"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/emulator"
+)
+
+func TestGivenTheDaemonsForecastThenItIsHeldAgainstTheLossAndABrokenOneIsFlagged(t *testing.T) {
+	read, err := Parse([]byte(strings.NewReplacer("perS = 6", "perS = 30", "retryCount = 2", "retryCount = 2\nresumable = true").Replace(small)))
+	assert.NilError(t, err)
+	read.Seeds = 4
+	sound := emulator.ByMatchers(read.AfterS)
+	found, err := Judge(t.Context(), read, []int{1}, map[string]emulator.Forecaster{"sound": sound, "broken": func(before emulator.Snapshot) emulator.Forecast {
+		before.Loss.Area = "elsewhere"
+		return sound(before)
+	}}, 4, io.Discard)
+	assert.NilError(t, err)
+	byName := map[string]Judged{}
+	for _, one := range found {
+		byName[one.Method+" "+one.Figure] = one
+	}
+	for _, name := range []string{emulator.FigurePlaced, emulator.FigureCaught, perReplicaOf} {
+		whole, broken := byName["sound "+name], byName["broken "+name]
+		assert.Assert(t, whole.Mean.Mean > 0, name)
+		assert.Assert(t, !slices.Contains(whole.Flags, flagBiased), "%s: %+v", name, whole)
+		assert.Assert(t, slices.Contains(broken.Flags, flagBiased), "%s: %+v", name, broken)
+		assert.Assert(t, whole.Absolute.Mean < broken.Absolute.Mean, name)
+	}
+	warm := byName["broken "+emulator.FigureWarm]
+	assert.Equal(t, warm.Relative.Mean, 1.0)
+	assert.DeepEqual(t, warm.Flags, []string{flagBiased, flagWorse})
+	for _, name := range []string{emulator.ThenMissed + over + "the first 5 s", emulator.NowMedian, emulator.ThenTail + over + "the rest of the loss"} {
+		assert.Equal(t, len(byName["sound quick: "+name].Forecast), read.Seeds, name)
+	}
+}
--- a/internal/experiment/judge.go
+++ b/internal/experiment/judge.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 
@@ -21,6 +22,8 @@
 	Error    Estimate  `json:"error"`
 	Absolute Estimate  `json:"absoluteError"`
 	Mean     Estimate  `json:"meanTruth"`
+	Relative *Estimate `json:"relativeError,omitempty"`
+	Flags    []string  `json:"flags,omitempty"`
 }
 
 const (
@@ -40,7 +43,7 @@
 	return scenario
 }
 
-func Judge(ctx context.Context, wanted Configuration, sizes []int, method string, forecaster emulator.Forecaster, atOnce int, to io.Writer) ([]Judged, error) {
+func Judge(ctx context.Context, wanted Configuration, sizes []int, forecasters map[string]emulator.Forecaster, atOnce int, to io.Writer) ([]Judged, error) {
 	var found []Judged
 	if len(wanted.Built[0].Losses) == 0 {
 		return nil, errors.New("the first variant names no loss to forecast")
@@ -53,40 +56,40 @@
 		pair := wanted
 		pair.Variants = []Variant{{Name: "lost"}, {Name: "spared"}}
 		pair.Built = []emulator.Scenario{lost, spared}
-		all, err := run(ctx, pair, atOnce, to, forecaster)
+		all, err := run(ctx, pair, atOnce, to, forecasters)
 		if err != nil {
 			return nil, err
 		}
-		found = append(found, pair.judge(all, size, method)...)
+		found = append(found, pair.judge(all, size, slices.Sorted(maps.Keys(forecasters)))...)
 	}
 	return found, nil
 }
 
-func (c Configuration) judge(all []Runs, size int, method string) []Judged {
+func (c Configuration) judge(all []Runs, size int, methods []string) []Judged {
 	var names []string
-	truths := map[string][]float64{}
+	truths, seeds := map[string][]float64{}, map[string][]int{}
 	for seed := range all[0].Results {
 		lost, spared := all[0].Results[seed], all[1].Results[seed]
 		for _, one := range c.truth(lost, spared) {
 			if truths[one.name] == nil {
 				names = append(names, one.name)
 			}
-			truths[one.name] = append(truths[one.name], one.value)
+			truths[one.name], seeds[one.name] = append(truths[one.name], one.value), append(seeds[one.name], seed)
 		}
 	}
 	var found []Judged
 	for _, name := range names {
 		truth := truths[name]
-		told := make([]float64, 0, len(truth))
-		for _, result := range all[0].Results {
-			if value, known := result.Losses[0].Forecast[name]; known {
-				told = append(told, value)
+		base := judged(name, MethodOthers, size, truth, others(truth))
+		for _, method := range methods {
+			if told := told(all[0].Results, method, name, seeds[name]); told != nil {
+				found = append(found, judged(name, method, size, truth, told).flagged(&base))
 			}
 		}
-		if len(told) == len(truth) {
-			found = append(found, judged(name, method, size, truth, told))
-		}
-		found = append(found, judged(name, MethodOthers, size, truth, others(truth)))
+		found = append(found, base)
+	}
+	for _, method := range methods {
+		found = append(found, perReplica(all[0].Results, method, size)...)
 	}
 	return found
 }
@@ -109,7 +112,7 @@
 	for index, value := range errors {
 		absolute[index] = math.Abs(value)
 	}
-	return Judged{Figure: name, Method: method, Size: size, Truth: truth, Forecast: told, Error: estimate(errors), Absolute: estimate(absolute), Mean: estimate(truth)}
+	return Judged{Figure: name, Method: method, Size: size, Truth: truth, Forecast: told, Error: estimate(errors)}.measured(absolute)
 }
 
 func (c Configuration) truth(lost, spared emulator.Result) []measured {
@@ -134,7 +137,9 @@
 		{emulator.FigureBack, loss.BackS},
 		{emulator.FigureReadAgain, readBetween(lost, loss.AtS, end) - readBetween(spared, loss.AtS, end)},
 	}
+	found = append(found, placed(lost, end)...)
 	for number, class := range lost.Classes {
+		found = append(found, c.then(lost, spared, number)...)
 		found = append(found, slowed(lost, spared, number, class.Name, c.Built[0].Classes[number].AimMs, loss.AtS, end)...)
 	}
 	return found
--- a/internal/experiment/judge_test.go
+++ b/internal/experiment/judge_test.go
@@ -14,7 +14,7 @@
 	t.Helper()
 	read, err := Parse([]byte(small))
 	assert.NilError(t, err)
-	found, err := Judge(t.Context(), read, []int{1, 2}, "tried", forecaster, 4, io.Discard)
+	found, err := Judge(t.Context(), read, []int{1, 2}, map[string]emulator.Forecaster{"tried": forecaster}, 4, io.Discard)
 	assert.NilError(t, err)
 	byName := map[string]Judged{}
 	for _, one := range found {
@@ -46,20 +46,23 @@
 	played := func(forecaster emulator.Forecaster) string {
 		world, err := emulator.NewWorld(read.Built[0])
 		assert.NilError(t, err)
-		world.Forecaster = forecaster
+		if forecaster != nil {
+			world.Forecasters = map[string]emulator.Forecaster{"tried": forecaster}
+		}
 		result := world.Run()
-		result.Losses[0].Forecast = nil
+		result.Losses[0].Forecasts = nil
 		content, err := json.Marshal(result)
 		assert.NilError(t, err)
 		return string(content)
 	}
 	assert.Assert(t, played(nil) == played(emulator.CountByPressure))
+	assert.Assert(t, played(nil) == played(emulator.ByMatchers(read.AfterS)))
 }
 
 func TestGivenNoLossThenThereIsNothingToForecast(t *testing.T) {
 	read, err := Parse([]byte(small))
 	assert.NilError(t, err)
 	read.Built[0].Losses = nil
-	_, err = Judge(t.Context(), read, []int{1}, "tried", emulator.CountByPressure, 1, io.Discard)
+	_, err = Judge(t.Context(), read, []int{1}, map[string]emulator.Forecaster{"tried": emulator.CountByPressure}, 1, io.Discard)
 	assert.ErrorContains(t, err, "no loss")
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -45,7 +45,7 @@
 	return run(ctx, wanted, atOnce, to, nil)
 }
 
-func run(ctx context.Context, wanted Configuration, atOnce int, to io.Writer, forecaster emulator.Forecaster) ([]Runs, error) {
+func run(ctx context.Context, wanted Configuration, atOnce int, to io.Writer, forecasters map[string]emulator.Forecaster) ([]Runs, error) {
 	all := make([]Runs, len(wanted.Variants))
 	told := &progress{to: to, began: time.Now(), total: len(wanted.Variants) * wanted.Seeds}
 	places := make(chan struct{}, max(atOnce, 1))
@@ -70,7 +70,7 @@
 					failures <- errors.Wrapf(err, "variant %q", variant.Name)
 					return
 				}
-				world.Forecaster = forecaster
+				world.Forecasters = forecasters
 				*target = world.Run()
 				told.note()
 			})
--- a/internal/experiment/write.go
+++ b/internal/experiment/write.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -91,13 +92,18 @@
 func PrintJudged(to io.Writer, found []Judged) error {
 	fmt.Fprint(to, "forecast against an emulated loss; mean ± half of the 95% interval over seeds\n\n")
 	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "size\tfigure\tmethod\ttruth\terror\tabsolute error")
+	fmt.Fprintln(table, "size\tfigure\tmethod\ttruth\terror\tabsolute error\trelative error\tflags")
 	for _, one := range found {
 		fmt.Fprintf(table, "%d\t%s\t%s", one.Size, one.Figure, one.Method)
 		for _, shown := range []Estimate{one.Mean, one.Error, one.Absolute} {
 			fmt.Fprintf(table, "\t%s ± %s", number(shown.Mean), number(shown.Half))
 		}
-		fmt.Fprintln(table)
+		if one.Relative == nil {
+			fmt.Fprint(table, "\t-")
+		} else {
+			fmt.Fprintf(table, "\t%.0f%% ± %.0f%%", 100*one.Relative.Mean, 100*one.Relative.Half)
+		}
+		fmt.Fprintf(table, "\t%s\n", strings.Join(one.Flags, ", "))
 	}
 	return table.Flush()
 }
--- /dev/null
+++ b/internal/match/foretell.go
@@ -0,0 +1,8 @@
+package match
+
+import "ferryspar/internal/drill"
+
+func (m *Matcher) Foretell(loss drill.Loss) drill.Answer {
+	now := m.clock()
+	return m.fork(now, m.ledger.fork()).forecast(loss, now)
+}
