--- a/internal/controlplane/follow.go
+++ b/internal/controlplane/follow.go
@@ -124,7 +124,7 @@
 	replicas := map[string]bool{}
 	for name := range held.names {
 		if one := p.parts[name]; one != nil {
-			for id := range one.told() {
+			for id := range one.holders {
 				replicas[id] = true
 			}
 		}
--- a/internal/controlplane/parts.go
+++ b/internal/controlplane/parts.go
@@ -23,13 +23,6 @@
 	sample  map[string]*fact
 }
 
-func (p *part) told() map[string]*fact {
-	if p.sample != nil {
-		return p.sample
-	}
-	return p.holders
-}
-
 type Parts struct {
 	lock       sync.Mutex
 	version    uint64
@@ -151,7 +144,11 @@
 		return composed
 	}
 	composed.Version = held.version
-	for id, one := range held.told() {
+	holders := held.holders
+	if held.sample != nil {
+		holders = held.sample
+	}
+	for id, one := range holders {
 		holder := partner.Holder{
 			ID: id, Address: one.listed.Address, Area: one.listed.Area, Slots: one.listed.Slots,
 			Draining: one.listed.State == platform.Draining, Adapters: one.holdings[name.Model],
--- a/internal/dataplane/desk.go
+++ b/internal/dataplane/desk.go
@@ -20,6 +20,7 @@
 	heardAt   time.Time
 	revision  int64
 	edges     int
+	holder    string
 	life      string
 	parts     map[partner.PartName]partner.Part
 	whole     bool
@@ -40,6 +41,7 @@
 	outlook    chan partner.Outlook
 	others     partner.Outlook
 	othersAt   time.Time
+	holder     atomic.Pointer[string]
 	notify     func()
 	shown      time.Time
 	usedFrom   string
@@ -68,6 +70,7 @@
 	}
 	fleet.Store(&match.Fleet{})
 	nobody := ""
+	desk.holder.Store(&nobody)
 	desk.wants.primary.Store(&nobody)
 	desk.wants.told.Store(&toldParts{})
 	return desk
@@ -91,6 +94,8 @@
 
 func (d *Desk) Ready() bool { return d.fleet.Load().Table != nil }
 
+func (d *Desk) Holder() string { return *d.holder.Load() }
+
 func (d *Desk) Run(ctx context.Context, listener *Listener) {
 	schedule := time.NewTicker(100 * time.Millisecond)
 	defer schedule.Stop()
@@ -139,6 +144,9 @@
 	}
 	news := one.news
 	held.fresh, held.heardAt, held.revision, held.edges, held.aside = news.Fresh, one.at, news.Revision, news.Edges, one.aside
+	if news.Holder != "" && news.Fresh {
+		d.holder.Store(&news.Holder)
+	}
 	changed := false
 	if news.Fresh {
 		changed = d.adopt(news)
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -56,6 +56,15 @@
 	}
 }
 
+func (l *Listener) Drop(address string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if cancel := l.known[address]; cancel != nil {
+		cancel()
+		delete(l.known, address)
+	}
+}
+
 func (l *Listener) AskAgain(address string) {
 	l.lock.Lock()
 	stop := l.asking[address]
--- a/internal/dataplane/parts.go
+++ b/internal/dataplane/parts.go
@@ -71,6 +71,7 @@
 	}
 	for _, name := range one.question.Drop {
 		delete(held.parts, name)
+		d.forgetPart(one.address, name)
 	}
 	held.fetchedAt = one.at.Add(-time.Duration(one.answer.RosterAge) * time.Millisecond)
 	touched := d.keep(held, one.answer.Parts)
@@ -182,3 +183,9 @@
 		ID: holder.ID, Backend: backend, Address: holder.Address, Area: holder.Area, Slots: holder.Slots, State: state, ColdRemainingMs: holder.ColdMs,
 	}
 }
+
+func (d *Desk) forgetPart(address string, name partner.PartName) {
+	if address == d.usedFrom {
+		d.rebuild(d.sources[address])
+	}
+}
