Orders to replicas are compare-and-set and belong to one grant of the lease

Cause: the holder of the placement lease decided on what it remembered of a replica. Anything that was carried out there unseen (an order of the holder before that arrived late, of its own former life, or without an answer) stayed unknown for ever, since a replica without a pending order is never asked again; the next load was ordered beyond its room.

Change: package replicastate knows a replica under one grant; each order names the sequence that it was decided on and the fence of its grant and is sent under no other; what a refused or unanswered order leaves open is asked for; the platform's list is compared with what is known. Stand-ins check expectedCount.

Ruled out: waiting longer after a takeover (an order may arrive later than any wait), asking before each order (a report is old when it comes).

--- a/internal/controlplane/eviction.go
+++ b/internal/controlplane/eviction.go
@@ -12,6 +12,7 @@
 
 	"ferryspar/internal/place"
 	"ferryspar/internal/platform"
+	"ferryspar/internal/replicastate"
 	"ferryspar/internal/retention"
 )
 
@@ -119,8 +120,8 @@
 		w.eviction.running = ""
 		return
 	}
-	idle := one.known && one.pending == nil && one.intent == ""
-	if idle && (one.models[model] || took > reloadPatience) {
+	idle := one.state.Phase() == replicastate.Idle && one.intent == ""
+	if idle && (one.state.Held()[model] || took > reloadPatience) {
 		w.eviction.running = ""
 	}
 }
@@ -155,16 +156,11 @@
 func (w *Scheduler) countPairs(ctx context.Context, item retention.Item) {
 	var pairs []retention.Pair
 	for id, one := range w.managed {
-		if !one.known && one.listed.State != platform.Draining {
+		if !one.state.Known() && one.listed.State != platform.Draining {
 			return
 		}
-		held := maps.Clone(one.models)
-		if held == nil {
-			held = map[string]bool{}
-		}
-		if one.pending != nil && one.pending.Load {
-			held[one.pending.Model] = true
-		}
+		held := maps.Clone(one.state.Held())
+		maps.Copy(held, one.state.MayHold(w.daemon.clock()))
 		for reference := range held {
 			if !strings.Contains(reference, "/") && item.Scope.CoversModel(reference) {
 				pairs = append(pairs, retention.Pair{Replica: id, Model: reference, State: retention.Pending})
@@ -185,6 +181,7 @@
 
 // updateItem stores which of an item's copies have been evicted or are gone with their replica.
 func (w *Scheduler) updateItem(ctx context.Context, item retention.Item) {
+	now := w.daemon.clock()
 	states := map[retention.Pair]string{}
 	for _, pair := range item.Pairs {
 		if pair.State != retention.Pending {
@@ -195,7 +192,7 @@
 			states[pair] = retention.Gone
 			continue
 		}
-		if one.known && one.pending == nil && !one.models[pair.Model] {
+		if one.state.Phase() == replicastate.Idle && !one.state.Held()[pair.Model] && !one.state.MayHold(now)[pair.Model] {
 			w.eviction.cleared[clearedKey(item.Number, pair)] = true
 		}
 		if w.eviction.cleared[clearedKey(item.Number, pair)] {
--- a/internal/controlplane/explain.go
+++ b/internal/controlplane/explain.go
@@ -27,7 +27,7 @@
 			one := w.managed[server.ID]
 			states[server.ID] = fmt.Sprintf(
 				"ready=%t known=%t asking=%t pending=%v intent=%s models=%d",
-				server.Ready, one.known, one.asking, one.pending, one.intent, len(one.models),
+				server.Ready, one.state.Known(), one.state.Asking(), one.pending, one.intent, len(one.state.Held()),
 			)
 		}
 		logrus.WithFields(states).Info("model still waited for")
--- a/internal/controlplane/feed_bench_test.go
+++ b/internal/controlplane/feed_bench_test.go
@@ -65,7 +65,7 @@
 					w.tally.Hear(report, append([]string{}, names...), now)
 				}
 				w.measure()
-				w.adoptList(listed)
+				w.adoptList(listed, now)
 				w.addServers(&place.View{Table: table}, now)
 			}
 		})
--- a/internal/controlplane/instructionanswers.go
+++ b/internal/controlplane/instructionanswers.go
@@ -5,86 +5,76 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/nodesettings"
-	"ferryspar/internal/place"
+	"ferryspar/internal/replicastate"
 )
 
-// answerHandler is what follows from the answer to an instruction.
-type answerHandler func(w *Scheduler, one *managedReplica, action place.Action, now time.Time)
-
-// answerHandlers holds what follows from each status; 0 stands for no answer and any other status.
-var answerHandlers = map[int]answerHandler{
-	http.StatusAccepted:           (*Scheduler).onAccepted,
-	http.StatusOK:                 (*Scheduler).onAlreadyDone,
-	http.StatusConflict:           (*Scheduler).onBusy,
-	http.StatusPreconditionFailed: (*Scheduler).onFenced,
-	http.StatusBadRequest:         (*Scheduler).onRejected,
-	http.StatusMisdirectedRequest: (*Scheduler).onRejected,
-	0:                             (*Scheduler).onUnknown,
-}
-
-// onAlreadyDone asks for a report soon, which ends the change.
-func (w *Scheduler) onAlreadyDone(one *managedReplica, _ place.Action, now time.Time) {
-	one.pollAt = now.Add(reportLag)
+// outcomes holds what each status says of an order; any other status is no clear answer.
+var outcomes = map[int]replicastate.Outcome{
+	0:                             replicastate.NotSent,
+	http.StatusAccepted:           replicastate.Accepted,
+	http.StatusOK:                 replicastate.AlreadyDone,
+	http.StatusConflict:           replicastate.Conflict,
+	http.StatusPreconditionFailed: replicastate.Fenced,
+	http.StatusBadRequest:         replicastate.Rejected,
+	http.StatusMisdirectedRequest: replicastate.Rejected,
 }
 
-// onBusy gives the change up and asks what the replica holds.
-func (w *Scheduler) onBusy(one *managedReplica, _ place.Action, now time.Time) {
-	one.pending = nil
-	one.known = false
-	one.pollAt = now.Add(busyPause)
-}
-
-// onFenced gives the change up: the replica has heard from a holder with a higher fence.
-func (w *Scheduler) onFenced(one *managedReplica, _ place.Action, now time.Time) {
-	one.pending = nil
-	one.blocked = now.Add(refusedPause)
-}
-
-// onRejected gives the change up and leaves the replica alone for a while before it asks again
-// what it holds.
-func (w *Scheduler) onRejected(one *managedReplica, _ place.Action, now time.Time) {
-	one.pending = nil
-	one.known = false
-	one.blocked = now.Add(refusedPause)
+// outcomeOf is what the end of an order's call says; an error says nothing.
+func outcomeOf(status int, err error) replicastate.Outcome {
+	outcome, known := outcomes[status]
+	if err != nil || !known {
+		return replicastate.NoAnswer
+	}
+	return outcome
 }
 
-// onUnknown asks what the replica holds: the instruction may or may not have arrived.
-func (w *Scheduler) onUnknown(one *managedReplica, _ place.Action, now time.Time) {
+// onAnswer handles the end of an order's call.
+func (w *Scheduler) onAnswer(one *managedReplica, order replicastate.Order, status int, err error) {
+	w.stirred = true
+	now := w.daemon.clock()
+	w.logOrder(one, order, status, err)
+	one.state.Answer(order, outcomeOf(status, err), now)
+	if one.state.Phase() == replicastate.Changing {
+		one.state.ExpectDone(now.Add(w.expectedTime(one)))
+		return
+	}
 	one.pending = nil
-	one.known = false
-	one.pollAt = now.Add(unknownPause)
+	if one.state.Phase() == replicastate.Idle {
+		w.liftBars(one, now)
+	}
 }
 
-// onAnswer handles the answer to an instruction; an error counts as no answer.
-func (w *Scheduler) onAnswer(one *managedReplica, action place.Action, status int, err error) {
-	w.stirred = true
-	w.log(action, status, err)
-	if err != nil {
-		status = 0
+// expectedTime is how long the order that a replica has accepted should take.
+func (w *Scheduler) expectedTime(one *managedReplica) time.Duration {
+	action := one.pending
+	if action == nil || !action.Load {
+		return reportLag
 	}
-	follow, known := answerHandlers[status]
-	if !known {
-		follow = answerHandlers[0]
+	model, adapter, _ := strings.Cut(action.Model, "/")
+	found, known := w.modelOf(one.listed.Backend, model)
+	if !known || adapter != "" {
+		return reportLag
 	}
-	follow(w, one, action, w.daemon.clock())
+	expected := nodesettings.Seconds(found.LoadTimeS)
+	if !action.Stored {
+		expected = time.Duration(float64(expected) * diskShare)
+	}
+	return max(expected+100*time.Millisecond, reportLag)
 }
 
-// onAccepted asks for a report when the change should be over.
-func (w *Scheduler) onAccepted(one *managedReplica, action place.Action, now time.Time) {
-	one.sequence++
-	one.began = now
-	model, adapter, _ := strings.Cut(action.Model, "/")
-	expected := reportLag
-	if found, ok := w.modelOf(one.listed.Backend, model); ok && adapter == "" && action.Load {
-		expected = nodesettings.Seconds(found.LoadTimeS)
-		if !action.Stored {
-			expected = time.Duration(float64(expected) * diskShare)
+// liftBars lets the data planes use again what no order unloads any more.
+func (w *Scheduler) liftBars(one *managedReplica, now time.Time) {
+	one.barred = map[string]bool{}
+	for _, change := range one.state.Doubtful(now) {
+		if !change.Load {
+			w.barReferences(one, change.Reference)
 		}
-		expected += 100 * time.Millisecond
 	}
-	one.pollAt = now.Add(max(expected, reportLag))
+	one.stale, w.unshown = true, true
 }
 
 // modelOf finds a backend's model in the configuration.
@@ -95,3 +85,15 @@
 	}
 	return w.table.Model(index, name)
 }
+
+// logOrder logs an order with the end of its call.
+func (w *Scheduler) logOrder(one *managedReplica, order replicastate.Order, status int, err error) {
+	why := ""
+	if one.pending != nil {
+		why = one.pending.Why
+	}
+	logrus.WithFields(logrus.Fields{
+		"replica": one.listed.ID, "load": order.Load, "model": order.Reference, "why": why, "status": status,
+		"fence": order.Fence, "expected": order.Expected, "problem": err,
+	}).Info("placement order")
+}
--- a/internal/controlplane/instructions.go
+++ b/internal/controlplane/instructions.go
@@ -9,25 +9,14 @@
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/place"
 	"ferryspar/internal/replica"
+	"ferryspar/internal/replicastate"
 )
 
 const (
-	// reportLag is how long after an accepted change a report may still tell the state before.
-	reportLag = 250 * time.Millisecond
-	// mismatchesNeeded is how many reports against a pending change end it.
-	mismatchesNeeded = 3
-	// unknownPause is the wait for a report after an instruction without a clear answer.
-	unknownPause = 1500 * time.Millisecond
-	// busyPause is the wait before a replica is asked again.
-	busyPause = 250 * time.Millisecond
-	// refusedPause is how long a replica that rejects an instruction is left alone.
-	refusedPause = 4 * time.Second
 	// barTime is how long data planes are given to stop using a model before it is unloaded.
 	barTime = 220 * time.Millisecond
 	// diskShare is the expected share of the load time that a load from the replica's own disk takes.
 	diskShare = 0.2
-	// longestChange is when a replica is asked for its report although nothing was heard of a change.
-	longestChange = 60 * time.Second
 )
 
 const (
@@ -56,60 +45,63 @@
 	return rate*span.Seconds() + loadsSlack - float64(len(w.loads))
 }
 
-// startAction marks a load or unload as pending and sends its instruction, an unload only after the
-// data planes had time to stop using the model.
+// startAction ties the planner's action to what is known of its replica and sends the order, an unload only after the data
+// planes had time to stop using the model.
 func (w *Scheduler) startAction(ctx context.Context, action place.Action, now time.Time) {
 	one := w.managed[action.Server]
+	order, possible := one.state.Decide(replicastate.Change{Load: action.Load, Reference: action.Model}, now)
+	if !possible {
+		return
+	}
 	one.pending = &action
-	one.began = now
-	one.pollAt = now.Add(longestChange)
 	if action.Load && action.Stored && !strings.Contains(action.Model, "/") {
 		w.loads = append(w.loads, now)
 	}
 	pause := time.Duration(0)
 	if !action.Load {
-		w.barReferences(one, action)
+		w.barReferences(one, action.Model)
 		pause = barTime
 	}
 	address := one.listed.Address
 	go func() {
 		nodesettings.Sleep(ctx, pause)
-		status, err := w.sendInstruction(ctx, address, action)
-		w.results <- func() { w.onAnswer(one, action, status, err) }
+		status, err := w.sendInstruction(ctx, address, action.Server, order)
+		w.results <- func() { w.onAnswer(one, order, status, err) }
 	}()
 }
 
 // barReferences has the edges stop using what is to be unloaded: the model or adapter, and a
 // model's adapters with it.
-func (w *Scheduler) barReferences(one *managedReplica, action place.Action) {
-	one.barred[action.Server+" "+action.Model] = true
-	for reference := range one.models {
-		if strings.HasPrefix(reference, action.Model+"/") {
-			one.barred[action.Server+" "+reference] = true
+func (w *Scheduler) barReferences(one *managedReplica, unloaded string) {
+	one.barred[one.listed.ID+" "+unloaded] = true
+	for reference := range one.state.Held() {
+		if strings.HasPrefix(reference, unloaded+"/") {
+			one.barred[one.listed.ID+" "+reference] = true
 		}
 	}
 	one.stale = true
 	w.unshown = true
 }
 
-// sendInstruction sends the instruction and returns the status of the answer. The status is 0
-// without an error if the lease no longer allows it; then nothing was sent. It runs on a goroutine
-// of its own and touches no state of the scheduler but the lease.
-func (w *Scheduler) sendInstruction(ctx context.Context, address string, action place.Action) (int, error) {
-	hold := w.hold.Load()
-	if !hold.Allows(w.daemon.clock(), orderNeeds) {
+// sendInstruction sends an order under the grant that it was decided under, and returns the status of the answer. The
+// status is 0 without an error if that grant no longer allows it; then nothing was sent. It runs on a goroutine of its
+// own and touches no state of the scheduler but the lease.
+func (w *Scheduler) sendInstruction(ctx context.Context, address, id string, order replicastate.Order) (int, error) {
+	grant := w.hold.Load()
+	if !grant.Allows(w.daemon.clock(), orderNeeds) || grant.Record.Fence != order.Fence {
 		return 0, nil
 	}
-	model, adapter, _ := strings.Cut(action.Model, "/")
+	model, adapter, _ := strings.Cut(order.Reference, "/")
 	operation := replica.OperationUnload
-	if action.Load {
+	if order.Load {
 		operation = replica.OperationLoad
 	}
-	return w.commander.Order(ctx, address, action.Server, replica.Instruction{
+	return w.commander.Order(ctx, address, id, replica.Instruction{
 		Operation: operation,
 		Model:     model,
 		Adapter:   adapter,
-		Holder:    hold.Record.Holder,
-		Fence:     hold.Record.Fence,
+		Holder:    grant.Record.Holder,
+		Fence:     grant.Record.Fence,
+		Expected:  order.Expected,
 	})
 }
--- a/internal/controlplane/managed.go
+++ b/internal/controlplane/managed.go
@@ -14,10 +14,11 @@
 
 // adoptList follows the replicas of the platform's list: new ones are managed, their reports still
 // unknown, and those that are gone are let go. A list seen before is skipped by its identity.
-func (w *Scheduler) adoptList(listed []platform.Replica) {
+func (w *Scheduler) adoptList(listed []platform.Replica, readAt time.Time) {
 	if len(listed) > 0 && w.followed == &listed[0] && len(w.managed) == len(listed) {
 		return
 	}
+	now := w.daemon.clock()
 	w.followed = nil
 	w.stirred = true
 	w.order = w.order[:0]
@@ -26,14 +27,14 @@
 		one := &listed[index]
 		present[one.ID] = true
 		w.order = append(w.order, one.ID)
-		if w.managed[one.ID] == nil {
-			w.managed[one.ID] = &managedReplica{
-				models: references(one.Models),
-				barred: map[string]bool{},
-				stale:  true,
-			}
+		managed := w.managed[one.ID]
+		if managed == nil {
+			managed = w.manage(one)
+			w.managed[one.ID] = managed
 		}
-		w.managed[one.ID].listed = *one
+		managed.matched = managed.matched && sameHeld(managed.listed.Models, one.Models)
+		managed.listed = *one
+		w.recheckContradicted(managed, readAt, now)
 		w.rememberListed(*one)
 	}
 	sort.Strings(w.order)
@@ -78,7 +79,7 @@
 			continue
 		}
 		one.stale = false
-		next := overlay{at: one.overlayAt, models: heldModels(one.models)}
+		next := overlay{at: one.overlayAt, models: heldModels(one.state.Held())}
 		for name := range one.barred {
 			next.barred = append(next.barred, name)
 		}
@@ -145,10 +146,11 @@
 			Zone:     one.listed.Zone,
 			Draining: one.listed.State == platform.Draining,
 			Lost:     w.tally.Suspected(id),
-			Models:   one.models,
+			Models:   one.state.SurelyHeld(now),
+			MayHold:  one.state.MayHold(now),
 			Held:     w.heldOnce[one.listed.Address],
 			Intent:   one.intent,
-			Ready:    one.known && one.pending == nil && !one.asking && !now.Before(one.blocked),
+			Ready:    one.state.Ready(now),
 		})
 	}
 }
--- a/internal/controlplane/planning.go
+++ b/internal/controlplane/planning.go
@@ -36,7 +36,8 @@
 	if table == nil || snapshot.RosterAt.IsZero() || now.Sub(snapshot.RosterAt) > 3*time.Second {
 		return
 	}
-	w.adoptList(w.daemon.roster.listed())
+	listed, readAt := w.daemon.roster.read()
+	w.adoptList(listed, readAt)
 	for _, id := range w.duePolls(table, now) {
 		w.pollReport(ctx, id)
 	}
--- a/internal/controlplane/reportpolls.go
+++ b/internal/controlplane/reportpolls.go
@@ -8,6 +8,7 @@
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/place"
 	"ferryspar/internal/replica"
+	"ferryspar/internal/replicastate"
 )
 
 // pollsAtOnce is how many reports are asked for at once.
@@ -22,12 +23,12 @@
 		one := w.managed[id]
 		switch {
 		case !isPlaced(table, one.listed.Backend):
-		case one.asking:
+		case one.state.Asking():
 			asking++
-		case now.Before(one.pollAt) || now.Before(one.blocked):
-		case one.pending != nil:
+		case !one.state.AskDue(now):
+		case one.state.Known():
 			pending = append(pending, id)
-		case !one.known:
+		default:
 			unknown = append(unknown, id)
 		}
 	}
@@ -59,7 +60,7 @@
 // pollReport asks a replica for its report; the answer comes back to the scheduler's goroutine.
 func (w *Scheduler) pollReport(ctx context.Context, id string) {
 	one := w.managed[id]
-	one.asking = true
+	one.state.AskStarted()
 	address := one.listed.Address
 	go func() {
 		state, err := w.commander.Report(ctx, address, id)
@@ -67,36 +68,25 @@
 	}()
 }
 
-// applyReport adopts a report. A busy replica and one that lags behind its sequence are asked
-// again; a report against the pending change counts only when it has come several times and late
-// enough.
-func (w *Scheduler) applyReport(one *managedReplica, state replica.State, err error) {
+// applyReport takes in a report. Where it is adopted it ends the order under way.
+func (w *Scheduler) applyReport(one *managedReplica, report replica.State, err error) {
 	now := w.daemon.clock()
-	one.asking, w.stirred = false, true
-	one.pollAt = now.Add(busyPause)
+	w.stirred = true
 	if err != nil {
-		one.pollAt = now.Add(2 * busyPause)
+		one.state.AskFailed(now)
 		return
 	}
-	if state.Busy || state.Sequence < one.sequence {
+	held := references(report.Models)
+	if !one.state.Reported(replicastate.Report{Sequence: report.Sequence, Busy: report.Busy, Held: held}, now) {
 		return
 	}
-	if one.pending != nil && one.pending.Load != references(state.Models)[one.pending.Model] {
-		if one.mismatch++; one.mismatch < mismatchesNeeded || now.Sub(one.began) < reportLag {
-			return
-		}
-	}
-	one.mismatch = 0
-	one.models = references(state.Models)
 	one.overlayAt = now
-	one.sequence = state.Sequence
-	one.known = true
+	one.matched = false
 	one.pending = nil
-	one.barred = map[string]bool{}
 	w.lock.Lock()
-	w.remember(one.listed.Address, one.models)
+	w.remember(one.listed.Address, held)
 	w.lock.Unlock()
-	one.stale, w.unshown = true, true
+	w.liftBars(one, now)
 	if now.Sub(w.shown) >= showPause {
 		w.showOverlays()
 	}
--- a/internal/controlplane/reportpolls_test.go
+++ b/internal/controlplane/reportpolls_test.go
@@ -10,6 +10,7 @@
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/place"
 	"ferryspar/internal/platform"
+	"ferryspar/internal/replicastate"
 )
 
 func TestGivenAHolderThatKnowsNoReplicaThenItLooksAtTheMostWantedFirstAndAtAFewAtOnce(t *testing.T) {
@@ -19,6 +20,7 @@
 		Runtime: &configuration.Runtime{Slots: 12},
 	}}}, nil)
 	w := &Scheduler{
+		daemon:   &Daemon{clock: func() time.Time { return now }},
 		demand:   map[string]*place.Demand{},
 		heldOnce: map[string]map[string]bool{},
 		managed:  map[string]*managedReplica{},
@@ -34,10 +36,15 @@
 			Models:  held,
 		})
 	}
-	w.adoptList(listed)
+	w.adoptList(listed, now)
 	last := listed[len(listed)-1]
 	w.demand[place.Key("s", last.Models[0].Name)] = &place.Demand{Waiting: 3}
-	w.managed[listed[100].ID].pending = &place.Action{}
+	changing := w.managed[listed[100].ID].state
+	assert.Assert(t, changing.Reported(replicastate.Report{}, now))
+	order, decided := changing.Decide(replicastate.Change{Load: true, Reference: "m"}, now)
+	assert.Assert(t, decided)
+	changing.Answer(order, replicastate.Accepted, now)
+	now = now.Add(reportLag)
 	due := w.duePolls(table, now)
 	assert.Equal(t, len(due), pollsAtOnce)
 	assert.DeepEqual(t, due[:3], []string{listed[100].ID, last.ID, listed[0].ID})
@@ -45,13 +52,13 @@
 	for len(due) > 0 {
 		for _, id := range due {
 			assert.Assert(t, !seen[id])
-			seen[id], w.managed[id].asking = true, true
+			seen[id] = true
+			w.managed[id].state.AskStarted()
 		}
 		assert.Equal(t, len(w.duePolls(table, now)), 0, "no more than that at once")
 		for _, id := range due {
-			w.managed[id].asking = false
-			w.managed[id].known = true
-			w.managed[id].pending = nil
+			report := replicastate.Report{Sequence: 1, Held: map[string]bool{"m": true}}
+			assert.Assert(t, w.managed[id].state.Reported(report, now))
 		}
 		due = w.duePolls(table, now)
 	}
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/platform"
 )
 
@@ -39,9 +38,15 @@
 }
 
 func (r *rosterState) listed() []platform.Replica {
+	replicas, _ := r.read()
+	return replicas
+}
+
+// read is the list with the moment before which it was read.
+func (r *rosterState) read() ([]platform.Replica, time.Time) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.replicas
+	return r.replicas, r.at
 }
 
 func (r *rosterState) set(replicas []platform.Replica, at time.Time) {
@@ -137,9 +142,7 @@
 }
 
 func (d *Daemon) publishRoster() {
-	d.roster.lock.Lock()
-	replicas, at := d.roster.replicas, d.roster.at
-	d.roster.lock.Unlock()
+	replicas, at := d.roster.read()
 	var barred []string
 	if d.scheduler.Holding() {
 		replicas, barred = d.scheduler.overlay(replicas, at)
@@ -170,7 +173,7 @@
 }
 
 func (w *Scheduler) overlay(replicas []platform.Replica, at time.Time) ([]platform.Replica, []string) {
-	lag := nodesettings.Milliseconds(w.daemon.settings.CloudAPI.MaxLagMs)
+	lag := w.listLag()
 	result := make([]platform.Replica, len(replicas))
 	var barred []string
 	w.lock.Lock()
--- a/internal/controlplane/scheduler.go
+++ b/internal/controlplane/scheduler.go
@@ -17,25 +17,6 @@
 	"ferryspar/internal/replica"
 )
 
-// managedReplica is what the scheduler knows of a replica that it places models on. The scheduler's
-// own goroutine alone uses it.
-type managedReplica struct {
-	listed    platform.Replica
-	models    map[string]bool
-	sequence  int64
-	known     bool
-	asking    bool
-	mismatch  int
-	pending   *place.Action
-	began     time.Time
-	pollAt    time.Time
-	blocked   time.Time
-	overlayAt time.Time
-	intent    string
-	barred    map[string]bool
-	stale     bool
-}
-
 type overlay struct {
 	at     time.Time
 	models []platform.Held
@@ -58,6 +39,8 @@
 	nudge     chan struct{}
 	results   chan func()
 	managed   map[string]*managedReplica
+	// grant is the one that managed was learned under.
+	grant     *lease.Grant
 	loads     []time.Time
 	table     *configuration.Table
 	lastRate  time.Time
@@ -111,15 +94,32 @@
 			continue
 		}
 		w.measure()
-		if w.hold.Load().Allows(w.daemon.clock(), orderNeeds) {
+		grant := w.hold.Load()
+		w.adoptGrant(grant)
+		if grant.Allows(w.daemon.clock(), orderNeeds) {
 			w.step(ctx)
-		} else if len(w.managed) > 0 && !w.Holding() {
-			w.managed = map[string]*managedReplica{}
-			w.showOverlays()
 		}
 	}
 }
 
+// adoptGrant forgets all that is known of replicas unless it was learned under this very grant: under any other, someone
+// else may have ordered there since, even if this daemon held the lease before and holds it now.
+func (w *Scheduler) adoptGrant(grant *lease.Grant) {
+	if grant != nil && !w.daemon.clock().Before(grant.Until) {
+		grant = nil
+	}
+	if w.grant.SameAs(grant) {
+		w.grant = grant
+		return
+	}
+	w.grant = grant
+	w.followed = nil
+	if len(w.managed) > 0 {
+		w.managed = map[string]*managedReplica{}
+		w.showOverlays()
+	}
+}
+
 func (w *Scheduler) keepLease(ctx context.Context) {
 	patience := time.Duration(rand.IntN(200)) * time.Millisecond
 	for index, seed := range w.daemon.settings.SeedPeers() {
@@ -212,10 +212,3 @@
 }
 
 const rateSpan = 8.0
-
-func (w *Scheduler) log(action place.Action, status int, err error) {
-	logrus.WithFields(logrus.Fields{
-		"replica": action.Server, "load": action.Load, "model": action.Model, "why": action.Why, "status": status,
-		"problem": err,
-	}).Info("placement order")
-}
--- a/internal/emulator/standin/replica.go
+++ b/internal/emulator/standin/replica.go
@@ -144,9 +144,15 @@
 	_ = json.NewEncoder(writer).Encode(state)
 }
 
+// orderBody is an instruction whose sender may leave out the expected sequence.
+type orderBody struct {
+	replica.Instruction
+	Expected *int64 `json:"expectedCount"`
+}
+
 // serveInstruction answers a load or unload instruction of the control plane.
 func (r *Replica) serveInstruction(writer http.ResponseWriter, request *http.Request) {
-	var instruction replica.Instruction
+	var instruction orderBody
 	if json.NewDecoder(request.Body).Decode(&instruction) != nil || instruction.Holder == "" || instruction.Fence == 0 {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
@@ -158,7 +164,7 @@
 
 // applyInstruction begins a load or unload and is the HTTP status of the answer. The caller holds
 // the lock.
-func (r *Replica) applyInstruction(instruction replica.Instruction, now time.Time) int {
+func (r *Replica) applyInstruction(instruction orderBody, now time.Time) int {
 	model, known := r.models[instruction.Model]
 	load := instruction.Operation == replica.OperationLoad
 	if !known || !load && instruction.Operation != replica.OperationUnload {
@@ -183,7 +189,7 @@
 	if r.held[reference] == load {
 		return http.StatusOK
 	}
-	if now.Before(r.busyUntil) {
+	if now.Before(r.busyUntil) || instruction.Expected != nil && *instruction.Expected != r.sequence {
 		return http.StatusConflict
 	}
 	if load && (instruction.Adapter != "" && !r.held[instruction.Model] || !r.fits(reference)) {
--- a/internal/hollow/standins.go
+++ b/internal/hollow/standins.go
@@ -190,7 +190,7 @@
 		return
 	}
 	one.highestFence = instruction.Fence
-	if time.Now().Before(one.busyUntil) {
+	if time.Now().Before(one.busyUntil) || instruction.Expected != one.sequence {
 		writer.WriteHeader(http.StatusConflict)
 		return
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -49,6 +49,17 @@
 	return h != nil && !now.Before(h.ActsFrom) && now.Add(needs).Before(h.Until)
 }
 
+// SameAs tells whether both are the same grant, renewed or not. Two that are nil are the same.
+func (h *Grant) SameAs(other *Grant) bool {
+	if h == nil || other == nil {
+		return h == other
+	}
+	return h.Record == other.Record
+}
+
+// First tells whether nobody has held the lease before.
+func (h *Grant) First() bool { return h.Record.Fence == 1 }
+
 // Lease describes one duty. Length is how long a grant lasts from before the question to the
 // majority, Settle how long a new holder waits before it acts when another held the lease before
 // it.
--- a/internal/place/view.go
+++ b/internal/place/view.go
@@ -27,7 +27,8 @@
 	Draining bool
 	Lost     bool            // suspected by so many data planes that its copies do not count
 	Ready    bool            // its state is known and no load or unload is under way
-	Models   map[string]bool // references loaded now
+	Models   map[string]bool // references surely loaded now
+	MayHold  map[string]bool // references that may be loaded beside them: an order's fate is not known
 	Held     map[string]bool // references on its own disk, loaded without the store
 	Intent   string          // the model for which room is being made, or empty
 }
--- a/internal/replica/orders.go
+++ b/internal/replica/orders.go
@@ -16,13 +16,15 @@
 	"ferryspar/internal/platform"
 )
 
-// Instruction is the body of a placement order. Holder and Fence are those of the lease it is sent under.
+// Instruction is the body of a placement order. Holder and Fence are those of the lease it is sent under. Expected is the
+// replica's sequence that the order was decided on: the replica refuses it at any other, so it is always sent, 0 too.
 type Instruction struct {
 	Operation string `json:"operation"`
 	Model     string `json:"modelId"`
 	Adapter   string `json:"adapterId,omitempty"`
 	Holder    string `json:"leaseHolder"`
 	Fence     uint64 `json:"fenceToken"`
+	Expected  int64  `json:"expectedCount"`
 }
 
 // Operations of an Instruction.
--- /dev/null
+++ b/internal/replicastate/order.go
@@ -0,0 +1,73 @@
+package replicastate
+
+import (
+	"maps"
+	"strings"
+	"time"
+)
+
+// Change is a load or an unload of a model, or of an adapter written as model/adapter.
+type Change struct {
+	Load      bool
+	Reference string
+}
+
+// Order is a change that was decided on what a replica held at one sequence, under one grant of the lease.
+type Order struct {
+	Change
+	// Expected is the replica's sequence on which the change was decided.
+	Expected int64
+	// Fence is that of the grant under which it was decided; it may be sent under no other.
+	Fence uint64
+}
+
+// Outcome is what is known of an order once its call has ended.
+type Outcome int
+
+const (
+	// NotSent says that nothing was written, since the lease no longer allowed it.
+	NotSent Outcome = iota + 1
+	// Accepted says that the replica carries the order out.
+	Accepted
+	// AlreadyDone says that what was ordered holds already.
+	AlreadyDone
+	// Conflict says that another order is under way or the sequence differs.
+	Conflict
+	// Fenced says that the replica has heard of a grant with a higher fence.
+	Fenced
+	// Rejected says that there is no such order or no such replica at the address.
+	Rejected
+	// NoAnswer says that the order may or may not have been taken, and may yet arrive.
+	NoAnswer
+)
+
+// Report is what a replica tells of itself. It shows one moment, which may lie before the question.
+type Report struct {
+	Sequence int64
+	Busy     bool
+	Held     map[string]bool
+}
+
+// doubtfulOrder is an order whose fate is unknown. Until is when it can no longer arrive.
+type doubtfulOrder struct {
+	Order
+	until time.Time
+}
+
+// after is what a replica holds once the change is done. The set that was given is left alone.
+func after(held map[string]bool, change Change) map[string]bool {
+	next := maps.Clone(held)
+	if next == nil {
+		next = map[string]bool{}
+	}
+	if change.Load {
+		next[change.Reference] = true
+		return next
+	}
+	for reference := range held {
+		if reference == change.Reference || strings.HasPrefix(reference, change.Reference+"/") {
+			delete(next, reference)
+		}
+	}
+	return next
+}
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -21,9 +21,11 @@
 	at        time.Time
 }
 
+// ordered is an instruction as it came. Expected is nil where the sender named no sequence.
 type ordered struct {
 	replica.Instruction
-	at time.Time
+	Expected *int64 `json:"expectedCount"`
+	at       time.Time
 }
 
 type standInReplica struct {
@@ -136,17 +138,17 @@
 }
 
 func (s *standInReplica) order(writer http.ResponseWriter, request *http.Request) {
-	var instruction replica.Instruction
+	instruction := ordered{at: time.Now()}
 	_ = json.NewDecoder(request.Body).Decode(&instruction)
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.orders = append(s.orders, ordered{instruction, time.Now()})
+	s.orders = append(s.orders, instruction)
 	if instruction.Fence < s.highest {
 		writer.WriteHeader(http.StatusPreconditionFailed)
 		return
 	}
 	s.highest = instruction.Fence
-	if time.Now().Before(s.busyUntil) {
+	if time.Now().Before(s.busyUntil) || instruction.Expected != nil && *instruction.Expected != s.sequence {
 		writer.WriteHeader(http.StatusConflict)
 		return
 	}
