An order that never left its daemon is told from one of unknown fate

Cause: a replica that could not be reached (a cut, a dead port) counted as one that may have taken the order. Change: Commander.Order says ErrNotSent where no byte left or can leave; the replica is then asked anew, nothing is doubtful. Measured: test of both kinds of failure.

--- a/internal/controlplane/instructionanswers.go
+++ b/internal/controlplane/instructionanswers.go
@@ -5,10 +5,12 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/replica"
 	"ferryspar/internal/replicastate"
 )
 
@@ -23,8 +25,11 @@
 	http.StatusMisdirectedRequest: replicastate.Rejected,
 }
 
-// outcomeOf is what the end of an order's call says; an error says nothing.
+// outcomeOf is what the end of an order's call says; an error says nothing, unless it is that nothing was sent.
 func outcomeOf(status int, err error) replicastate.Outcome {
+	if errors.Is(err, replica.ErrNotSent) {
+		return replicastate.Unreached
+	}
 	outcome, known := outcomes[status]
 	if err != nil || !known {
 		return replicastate.NoAnswer
--- a/internal/replica/orders.go
+++ b/internal/replica/orders.go
@@ -105,8 +105,11 @@
 	return answer.StatusCode, content, err
 }
 
-// Order sends an instruction once and returns the status of the answer. After an error it may or may not have been taken.
-// Connections that reports have used are retired on the way; nothing is written to them.
+// ErrNotSent says that no byte of an instruction has left or will leave, so that it can't be taken.
+var ErrNotSent = errors.New("nothing was sent to the replica")
+
+// Order sends an instruction once and returns the status of the answer. After an error other than ErrNotSent it may or may
+// not have been taken. Connections that reports have used are retired on the way; nothing is written to them.
 func (c *Commander) Order(ctx context.Context, address, identity string, instruction Instruction) (int, error) {
 	body, err := json.Marshal(instruction)
 	if err != nil {
@@ -119,8 +122,15 @@
 		if err == nil && sending.early() {
 			status, err = 0, errEarly
 		}
-		if err == nil || !sending.untouched() || !sending.stale() || round >= reportsIdle || ctx.Err() != nil {
-			return status, err
+		if err == nil {
+			return status, nil
+		}
+		sending.spoiled()
+		if !sending.untouched() {
+			return 0, err
+		}
+		if !sending.stale() || round >= reportsIdle || ctx.Err() != nil {
+			return 0, errors.WithMessage(ErrNotSent, err.Error())
 		}
 	}
 }
--- a/internal/replica/orders_test.go
+++ b/internal/replica/orders_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -61,6 +63,23 @@
 	}
 }
 
+func TestGivenAnOrderThatNeverLeftThenItIsToldFromOneThatMayHaveBeenTaken(t *testing.T) {
+	dead := startRaw(t, func(*rawConnection) {})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	dead.address = listener.Addr().String()
+	listener.Close()
+	_, err = order(t, NewCommander(peer.Machine{}), dead, "swift")
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+	for name, trouble := range map[string]func(connection *rawConnection){
+		"read, then reset":   func(connection *rawConnection) { connection.next(); connection.reset() },
+		"read, then silence": func(connection *rawConnection) { connection.next(); connection.next() },
+	} {
+		_, err := order(t, NewCommander(peer.Machine{}), startRaw(t, trouble), "swift")
+		assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "%s: %v", name, err)
+	}
+}
+
 func TestGivenConnectionsThatReportsHaveUsedThenAnOrderGoesOverANewOneThatReportsUseAfterwards(t *testing.T) {
 	server := startRaw(t, func(connection *rawConnection) {
 		for request := connection.next(); request != nil; request = connection.next() {
--- a/internal/replicastate/order.go
+++ b/internal/replicastate/order.go
@@ -37,6 +37,8 @@
 	Fenced
 	// Rejected says that there is no such order or no such replica at the address.
 	Rejected
+	// Unreached says that nothing was written, since the replica could not be reached.
+	Unreached
 	// NoAnswer says that the order may or may not have been taken, and may yet arrive.
 	NoAnswer
 )
--- a/internal/replicastate/replica.go
+++ b/internal/replicastate/replica.go
@@ -109,6 +109,8 @@
 	case Conflict:
 		r.refused = refusal{sequence: order.Expected, until: now.Add(r.timings.Distrust)}
 		r.doubt(now.Add(r.timings.BusyPause))
+	case Unreached:
+		r.doubt(now.Add(r.timings.BusyPause))
 	case Fenced, Rejected:
 		r.blocked = now.Add(r.timings.RefusedPause)
 		r.doubt(r.blocked)
