Place: judge loads by all that a replica may hold

Cause: a held model that the configuration no longer names counted with a size of 0, so more was loaded than a replica has room for; rounding slack on top. Sizes go by whole units, earlier sizes are remembered, unknown ones fill the room, and one function records every load.

--- a/internal/place/adapters.go
+++ b/internal/place/adapters.go
@@ -68,12 +68,11 @@
 		}
 	}
 	if best != nil {
-		p.view.Loading[p.item(number).key]++
-		p.record(best, Action{Load: true, Model: p.item(number).name, Why: adapterLoadReason})
+		p.load(best, number, adapterLoadReason)
 		return
 	}
-	if urgent {
-		p.unloadAdapter(p.item(number).model, p.ownDemand(number).Waiting > 0)
+	if urgent && !p.unloadAdapter(p.item(number).model, p.ownDemand(number).Waiting > 0) {
+		p.unloadForAdapter(number)
 	}
 }
 
@@ -97,46 +96,9 @@
 	return rest
 }
 
-func (p *planner) hasAdapterRoom(state *serverState, model int) bool {
-	if len(state.adapters) >= p.runtime.AdapterCapacity {
-		return false
-	}
-	return state.size+p.runtime.Models[model].AdapterSizeMb <= p.runtime.WeightSizeMb+roomSlack
-}
+// adapterSize is the size of each adapter of a listed model.
+func (p *planner) adapterSize(model int) roomSize { return p.item(p.catalog.adapters[model][0]).size }
 
-// unloadAdapter makes a place for an adapter of the model: at one of its holders whose places are all
-// taken, the adapter with the least loss goes. One with a single copy goes only if nobody waits
-// for it or runs it, and if its rate is 0, or below rareRate where the new one is waited for.
-func (p *planner) unloadAdapter(model int, waited bool) {
-	bearable, attempt := 0.0, 2*model
-	if waited {
-		bearable, attempt = rareRate, 2*model+1
-	}
-	if p.swapImpossible[attempt] || model >= len(p.holders) {
-		return
-	}
-	var best *serverState
-	victim, lowest := "", 0.0
-	for _, position := range p.holders[model] {
-		state := &p.servers[position]
-		if !state.idle() || len(state.adapters) < p.runtime.AdapterCapacity {
-			continue
-		}
-		for _, number := range state.adapters {
-			demand, copies := p.ownDemand(number), p.remaining(number)
-			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > bearable) {
-				continue
-			}
-			loss := demand.Rate/float64(copies) - float64(copies)
-			name := p.item(number).name
-			if best == nil || loss < lowest || loss == lowest && name < victim {
-				best, victim, lowest = state, name, loss
-			}
-		}
-	}
-	if best == nil {
-		p.swapImpossible[attempt] = true
-		return
-	}
-	p.record(best, Action{Model: victim, Why: adapterSwapReason})
+func (p *planner) hasAdapterRoom(state *serverState, model int) bool {
+	return state.places < p.runtime.AdapterCapacity && state.used+p.adapterSize(model) <= p.room
 }
--- a/internal/place/addcopy.go
+++ b/internal/place/addcopy.go
@@ -45,8 +45,7 @@
 		return false
 	}
 	state := &p.servers[position]
-	if p.fits(state, model) {
-		p.load(state, model, why)
+	if p.load(state, model, why) {
 		return true
 	}
 	p.setIntent(state, p.item(model).name)
@@ -117,7 +116,7 @@
 
 // cheapestServer is the server at which room for that size costs least, of those that accept a copy
 // of the model. Servers that are no longer free are dropped from the ranking on the way.
-func (p *planner) cheapestServer(model int, size float64) (rankedServer, bool) {
+func (p *planner) cheapestServer(model int, size roomSize) (rankedServer, bool) {
 	ranking, known := p.rankedBySize[size]
 	if !known {
 		ranking = p.rankServers(size)
@@ -139,7 +138,7 @@
 }
 
 // rankServers sorts the free servers by the cost of room for that size.
-func (p *planner) rankServers(size float64) []rankedServer {
+func (p *planner) rankServers(size roomSize) []rankedServer {
 	var ranking []rankedServer
 	for position := range p.servers {
 		state := &p.servers[position]
@@ -167,17 +166,18 @@
 	return false
 }
 
-// evictionCost is the cost of room for that size at a server, and whether it can be made at all.
-func (p *planner) evictionCost(state *serverState, size float64) (float64, bool) {
+// evictionCost is the cost of room for that size at a server, and whether it can be made at all. What the
+// server may hold counts also where it is the very model to be loaded, which then needs less.
+func (p *planner) evictionCost(state *serverState, size roomSize) (float64, bool) {
 	p.rankVictims(state)
 	cost := readingCost * state.disturbance
-	need := state.size + size - p.runtime.WeightSizeMb
+	need := state.used + size - p.room
 	for _, next := range state.victims {
-		if need <= roomSlack {
+		if need <= 0 {
 			break
 		}
 		need -= next.freed
 		cost += next.loss
 	}
-	return cost, need <= roomSlack
+	return cost, need <= 0
 }
--- a/internal/place/catalog.go
+++ b/internal/place/catalog.go
@@ -14,7 +14,7 @@
 	key     string // Key of it
 	model   int    // number of its model, of a model its own
 	adapter bool
-	size    float64 // MB of weights; 0 where not known
+	size    roomSize // unknownSize where the configuration has none
 }
 
 // backendCatalog numbers the models and adapters of one backend.
@@ -25,7 +25,7 @@
 	names    map[string]int // reference to number
 	keys     map[string]int // Key to number
 	adapters [][]int        // by model
-	smallest float64        // MB of the smallest model
+	smallest roomSize       // of the smallest model
 }
 
 // Catalog numbers all models and adapters of a configuration, so that plans need not look them up
@@ -50,6 +50,16 @@
 // Of reports whether the catalog was made of that table. A nil catalog was made of none.
 func (c *Catalog) Of(table *configuration.Table) bool { return c != nil && c.table == table }
 
+// backend is the catalog of a backend, nil where it has no runtime.
+func (c *Catalog) backend(name string) *backendCatalog {
+	for _, backend := range c.backends {
+		if backend.backend.Name == name {
+			return backend
+		}
+	}
+	return nil
+}
+
 // newBackendCatalog numbers all models of a backend, then all their adapters, named a1 and on.
 func newBackendCatalog(backend *configuration.Backend) *backendCatalog {
 	models := backend.Runtime.Models
@@ -61,9 +71,10 @@
 		adapters: make([][]int, len(models)),
 	}
 	for index, model := range models {
-		catalog.add(catalogItem{name: model.Name, model: index, size: model.WeightSizeMb})
-		if index == 0 || model.WeightSizeMb < catalog.smallest {
-			catalog.smallest = model.WeightSizeMb
+		size := sizeOf(model.WeightSizeMb)
+		catalog.add(catalogItem{name: model.Name, model: index, size: size})
+		if index == 0 || size < catalog.smallest {
+			catalog.smallest = size
 		}
 	}
 	for index, model := range models {
@@ -72,7 +83,7 @@
 				name:    Reference(model.Name, "a"+strconv.Itoa(adapter+1)),
 				model:   index,
 				adapter: true,
-				size:    model.AdapterSizeMb,
+				size:    sizeOf(model.AdapterSizeMb),
 			})
 			catalog.adapters[index] = append(catalog.adapters[index], number)
 		}
@@ -89,3 +100,19 @@
 	c.keys[item.key] = number
 	return number
 }
+
+// sizeOf is the size that the configuration gives a reference. An adapter of a listed model has that
+// model's size of adapters, also beyond the adapters listed.
+func (c *backendCatalog) sizeOf(reference string) roomSize {
+	if c == nil {
+		return unknownSize
+	}
+	if number, known := c.names[reference]; known {
+		return c.items[number].size
+	}
+	base, adapter := split(reference)
+	if model, known := c.names[base]; known && adapter != "" {
+		return sizeOf(c.runtime.Models[model].AdapterSizeMb)
+	}
+	return unknownSize
+}
--- a/internal/place/demand.go
+++ b/internal/place/demand.go
@@ -49,13 +49,13 @@
 	return cmp.Or(cmp.Compare(right.urgency, left.urgency), left.model-right.model)
 }
 
-// absentModels are the models that are waited for and neither loaded nor on their way anywhere, the
-// most urgent first.
+// absentModels are the models that are waited for, not surely loaded and not surely on their way anywhere,
+// the most urgent first.
 func (p *planner) absentModels() []wantedModel {
 	var wanted []wantedModel
 	for _, model := range p.demandedModels {
 		demand := p.totalDemand(model)
-		if model >= len(p.runtime.Models) || demand.Waiting <= 0 || p.copies[model] != 0 || p.onItsWay(model) {
+		if !p.listed(model) || demand.Waiting <= 0 || p.copies[model] != 0 || p.surelyOnItsWay(model) {
 			continue
 		}
 		wanted = append(wanted, wantedModel{model, p.urgency(model, demand)})
@@ -64,20 +64,44 @@
 	return wanted
 }
 
-// onItsWay reports whether a model is being loaded or has room made for it.
+// onItsWay reports whether a model is or may be being loaded, or has room made for it.
 func (p *planner) onItsWay(model int) bool {
-	return p.loading(model) != 0 || p.intended[p.item(model).name] != 0
+	return p.uncertain[model] != 0 || p.surelyOnItsWay(model)
+}
+
+// surelyOnItsWay is onItsWay without the loads of which nobody knows whether they are done.
+func (p *planner) surelyOnItsWay(model int) bool {
+	return p.ordered(model) != 0 || p.intended[p.item(model).name] != 0
 }
 
 // loadAbsentModels loads what no earlier step has.
 func (p *planner) loadAbsentModels(wanted []wantedModel) {
 	for _, next := range wanted {
-		if !p.onItsWay(next.model) {
+		switch {
+		case p.surelyOnItsWay(next.model):
+		case p.uncertain[next.model] > 0:
+			p.repeatLoad(next.model)
+		default:
 			p.addCopy(next.model, "asked for and nowhere loaded")
 		}
 	}
 }
 
+// repeatLoad orders a load again at a server that may have done it: there it is done once only.
+// Elsewhere the model would take room a second time.
+func (p *planner) repeatLoad(model int) {
+	for position := range p.servers {
+		state := &p.servers[position]
+		if !state.free() || !slices.Contains(state.uncertain, model) {
+			continue
+		}
+		mayLoad := state.server.Held[p.item(model).name] || p.tokens-p.promisedLoads >= 1
+		if mayLoad && p.load(state, model, "it is not known whether it was loaded") {
+			return
+		}
+	}
+}
+
 const (
 	// urgentShare is how much the urgency rises until the oldest waiting request can only just be
 	// served in time.
--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -17,6 +17,8 @@
 	oftenWeight = 15.0
 	// adaptersLoss is what a copy of a model with adapters is worth beside.
 	adaptersLoss = 3
+	// unlistedLoss is that of a model which the configuration does not name: the first to go.
+	unlistedLoss = -1
 )
 
 // rankVictims works out a server's disturbance and victims, once for each plan.
@@ -41,12 +43,12 @@
 	})
 }
 
-// freed is the room in MB that a model leaves with its adapters.
-func (p *planner) freed(state *serverState, model int) float64 {
-	total := p.item(model).size
+// freed is the room that a model leaves with its adapters, as they count at the server.
+func (p *planner) freed(state *serverState, model int) roomSize {
+	total := p.heldSize(state, model)
 	for _, adapter := range state.adapters {
 		if p.item(adapter).model == model {
-			total += p.item(adapter).size
+			total += p.heldSize(state, adapter)
 		}
 	}
 	return total
@@ -55,6 +57,9 @@
 // loss is what unloading one copy of a model costs: less the longer ago it was asked for, and the
 // more other copies it has.
 func (p *planner) loss(model int) float64 {
+	if !p.listed(model) {
+		return unlistedLoss
+	}
 	demand := p.totalDemand(model)
 	others := p.copies[model] - 1
 	loss := 0.0
@@ -73,8 +78,11 @@
 // a model or adapter has: those there are, or those that the plan leaves. The last copy in demand
 // stays, and so does one with the last copy of an adapter of a hot model; what is left must be as
 // many as the target, or for a model seldom asked for as many as its runs need. Before the demand
-// is learned, only single copies go.
+// is learned, only single copies go. A model that the configuration does not name may always go.
 func (p *planner) expendable(state *serverState, model int, count func(number int) int) bool {
+	if !p.listed(model) {
+		return true
+	}
 	demand := p.totalDemand(model)
 	copies := count(model)
 	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
@@ -107,7 +115,7 @@
 // and drops the intent, if what may still go does not make room enough.
 func (p *planner) evict(state *serverState, model int) bool {
 	p.rankVictims(state)
-	need := state.size + p.item(model).size - p.runtime.WeightSizeMb
+	need := p.excess(state, model)
 	first := -1
 	for _, next := range state.victims {
 		if p.expendable(state, next.model, p.remaining) {
@@ -117,7 +125,7 @@
 			}
 		}
 	}
-	if first < 0 || need > roomSlack {
+	if first < 0 || need > 0 {
 		p.setIntent(state, "")
 		return false
 	}
--- a/internal/place/evictcontext.go
+++ b/internal/place/evictcontext.go
@@ -43,9 +43,12 @@
 }
 
 // copiesSuffice reports whether a copy of a model can be spared for a while: the model is not in
-// demand, or it and its demanded adapters have another copy. Where one is missing it is loaded.
+// demand or in the configuration, or it and its demanded adapters have another copy. Where one is missing it is loaded.
 func (p *planner) copiesSuffice(state *serverState, model int) bool {
 	demand := p.totalDemand(model)
+	if !p.listed(model) {
+		return true
+	}
 	if demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
 		return true
 	}
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -35,7 +35,7 @@
 				assert.Equal(t, fresh[action.Model], 1, "%s: %v", note, action)
 			}
 			one.Models[action.Model] = true
-			assert.Assert(t, one.size(runtime) <= runtime.WeightSizeMb+roomSlack, "%s: %v", note, action)
+			assert.Assert(t, one.size(runtime) <= runtime.WeightSizeMb, "%s: %v", note, action)
 			assert.Assert(t, adapter == "" || one.adapters() <= runtime.AdapterCapacity, "%s: %v", note, action)
 			delete(one.Models, action.Model)
 			continue
@@ -46,10 +46,11 @@
 		if adapter != "" {
 			demand = plain.ownDemand("s", action.Model)
 		}
-		if one.counts(view) && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
+		listed := plainListed(runtime, action.Model)
+		if listed && one.counts(view) && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
 			assert.Assert(t, rest >= 1, "%s: %v", note, action)
 		}
-		if action.Why != ContextEvictionReason && adapter == "" && demand.Running > 0 {
+		if listed && action.Why != ContextEvictionReason && adapter == "" && demand.Running > 0 {
 			assert.Assert(t, float64(rest) >= demand.Running/(tightShare*float64(runtime.Slots)), "%s: %v", note, action)
 		}
 	}
--- a/internal/place/forecast.go
+++ b/internal/place/forecast.go
@@ -10,10 +10,12 @@
 // Loading, which Without replaces.
 func (v *View) Copy() *View {
 	copied := *v
+	copied.Sizes = v.Sizes.Copy()
 	copied.Servers = make([]*Server, len(v.Servers))
 	for index, server := range v.Servers {
 		copiedServer := *server
 		copiedServer.Models = maps.Clone(server.Models)
+		copiedServer.MayHold = maps.Clone(server.MayHold)
 		copied.Servers[index] = &copiedServer
 	}
 	copied.Demand = make(map[string]*Demand, len(v.Demand))
--- a/internal/place/hotcopies.go
+++ b/internal/place/hotcopies.go
@@ -33,7 +33,7 @@
 func (p *planner) restoreStored() {
 	for position := range p.servers {
 		state := &p.servers[position]
-		if state.free() && state.size+p.catalog.smallest <= p.runtime.WeightSizeMb+roomSlack {
+		if state.free() && (state.used+p.catalog.smallest <= p.room || len(state.uncertain) > 0) {
 			p.restore(state)
 		}
 	}
--- a/internal/place/index.go
+++ b/internal/place/index.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -15,13 +16,14 @@
 	if number, known := p.unlistedNumbers[reference]; known {
 		return number
 	}
-	item := catalogItem{name: reference, key: Key(p.catalog.backend.Name, reference)}
+	item := catalogItem{
+		name: reference,
+		key:  Key(p.catalog.backend.Name, reference),
+		size: p.catalog.sizeOf(reference),
+	}
 	if base, adapter := split(reference); adapter != "" {
 		item.adapter = true
 		item.model = p.number(base)
-		if item.model < len(p.runtime.Models) {
-			item.size = p.runtime.Models[item.model].AdapterSizeMb
-		}
 	}
 	number := len(p.catalog.items) + len(p.unlisted)
 	if !item.adapter {
@@ -80,12 +82,15 @@
 	for position := range p.servers {
 		state := &p.servers[position]
 		state.position = position
+		state.remembered = p.view.Sizes.of(state.server.ID)
 		p.indexHoldings(state)
+		p.indexUncertain(state)
 		p.countHoldings(state)
 		if state.server.Intent != "" && state.serving {
 			p.intended[state.server.Intent]++
 		}
 	}
+	p.countUncertain()
 }
 
 func compareID(left, right serverState) int { return strings.Compare(left.server.ID, right.server.ID) }
@@ -108,13 +113,42 @@
 	slices.SortFunc(numbers, p.compareKind)
 	models := 0
 	for _, number := range numbers {
-		state.size += p.item(number).size
+		state.used += p.heldSize(state, number)
 		if !p.item(number).adapter {
 			models++
 		}
 	}
 	state.models = numbers[:models]
 	state.adapters = numbers[models:]
+	state.places = len(state.adapters)
+}
+
+// indexUncertain lists what a server may hold beside its holdings, and counts it as holding that.
+func (p *planner) indexUncertain(state *serverState) {
+	if len(state.server.MayHold) == 0 {
+		return
+	}
+	for _, reference := range slices.Sorted(maps.Keys(state.server.MayHold)) {
+		if state.server.Models[reference] || !state.server.MayHold[reference] {
+			continue
+		}
+		number := p.number(reference)
+		state.uncertain = append(state.uncertain, number)
+		state.used += p.heldSize(state, number)
+		if p.item(number).adapter {
+			state.places++
+		}
+		if state.serving {
+			p.uncertain[number]++
+		}
+	}
+}
+
+// countUncertain leaves in uncertain what View.Loading does not count already.
+func (p *planner) countUncertain() {
+	for number, servers := range p.uncertain {
+		p.uncertain[number] = max(servers-p.ordered(number), 0)
+	}
 }
 
 // compareKind sorts models before adapters, and each by number.
--- a/internal/place/intents.go
+++ b/internal/place/intents.go
@@ -56,8 +56,11 @@
 }
 
 // intentObsolete reports whether a model from the store is no longer worth the room made for it:
-// nobody asks for it, or it has copies enough. A load from the server's own disk is always worth it.
+// nobody asks for it, or it has copies enough. One that the configuration does not name never is. A load from the server's own disk is always worth it.
 func (p *planner) intentObsolete(state *serverState, model int) bool {
+	if !p.listed(model) {
+		return true
+	}
 	if state.server.Held[p.item(model).name] {
 		return false
 	}
--- a/internal/place/plain_addcopy_test.go
+++ b/internal/place/plain_addcopy_test.go
@@ -59,13 +59,13 @@
 	} else {
 		cost += p.sizes[model].LoadTimeS * 0.25
 	}
-	need := server.size(p.runtime) + p.sizes[model].WeightSizeMb - p.runtime.WeightSizeMb
+	need := p.taken(server) + plainUp(p.sizes[model].WeightSizeMb) - p.room()
 	for _, victim := range p.victims(server, model) {
-		if need <= roomSlack {
+		if need <= 0 {
 			break
 		}
 		need -= p.freed(server, victim)
 		cost += p.loss(server, victim)
 	}
-	return cost, need <= roomSlack
+	return cost, need <= 0
 }
--- a/internal/place/plain_copies_test.go
+++ b/internal/place/plain_copies_test.go
@@ -11,7 +11,7 @@
 	for _, model := range p.runtime.Models {
 		demand := p.view.totalDemand(p.backend.Name, model.Name)
 		copies := len(p.view.copies(p.backend.Name, model.Name))
-		present := float64(copies + p.view.Loading[Key(p.backend.Name, model.Name)])
+		present := float64(copies + p.loading(model.Name))
 		urgent := demand.Waiting > 0 || present < p.needed(demand)
 		if present < p.target(model.Name) && urgent == pressing && (demand.Rate > hotRate || copies > 0) && !p.intended(model.Name) {
 			wanted = append(wanted, want{model.Name, demand.Rate})
@@ -37,7 +37,7 @@
 			continue
 		}
 		demand := p.view.totalDemand(p.backend.Name, name)
-		copies := len(p.view.copies(p.backend.Name, name)) + p.view.Loading[Key(p.backend.Name, name)]
+		copies := len(p.view.copies(p.backend.Name, name)) + p.loading(name)
 		rank := (demand.Rate + 0.1) / float64(1+copies*copies)
 		if rank > bestRank {
 			best, bestRank = name, rank
@@ -63,7 +63,7 @@
 		for _, adapter := range adapterNames(model) {
 			reference := Reference(model.Name, adapter)
 			demand := p.view.ownDemand(p.backend.Name, reference)
-			copies := len(p.view.copies(p.backend.Name, reference)) + p.view.Loading[Key(p.backend.Name, reference)]
+			copies := len(p.view.copies(p.backend.Name, reference)) + p.loading(reference)
 			urgent := demand.Waiting > 0 || copies == 0 && demand.Rate > 0
 			if copies < 2 && urgent == pressing {
 				wanted = append(wanted, want{reference, demand.Waiting, copies, demand.Rate})
@@ -84,59 +84,3 @@
 		p.addAdapter(one.reference, one.copies == 0 && (one.waiting > 0 || one.rate > 0))
 	}
 }
-
-func (p *plainPlanner) addAdapter(reference string, urgent bool) {
-	model, _ := split(reference)
-	var best *Server
-	for _, server := range p.idle() {
-		if !server.Models[model] || server.Models[reference] || server.adapters() >= p.runtime.AdapterCapacity {
-			continue
-		}
-		if server.size(p.runtime)+p.sizes[model].AdapterSizeMb > p.runtime.WeightSizeMb+roomSlack {
-			continue
-		}
-		if best == nil || server.adapters() < best.adapters() {
-			best = server
-		}
-	}
-	if best != nil {
-		p.view.Loading[Key(p.backend.Name, reference)]++
-		p.record(best, Action{Load: true, Model: reference, Why: "adapter wanted"})
-		return
-	}
-	if urgent {
-		p.unloadAdapter(model, p.view.ownDemand(p.backend.Name, reference).Waiting > 0)
-	}
-}
-
-func (p *plainPlanner) unloadAdapter(model string, waited bool) {
-	bearable := 0.0
-	if waited {
-		bearable = rareRate
-	}
-	var best *Server
-	victim, lowest := "", 0.0
-	for _, server := range p.idle() {
-		if !server.Models[model] || server.adapters() < p.runtime.AdapterCapacity {
-			continue
-		}
-		for reference := range server.Models {
-			_, adapter := split(reference)
-			if adapter == "" {
-				continue
-			}
-			demand := p.view.ownDemand(p.backend.Name, reference)
-			copies := p.remaining(reference)
-			if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > bearable) {
-				continue
-			}
-			loss := demand.Rate/float64(copies) - float64(copies)
-			if best == nil || loss < lowest || loss == lowest && reference < victim {
-				best, victim, lowest = server, reference, loss
-			}
-		}
-	}
-	if best != nil {
-		p.record(best, Action{Model: victim, Why: "adapter makes way for one asked for"})
-	}
-}
--- a/internal/place/plain_evict_test.go
+++ b/internal/place/plain_evict_test.go
@@ -22,17 +22,20 @@
 	return total
 }
 
-func (p *plainPlanner) freed(server *Server, model string) float64 {
-	total := p.sizes[model].WeightSizeMb
+func (p *plainPlanner) freed(server *Server, model string) int64 {
+	total := int64(0)
 	for reference := range server.Models {
-		if base, adapter := split(reference); base == model && adapter != "" {
-			total += p.sizes[model].AdapterSizeMb
+		if base, _ := split(reference); base == model {
+			total += p.heldSize(server, reference)
 		}
 	}
 	return total
 }
 
 func (p *plainPlanner) loss(server *Server, model string) float64 {
+	if !p.listed(model) {
+		return -1
+	}
 	demand := p.view.totalDemand(p.backend.Name, model)
 	others := len(p.view.copies(p.backend.Name, model)) - 1
 	loss := 0.0
@@ -66,6 +69,9 @@
 }
 
 func (p *plainPlanner) expendable(server *Server, model string, count func(reference string) int) bool {
+	if !p.listed(model) {
+		return true
+	}
 	demand := p.view.totalDemand(p.backend.Name, model)
 	copies := count(model)
 	if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > hotRate) {
@@ -110,7 +116,7 @@
 }
 
 func (p *plainPlanner) evict(server *Server, model string) bool {
-	need := server.size(p.runtime) + p.sizes[model].WeightSizeMb - p.runtime.WeightSizeMb
+	need := p.taken(server) + p.added(server, model) - p.room()
 	first := ""
 	for _, victim := range p.victims(server, model) {
 		if p.expendable(server, victim, p.remaining) {
@@ -120,7 +126,7 @@
 			}
 		}
 	}
-	if first == "" || need > roomSlack {
+	if first == "" || need > 0 {
 		server.Intent = ""
 		return false
 	}
@@ -166,11 +172,11 @@
 
 func (p *plainPlanner) copiesSuffice(server *Server, model string) bool {
 	demand := p.view.totalDemand(p.backend.Name, model)
-	if demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
+	if !p.listed(model) || demand.Waiting == 0 && demand.Running == 0 && demand.Rate < adapterDemand {
 		return true
 	}
 	if p.remaining(model) < 2 {
-		if p.view.Loading[Key(p.backend.Name, model)] == 0 && !p.intended(model) {
+		if p.loading(model) == 0 && !p.intended(model) {
 			p.addCopy(model, "a second copy before context on the first is let go")
 		}
 		return false
@@ -182,7 +188,7 @@
 		asked := p.view.ownDemand(p.backend.Name, reference)
 		wanted := asked.Waiting > 0 || asked.Running > 0 || asked.Rate >= adapterDemand
 		if wanted && p.remaining(reference) < 2 {
-			if p.view.Loading[Key(p.backend.Name, reference)] == 0 {
+			if p.loading(reference) == 0 {
 				p.addAdapter(reference, true)
 			}
 			return false
--- a/internal/place/plain_plan_test.go
+++ b/internal/place/plain_plan_test.go
@@ -19,6 +19,7 @@
 	slotShare, promisedLoads float64
 	unloaded                 map[string]int
 	exhausted                map[string]bool
+	uncertain                map[string]int
 }
 
 func plainPlan(view *View) []Action {
@@ -26,6 +27,7 @@
 	if view.Table == nil {
 		return nil
 	}
+	view.Sizes.observe(NewCatalog(view.Table), view.Servers)
 	for index := range view.Table.Configuration.Backends {
 		backend := &view.Table.Configuration.Backends[index]
 		if backend.Runtime == nil {
@@ -44,6 +46,7 @@
 		for _, model := range backend.Runtime.Models {
 			p.sizes[model.Name] = model
 		}
+		p.countUncertain()
 		wanted := p.absentModels()
 		if p.slotShare = copyShare; len(wanted) > 0 {
 			p.slotShare = tightShare
@@ -90,7 +93,7 @@
 }
 
 func (p *plainPlanner) fits(server *Server, model string) bool {
-	return server.size(p.runtime)+p.sizes[model].WeightSizeMb <= p.runtime.WeightSizeMb+roomSlack
+	return p.listed(model) && p.taken(server)+p.added(server, model) <= p.room()
 }
 
 func (p *plainPlanner) loadable(server *Server, model string) bool {
@@ -135,11 +138,14 @@
 
 func (p *plainPlanner) intentObsolete(server *Server) bool {
 	model := server.Intent
+	if !p.listed(model) {
+		return true
+	}
 	if server.Held[model] {
 		return false
 	}
 	demand := p.view.totalDemand(p.backend.Name, model)
-	present := len(p.view.copies(p.backend.Name, model)) + p.view.Loading[Key(p.backend.Name, model)]
+	present := len(p.view.copies(p.backend.Name, model)) + p.loading(model)
 	return present == 0 && demand.Waiting == 0 && demand.Rate < rareRate || float64(present) >= p.target(model)
 }
 
@@ -163,7 +169,12 @@
 
 func (p *plainPlanner) loadAbsentModels(wanted []configuration.Model) {
 	for _, model := range wanted {
-		if p.view.Loading[Key(p.backend.Name, model.Name)] == 0 && !p.intended(model.Name) {
+		if p.view.Loading[Key(p.backend.Name, model.Name)] > 0 || p.intended(model.Name) {
+			continue
+		}
+		if p.uncertain[model.Name] > 0 {
+			p.repeatLoad(model.Name)
+		} else {
 			p.addCopy(model.Name, "asked for and nowhere loaded")
 		}
 	}
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -10,6 +10,7 @@
 	if !view.Catalog.Of(view.Table) {
 		view.Catalog = NewCatalog(view.Table)
 	}
+	view.Sizes.observe(view.Catalog, view.Servers)
 	for _, catalog := range view.Catalog.backends {
 		p := newPlanner(view, catalog)
 		p.plan()
@@ -43,29 +44,8 @@
 	p.restoreStored()
 }
 
-// roomSlack is by how much, in MB, sums of sizes may miss the bound for rounding.
-const roomSlack = 0.001
-
-// fits reports whether a model has room at a server beside what is loaded.
-func (p *planner) fits(state *serverState, model int) bool {
-	return state.size+p.item(model).size <= p.runtime.WeightSizeMb+roomSlack
-}
-
 // loadable reports whether a model may be loaded now: from the server's disk always, from the store
 // within its rate.
 func (p *planner) loadable(state *serverState, model int) bool {
 	return state.server.Held[p.item(model).name] || p.tokens >= 1
 }
-
-// load loads a model that fits.
-func (p *planner) load(state *serverState, model int, why string) {
-	p.view.Loading[p.item(model).key]++
-	p.setIntent(state, "")
-	name := p.item(model).name
-	p.record(state, Action{
-		Load:   true,
-		Model:  name,
-		Stored: !state.server.Held[name],
-		Why:    why,
-	})
-}
--- a/internal/place/plan_test.go
+++ b/internal/place/plan_test.go
@@ -130,7 +130,7 @@
 				continue
 			}
 			one.Models[action.Model] = true
-			if one.size(runtime)-runtime.WeightSizeMb > 0.01 || one.adapters() > runtime.AdapterCapacity {
+			if one.size(runtime) > runtime.WeightSizeMb || one.adapters() > runtime.AdapterCapacity {
 				t.Fatalf("shape %d: %s does not fit %v", shape, action.Model, models)
 			}
 		}
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -12,6 +12,7 @@
 	view            *View
 	catalog         *backendCatalog
 	runtime         *configuration.Runtime
+	room            roomSize       // of each server
 	unlisted        []catalogItem  // numbered behind the catalog's items
 	unlistedNumbers map[string]int // reference to number
 
@@ -24,6 +25,7 @@
 	demandedModels []int     // models with a total, ascending
 
 	copies      []int          // at serving servers
+	uncertain   map[int]int    // serving servers that may hold it, beyond those that View.Loading counts
 	unloaded    map[int]int    // copies taken by the actions so far
 	intended    map[string]int // servers that make room, by the model they make it for
 	holders     [][]int        // servers that hold a model with adapters
@@ -31,7 +33,7 @@
 
 	// Indexes made on demand: servers by cost for each size, copies on disk as linked lists,
 	// servers with room for an adapter by model, and models none of whose adapters may be unloaded.
-	rankedBySize   map[float64][]rankedServer
+	rankedBySize   map[roomSize][]rankedServer
 	storedCopies   []storedCopy
 	firstStored    []int
 	adapterRoom    map[int][]int
@@ -45,14 +47,17 @@
 
 // serverState is a server within a plan.
 type serverState struct {
-	server    *Server
-	position  int
-	models    []int // loaded
-	adapters  []int // loaded
-	size      float64
-	serving   bool // its copies count
-	acted     bool // the plan has an action for it
-	exhausted bool // no room could be made at it
+	server     *Server
+	position   int
+	models     []int               // loaded
+	adapters   []int               // loaded
+	uncertain  []int               // what it may hold beside
+	remembered map[string]roomSize // sizes by earlier configurations, by reference
+	used       roomSize            // of all that it holds or may hold
+	places     int                 // of adapters that it holds or may hold
+	serving    bool                // its copies count
+	acted      bool                // the plan has an action for it
+	exhausted  bool                // no room could be made at it
 
 	// What rankVictims works out.
 	victimsRanked bool
@@ -64,7 +69,7 @@
 type victim struct {
 	model int
 	loss  float64
-	freed float64 // MB
+	freed roomSize
 }
 
 var noDemand = &Demand{}
@@ -76,15 +81,17 @@
 		view:            view,
 		catalog:         catalog,
 		runtime:         catalog.runtime,
+		room:            roomOf(catalog.runtime.WeightSizeMb),
 		unlistedNumbers: map[string]int{},
 		demands:         make([]*Demand, items),
 		totals:          make([]*Demand, items),
 		copies:          make([]int, items),
+		uncertain:       map[int]int{},
 		unloaded:        map[int]int{},
 		intended:        map[string]int{},
 		holders:         make([][]int, models),
 		freeHolders:     make([]int, models),
-		rankedBySize:    map[float64][]rankedServer{},
+		rankedBySize:    map[roomSize][]rankedServer{},
 		adapterRoom:     map[int][]int{},
 		swapImpossible:  map[int]bool{},
 		tokens:          view.Tokens,
@@ -134,8 +141,11 @@
 	return noDemand
 }
 
-// loading is how many loads of a model or adapter are under way or planned.
-func (p *planner) loading(number int) int { return p.view.Loading[p.item(number).key] }
+// ordered is how many loads of a model or adapter are under way or planned.
+func (p *planner) ordered(number int) int { return p.view.Loading[p.item(number).key] }
+
+// loading is ordered, and the servers that may hold the model or adapter.
+func (p *planner) loading(number int) int { return p.ordered(number) + p.uncertain[number] }
 
 // copyCount is how many serving servers hold a model or adapter.
 func (p *planner) copyCount(number int) int { return p.copies[number] }
@@ -147,6 +157,11 @@
 	return slices.Contains(s.models, number) || slices.Contains(s.adapters, number)
 }
 
+// mayHold reports whether a server holds a model or adapter or may hold it.
+func (s *serverState) mayHold(number int) bool {
+	return s.holds(number) || slices.Contains(s.uncertain, number)
+}
+
 // idle reports whether the plan may still act at the server.
 func (s *serverState) idle() bool { return s.serving && s.server.Ready && !s.acted }
 
--- a/internal/place/view.go
+++ b/internal/place/view.go
@@ -20,6 +20,10 @@
 }
 
 // Server is a replica as the placement sees it. Plan changes Intent only.
+//
+// Models is what the replica surely holds: copies are counted and unloaded by it, and an adapter is
+// only loaded beside a model of it. Models and MayHold together are all that the replica may hold:
+// room and places of adapters are judged by them.
 type Server struct {
 	ID       string
 	Backend  string
@@ -27,20 +31,22 @@
 	Draining bool
 	Lost     bool            // suspected by so many data planes that its copies do not count
 	Ready    bool            // its state is known and no load or unload is under way
-	Models   map[string]bool // references loaded now
+	Models   map[string]bool // references surely loaded now
+	MayHold  map[string]bool // references that may be loaded besides: of orders under way or of unknown fate
 	Held     map[string]bool // references on its own disk, loaded without the store
 	Intent   string          // the model for which room is being made, or empty
 }
 
-// View is what a plan is made from. Plan takes from Tokens, adds to Loading and sets Catalog,
-// EvictingContext and the servers' intents; the rest it leaves alone. Demand and Loading go by Key.
+// View is what a plan is made from. Plan takes from Tokens, adds to Loading, keeps Sizes and sets
+// Catalog, EvictingContext and the servers' intents; the rest it leaves alone. Demand and Loading go by Key.
 type View struct {
 	Now             time.Time
 	Table           *configuration.Table // nil before the first configuration: nothing is planned
 	Catalog         *Catalog             // of Table; made by Plan where it is of another one
+	Sizes           *SizeBook            // goes from plan to plan; nil remembers nothing
 	Servers         []*Server
 	Demand          map[string]*Demand
-	Loading         map[string]int  // loads under way
+	Loading         map[string]int  // loads under way; where MayHold is used it names them too
 	Tokens          float64         // loads from the store that the rate allows now
 	Drained         map[string]bool // evacuated zones
 	EvictContexts   []ServerModel   // copies whose cached context must be evicted, in order
