--- a/internal/place/demand.go
+++ b/internal/place/demand.go
@@ -92,7 +92,7 @@
 func (p *planner) repeatLoad(model int) {
 	for position := range p.servers {
 		state := &p.servers[position]
-		if !state.free() || !slices.Contains(state.uncertain, model) {
+		if !state.free() || !state.mayHold(model) {
 			continue
 		}
 		mayLoad := state.server.Held[p.item(model).name] || p.tokens-p.promisedLoads >= 1
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -157,10 +157,8 @@
 	return slices.Contains(s.models, number) || slices.Contains(s.adapters, number)
 }
 
-// mayHold reports whether a server holds a model or adapter or may hold it.
-func (s *serverState) mayHold(number int) bool {
-	return s.holds(number) || slices.Contains(s.uncertain, number)
-}
+// mayHold reports whether a server may hold a model or adapter that it does not surely hold.
+func (s *serverState) mayHold(number int) bool { return slices.Contains(s.uncertain, number) }
 
 // idle reports whether the plan may still act at the server.
 func (s *serverState) idle() bool { return s.serving && s.server.Ready && !s.acted }
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -46,12 +46,12 @@
 // than the whole room, so that nothing is loaded beside it. That holds for adapters too: those
 // known say nothing about the size of one of a model that is not known.
 func (p *planner) heldSize(state *serverState, number int) roomSize {
-	item := p.item(number)
-	size := item.size
-	if len(state.remembered) > 0 {
-		if earlier, known := state.remembered[item.name]; known {
-			size = max(size, earlier)
-		}
+	size := p.item(number).size
+	if state.remembered == nil && size != unknownSize {
+		return size
+	}
+	if earlier, known := state.remembered[p.item(number).name]; known {
+		return max(size, earlier)
 	}
 	if size == unknownSize {
 		return p.room + 1
@@ -59,8 +59,8 @@
 	return size
 }
 
-// addedSize is by how much the load of a model or adapter raises what a server may hold: by nothing
-// where it may be held already, because a replica loads it only once.
+// addedSize is by how much the load of a model or adapter that is not surely held raises what a server
+// may hold: by nothing where it may be held already, because a replica loads it only once.
 func (p *planner) addedSize(state *serverState, number int) roomSize {
 	if state.mayHold(number) {
 		return 0
@@ -80,7 +80,7 @@
 	if !p.listed(number) || p.excess(state, number) > 0 {
 		return false
 	}
-	item := p.item(number)
+	item := &p.catalog.items[number]
 	return !item.adapter || state.holds(item.model) && p.hasPlace(state, number)
 }
 
