--- a/internal/place/adapterroom.go
+++ b/internal/place/adapterroom.go
@@ -75,8 +75,8 @@
 	return p.ownDemand(number).Rate/copies - copies
 }
 
-// unloadForAdapter makes room for an adapter at one of the holders of its model that have a place for it
-// but are full: where that costs least, the first victim goes. The intent marks that holder until the
+// unloadForAdapter makes room for an adapter at one of the full holders of its model that have a place for
+// it, or can have one: where that costs least, the first victim goes. The intent marks that holder until the
 // unload is done, so that one at a time makes room.
 func (p *planner) unloadForAdapter(adapter int) {
 	model := p.item(adapter).model
@@ -86,7 +86,7 @@
 	best, victim, lowest := -1, -1, 0.0
 	for _, position := range p.holders[model] {
 		state := &p.servers[position]
-		if !state.free() || state.places >= p.runtime.AdapterCapacity {
+		if !state.free() || !p.mayHavePlace(state) {
 			continue
 		}
 		first, cost, possible := p.adapterRoomCost(state, adapter)
@@ -106,6 +106,21 @@
 	p.setIntent(state, wanted)
 }
 
+// mayHavePlace reports whether a server has a place for an adapter, or has one once all its adapters that
+// may make way are gone.
+func (p *planner) mayHavePlace(state *serverState) bool {
+	places := state.places
+	for _, number := range state.adapters {
+		if places < p.runtime.AdapterCapacity {
+			break
+		}
+		if p.expendableAdapter(number, false) {
+			places--
+		}
+	}
+	return places < p.runtime.AdapterCapacity
+}
+
 // adapterRoomCost is the first victim for an adapter at a server and what room for the adapter costs,
 // and whether it can be made. The adapter's own model stays.
 func (p *planner) adapterRoomCost(state *serverState, adapter int) (first int, cost float64, possible bool) {
--- /dev/null
+++ b/internal/place/bound_test.go
@@ -0,0 +1,60 @@
+package place
+
+import (
+	"math/big"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/configuration"
+)
+
+// checkLoad checks the bound of a load: beside all that the server holds or may hold, by exact sums, the
+// room and the places of adapters suffice, and an adapter has its model.
+func checkLoad(t *testing.T, view *View, server *Server, action Action, note string) {
+	t.Helper()
+	runtime := view.Table.Configuration.Backends[0].Runtime
+	upper := map[string]bool{action.Model: true}
+	for _, references := range []map[string]bool{server.Models, server.MayHold} {
+		for reference, held := range references {
+			if held {
+				upper[reference] = true
+			}
+		}
+	}
+	total, adapters := new(big.Rat), 0
+	for reference := range upper {
+		size, known := configuredSize(runtime, reference)
+		// A remembered size was rounded up by less than a unit.
+		if earlier, remembered := view.Sizes.of(server.ID)[reference]; remembered && reference != action.Model {
+			size, known = max(size, float64(earlier-1)/unitsPerMb), true
+		}
+		assert.Assert(t, known, "%s: %v beside %s of unknown size", note, action, reference)
+		total.Add(total, new(big.Rat).SetFloat64(size))
+		if strings.Contains(reference, "/") {
+			adapters++
+		}
+	}
+	room := new(big.Rat).SetFloat64(runtime.WeightSizeMb)
+	assert.Assert(t, total.Cmp(room) <= 0, "%s: %v", note, action)
+	assert.Assert(t, plainListed(runtime, action.Model), "%s: %v", note, action)
+	if model, adapter := split(action.Model); adapter != "" {
+		assert.Assert(t, adapters <= runtime.AdapterCapacity && server.Models[model], "%s: %v", note, action)
+	}
+}
+
+// configuredSize is the size of a reference in MB, and whether the configuration gives one.
+func configuredSize(runtime *configuration.Runtime, reference string) (float64, bool) {
+	name, adapter := split(reference)
+	for _, model := range runtime.Models {
+		switch {
+		case model.Name != name:
+		case adapter == "":
+			return model.WeightSizeMb, true
+		default:
+			return model.AdapterSizeMb, true
+		}
+	}
+	return 0, false
+}
--- a/internal/place/equal_test.go
+++ b/internal/place/equal_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
+
+	"ferryspar/internal/configuration"
 )
 
 // randomView is a small view with all that can go wrong in it; of one seed always the same.
@@ -44,9 +46,43 @@
 	}
 	view.Demand[Key("s", "gone")] = &Demand{Rate: 2, Waiting: 1, LastSeen: now}
 	view.Demand[Key("other", "m0000")] = &Demand{Rate: 9, Waiting: 9, LastSeen: now}
+	addUncertainty(view, random)
 	return view
 }
 
+// addUncertainty gives the view a book of sizes, a configuration that drops and resizes models and changes
+// the room, and orders of unknown fate.
+func addUncertainty(view *View, random *rand.Rand) {
+	view.Sizes = NewSizeBook()
+	earlier := view.Table
+	if random.IntN(3) > 0 {
+		view.Sizes.observe(NewCatalog(earlier), view.Servers)
+	}
+	next := earlier.Configuration.Backends[0]
+	runtime := *next.Runtime
+	runtime.Models = nil
+	for _, model := range next.Runtime.Models {
+		if random.IntN(8) == 0 {
+			model.WeightSizeMb = 64 + float64(random.IntN(600))/10
+		}
+		if random.IntN(12) > 0 || len(runtime.Models) == 0 {
+			runtime.Models = append(runtime.Models, model)
+		}
+	}
+	runtime.WeightSizeMb += float64(random.IntN(3)-1) * 40.1
+	runtime.AdapterCapacity += random.IntN(3) - 1
+	next.Runtime = &runtime
+	view.Table = configuration.NewTable(configuration.Configuration{Backends: []configuration.Backend{next}}, nil)
+	for _, server := range view.Servers {
+		server.MayHold = map[string]bool{}
+		for range random.IntN(12) / 9 {
+			model := runtime.Models[random.IntN(len(runtime.Models))]
+			server.MayHold[model.Name] = true
+			server.MayHold[Reference(model.Name, "a1")] = random.IntN(2) == 0
+		}
+	}
+}
+
 func TestGivenRandomFleetsThenThePlanIsThatOfThePlainPlanner(t *testing.T) {
 	for seed := range uint64(600) {
 		note := fmt.Sprintf("seed %d", seed)
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -34,10 +34,7 @@
 			if adapter == "" && seldom && action.Stored {
 				assert.Equal(t, fresh[action.Model], 1, "%s: %v", note, action)
 			}
-			one.Models[action.Model] = true
-			assert.Assert(t, one.size(runtime) <= runtime.WeightSizeMb, "%s: %v", note, action)
-			assert.Assert(t, adapter == "" || one.adapters() <= runtime.AdapterCapacity, "%s: %v", note, action)
-			delete(one.Models, action.Model)
+			checkLoad(t, view, one, action, note)
 			continue
 		}
 		assert.Assert(t, one.Models[action.Model], "%s: %v", note, action)
--- a/internal/place/plain_adapters_test.go
+++ b/internal/place/plain_adapters_test.go
@@ -52,13 +52,13 @@
 			if !strings.Contains(reference, "/") {
 				continue
 			}
-			demand := p.view.ownDemand(p.backend.Name, reference)
-			copies := p.remaining(reference)
-			loss := demand.Rate/float64(copies) - float64(copies)
+			if !p.expendableAdapter(reference, bearable) {
+				continue
+			}
+			copies := float64(p.remaining(reference))
+			loss := p.view.ownDemand(p.backend.Name, reference).Rate/copies - copies
 			if !p.listed(reference) {
 				loss = math.Inf(-1)
-			} else if copies <= 1 && (demand.Waiting > 0 || demand.Running > 0 || demand.Rate > bearable) {
-				continue
 			}
 			if best == nil || loss < lowest || loss == lowest && reference < victim {
 				best, victim, lowest = server, reference, loss
@@ -71,6 +71,12 @@
 	return best != nil
 }
 
+func (p *plainPlanner) expendableAdapter(reference string, bearable float64) bool {
+	demand := p.view.ownDemand(p.backend.Name, reference)
+	wanted := demand.Waiting > 0 || demand.Running > 0 || demand.Rate > bearable
+	return !p.listed(reference) || p.remaining(reference) > 1 || !wanted
+}
+
 func (p *plainPlanner) unloadForAdapter(adapter string) {
 	model, _ := split(adapter)
 	if p.intended(model) {
@@ -79,7 +85,13 @@
 	var best *Server
 	victim, lowest := "", 0.0
 	for _, server := range p.idle() {
-		if !server.Models[model] || server.Intent != "" || p.places(server) >= p.runtime.AdapterCapacity {
+		places := p.places(server)
+		for reference := range server.Models {
+			if strings.Contains(reference, "/") && p.expendableAdapter(reference, 0) {
+				places--
+			}
+		}
+		if !server.Models[model] || server.Intent != "" || places >= p.runtime.AdapterCapacity {
 			continue
 		}
 		need, first, cost := p.taken(server)+p.added(server, adapter)-p.room(), "", 0.0
--- a/internal/place/plain_view_test.go
+++ b/internal/place/plain_view_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"ferryspar/internal/configuration"
-	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -79,18 +78,12 @@
 	return total
 }
 
+// size is what the configuration says of the models and adapters that are surely held.
 func (s *Server) size(runtime *configuration.Runtime) float64 {
 	total := 0.0
 	for reference := range s.Models {
-		model, adapter := split(reference)
-		index := slices.IndexFunc(runtime.Models, func(one configuration.Model) bool { return one.Name == model })
-		switch {
-		case index < 0:
-		case adapter == "":
-			total += runtime.Models[index].WeightSizeMb
-		default:
-			total += runtime.Models[index].AdapterSizeMb
-		}
+		size, _ := configuredSize(runtime, reference)
+		total += size
 	}
 	return total
 }
