--- a/internal/controlplane/planning.go
+++ b/internal/controlplane/planning.go
@@ -65,6 +65,7 @@
 		Table:   table,
 		Catalog: w.currentCatalog(table),
 		Demand:  w.demand,
+		Sizes:   w.sizes,
 		Loading: map[string]int{},
 		Drained: map[string]bool{},
 		Tokens:  w.loadTokens(now, table),
