The budget of loads from the store outlives its holder: a reservation in the lease's record

Cause: what a holder of the placement lease had ordered from the store of weights was remembered by its process alone, so a next life or the next holder loaded up to the whole bound again. Change: internal/loadbudget counts loads and decides on a reservation that stands in the lease's record (keystore.Rewrite, lease.Reserve); a grant tells whether it continues the own one. The same holder is one name at one address. loads_test keeps its assertions and now confirms the reservations that are proposed.

--- a/internal/controlplane/instructionanswers.go
+++ b/internal/controlplane/instructionanswers.go
@@ -24,6 +24,15 @@
 	0:                             (*Scheduler).onUnknown,
 }
 
+// refusals are the answers that prove that an instruction changed nothing.
+var refusals = map[int]bool{
+	http.StatusOK:                 true,
+	http.StatusConflict:           true,
+	http.StatusPreconditionFailed: true,
+	http.StatusBadRequest:         true,
+	http.StatusMisdirectedRequest: true,
+}
+
 // onAlreadyDone asks for a report soon, which ends the change.
 func (w *Scheduler) onAlreadyDone(one *managedReplica, _ place.Action, now time.Time) {
 	one.pollAt = now.Add(reportLag)
@@ -64,6 +73,7 @@
 	if err != nil {
 		status = 0
 	}
+	w.noteLoad(one, action, status, err)
 	follow, known := answerHandlers[status]
 	if !known {
 		follow = answerHandlers[0]
@@ -71,6 +81,18 @@
 	follow(w, one, action, w.daemon.clock())
 }
 
+// noteLoad counts a load from the store from its acceptance on, and takes it back where the replica
+// refused it or nothing was sent. Without a clear answer it goes on counting until a report tells.
+func (w *Scheduler) noteLoad(one *managedReplica, action place.Action, status int, err error) {
+	switch {
+	case !fromStore(action) || err != nil:
+	case status == http.StatusAccepted:
+		w.loadsBegun(one.listed.ID, w.daemon.clock())
+	case status == 0 || refusals[status]:
+		w.loadRefused(action)
+	}
+}
+
 // onAccepted asks for a report when the change should be over.
 func (w *Scheduler) onAccepted(one *managedReplica, action place.Action, now time.Time) {
 	one.sequence++
--- a/internal/controlplane/instructions.go
+++ b/internal/controlplane/instructions.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"ferryspar/internal/configuration"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/place"
 	"ferryspar/internal/replica"
@@ -30,32 +29,6 @@
 	longestChange = 60 * time.Second
 )
 
-const (
-	// loadsSlack is the loads allowed beyond the store's rate.
-	loadsSlack = 1.0
-	// loadsTransit is how much longer than the period a load counts, since it may begin late.
-	loadsTransit = time.Second
-)
-
-// loadTokens is how many loads from the store its rate still allows; it may be below 1.
-func (w *Scheduler) loadTokens(now time.Time, table *configuration.Table) float64 {
-	span := nodesettings.Seconds(w.daemon.settings.TimingBounds.OriginPeriodS)
-	kept := w.loads[:0]
-	for _, at := range w.loads {
-		if now.Sub(at) < span+loadsTransit {
-			kept = append(kept, at)
-		}
-	}
-	w.loads = kept
-	rate := 0.0
-	for _, backend := range table.Configuration.Backends {
-		if backend.Runtime != nil {
-			rate = max(rate, backend.Runtime.LoadsPerS)
-		}
-	}
-	return rate*span.Seconds() + loadsSlack - float64(len(w.loads))
-}
-
 // startAction marks a load or unload as pending and sends its instruction, an unload only after the
 // data planes had time to stop using the model.
 func (w *Scheduler) startAction(ctx context.Context, action place.Action, now time.Time) {
@@ -63,9 +36,7 @@
 	one.pending = &action
 	one.began = now
 	one.pollAt = now.Add(longestChange)
-	if action.Load && action.Stored && !strings.Contains(action.Model, "/") {
-		w.loads = append(w.loads, now)
-	}
+	w.orderFromStore(action, now)
 	pause := time.Duration(0)
 	if !action.Load {
 		w.barReferences(one, action)
--- a/internal/controlplane/loads_test.go
+++ b/internal/controlplane/loads_test.go
@@ -8,7 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"ferryspar/internal/configuration"
+	"ferryspar/internal/lease"
 	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/place"
 )
 
 func TestGivenAnyHurryThenLoadsFromTheStoreStayWithinTheRule(t *testing.T) {
@@ -23,14 +25,22 @@
 			OriginPeriodS: span,
 			OriginOverage: overage,
 		}}}}
+		scheduler.store.due = make(chan reservation, 1)
+		scheduler.hold.Store(&lease.Grant{Record: lease.Record{Fence: 1, Reserved: new(int)}})
 		now := partsNow
 		var began []time.Time
 		for range 1200 {
 			now = now.Add(time.Duration(random.IntN(60)) * time.Millisecond)
 			for tokens := scheduler.loadTokens(now, table); tokens >= 1; tokens-- {
-				scheduler.loads = append(scheduler.loads, now)
+				scheduler.orderFromStore(place.Action{Server: "r", Model: "m", Load: true, Stored: true}, now)
+				scheduler.loadsBegun("r", now)
 				began = append(began, now.Add(time.Duration(random.IntN(int(loadsTransit)))))
 			}
+			select {
+			case written := <-scheduler.store.due:
+				scheduler.store.budget.Written(written.grant.Record.Fence, written.loads, true, now)
+			default:
+			}
 		}
 		most := 0
 		for _, from := range began {
--- a/internal/controlplane/reportpolls.go
+++ b/internal/controlplane/reportpolls.go
@@ -92,6 +92,7 @@
 	one.sequence = state.Sequence
 	one.known = true
 	one.pending = nil
+	w.loadsBegun(one.listed.ID, now)
 	one.barred = map[string]bool{}
 	w.lock.Lock()
 	w.remember(one.listed.Address, one.models)
--- a/internal/controlplane/scheduler.go
+++ b/internal/controlplane/scheduler.go
@@ -58,7 +58,7 @@
 	nudge     chan struct{}
 	results   chan func()
 	managed   map[string]*managedReplica
-	loads     []time.Time
+	store     storeBudget
 	table     *configuration.Table
 	lastRate  time.Time
 	heardFrom time.Time
@@ -77,7 +77,7 @@
 			Key: placementLease, Holder: daemon.settings.NodeName, Address: daemon.self, Length: daemon.leaseLength(),
 			Settle: nodesettings.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Store: daemon.store, Clock: daemon.clock,
 		},
-		released: make(chan struct{}), commander: replica.NewCommander(daemon.network),
+		store: storeBudget{due: make(chan reservation, 1)}, released: make(chan struct{}), commander: replica.NewCommander(daemon.network),
 		demand: map[string]*place.Demand{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
 		nudge: make(chan struct{}, 1), results: make(chan func(), 64), managed: map[string]*managedReplica{}, overlays: map[string]overlay{}, eviction: newContextEviction(), feed: feed{tally: NewTally()}, lastRate: daemon.clock(),
 	}
@@ -98,6 +98,7 @@
 // Run keeps or seeks the lease, and plans while it is held, until the context ends.
 func (w *Scheduler) Run(ctx context.Context) {
 	go w.keepLease(ctx)
+	go w.writeReservations(ctx)
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/internal/controlplane/storebudget.go
@@ -0,0 +1,157 @@
+package controlplane
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"ferryspar/internal/configuration"
+	"ferryspar/internal/lease"
+	"ferryspar/internal/loadbudget"
+	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/place"
+)
+
+const (
+	// loadsTransit is how much longer than the period a load counts, since it may begin late.
+	loadsTransit = time.Second
+	// reserveBound bounds one write of a reservation, so that renewals of the lease do not wait long.
+	reserveBound = 500 * time.Millisecond
+)
+
+// reservation is one that is to be written into the record of a grant.
+type reservation struct {
+	grant *lease.Grant
+	loads int
+}
+
+// storeBudget is the budget of loads from the store of weights, and the writing of its reservations.
+type storeBudget struct {
+	lock   sync.Mutex
+	budget loadbudget.Budget
+	bounds loadbudget.Bounds
+	// due has room for the one reservation that is proposed at a time.
+	due chan reservation
+}
+
+// loadBounds are the bounds of loads from the store by the settings and the configuration.
+func (w *Scheduler) loadBounds(table *configuration.Table) loadbudget.Bounds {
+	rate := 0.0
+	for _, backend := range table.Configuration.Backends {
+		if backend.Runtime != nil {
+			rate = max(rate, backend.Runtime.LoadsPerS)
+		}
+	}
+	return loadbudget.BoundsOf(rate, nodesettings.Seconds(w.daemon.settings.TimingBounds.OriginPeriodS), loadsTransit)
+}
+
+// loadTokens is how many loads from the store may begin now under the grant held; it may be below 0.
+func (w *Scheduler) loadTokens(now time.Time, table *configuration.Table) float64 {
+	grant := w.hold.Load()
+	if grant == nil {
+		return 0
+	}
+	store := &w.store
+	store.lock.Lock()
+	defer store.lock.Unlock()
+	store.bounds = w.loadBounds(table)
+	store.follow(grant)
+	for _, id := range store.budget.Open() {
+		if w.managed[id] == nil {
+			store.budget.Begun(id, now)
+		}
+	}
+	store.propose(grant, now)
+	return float64(store.budget.Free(now, store.bounds))
+}
+
+// follow begins the budget of a grant that was not seen before. The caller holds the lock.
+func (s *storeBudget) follow(grant *lease.Grant) {
+	if s.budget.Fence() == grant.Record.Fence {
+		return
+	}
+	s.budget.TakeOver(loadbudget.Takeover{
+		Fence: grant.Record.Fence, At: grant.Since, Reserved: grant.Record.Reserved, Continues: grant.Continues,
+	}, s.bounds)
+}
+
+// propose has a reservation written if one is due. The caller holds the lock.
+func (s *storeBudget) propose(grant *lease.Grant, now time.Time) {
+	if grant == nil || s.budget.Fence() != grant.Record.Fence {
+		return
+	}
+	loads, due := s.budget.Propose(now, s.bounds)
+	if !due {
+		return
+	}
+	select {
+	case <-s.due: // one of a grant before, which nobody needs any more
+	default:
+	}
+	select {
+	case s.due <- reservation{grant: grant, loads: loads}:
+	default:
+	}
+}
+
+// fromStore says whether an action loads weights from the store.
+func fromStore(action place.Action) bool {
+	return action.Load && action.Stored && !strings.Contains(action.Model, "/")
+}
+
+// orderFromStore counts a load that is about to be ordered.
+func (w *Scheduler) orderFromStore(action place.Action, now time.Time) {
+	if !fromStore(action) {
+		return
+	}
+	w.store.lock.Lock()
+	defer w.store.lock.Unlock()
+	w.store.budget.Order(action.Server)
+	w.store.propose(w.hold.Load(), now)
+}
+
+// loadRefused takes a load back that its replica refused, or that was not sent.
+func (w *Scheduler) loadRefused(action place.Action) {
+	if !fromStore(action) {
+		return
+	}
+	w.store.lock.Lock()
+	defer w.store.lock.Unlock()
+	w.store.budget.Refused(action.Server)
+}
+
+// loadsBegun notes that every load ordered at a replica has begun, or never will: its order was
+// accepted, or the replica's report shows what became of it.
+func (w *Scheduler) loadsBegun(id string, now time.Time) {
+	w.store.lock.Lock()
+	defer w.store.lock.Unlock()
+	w.store.budget.Begun(id, now)
+}
+
+// writeReservations writes the reservations that are due until the context ends. The scheduler is
+// nudged after each, since loads may wait for it.
+func (w *Scheduler) writeReservations(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case one := <-w.store.due:
+			w.writeReservation(ctx, one)
+		}
+	}
+}
+
+func (w *Scheduler) writeReservation(ctx context.Context, one reservation) {
+	bounded, cancel := context.WithTimeout(ctx, reserveBound)
+	// Members that answer after the majority are still to take the write.
+	time.AfterFunc(reserveBound, cancel)
+	err := w.keeper.Reserve(bounded, one.grant, one.loads)
+	w.store.lock.Lock()
+	w.store.budget.Written(one.grant.Record.Fence, one.loads, err == nil, w.daemon.clock())
+	w.store.lock.Unlock()
+	select {
+	case w.nudge <- struct{}{}:
+	default:
+	}
+}
--- a/internal/keystore/change.go
+++ b/internal/keystore/change.go
@@ -19,7 +19,7 @@
 		return Slot{}, err
 	}
 	defer key.leave()
-	if !key.held {
+	if !key.held || !key.Certain() {
 		if slot, known := s.committed(ctx, name); known {
 			if _, refused := decide(slot); refused != nil {
 				return slot, refused
@@ -86,6 +86,33 @@
 	return next, nil
 }
 
+// Rewrite writes a lease's key once more under the ownership that Seize brought, without taking it
+// anew: decide returns the next value for the last one that this owner knows to be in force, or
+// refuses. After ErrUncertain the key is still owned, and a later Rewrite supersedes the proposal;
+// until then a successor may find either value.
+func (s *Store) Rewrite(ctx context.Context, name string, decide Decide) error {
+	key := s.key(name)
+	if err := key.enter(ctx); err != nil {
+		return err
+	}
+	defer key.leave()
+	if !key.held {
+		return ErrContended
+	}
+	value, refused := decide(key.slot)
+	if refused != nil {
+		return refused
+	}
+	next := key.Next(value)
+	key.joinLatePromises()
+	if _, agreed := s.ask(ctx, key.AcceptMessage(next), key.Accepts); !agreed {
+		key.Ownership = key.Unclear(next)
+		return ErrUncertain
+	}
+	key.Ownership = key.Wrote(next)
+	return nil
+}
+
 // Renew confirms at a majority that the key is still owned, which prolongs a lease.
 func (s *Store) Renew(ctx context.Context, name string) error {
 	return s.ownedCall(ctx, name, OperationRenew)
--- a/internal/keystore/ownership.go
+++ b/internal/keystore/ownership.go
@@ -6,12 +6,13 @@
 )
 
 // Ownership is what a proposer knows of a key that it took: the ballot under which a majority
-// promised, the value in force, and the incarnations of the members that promised. All its
-// functions are pure.
+// promised, the value in force, the incarnations of the members that promised, and the sequence of
+// the last proposal that was uncertain. All its functions are pure.
 type Ownership struct {
 	ballot       Ballot
 	slot         Slot
 	incarnations map[string]uint64
+	uncertain    uint64
 }
 
 // PromiseMessage asks for the promises on which Owned concludes.
@@ -47,7 +48,7 @@
 func (o Ownership) Next(value json.RawMessage) Slot {
 	slot := o.slot
 	slot.Promised, slot.Ballot = o.ballot, o.ballot
-	slot.Sequence++
+	slot.Sequence = max(slot.Sequence, o.uncertain) + 1
 	slot.Value = value
 	return slot
 }
@@ -88,4 +89,14 @@
 	return o
 }
 
+// Unclear is the ownership after a proposal of Next that may or may not be in force: the next one
+// supersedes it.
+func (o Ownership) Unclear(next Slot) Ownership {
+	o.uncertain = next.Sequence
+	return o
+}
+
+// Certain says whether InForce is known to be the value in force.
+func (o Ownership) Certain() bool { return o.uncertain <= o.slot.Sequence }
+
 func granted(_ string, reply Reply) bool { return reply.Granted }
--- a/internal/keystore/read.go
+++ b/internal/keystore/read.go
@@ -12,7 +12,7 @@
 		return Slot{}, err
 	}
 	defer key.leave()
-	if key.held && s.confirm(ctx, key) == nil {
+	if key.held && key.Certain() && s.confirm(ctx, key) == nil {
 		return key.slot, nil
 	}
 	if whole, known := s.committed(ctx, name); known {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -11,36 +11,49 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/keystore"
 )
 
-// Record is what the key store keeps of a lease: its holder, where to reach it, and the fence, a
-// number that rises with each holder.
+// Record is what the key store keeps of a lease: its holder, where to reach it, the fence, a number
+// that rises with each grant, and the reservation: an upper bound of what the holder may have used
+// of a budget that outlives its grant. Reserved is nil in records of holders that reserved nothing
+// because they knew of no reservations; what those used is unknown.
 type Record struct {
-	Holder  string `json:"holder"`
-	Address string `json:"address"`
-	Fence   uint64 `json:"fence"`
+	Holder   string `json:"holder"`
+	Address  string `json:"address"`
+	Fence    uint64 `json:"fence"`
+	Reserved *int   `json:"reserved,omitempty"`
+}
+
+// sameHolder says whether two records name one daemon, in this life or another.
+func (r Record) sameHolder(other Record) bool {
+	return r.Holder == other.Holder && r.Address == other.Address
 }
 
 // Store is the part of the key store that a lease needs. Seize takes a key by a higher epoch and
-// writes what decide returns for the value found; Renew asks a majority whether this daemon still
-// owns the key.
+// writes what decide returns for the value found; Rewrite writes it again under the same epoch; Renew
+// asks a majority whether this daemon still owns the key.
 type Store interface {
 	Seize(ctx context.Context, name string, decide func(current keystore.Slot) json.RawMessage) (keystore.Slot, error)
+	Rewrite(ctx context.Context, name string, decide keystore.Decide) error
 	Renew(ctx context.Context, name string) error
 	Release(ctx context.Context, name string) error
 }
 
-// Grant is a lease that was granted. It is valid until Until on the holder's steady clock; Acts is
-// the first moment at which the holder may act, after the lease of its predecessor has surely run
-// out.
+// Grant is a lease that was granted. It is valid until Until on the holder's steady clock; ActsFrom
+// is the first moment at which the holder may act, after the lease of its predecessor has surely run
+// out. The predecessor's last act was before Since. The record's reservation is that of the record
+// before it. Continues is set if no other holder, and no other life of this one, was granted the
+// lease since this Lease was granted it last.
 type Grant struct {
-	Record   Record
-	Since    time.Time
-	Until    time.Time
-	ActsFrom time.Time
+	Record    Record
+	Since     time.Time
+	Until     time.Time
+	ActsFrom  time.Time
+	Continues bool
 }
 
 // Allows tells whether the holder may start something at now that takes the time needs. A nil Hold
@@ -60,10 +73,18 @@
 	Settle  time.Duration
 	Store   Store
 	Clock   func() time.Time
+
+	// granted is the fence of the last grant, 0 before the first.
+	granted uint64
+	// interrupted is set once a record of another holder, or of another life, was seen since.
+	interrupted bool
 }
 
-// Acquire takes the lease with the next fence. The caller must keep to the returned Hold; an error
-// means that no majority granted it.
+// errNotGranted refuses to write under a grant that is no longer the last one.
+var errNotGranted = errors.New("the lease was granted anew")
+
+// Acquire takes the lease with the next fence. The caller must keep to the returned Grant; an error
+// means that no majority granted it. Calls of Acquire must follow each other.
 func (t *Lease) Acquire(ctx context.Context) (*Grant, error) {
 	began := t.Clock()
 	var record Record
@@ -71,8 +92,9 @@
 	_, err := t.Store.Seize(ctx, t.Key, func(current keystore.Slot) json.RawMessage {
 		var last Record
 		_ = json.Unmarshal(current.Value, &last)
-		undisturbed = last.Holder == "" || last.Holder == t.Holder
-		record = Record{Holder: t.Holder, Address: t.Address, Fence: last.Fence + 1}
+		record = t.following(last)
+		undisturbed = last.Fence == 0 || record.sameHolder(last)
+		t.interrupted = t.interrupted || !record.sameHolder(last) || last.Fence < t.granted
 		value, _ := json.Marshal(record)
 		return value
 	})
@@ -80,7 +102,11 @@
 		return nil, err
 	}
 	now := t.Clock()
-	hold := &Grant{Record: record, Since: now, Until: began.Add(t.Length), ActsFrom: now.Add(t.Settle)}
+	hold := &Grant{
+		Record: record, Since: now, Until: began.Add(t.Length), ActsFrom: now.Add(t.Settle),
+		Continues: t.granted > 0 && !t.interrupted,
+	}
+	t.granted, t.interrupted = record.Fence, false
 	if undisturbed {
 		hold.ActsFrom = now
 	}
@@ -88,6 +114,32 @@
 	return hold, nil
 }
 
+// following is the record of this holder's next grant. The reservation is carried over; the very
+// first grant has nothing to carry.
+func (t *Lease) following(last Record) Record {
+	record := Record{Holder: t.Holder, Address: t.Address, Fence: last.Fence + 1, Reserved: last.Reserved}
+	if last.Fence == 0 {
+		record.Reserved = new(int)
+	}
+	return record
+}
+
+// Reserve writes a reservation into the record of a grant. After an error a successor may find this
+// reservation or an earlier one.
+func (t *Lease) Reserve(ctx context.Context, hold *Grant, reserved int) error {
+	return t.Store.Rewrite(ctx, t.Key, func(current keystore.Slot) (json.RawMessage, error) {
+		var last Record
+		if err := json.Unmarshal(current.Value, &last); err != nil {
+			return nil, err
+		}
+		if !last.sameHolder(hold.Record) || last.Fence != hold.Record.Fence {
+			return nil, errNotGranted
+		}
+		last.Reserved = &reserved
+		return json.Marshal(last)
+	})
+}
+
 // Renew extends hold from the moment before the question. It returns the old hold while that still
 // runs and no majority answered, and nil once the lease is lost.
 func (t *Lease) Renew(ctx context.Context, hold *Grant) *Grant {
