--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -190,12 +190,6 @@
 	f.network.breakOff(host)
 }
 
-func (f *fleet) wipe(host string) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	f.folders[host] = &memoryFolder{files: map[string][]byte{}}
-}
-
 type reply struct {
 	status int
 	body   string
--- a/internal/story/folder_test.go
+++ b/internal/story/folder_test.go
@@ -7,10 +7,20 @@
 	"time"
 )
 
-// memoryFolder is a member's data folder; all that is written to it lasts.
+// memoryFolder is a member's data folder. All that is written to it lasts, unless losePower is called:
+// then the content of each file is what it was when it was last synced.
 type memoryFolder struct {
-	lock  sync.Mutex
-	files map[string][]byte
+	lock   sync.Mutex
+	files  map[string][]byte
+	synced map[string][]byte
+}
+
+func (m *memoryFolder) losePower() {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	for name := range m.files {
+		m.files[name] = slices.Clone(m.synced[name])
+	}
 }
 
 func (m *memoryFolder) List() ([]string, error) {
@@ -48,6 +58,12 @@
 
 func (m *memoryFolder) Sync(name string) error {
 	time.Sleep(5 * time.Millisecond)
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.synced == nil {
+		m.synced = map[string][]byte{}
+	}
+	m.synced[name] = slices.Clone(m.files[name])
 	return nil
 }
 
@@ -62,3 +78,17 @@
 	defer m.lock.Unlock()
 	delete(m.files, name)
 }
+
+// wipe gives a dead machine an empty disk.
+func (f *fleet) wipe(host string) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.folders[host] = &memoryFolder{files: map[string][]byte{}}
+}
+
+// losePower loses what a dead machine's disk had not synced.
+func (f *fleet) losePower(host string) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.folders[host].(*memoryFolder).losePower()
+}
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -45,6 +45,10 @@
 	failEvery int
 	probed    int
 	healthy   bool
+
+	// disk are the models that were loaded before, storeLoads the beginnings of loads of others.
+	disk       map[string]bool
+	storeLoads []time.Time
 }
 
 var failings = map[string]func(writer http.ResponseWriter, request *http.Request){
@@ -167,6 +171,7 @@
 			}
 		}
 		s.overfull = s.overfull || total >= placesPerReplica
+		s.countStoreLoad(instruction.Model)
 	}
 	time.AfterFunc(taking, func() {
 		s.lock.Lock()
@@ -179,6 +184,17 @@
 	writer.WriteHeader(http.StatusAccepted)
 }
 
+// countStoreLoad notes a load of a model that the disk doesn't have. The caller holds the lock.
+func (s *standInReplica) countStoreLoad(model string) {
+	if s.disk == nil {
+		s.disk = map[string]bool{}
+	}
+	if !s.disk[model] && !s.models[model] {
+		s.storeLoads = append(s.storeLoads, time.Now())
+	}
+	s.disk[model] = true
+}
+
 func (s *standInReplica) serve(writer http.ResponseWriter, request *http.Request) {
 	attempt := request.Header.Get(replica.HeaderAttempt)
 	writer.Header().Set(replica.HeaderAttempt, attempt)
