--- a/internal/keystore/change.go
+++ b/internal/keystore/change.go
@@ -89,7 +89,9 @@
 // Rewrite writes a lease's key once more under the ownership that Seize brought, without taking it
 // anew: decide returns the next value for the last one that this owner knows to be in force, or
 // refuses. After ErrUncertain the key is still owned, and a later Rewrite supersedes the proposal;
-// until then a successor may find either value.
+// until then a successor may find either value. After ErrContended no write can succeed under this
+// ownership any more, though Renew may: another daemon took the key, or a member whose promise is
+// counted has lost its disk.
 func (s *Store) Rewrite(ctx context.Context, name string, decide Decide) error {
 	key := s.key(name)
 	if err := key.enter(ctx); err != nil {
@@ -105,12 +107,28 @@
 	}
 	next := key.Next(value)
 	key.joinLatePromises()
-	if _, agreed := s.ask(ctx, key.AcceptMessage(next), key.Accepts); !agreed {
-		key.Ownership = key.Unclear(next)
-		return ErrUncertain
+	asked, agreed := s.ask(ctx, key.AcceptMessage(next), key.Accepts)
+	if agreed {
+		key.Ownership = key.Wrote(next)
+		return nil
 	}
-	key.Ownership = key.Wrote(next)
-	return nil
+	key.Ownership = key.Unclear(next)
+	return key.joinAccepting(asked)
+}
+
+// joinAccepting counts the members that accepted a proposal from now on, also those that never
+// promised: to accept a ballot is to promise it. It returns what is known of the proposal's fate.
+func (k *key) joinAccepting(asked *round) error {
+	outcome := ErrUncertain
+	for address, reply := range asked.replies {
+		switch {
+		case reply.Refusal == RefusedWiped || reply.Refusal == RefusedPromised:
+			outcome = ErrContended
+		case reply.Granted && k.incarnations[address] == 0:
+			k.Ownership = k.Joined(address, reply)
+		}
+	}
+	return outcome
 }
 
 // Renew confirms at a majority that the key is still owned, which prolongs a lease.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -74,8 +74,9 @@
 	Store   Store
 	Clock   func() time.Time
 
-	// granted is the fence of the last grant, 0 before the first.
-	granted uint64
+	// granted is the fence of the last grant, 0 before the first; proposed is the highest one that
+	// was asked for.
+	granted, proposed uint64
 	// interrupted is set once a record of another holder, or of another life, was seen since.
 	interrupted bool
 }
@@ -94,7 +95,8 @@
 		_ = json.Unmarshal(current.Value, &last)
 		record = t.following(last)
 		undisturbed = last.Fence == 0 || record.sameHolder(last)
-		t.interrupted = t.interrupted || !record.sameHolder(last) || last.Fence < t.granted
+		t.interrupted = t.interrupted || !record.sameHolder(last) || last.Fence < t.granted || last.Fence > t.proposed
+		t.proposed = record.Fence
 		value, _ := json.Marshal(record)
 		return value
 	})
