A load that runs too long for a replica's disk counts as one from the store

Cause: a model was believed to be on the disk of whatever replica stands at an address at which it was held once; one that took another's place has an empty disk, and its loads were never counted. Ruled out: counting such loads until they are proven, which would let six replicas at a time come back after a mass restart though their disks are kept. Change: a load that still runs after half the load time counts from its beginning, and the disk is no longer believed to hold more than what was seen since; a disk is one service's.

--- a/internal/controlplane/managed.go
+++ b/internal/controlplane/managed.go
@@ -49,15 +49,15 @@
 	}
 }
 
-// rememberListed notes that a listed replica's address holds its models, if any is new. Any
+// rememberListed notes that a listed replica's disk holds its models, if any is new. Any
 // goroutine may call it.
 func (w *Scheduler) rememberListed(listed platform.Replica) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	known := w.heldOnce[listed.Address]
+	known := w.heldOnce[diskOf(listed)]
 	for _, one := range listed.Models {
 		if !known[one.Name] {
-			w.remember(listed.Address, references(listed.Models))
+			w.remember(listed, references(listed.Models))
 			return
 		}
 	}
@@ -111,10 +111,11 @@
 	return list
 }
 
-// remember adds models to those that an address once held, so that its disk may have them; the set
+// remember adds models to those that a replica once held, so that its disk may have them; the set
 // is replaced, never changed, because planner inputs keep it. The caller holds the lock.
-func (w *Scheduler) remember(address string, models map[string]bool) {
-	known := w.heldOnce[address]
+func (w *Scheduler) remember(listed platform.Replica, models map[string]bool) {
+	disk := diskOf(listed)
+	known := w.heldOnce[disk]
 	var next map[string]bool
 	for reference := range models {
 		if known[reference] || strings.Contains(reference, "/") {
@@ -124,7 +125,7 @@
 			if next = maps.Clone(known); next == nil {
 				next = map[string]bool{}
 			}
-			w.heldOnce[address] = next
+			w.heldOnce[disk] = next
 		}
 		next[reference] = true
 	}
@@ -146,7 +147,7 @@
 			Draining: one.listed.State == platform.Draining,
 			Lost:     w.tally.Suspected(id),
 			Models:   one.models,
-			Held:     w.heldOnce[one.listed.Address],
+			Held:     w.heldOnce[diskOf(one.listed)],
 			Intent:   one.intent,
 			Ready:    one.known && one.pending == nil && !one.asking && !now.Before(one.blocked),
 		})
--- a/internal/controlplane/reportpolls.go
+++ b/internal/controlplane/reportpolls.go
@@ -47,7 +47,7 @@
 	wanted := make(map[string]int, len(ids))
 	for _, id := range ids {
 		one := w.managed[id]
-		for model := range w.heldOnce[one.listed.Address] {
+		for model := range w.heldOnce[diskOf(one.listed)] {
 			if demand := w.demand[place.Key(one.listed.Backend, model)]; demand != nil {
 				wanted[id] += demand.Waiting
 			}
@@ -61,9 +61,13 @@
 	one := w.managed[id]
 	one.asking = true
 	address := one.listed.Address
+	askedAt := w.daemon.clock()
 	go func() {
 		state, err := w.commander.Report(ctx, address, id)
-		w.results <- func() { w.applyReport(one, state, err) }
+		w.results <- func() {
+			w.checkDisk(one, state, askedAt)
+			w.applyReport(one, state, err)
+		}
 	}()
 }
 
@@ -95,7 +99,7 @@
 	w.loadsBegun(one.listed.ID, now)
 	one.barred = map[string]bool{}
 	w.lock.Lock()
-	w.remember(one.listed.Address, one.models)
+	w.remember(one.listed, one.models)
 	w.lock.Unlock()
 	one.stale, w.unshown = true, true
 	if now.Sub(w.shown) >= showPause {
--- a/internal/controlplane/storebudget.go
+++ b/internal/controlplane/storebudget.go
@@ -139,6 +139,14 @@
 	w.store.budget.Begun(id, now)
 }
 
+// countBegun counts a load that was not known to come from the store when it was ordered.
+func (w *Scheduler) countBegun(at time.Time) {
+	w.store.lock.Lock()
+	defer w.store.lock.Unlock()
+	w.store.budget.CountBegun(at)
+	w.store.propose(w.hold.Load(), w.daemon.clock())
+}
+
 // writeReservations writes the reservations that are due until the context ends. The scheduler is
 // nudged after each, since loads may wait for it.
 func (w *Scheduler) writeReservations(ctx context.Context) {
--- a/internal/loadbudget/budget.go
+++ b/internal/loadbudget/budget.go
@@ -68,6 +68,10 @@
 // Refused takes the last load ordered under a name back: its order was refused.
 func (b *Budget) Refused(name string) { b.ledger.Refused(name) }
 
+// CountBegun counts a load that was found only after it began, at a moment or before it. It may
+// exceed what is reserved, which Propose makes up for.
+func (b *Budget) CountBegun(at time.Time) { b.ledger.Inherit(1, at) }
+
 // Propose says which reservation to write now, if any; Written must follow. A lower reservation
 // binds from here on, a higher one from Written on.
 func (b *Budget) Propose(now time.Time, bounds Bounds) (reservation int, due bool) {
@@ -85,9 +89,10 @@
 	return target, true
 }
 
-// raises says whether the headroom is too small and the bounds allow more loads.
+// raises says whether the headroom is too small and the bounds allow more loads, or more began than
+// are reserved.
 func (b *Budget) raises(counted, target int, bounds Bounds) bool {
-	return target > b.reserved && target > counted && b.reserved-counted < bounds.hysteresis()
+	return target > b.reserved && b.reserved-counted < bounds.hysteresis()
 }
 
 // lowers says whether the reservation was far above the need for a whole window.
