--- a/internal/controlplane/managedreplica.go
+++ b/internal/controlplane/managedreplica.go
@@ -15,6 +15,8 @@
 	state  *replicastate.Replica
 	// pending is the planner's action behind the order that is under way, if there is one.
 	pending *place.Action
+	// began is when that order was decided or, once it is accepted, when that was heard.
+	began time.Time
 	// overlayAt is when the replica's last report was adopted.
 	overlayAt time.Time
 	// matched is set once the platform's list was seen to show what the replica reported; contradicted is since when it
--- a/internal/controlplane/reportpolls.go
+++ b/internal/controlplane/reportpolls.go
@@ -48,7 +48,7 @@
 	wanted := make(map[string]int, len(ids))
 	for _, id := range ids {
 		one := w.managed[id]
-		for model := range w.heldOnce[one.listed.Address] {
+		for model := range w.heldOnce[diskOf(one.listed)] {
 			if demand := w.demand[place.Key(one.listed.Backend, model)]; demand != nil {
 				wanted[id] += demand.Waiting
 			}
@@ -62,9 +62,13 @@
 	one := w.managed[id]
 	one.state.AskStarted()
 	address := one.listed.Address
+	askedAt := w.daemon.clock()
 	go func() {
 		state, err := w.commander.Report(ctx, address, id)
-		w.results <- func() { w.applyReport(one, state, err) }
+		w.results <- func() {
+			w.checkDisk(one, state, askedAt)
+			w.applyReport(one, state, err)
+		}
 	}()
 }
 
@@ -84,7 +88,7 @@
 	one.matched = false
 	one.pending = nil
 	w.lock.Lock()
-	w.remember(one.listed.Address, held)
+	w.remember(one.listed, held)
 	w.lock.Unlock()
 	w.liftBars(one, now)
 	if now.Sub(w.shown) >= showPause {
--- a/internal/replicastate/report.go
+++ b/internal/replicastate/report.go
@@ -78,6 +78,16 @@
 	return r.mismatches < mismatchesNeeded
 }
 
+// CarriesOut tells whether a report shows the replica busy with the order that it has accepted.
+func (r *Replica) CarriesOut(report Report) bool {
+	return r.phase == Changing && report.Busy && report.Sequence >= r.sequence
+}
+
+// MayBegin tells whether an order that was decided may yet be taken.
+func (r *Replica) MayBegin(now time.Time) bool {
+	return r.phase == Ordered || len(r.Doubtful(now)) > 0
+}
+
 // SurelyHeld is the lower bound of what the replica holds: what it reported, without what an order that was decided or
 // may yet arrive unloads. The set must not be changed.
 func (r *Replica) SurelyHeld(now time.Time) map[string]bool {
