--- a/internal/loadbudget/budget_test.go
+++ b/internal/loadbudget/budget_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/loadbudget"
 )
 
 func playSeed(seed uint64, planted fault) error {
@@ -42,3 +44,63 @@
 		})
 	}
 }
+
+// writesDuring counts the reservations written while loads are begun at a pace, as far as allowed, 0
+// standing for none. A write takes 20 ms.
+func writesDuring(budget *loadbudget.Budget, bounds loadbudget.Bounds, from time.Time, span, pace time.Duration) (writes, loads int) {
+	wanted := from
+	for now := from; now.Before(from.Add(span)); now = now.Add(20 * time.Millisecond) {
+		for pace > 0 && !wanted.After(now) && budget.Free(now, bounds) >= 1 {
+			budget.Order("r")
+			budget.Begun("r", now)
+			wanted = wanted.Add(pace)
+			loads++
+		}
+		if reservation, due := budget.Propose(now, bounds); due {
+			budget.Written(budget.Fence(), reservation, true, now)
+			writes++
+		}
+	}
+	return writes, loads
+}
+
+func TestGivenAHolderThenIdleTimeCostsNoWritesAndSteadyLoadingFew(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, rate := range []float64{0.5, 1, 4, 16} {
+		var budget loadbudget.Budget
+		bounds := loadbudget.BoundsOf(rate, period, transit)
+		budget.TakeOver(loadbudget.Takeover{Fence: 1, At: now, Reserved: new(int)}, bounds)
+		first, _ := writesDuring(&budget, bounds, now, time.Minute, 0)
+		assert.Equal(t, first, 1, "what is reserved ahead")
+		idle, _ := writesDuring(&budget, bounds, now.Add(time.Minute), time.Hour, 0)
+		assert.Equal(t, idle, 0)
+		pace := time.Duration(float64(time.Second) / rate)
+		writes, loads := writesDuring(&budget, bounds, now.Add(2*time.Hour), 10*time.Minute, pace)
+		assert.Assert(t, writes <= 4+loads/20, "rate %f: %d writes for %d loads", rate, writes, loads)
+		assert.Assert(t, float64(loads) >= 0.7*rate*600, "rate %f: only %d loads", rate, loads)
+		after, _ := writesDuring(&budget, bounds, now.Add(3*time.Hour), time.Hour, 0)
+		assert.Assert(t, after <= 2, "lowered once the loads are over: %d writes", after)
+	}
+}
+
+func TestGivenATakeoverFromAHolderThatLoadedLittleThenMostLoadsMayBeginAtOnce(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	bounds := loadbudget.BoundsOf(4, period, transit)
+	var before, after loadbudget.Budget
+	before.TakeOver(loadbudget.Takeover{Fence: 1, At: now, Reserved: new(int)}, bounds)
+	reserved, _ := before.Propose(now, bounds)
+	after.TakeOver(loadbudget.Takeover{Fence: 2, At: now, Reserved: &reserved}, bounds)
+	_, loads := writesDuring(&after, bounds, now, time.Second, time.Millisecond)
+	assert.Assert(t, 3*loads >= 2*bounds.Loads, "%d of %d", loads, bounds.Loads)
+}
+
+func TestGivenARecordWithoutAReservationThenNothingMayBeginForAWindow(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	bounds := loadbudget.BoundsOf(1, period, transit)
+	var budget loadbudget.Budget
+	budget.TakeOver(loadbudget.Takeover{Fence: 7, At: now}, bounds)
+	_, loads := writesDuring(&budget, bounds, now, bounds.Window, time.Millisecond)
+	assert.Equal(t, loads, 0)
+	_, loads = writesDuring(&budget, bounds, now.Add(bounds.Window), time.Second, time.Millisecond)
+	assert.Equal(t, loads, bounds.Loads)
+}
