--- a/internal/controlplane/disks_test.go
+++ b/internal/controlplane/disks_test.go
@@ -17,8 +17,11 @@
 // diskScheduler holds the lease and has a replica at an address at which "m" and "n" were held once.
 func diskScheduler(now *time.Time) (*Scheduler, *managedReplica) {
 	table := configuration.NewTable(configuration.Configuration{Backends: []configuration.Backend{{
-		Name:    "s",
-		Runtime: &configuration.Runtime{LoadsPerS: 1, Models: []configuration.Model{{Name: "m", LoadTimeS: 4}, {Name: "n", LoadTimeS: 4}}},
+		Name: "s",
+		Runtime: &configuration.Runtime{
+			LoadsPerS: 1,
+			Models:    []configuration.Model{{Name: "m", LoadTimeS: 4}, {Name: "n", LoadTimeS: 4}},
+		},
 	}}}, nil)
 	full := 6
 	w := &Scheduler{
--- a/internal/lease/reserve_test.go
+++ b/internal/lease/reserve_test.go
@@ -89,7 +89,10 @@
 		}
 		if store != held {
 			hold, held = nil, store
-			keeper = &lease.Lease{Key: keystore.LeasePrefix + "duty", Holder: name, Address: name, Length: membersim.LeaseLength, Store: store, Clock: fleet.Clock(name)}
+			keeper = &lease.Lease{
+				Key: keystore.LeasePrefix + "duty", Holder: name, Address: name, Length: membersim.LeaseLength,
+				Store: store, Clock: fleet.Clock(name),
+			}
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 1200*time.Millisecond)
 		switch {
@@ -191,7 +194,10 @@
 func TestGivenGrantsOneAfterAnotherThenOnlyTheSameLifeContinuesAndOnlyTheSameAddressNeedNotWait(t *testing.T) {
 	store, now := &register{}, time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	daemon := func(name, address string) *lease.Lease {
-		return &lease.Lease{Key: "k", Holder: name, Address: address, Length: time.Second, Settle: time.Minute, Store: store, Clock: func() time.Time { return now }}
+		return &lease.Lease{
+			Key: "k", Holder: name, Address: address, Length: time.Second, Settle: time.Minute,
+			Store: store, Clock: func() time.Time { return now },
+		}
 	}
 	first, other := daemon("a", "1"), daemon("b", "2")
 	steps := []struct {
--- a/internal/loadbudget/budget_test.go
+++ b/internal/loadbudget/budget_test.go
@@ -47,7 +47,9 @@
 
 // writesDuring counts the reservations written while loads are begun at a pace, as far as allowed, 0
 // standing for none. A write takes 20 ms.
-func writesDuring(budget *loadbudget.Budget, bounds loadbudget.Bounds, from time.Time, span, pace time.Duration) (writes, loads int) {
+func writesDuring(
+	budget *loadbudget.Budget, bounds loadbudget.Bounds, from time.Time, span, pace time.Duration,
+) (writes, loads int) {
 	wanted := from
 	for now := from; now.Before(from.Add(span)); now = now.Add(20 * time.Millisecond) {
 		for pace > 0 && !wanted.After(now) && budget.Free(now, bounds) >= 1 {
