--- a/internal/place/room_test.go
+++ b/internal/place/room_test.go
@@ -50,7 +50,7 @@
 }
 
 func TestGivenADroppedModelThenItCountsWithItsEarlierSizeUntilItIsUnloaded(t *testing.T) {
-	for size, loaded := range map[float64]int{20: 1, 20.5: 0, 80: 0} {
+	for size, loaded := range map[float64]int{20: 1, 20.0005: 0, 20.5: 0, 80: 0} {
 		server := newServer("a", "gone")
 		view := roomView(server, sized("gone", 80))
 		Plan(view)
@@ -135,6 +135,28 @@
 	assert.Equal(t, len(find(Plan(view), true, "old/a1")), 1)
 }
 
+func TestGivenDroppedModelsAndAdaptersThenTheyGoFirst(t *testing.T) {
+	server := newServer("a", "an-idle-one", "gone")
+	view := roomView(server, sized("an-idle-one", 10), sized("new", 70))
+	view.waitFor("new")
+	assert.Equal(t, len(find(Plan(view), false, "gone")), 1)
+
+	server = newServer("a", "old", "old/a1", "old/a9")
+	view = roomView(server, sized("old", 60))
+	view.waitFor("old/a2")
+	view.waitFor("old/a9")
+	assert.Equal(t, len(find(Plan(view), false, "old/a9")), 1)
+}
+
+func TestGivenADroppedModelThenNoLoadOfItIsRecorded(t *testing.T) {
+	view := roomView(newServer("a"), sized("old", 60))
+	p := newPlanner(view, NewCatalog(view.Table).backends[0])
+	assert.Assert(t, !p.load(&p.servers[0], p.number("gone"), ""))
+	assert.Assert(t, !p.load(&p.servers[0], p.number("old/a9"), ""))
+	assert.Assert(t, p.load(&p.servers[0], p.number("old"), ""))
+	assert.Assert(t, !p.load(&p.servers[0], p.number("old"), ""), "one action of a plan at each server")
+}
+
 func TestGivenAnIntentOrContextOfADroppedModelThenItIsNotLoadedAgain(t *testing.T) {
 	server := newServer("a")
 	server.Intent, server.Held["gone"] = "gone", true
--- a/internal/place/worldreplica_test.go
+++ b/internal/place/worldreplica_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"strings"
 
 	"ferryspar/internal/configuration"
@@ -70,3 +71,14 @@
 		server.Held[reference] = !strings.Contains(reference, "/")
 	}
 }
+
+// describe is the state of the world, for a failing test.
+func (w *world) describe() string {
+	text := fmt.Sprintf("%s, room %v, %v", w.note, w.runtime().WeightSizeMb, w.runtime().Models)
+	for _, replica := range w.replicas {
+		server := replica.server
+		text += fmt.Sprintf("\n%s ready %v intent %q holds %v may hold %v remembered %v",
+			server.ID, server.Ready, server.Intent, replica.truth, server.MayHold, w.view.Sizes.of(server.ID))
+	}
+	return text
+}
--- a/internal/place/worlds_test.go
+++ b/internal/place/worlds_test.go
@@ -236,14 +236,3 @@
 	}
 	return true
 }
-
-// describe is the state of the world, for a failing test.
-func (w *world) describe() string {
-	text := fmt.Sprintf("%s, room %v, %v", w.note, w.runtime().WeightSizeMb, w.runtime().Models)
-	for _, replica := range w.replicas {
-		server := replica.server
-		text += fmt.Sprintf("\n%s ready %v intent %q holds %v may hold %v remembered %v",
-			server.ID, server.Ready, server.Intent, replica.truth, server.MayHold, w.view.Sizes.of(server.ID))
-	}
-	return text
-}
