--- a/internal/place/index.go
+++ b/internal/place/index.go
@@ -106,11 +106,14 @@
 			unlisted = append(unlisted, reference)
 		}
 	}
-	sort.Strings(unlisted)
-	for _, reference := range unlisted {
-		numbers = append(numbers, p.number(reference))
+	slices.Sort(numbers) // models come first in the catalog
+	if len(unlisted) > 0 {
+		sort.Strings(unlisted)
+		for _, reference := range unlisted {
+			numbers = append(numbers, p.number(reference))
+		}
+		slices.SortFunc(numbers, p.compareKind)
 	}
-	slices.SortFunc(numbers, p.compareKind)
 	models := 0
 	for _, number := range numbers {
 		state.used += p.heldSize(state, number)
