--- a/internal/place/equal_test.go
+++ b/internal/place/equal_test.go
@@ -65,6 +65,9 @@
 		if random.IntN(8) == 0 {
 			model.WeightSizeMb = 64 + float64(random.IntN(600))/10
 		}
+		if random.IntN(4) == 0 {
+			model.Adapters = random.IntN(model.Adapters + 1)
+		}
 		if random.IntN(12) > 0 || len(runtime.Models) == 0 {
 			runtime.Models = append(runtime.Models, model)
 		}
--- a/internal/place/evict.go
+++ b/internal/place/evict.go
@@ -101,10 +101,10 @@
 	return demand.Rate < rareRate && rest >= p.needed(demand)
 }
 
-// lastAdapter reports whether a server holds the last copy of an adapter of the model.
+// lastAdapter reports whether a server holds the last copy of a listed adapter of the model.
 func (p *planner) lastAdapter(state *serverState, model int, count func(number int) int) bool {
 	for _, adapter := range state.adapters {
-		if p.item(adapter).model == model && count(adapter) <= 1 {
+		if p.item(adapter).model == model && p.listed(adapter) && count(adapter) <= 1 {
 			return true
 		}
 	}
--- a/internal/place/evictcontext.go
+++ b/internal/place/evictcontext.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	for _, adapter := range state.adapters {
-		if p.item(adapter).model != model {
+		if p.item(adapter).model != model || !p.listed(adapter) {
 			continue
 		}
 		own := p.ownDemand(adapter)
--- a/internal/place/plain_evict_test.go
+++ b/internal/place/plain_evict_test.go
@@ -89,7 +89,8 @@
 
 func (p *plainPlanner) lastAdapter(server *Server, model string, count func(reference string) int) bool {
 	for reference := range server.Models {
-		if base, adapter := split(reference); base == model && adapter != "" && count(reference) <= 1 {
+		base, adapter := split(reference)
+		if base == model && adapter != "" && p.listed(reference) && count(reference) <= 1 {
 			return true
 		}
 	}
@@ -182,7 +183,7 @@
 		return false
 	}
 	for reference := range server.Models {
-		if !strings.HasPrefix(reference, model+"/") {
+		if !strings.HasPrefix(reference, model+"/") || !p.listed(reference) {
 			continue
 		}
 		asked := p.view.ownDemand(p.backend.Name, reference)
