--- a/internal/place/adapterroom.go
+++ b/internal/place/adapterroom.go
@@ -16,7 +16,7 @@
 	victim, lowest := "", 0.0
 	for _, position := range p.holders[model] {
 		state := &p.servers[position]
-		if !state.idle() || p.hasAdapterRoom(state, model) || !p.adaptersTakeRoom(state, model) {
+		if !state.idle() || p.hasAdapterRoom(state, model) || !p.adaptersMakeWay(state, model, waited) {
 			continue
 		}
 		for _, number := range state.adapters {
@@ -37,19 +37,18 @@
 	return true
 }
 
-// adaptersTakeRoom reports whether a server without its adapters had room and a place for one of the model.
-func (p *planner) adaptersTakeRoom(state *serverState, model int) bool {
-	if state.places-len(state.adapters) >= p.runtime.AdapterCapacity {
-		return false
-	}
-	rest := state.used + p.adapterSize(model) - p.room
+// adaptersMakeWay reports whether a server has room and a place for an adapter of the model once all
+// adapters that may make way are gone.
+func (p *planner) adaptersMakeWay(state *serverState, model int, waited bool) bool {
+	need := state.used + p.adapterSize(model) - p.room
+	places := state.places
 	for _, number := range state.adapters {
-		if rest <= 0 {
-			break
+		if p.expendableAdapter(number, waited) {
+			need -= p.heldSize(state, number)
+			places--
 		}
-		rest -= p.heldSize(state, number)
 	}
-	return rest <= 0
+	return need <= 0 && places < p.runtime.AdapterCapacity
 }
 
 // expendableAdapter reports whether an adapter may make way for another one. One with a single copy goes
@@ -77,16 +76,16 @@
 
 // unloadForAdapter makes room for an adapter at one of the full holders of its model that have a place for
 // it, or can have one: where that costs least, the first victim goes. The intent marks that holder until the
-// unload is done, so that one at a time makes room.
-func (p *planner) unloadForAdapter(adapter int) {
+// unload is done, so that one at a time makes room. It reports whether one does.
+func (p *planner) unloadForAdapter(adapter int, waited bool) bool {
 	model := p.item(adapter).model
 	if p.intended[p.item(model).name] > 0 || model >= len(p.holders) {
-		return
+		return p.intended[p.item(model).name] > 0
 	}
 	best, victim, lowest := -1, -1, 0.0
 	for _, position := range p.holders[model] {
 		state := &p.servers[position]
-		if !state.free() || !p.mayHavePlace(state) {
+		if !state.free() || !p.mayHavePlace(state, waited) {
 			continue
 		}
 		first, cost, possible := p.adapterRoomCost(state, adapter)
@@ -95,7 +94,7 @@
 		}
 	}
 	if best < 0 {
-		return
+		return false
 	}
 	state, wanted := &p.servers[best], p.item(model).name
 	p.record(state, Action{
@@ -104,17 +103,37 @@
 		Why:    "makes way for " + p.item(adapter).name,
 	})
 	p.setIntent(state, wanted)
+	return true
+}
+
+// copyForAdapter adds a copy of an adapter's model where none of those there are can take the adapter,
+// now or once what may go has gone.
+func (p *planner) copyForAdapter(adapter int) {
+	model := p.item(adapter).model
+	if p.onItsWay(model) || model >= len(p.holders) {
+		return
+	}
+	for _, position := range p.holders[model] {
+		state := &p.servers[position]
+		if p.hasAdapterRoom(state, model) || p.adaptersMakeWay(state, model, true) {
+			return
+		}
+		if _, _, possible := p.adapterRoomCost(state, adapter); possible && p.mayHavePlace(state, true) {
+			return
+		}
+	}
+	p.addCopy(model, adapterCopyReason)
 }
 
 // mayHavePlace reports whether a server has a place for an adapter, or has one once all its adapters that
 // may make way are gone.
-func (p *planner) mayHavePlace(state *serverState) bool {
+func (p *planner) mayHavePlace(state *serverState, waited bool) bool {
 	places := state.places
 	for _, number := range state.adapters {
 		if places < p.runtime.AdapterCapacity {
 			break
 		}
-		if p.expendableAdapter(number, false) {
+		if p.expendableAdapter(number, waited) {
 			places--
 		}
 	}
--- a/internal/place/adapters.go
+++ b/internal/place/adapters.go
@@ -10,6 +10,7 @@
 	adapterCopies = 2
 	// Values of Action.Why.
 	adapterLoadReason = "adapter wanted"
+	adapterCopyReason = "an adapter has no room where its model is loaded"
 	adapterSwapReason = "adapter makes way for one asked for"
 )
 
@@ -58,7 +59,8 @@
 }
 
 // addAdapter loads an adapter at the holder of its model with the fewest adapters. Where no holder
-// has room, an urgent one has another adapter unloaded.
+// has room, an urgent one has another adapter or an unwanted model unloaded, and one waited for a copy of
+// its model added elsewhere.
 func (p *planner) addAdapter(number int, urgent bool) {
 	var best *serverState
 	for _, position := range p.serversWithAdapterRoom(p.item(number).model) {
@@ -71,8 +73,12 @@
 		p.load(best, number, adapterLoadReason)
 		return
 	}
-	if urgent && !p.unloadAdapter(p.item(number).model, p.ownDemand(number).Waiting > 0) {
-		p.unloadForAdapter(number)
+	waited := p.ownDemand(number).Waiting > 0
+	if !urgent || p.unloadAdapter(p.item(number).model, waited) || p.unloadForAdapter(number, waited) {
+		return
+	}
+	if waited {
+		p.copyForAdapter(number)
 	}
 }
 
