--- a/internal/place/adapterroom.go
+++ b/internal/place/adapterroom.go
@@ -106,8 +106,8 @@
 	return true
 }
 
-// copyForAdapter adds a copy of an adapter's model where none of those there are can take the adapter,
-// now or once what may go has gone.
+// copyForAdapter adds a copy of an adapter's model where none of those there are has room for the adapter,
+// now or once what may go has gone. Where only places are lacking, the adapters there take turns.
 func (p *planner) copyForAdapter(adapter int) {
 	model := p.item(adapter).model
 	if p.onItsWay(model) || model >= len(p.holders) {
@@ -115,7 +115,7 @@
 	}
 	for _, position := range p.holders[model] {
 		state := &p.servers[position]
-		if p.hasAdapterRoom(state, model) || p.adaptersMakeWay(state, model, true) {
+		if p.excess(state, adapter) <= 0 || p.adaptersMakeWay(state, model, true) {
 			return
 		}
 		if _, _, possible := p.adapterRoomCost(state, adapter); possible && p.mayHavePlace(state, true) {
