--- a/internal/place/doc.go
+++ b/internal/place/doc.go
@@ -10,8 +10,9 @@
 //
 // Where to start reading: view.go (what a plan is made from, and what comes out), plan.go (the steps
 // of a plan in their sequence), demand.go (how many copies a model needs, and which is the more
-// urgent). Then the steps: intents.go (room made earlier), adapters.go, addcopy.go and hotcopies.go
-// (copies), evict.go (what is unloaded), evictcontext.go (cached context that must go,
+// urgent), room.go (what fits; every load is recorded there) and sizebook.go (sizes of what the
+// configuration no longer names). Then the steps: intents.go (room made earlier), adapters.go and
+// adapterroom.go, addcopy.go and hotcopies.go (copies), evict.go (what is unloaded), evictcontext.go (cached context that must go,
 // docs/retention.md). planner.go and index.go hold the indexes of one plan, catalog.go those of a
 // configuration, forecast.go the plan after a loss (docs/rehearsal.md).
 //
--- a/internal/place/room_test.go
+++ b/internal/place/room_test.go
@@ -135,6 +135,22 @@
 	assert.Equal(t, len(find(Plan(view), true, "old/a1")), 1)
 }
 
+func TestGivenNoRoomForAnAdapterWhereItsModelIsThenTheModelIsAddedElsewhere(t *testing.T) {
+	full, empty := newServer("a", "old", "busy"), newServer("b")
+	view := roomView(full, sized("old", 60), sized("busy", 40))
+	view.Servers = append(view.Servers, empty)
+	for _, reference := range []string{"old", "busy"} {
+		view.Demand[Key("s", reference)] = &Demand{Running: 1, Rate: 1, LastSeen: now}
+	}
+	view.waitFor("old/a1")
+	loads := find(Plan(view), true, "old")
+	assert.Equal(t, len(loads), 1)
+	assert.Equal(t, loads[0].Server, "b")
+	empty.Models = map[string]bool{"old": true}
+	clear(view.Loading)
+	assert.Equal(t, len(find(Plan(view), true, "old/a1")), 1)
+}
+
 func TestGivenDroppedModelsAndAdaptersThenTheyGoFirst(t *testing.T) {
 	server := newServer("a", "an-idle-one", "gone")
 	view := roomView(server, sized("an-idle-one", 10), sized("new", 70))
