--- a/internal/place/intents.go
+++ b/internal/place/intents.go
@@ -56,7 +56,8 @@
 }
 
 // intentObsolete reports whether a model from the store is no longer worth the room made for it:
-// nobody asks for it, or it has copies enough. One that the configuration does not name never is. A load from the server's own disk is always worth it.
+// nobody asks for it, or it has copies enough. A load from the server's own disk is always worth it,
+// unless the configuration does not name the model.
 func (p *planner) intentObsolete(state *serverState, model int) bool {
 	if !p.listed(model) {
 		return true
--- a/internal/place/worlds_test.go
+++ b/internal/place/worlds_test.go
@@ -41,7 +41,6 @@
 	view     *View
 	replicas []*worldReplica
 	models   []configuration.Model // all there ever were
-	wanted   []string
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
