--- a/internal/place/adapterroom.go
+++ b/internal/place/adapterroom.go
@@ -37,18 +37,29 @@
 	return true
 }
 
-// adaptersMakeWay reports whether a server has room and a place for an adapter of the model once all
+// withoutExpendableAdapters is how much room and how many places would be taken at a server once all
 // adapters that may make way are gone.
-func (p *planner) adaptersMakeWay(state *serverState, model int, waited bool) bool {
-	need := state.used + p.adapterSize(model) - p.room
-	places := state.places
+func (p *planner) withoutExpendableAdapters(state *serverState, waited bool) (used roomSize, places int) {
+	used, places = state.used, state.places
 	for _, number := range state.adapters {
 		if p.expendableAdapter(number, waited) {
-			need -= p.heldSize(state, number)
+			used -= p.heldSize(state, number)
 			places--
 		}
 	}
-	return need <= 0 && places < p.runtime.AdapterCapacity
+	return used, places
+}
+
+// adaptersMakeWay reports whether a server has room and a place for an adapter of the model then.
+func (p *planner) adaptersMakeWay(state *serverState, model int, waited bool) bool {
+	used, places := p.withoutExpendableAdapters(state, waited)
+	return used+p.adapterSize(model) <= p.room && places < p.runtime.AdapterCapacity
+}
+
+// mayHavePlace reports whether a server has a place for an adapter, or has one then.
+func (p *planner) mayHavePlace(state *serverState, waited bool) bool {
+	_, places := p.withoutExpendableAdapters(state, waited)
+	return places < p.runtime.AdapterCapacity
 }
 
 // expendableAdapter reports whether an adapter may make way for another one. One with a single copy goes
@@ -125,21 +136,6 @@
 	p.addCopy(model, adapterCopyReason)
 }
 
-// mayHavePlace reports whether a server has a place for an adapter, or has one once all its adapters that
-// may make way are gone.
-func (p *planner) mayHavePlace(state *serverState, waited bool) bool {
-	places := state.places
-	for _, number := range state.adapters {
-		if places < p.runtime.AdapterCapacity {
-			break
-		}
-		if p.expendableAdapter(number, waited) {
-			places--
-		}
-	}
-	return places < p.runtime.AdapterCapacity
-}
-
 // adapterRoomCost is the first victim for an adapter at a server and what room for the adapter costs,
 // and whether it can be made. The adapter's own model stays.
 func (p *planner) adapterRoomCost(state *serverState, adapter int) (first int, cost float64, possible bool) {
