A member never goes back to an older list of replicas

Cause: the list of replicas carried its age, and nobody compared it. A member adopted whatever the lease holder shared, also a list older than one that it had read itself, and a list whose reading had begun before a newer share came. With a holder cut off from the platform, members read the list themselves after 1.3 s and were put back by the holder's next share, over and over: a replica that had been draining was ready again for its data planes. The holder kept its list from before the cut and placed nothing after 3 s.

Ruled out: the order of shares (fence and number are compared), differences to another list (stamps), late shares (a call that is given up resets its connection).

Change: rosterState adopts a list only if it is not older than the one held, except from the member whose share is held, whose shares are in order. A member that holds a newer list than an old share answers with it, so a holder without the platform goes on placing, with no further call to the platform. What the holder barred stays for 3 s at a member that reads the list itself, where it was lifted before. Reading the state and publishing it is one step, so the newest stays.

Measured: story TestGivenALeaseHolderCutOffFromThePlatform... failed before ('ready' again at a member that had shown 'draining'), passes now; controlplane and story pass.

--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sort"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,100 +12,22 @@
 	"ferryspar/internal/platform"
 )
 
-type rosterState struct {
-	lock     sync.Mutex
-	replicas []platform.Replica
-	at       time.Time
-	shared   map[string]shared
-	sharing  map[string]bool
-	again    map[string]bool
-	from     string
-	stamp    string
-	// fence and number are those of the newest share heard.
-	fence  uint64
-	number uint64
-}
-
-// advance notes the fence and number of a share, and says whether it is newer than all before.
-func (r *rosterState) advance(fence, number uint64) bool {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if fence < r.fence || fence == r.fence && number <= r.number {
-		return false
-	}
-	r.fence, r.number = fence, number
-	return true
-}
-
-func (r *rosterState) listed() []platform.Replica {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return r.replicas
-}
-
-func (r *rosterState) set(replicas []platform.Replica, at time.Time) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.replicas, r.at = replicas, at
-}
-
-func (r *rosterState) own() {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.from = ""
-}
-
-func (r *rosterState) begin(address string, periodic bool) bool {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	if r.sharing == nil {
-		r.shared, r.sharing, r.again = map[string]shared{}, map[string]bool{}, map[string]bool{}
-	}
-	if r.sharing[address] {
-		r.again[address] = true
-		return false
-	}
-	r.sharing[address] = true
-	return true
-}
-
-func (r *rosterState) sharedWith(address string) (shared, bool) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	held, known := r.shared[address]
-	return held, known
-}
-
-func (r *rosterState) end(address string, told shared, taken bool) bool {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	again := r.again[address]
-	delete(r.again, address)
-	delete(r.shared, address)
-	if taken {
-		r.shared[address] = told
-	}
-	r.sharing[address] = again
-	return again
-}
-
-func (r *rosterState) age(now time.Time) time.Duration {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return now.Sub(r.at)
-}
-
 const (
+	// listEvery is the shortest pause between two readings of the list.
 	listEvery = 450 * time.Millisecond
+	// staleList is how old a list may be before a daemon without the lease reads it itself.
 	staleList = 1300 * time.Millisecond
+	// listShare: one reader takes the platform's rate divided by this at most.
+	listShare = 3
 )
 
-const listShare = 3
-
+// listPause is the pause between two readings of a list of that many pages.
 func listPause(perSecond float64, pages int) time.Duration {
 	return max(listEvery, time.Duration(float64(listShare*time.Second)*float64(pages)/max(perSecond, 0.1)))
 }
 
+// rosterLoop reads the platform's list while this daemon holds the lease, or where the holder's list
+// has not come for too long.
 func (d *Daemon) rosterLoop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -114,15 +35,7 @@
 		began := d.clock()
 		holding := d.scheduler.Holding()
 		if holding || d.roster.age(began) > staleList {
-			replicas, err := d.list.Read(ctx)
-			if err == nil {
-				sort.Slice(replicas, func(left, right int) bool { return replicas[left].ID < replicas[right].ID })
-				d.roster.set(replicas, began)
-				d.roster.own()
-				d.publishRoster()
-			} else {
-				logrus.WithError(err).Debug("platform list not read")
-			}
+			d.readList(ctx, began)
 		}
 		if holding {
 			d.shareRoster(ctx, true)
@@ -136,17 +49,34 @@
 	}
 }
 
+// readList reads the platform's list and publishes it. What a member shares meanwhile may be newer
+// than the question that began then; the list that was read is dropped in that case.
+func (d *Daemon) readList(ctx context.Context, began time.Time) {
+	replicas, err := d.list.Read(ctx)
+	if err != nil {
+		logrus.WithError(err).Debug("platform list not read")
+		return
+	}
+	sort.Slice(replicas, func(left, right int) bool { return replicas[left].ID < replicas[right].ID })
+	if d.roster.set(replicas, began) {
+		d.publishRoster()
+	}
+}
+
+// publishRoster publishes the list held, with what the scheduler knows better while it places, or with
+// what the lease holder barred. Any goroutine may call it.
 func (d *Daemon) publishRoster() {
-	d.roster.lock.Lock()
-	replicas, at := d.roster.replicas, d.roster.at
-	d.roster.lock.Unlock()
-	var barred []string
+	d.roster.publishing.Lock()
+	defer d.roster.publishing.Unlock()
+	replicas, at := d.roster.held()
+	barred := d.roster.bars(d.clock())
 	if d.scheduler.Holding() {
 		replicas, barred = d.scheduler.overlay(replicas, at)
 	}
 	d.post(replicas, barred, at)
 }
 
+// post publishes a list and what is barred, as of a moment.
 func (d *Daemon) post(replicas []platform.Replica, barred []string, at time.Time) {
 	changed := false
 	d.publisher.Touch(func(next *Snapshot) {
@@ -163,12 +93,15 @@
 	d.parts.Publish(replicas, barred, at)
 }
 
+// sameReplicas tells whether two lists say the same, to a second of cold time.
 func sameReplicas(left, right []platform.Replica) bool {
 	return slices.EqualFunc(left, right, func(one, other platform.Replica) bool {
 		return sameFact(one, other) && sameHeld(one.Models, other.Models) && int(one.ColdRemainingMs+999)/1000 == int(other.ColdRemainingMs+999)/1000
 	})
 }
 
+// overlay is the list with the models that the scheduler knows of from later reports, and what it
+// bars.
 func (w *Scheduler) overlay(replicas []platform.Replica, at time.Time) ([]platform.Replica, []string) {
 	lag := nodesettings.Milliseconds(w.daemon.settings.CloudAPI.MaxLagMs)
 	result := make([]platform.Replica, len(replicas))
--- a/internal/controlplane/share.go
+++ b/internal/controlplane/share.go
@@ -20,9 +20,12 @@
 // sharePause is the wait before a share that was asked for meanwhile.
 const sharePause = 40 * time.Millisecond
 
-// rosterReply says whether the receiver now has the roster of the share.
+// rosterReply says whether the receiver now has the roster of the share. Where that is old and the
+// receiver holds a newer list, Replicas is that one, as old as AgeMs.
 type rosterReply struct {
-	Has bool `json:"has"`
+	Has      bool               `json:"has"`
+	Replicas []platform.Replica `json:"replicas,omitempty"`
+	AgeMs    int64              `json:"ageMs,omitempty"`
 }
 
 // difference is what changed from base to next, and the ids that are gone.
@@ -76,7 +79,7 @@
 // too.
 func (d *Daemon) shareRoster(ctx context.Context, periodic bool) {
 	for _, address := range d.otherControls() {
-		if d.roster.begin(address, periodic) {
+		if d.roster.begin(address) {
 			go d.shareWith(ctx, address, periodic)
 		}
 	}
@@ -110,7 +113,11 @@
 			share.Replicas, share.Gone = difference(held.replicas, snapshot.Replicas)
 		}
 		var reply rosterReply
+		asked := d.clock()
 		err := d.peers.Ask(ctx, "roster", address, share, &reply)
+		if err == nil {
+			d.adoptNewer(reply, asked)
+		}
 		again = d.roster.end(address, shared{share.Stamp, snapshot.Replicas}, err == nil && reply.Has)
 		if again {
 			nodesettings.Sleep(ctx, sharePause)
@@ -118,32 +125,42 @@
 	}
 }
 
+// adoptNewer adopts the list of a member that holds a newer one: this daemon can't read the platform's
+// list itself. The answer may have been made as early as the question was asked.
+func (d *Daemon) adoptNewer(reply rosterReply, asked time.Time) {
+	if len(reply.Replicas) == 0 {
+		return
+	}
+	if d.roster.set(reply.Replicas, asked.Add(-time.Duration(reply.AgeMs)*time.Millisecond)) {
+		d.publishRoster()
+	}
+}
+
 // hearRoster adopts the holder's roster; a difference to something else than is held here is not
 // adopted, and the answer says so. A share that was overtaken by a newer one, or comes from a
-// holder that another one has followed, is passed over.
+// holder that another one has followed, is passed over. Of a share with an older list than the one
+// held here, only what is barred counts.
 func (d *Daemon) hearRoster(_ context.Context, share peer.RosterShare) rosterReply {
 	if !d.roster.advance(share.Fence, share.Number) {
 		return rosterReply{}
 	}
 	d.scheduler.heardHolder()
 	d.scheduler.hearRates(share.Rates)
-	at := d.clock().Add(-time.Duration(share.AgeMs) * time.Millisecond)
-	d.roster.lock.Lock()
-	replicas := share.Replicas
-	if share.Base != "" {
-		if d.roster.from != share.Member || d.roster.stamp != share.Base {
-			d.roster.lock.Unlock()
-			return rosterReply{}
+	now := d.clock()
+	result := d.roster.adopt(share, now.Add(-time.Duration(share.AgeMs)*time.Millisecond), now)
+	if result == unfounded {
+		return rosterReply{}
+	}
+	d.publishRoster()
+	if result == adopted {
+		for _, one := range share.Replicas {
+			d.scheduler.rememberListed(one)
 		}
-		replicas = combine(d.roster.replicas, share.Replicas, share.Gone)
+		return rosterReply{Has: true}
 	}
-	d.roster.replicas, d.roster.at = replicas, at
-	d.roster.from = share.Member
-	d.roster.stamp = share.Stamp
-	d.roster.lock.Unlock()
-	for _, one := range share.Replicas {
-		d.scheduler.rememberListed(one)
+	if share.AgeMs <= staleList.Milliseconds() {
+		return rosterReply{}
 	}
-	d.post(replicas, share.Barred, at)
-	return rosterReply{Has: true}
+	replicas, at := d.roster.held()
+	return rosterReply{Replicas: replicas, AgeMs: now.Sub(at).Milliseconds()}
 }
