Cold times of the list count from its question, so a slow reading ends no cold start early

Cause: a list counts as of the moment when its reading began, which is the safe side for replicas that are to leave. The cold times left that stand in it are as of the moment when the platform answered; added to the earlier moment, they ended up to the bound of a reading (0.9 s) too early, and data planes sent a replica that was still cold what a warm one takes.

Ruled out: shares and news on their way (both add the time of the way to the end, the safe side), the lag of the list (an older value is a longer one).

Change: the reader lengthens the cold times left by the time that the reading took.

--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -58,11 +58,22 @@
 		return
 	}
 	sort.Slice(replicas, func(left, right int) bool { return replicas[left].ID < replicas[right].ID })
+	countColdFrom(replicas, d.clock().Sub(began))
 	if d.roster.set(replicas, began) {
 		d.publishRoster()
 	}
 }
 
+// countColdFrom makes the cold times left those of the moment when the question began. The platform
+// may have told them as late as now, so they are lengthened by the time that the reading took.
+func countColdFrom(replicas []platform.Replica, took time.Duration) {
+	for index := range replicas {
+		if left := &replicas[index].ColdRemainingMs; *left > 0 {
+			*left += float64(took) / float64(time.Millisecond)
+		}
+	}
+}
+
 // publishRoster publishes the list held, with what the scheduler knows better while it places, or with
 // what the lease holder barred. Any goroutine may call it.
 func (d *Daemon) publishRoster() {
--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -44,6 +44,7 @@
 	folders  map[string]keystore.Folder
 	client   *http.Client
 	listed   int
+	listTook time.Duration
 	losses   int
 	cores    int
 }
@@ -120,7 +121,9 @@
 	f.lock.Lock()
 	replicas := append([]*standInReplica(nil), f.replicas...)
 	f.listed++
+	took := f.listTook
 	f.lock.Unlock()
+	time.Sleep(took)
 	page := platform.Page{Instances: []platform.Replica{}}
 	for _, one := range replicas {
 		page.Instances = append(page.Instances, one.entry())
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -44,6 +44,7 @@
 	fails     string
 	failEvery int
 	probed    int
+	coldUntil time.Time
 	healthy   bool
 }
 
@@ -94,11 +95,18 @@
 	}
 }
 
+func (s *standInReplica) cool(until time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.coldUntil = until
+}
+
 func (s *standInReplica) entry() platform.Replica {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	listed := s.listed
 	listed.Models = s.models.List()
+	listed.ColdRemainingMs = max(float64(time.Until(s.coldUntil).Milliseconds()), 0)
 	return listed
 }
 
--- a/internal/story/roster_test.go
+++ b/internal/story/roster_test.go
@@ -46,3 +46,25 @@
 		}
 	})
 }
+
+func TestGivenAListThatTakesLongToReadThenNoColdReplicaIsTakenForWarmTooEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := newStandInReplica("i-1", "10.1.2.1", "north", "swift")
+		f := settled(t, 1, one)
+		o := newOperators(f, 1, 1, 2, 3)
+		f.lock.Lock()
+		f.listTook = 800 * time.Millisecond
+		f.lock.Unlock()
+		coldUntil := time.Now().Add(12 * time.Second)
+		one.cool(coldUntil)
+		time.Sleep(4 * time.Second)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			for number := 1; number <= 3; number++ {
+				told := o.status(coreHost(number))
+				left := time.Duration(told.Replicas[0].ColdRemainingMs-float64(told.ListMs)) * time.Millisecond
+				assert.Assert(t, !time.Now().Add(left).Before(coldUntil.Add(-time.Millisecond)), "%s early at %d", coldUntil.Sub(time.Now().Add(left)), number)
+			}
+		}
+	})
+}
