A replica that one list leaves out is not taken for ended where context is to be forgotten

Cause: the work on forgetting context looked at the newest list only. A replica that a list leaves out for a moment (pages read while the list changes, a reader that lags) was settled as 'gone' for good in the key store, or was not counted at all if the copies were listed at that moment; its context stayed, and the operator was told that the item was complete. The age of its copies began anew, so that context could outlive the policy's life by up to the life itself.

Ruled out: copies counted from unknown reports (counting waits for them), settling by a holder without the lease (steps need it), a replica without the model in its own report (its context is gone).

Change: the ages of copies are a type of their own, copyAges.

Measured: story TestGivenAReplicaThatTheListLeavesOutForAMoment... failed before in both moments ('gone', and not counted), as did TestGivenACopyThatALaterListLeavesOut...

--- /dev/null
+++ b/internal/controlplane/copyages_test.go
@@ -0,0 +1,35 @@
+package controlplane
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/platform"
+	"ferryspar/internal/retention"
+)
+
+func TestGivenACopyThatALaterListLeavesOutForAMomentThenItsAgeGoesOn(t *testing.T) {
+	now := rosterStart
+	scheduler := &Scheduler{daemon: &Daemon{clock: func() time.Time { return now }}, eviction: newContextEviction()}
+	other := platform.Replica{ID: "i-1"}
+	held := platform.Replica{ID: "i-2", Models: []platform.Held{{Name: "swift"}}}
+	emptied := platform.Replica{ID: "i-2"}
+	policy := retention.Policy{Number: 1, LifeMs: 60_000}
+	at := func(seconds int, listed ...platform.Replica) int {
+		now = rosterStart.Add(time.Duration(seconds) * time.Second)
+		scheduler.noteAges(listed)
+		return len(scheduler.dueCopies(policy, now))
+	}
+	assert.Equal(t, at(0, other), 0)
+	assert.Equal(t, at(1, other, held), 0)
+	assert.Equal(t, at(40, other), 0)
+	assert.Equal(t, at(41, other, held), 0)
+	assert.Equal(t, at(47, other, held), 1, "45 of 60 seconds after the copy was first listed")
+	assert.Equal(t, at(48, other, emptied), 0, "listed without the model: its context is gone")
+	assert.Equal(t, at(49, other, held), 0)
+	assert.Equal(t, at(60, other), 0)
+	assert.Equal(t, at(66, other), 0)
+	assert.Equal(t, at(100, other, held), 0, "left out for too long to be the same life")
+}
--- a/internal/controlplane/eviction.go
+++ b/internal/controlplane/eviction.go
@@ -27,20 +27,11 @@
 	storeItemEvery = 300 * time.Millisecond
 )
 
-// copyAge is since when a replica is known to hold a model. The age of copies found in the first
-// list is unknown, so they count as due at once.
-type copyAge struct {
-	since   time.Time
-	unknown bool
-}
-
 // contextEviction is the work on forgetting context at replicas. A replica's context goes with its
 // model's copy, so copies are unloaded and loaded again, one at a time. The scheduler's lock guards
-// ages and firstList; the rest belongs to the scheduler's goroutine.
+// ages; the rest belongs to the scheduler's goroutine.
 type contextEviction struct {
-	// ages are by "replica model".
-	ages      map[string]copyAge
-	firstList bool
+	ages *copyAges
 	// cleared holds the pairs done that are not stored yet, as clearedKey names them.
 	cleared map[string]bool
 	// running is the "replica model" being evicted, or empty.
@@ -52,30 +43,15 @@
 
 // newContextEviction knows of no copies yet.
 func newContextEviction() *contextEviction {
-	return &contextEviction{ages: map[string]copyAge{}, firstList: true, cleared: map[string]bool{}}
+	return &contextEviction{ages: newCopyAges(), cleared: map[string]bool{}}
 }
 
-// noteAges notes new copies and forgets those that are gone. Any goroutine may call it.
+// noteAges takes in a list that changed. Any goroutine may call it.
 func (w *Scheduler) noteAges(replicas []platform.Replica) {
 	now := w.daemon.clock()
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	present := map[string]bool{}
-	for _, one := range replicas {
-		for _, held := range one.Models {
-			name := one.ID + " " + held.Name
-			present[name] = true
-			if _, known := w.eviction.ages[name]; !known {
-				w.eviction.ages[name] = copyAge{since: now, unknown: w.eviction.firstList}
-			}
-		}
-	}
-	for name := range w.eviction.ages {
-		if !present[name] {
-			delete(w.eviction.ages, name)
-		}
-	}
-	w.eviction.firstList = w.eviction.firstList && len(replicas) == 0
+	w.eviction.ages.note(replicas, now)
 }
 
 // planEviction brings the forget items up to date and tells the planner which copies to evict:
@@ -132,26 +108,27 @@
 	}
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	var due []place.ServerModel
-	for name, age := range w.eviction.ages {
-		if age.unknown || now.Sub(age.since) > time.Duration(dueShare*float64(policy.Life())) {
-			id, model, _ := strings.Cut(name, " ")
-			due = append(due, place.ServerModel{Server: id, Model: model})
-		}
-	}
-	sort.Slice(due, func(left, right int) bool {
-		one := w.eviction.ages[due[left].Server+" "+due[left].Model]
-		other := w.eviction.ages[due[right].Server+" "+due[right].Model]
-		if !one.since.Equal(other.since) {
-			return one.since.Before(other.since)
-		}
-		return due[left].Server+due[left].Model < due[right].Server+due[right].Model
-	})
-	return due
+	return w.eviction.ages.due(policy.Life(), now)
+}
+
+// absentCopies are the copies at replicas that the newest list leaves out and that may still be there.
+func (w *Scheduler) absentCopies() []place.ServerModel {
+	now := w.daemon.clock()
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.eviction.ages.absent(now)
+}
+
+// ended tells whether a replica that is not managed is gone for good.
+func (w *Scheduler) ended(id string) bool {
+	now := w.daemon.clock()
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.eviction.ages.ended(id, now)
 }
 
-// countPairs stores which copies an item concerns, once every replica's holdings are known; only
-// the scope's models count.
+// countPairs stores which copies an item concerns, once every replica's holdings are known, with those
+// at replicas that the list has just left out; only the scope's models count.
 func (w *Scheduler) countPairs(ctx context.Context, item retention.Item) {
 	var pairs []retention.Pair
 	for id, one := range w.managed {
@@ -171,6 +148,11 @@
 			}
 		}
 	}
+	for _, copied := range w.absentCopies() {
+		if w.managed[copied.Server] == nil && item.Scope.CoversModel(copied.Model) {
+			pairs = append(pairs, retention.Pair{Replica: copied.Server, Model: copied.Model, State: retention.Pending})
+		}
+	}
 	sort.Slice(pairs, func(left, right int) bool {
 		return pairs[left].Replica+pairs[left].Model < pairs[right].Replica+pairs[right].Model
 	})
@@ -183,7 +165,8 @@
 	})
 }
 
-// updateItem stores which of an item's copies have been evicted or are gone with their replica.
+// updateItem stores which of an item's copies have been evicted, or are gone with a replica that has
+// ended; one that the list has just left out stays pending.
 func (w *Scheduler) updateItem(ctx context.Context, item retention.Item) {
 	states := map[retention.Pair]string{}
 	for _, pair := range item.Pairs {
@@ -192,7 +175,9 @@
 		}
 		one := w.managed[pair.Replica]
 		if one == nil {
-			states[pair] = retention.Gone
+			if w.ended(pair.Replica) {
+				states[pair] = retention.Gone
+			}
 			continue
 		}
 		if one.known && one.pending == nil && !one.models[pair.Model] {
--- a/internal/story/roster_test.go
+++ b/internal/story/roster_test.go
@@ -1,11 +1,15 @@
 package story
 
 import (
+	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/retention"
 )
 
 const platformHost = "10.200.0.1"
@@ -68,3 +72,42 @@
 		}
 	})
 }
+
+// hide leaves a replica out of the platform's list, as pages do that are read while the list changes.
+func (f *fleet) hide(one *standInReplica, hidden bool) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.replicas = slices.DeleteFunc(f.replicas, func(listed *standInReplica) bool { return listed == one })
+	if !hidden {
+		f.replicas = append(f.replicas, one)
+	}
+}
+
+func TestGivenAReplicaThatTheListLeavesOutForAMomentThenItsContextIsStillForgotten(t *testing.T) {
+	for name, moment := range map[string]time.Duration{"before it is counted": -600 * time.Millisecond, "after": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				one, two := newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.2.2.1", "south", "swift")
+				f := settled(t, 1, one, two)
+				time.Sleep(3 * time.Second)
+				if moment < 0 {
+					f.hide(two, true)
+					time.Sleep(-moment)
+				}
+				_, status := f.forget(1, `{"model":"swift"}`)
+				assert.Equal(t, status, http.StatusOK)
+				if moment > 0 {
+					time.Sleep(moment)
+					f.hide(two, true)
+				}
+				time.Sleep(700 * time.Millisecond)
+				f.hide(two, false)
+				time.Sleep(20 * time.Second)
+				done := f.forgets(1)[0]
+				assert.Assert(t, done.Complete, "%v", done)
+				assert.Equal(t, states(done, "replica")["i-2swift"], retention.Done)
+				assert.Assert(t, one.unloads("swift") >= 1 && two.unloads("swift") >= 1, "%d and %d", one.unloads("swift"), two.unloads("swift"))
+			})
+		})
+	}
+}
