What was sent to a cold replica still counts after a list that left it out

All data planes follow the same list, so one flicker of it doubled what a cold replica may get in that second, over the whole fleet.

Ruled out: replicas at which something runs (kept before, too); a new life (it has a new id).

The ledger's claims still go at once: a copy that was unloaded and loaded again has nothing kept.

Measured: TestGivenAColdReplicaThatASnapshotLeavesOut... failed before (5 further sends in the same second, where the rule is used up), passes now; match, emulator, replay pass.

--- a/internal/match/adopt.go
+++ b/internal/match/adopt.go
@@ -2,12 +2,13 @@
 
 import (
 	"slices"
+	"time"
 
 	"ferryspar/internal/portion"
 )
 
 // adopt takes the newest snapshot into use. States of replicas outlive it; those of replicas that
-// left are dropped.
+// left are dropped after a while.
 func (m *Matcher) adopt() {
 	loaded := m.current.Load()
 	if loaded == m.fleet {
@@ -56,16 +57,34 @@
 	return m.states[id]
 }
 
-// dropUnlisted drops states, ledger entries and health records of replicas that are no longer
-// listed and run nothing of ours. With an empty list nothing is dropped.
+// unlistedLife is how long what is known of a replica is kept after the snapshot has left it out. A
+// list may leave one out for a moment; what was sent to it meanwhile still counts when it is back.
+const unlistedLife = 5 * time.Second
+
+// dropUnlisted drops the ledger's entries of replicas that are no longer listed and run nothing of
+// ours, and after unlistedLife their states and health records. With an empty list nothing is dropped.
 func (m *Matcher) dropUnlisted() {
 	if len(m.index.replicas) == 0 {
 		return
 	}
+	now := m.clock()
 	left := map[string]bool{}
+	m.unlisted = 0
 	for id, state := range m.states {
-		if _, listed := m.index.positions[id]; !listed && state.running == 0 {
+		if _, listed := m.index.positions[id]; listed {
+			state.unlistedAt = time.Time{}
+			continue
+		}
+		m.unlisted++
+		if state.running > 0 {
+			continue
+		}
+		if state.unlistedAt.IsZero() {
+			state.unlistedAt = now
 			left[id] = true
+		}
+		if now.Sub(state.unlistedAt) >= unlistedLife {
+			m.unlisted--
 			delete(m.states, id)
 			delete(m.watched, id)
 		}
--- a/internal/match/health.go
+++ b/internal/match/health.go
@@ -170,19 +170,24 @@
 	return seen
 }
 
-// forgetUnlisted drops the records of replicas and addresses that are no longer listed.
+// forgetUnlisted drops the records of replicas that have no state any more and of addresses that are no
+// longer listed.
 func (m *Matcher) forgetUnlisted() {
 	addresses := map[string]bool{}
 	for _, replica := range m.fleet.Replicas {
 		addresses[replica.Address] = true
 	}
+	kept := func(id string) bool {
+		_, listed := m.index.positions[id]
+		return listed || m.states[id] != nil
+	}
 	for id := range m.health.tallies {
-		if _, listed := m.index.positions[id]; !listed {
+		if !kept(id) {
 			delete(m.health.tallies, id)
 		}
 	}
 	for id := range m.health.firstListed {
-		if _, listed := m.index.positions[id]; !listed {
+		if !kept(id) {
 			delete(m.health.firstListed, id)
 			delete(m.health.breakers, id)
 		}
--- a/internal/match/load.go
+++ b/internal/match/load.go
@@ -62,7 +62,6 @@
 // collectReplicas is the load by replica id of all watched replicas that are listed.
 func (m *Matcher) collectReplicas(now time.Time) map[string]peer.ReplicaLoad {
 	replicas := map[string]peer.ReplicaLoad{}
-	departed := false
 	for id, state := range m.watched {
 		_, listed := m.index.positions[id]
 		suspect := state.suspected(now)
@@ -70,7 +69,6 @@
 		quiet := !suspect && outcomes == peer.Outcomes{}
 		if state.running == 0 && (quiet || !listed) {
 			delete(m.watched, id)
-			departed = departed || !listed
 		} else if listed {
 			replicas[id] = peer.ReplicaLoad{
 				Running:  state.running,
@@ -81,7 +79,7 @@
 			}
 		}
 	}
-	if departed {
+	if m.unlisted > 0 {
 		m.dropUnlisted()
 	}
 	return replicas
--- a/internal/match/matcher.go
+++ b/internal/match/matcher.go
@@ -30,6 +30,7 @@
 	forkAsked     chan chan *Matcher
 
 	states          map[string]*replicaState // by replica id
+	unlisted        int                      // states of replicas that the snapshot leaves out
 	stateByPosition []*replicaState          // the same by position in the index, filled on demand
 	watched         map[string]*replicaState // those with something to report
 	health          *health
--- a/internal/match/replicastate.go
+++ b/internal/match/replicastate.go
@@ -19,6 +19,7 @@
 	gone          bool                 // the replica said that it ends
 	fullUntil     time.Time            // it said that it is full; nothing is sent before
 	missingUntil  map[string]time.Time // by model: it said that the model is not loaded
+	unlistedAt    time.Time            // since when the snapshot leaves it out, zero if it is listed
 }
 
 const (
