Arrivals that are told again count once

Cause: a control daemon tells the placement holder the arrivals since its last share. Where the answer is lost (the link, a slow or frozen holder), it gave them back to be told with the next share, although the holder may have heard them: with every lost answer the demand grew by what was already counted, and copies are planned by it.

Ruled out: shares that come after their call was given up (the connection is reset); sums of what waits and runs (each share replaces the last of its member).

Change: arrivals go in numbered batches. A batch that may not have been heard is sent again whole under its number; the holder counts each number of a life of a sender once, in any order.

What stays: after a change of holder, one batch may count at both. A data plane doesn't repeat a report that failed: its arrivals of 0.3 s are lost.

The benchmark of measuring hears its share as new each time, as before.

--- a/internal/controlplane/daemon_bench_test.go
+++ b/internal/controlplane/daemon_bench_test.go
@@ -186,6 +186,7 @@
 				daemon.sums.Hear(load(edge, 140), time.Now())
 			}
 			share := daemon.sums.Demand(daemon.self, false)
+			share.Batch = 0 // heard as new each time
 			for b.Loop() {
 				daemon.scheduler.hearDemand(share)
 				daemon.scheduler.measure()
--- a/internal/controlplane/demand.go
+++ b/internal/controlplane/demand.go
@@ -7,8 +7,8 @@
 	"ferryspar/internal/place"
 )
 
-// hearDemand takes in a control plane's share of the demand, and has a plan made soon if a model is
-// newly waited for. Any goroutine may call it.
+// hearDemand takes in a control plane's share of the demand, its arrivals unless they were heard
+// before, and has a plan made soon if a model is newly waited for. Any goroutine may call it.
 func (w *Scheduler) hearDemand(share peer.LoadSum) {
 	now := w.daemon.clock()
 	w.lock.Lock()
@@ -17,8 +17,12 @@
 		w.learning = now
 	}
 	names := make([]string, len(share.Models))
+	fresh := w.tally.isNew(share)
 	for index, model := range share.Models {
 		names[index] = place.Key(model.Backend, model.Model)
+		if !fresh {
+			continue
+		}
 		w.counted[names[index]] += float64(model.Arrivals)
 		w.reading[names[index]] += model.ReadMs
 	}
--- a/internal/controlplane/demandshare.go
+++ b/internal/controlplane/demandshare.go
@@ -2,25 +2,29 @@
 
 import (
 	"context"
+	"maps"
 
 	"ferryspar/internal/peer"
 	"ferryspar/internal/place"
 )
 
 // Demand is this daemon's share of the demand, for the placement holder: arrivals since the last
-// one, and what waits and runs now. A partial share holds only models that are newly waited for.
+// one or, if there are any, some that it may not have heard; and what waits and runs now. A partial share holds only models that are newly waited for.
 func (s *Sums) Demand(member string, partial bool) peer.LoadSum {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	share := peer.LoadSum{Member: member, Daemons: len(s.reports), Demand: true, Partial: partial}
 	wanted := func(name string) bool { return !partial || s.fresh[name] }
-	models := map[string]peer.ModelLoad{}
-	for name, counted := range s.arrivals {
-		if wanted(name) {
-			models[name] = counted
-			delete(s.arrivals, name)
-		}
+	batch := arrivalBatch{}
+	if !partial {
+		batch = s.arrivals.again()
 	}
+	if batch.number == 0 {
+		batch = s.arrivals.next(wanted)
+	}
+	share.Batch = batch.number
+	models := make(map[string]peer.ModelLoad, len(batch.models))
+	maps.Copy(models, batch.models)
 	waits := map[string]bool{}
 	for _, one := range s.reports {
 		for _, model := range one.load.Models {
@@ -54,17 +58,20 @@
 	return share
 }
 
-// restore gives the arrivals of a share that was not delivered back, to be sent with the next.
+// delivered notes that a share was heard.
+func (s *Sums) delivered(share peer.LoadSum) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.arrivals.settle(share.Batch, true)
+}
+
+// restore has the arrivals of a share that may not have been delivered sent again, under their number.
 func (s *Sums) restore(share peer.LoadSum) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	s.arrivals.settle(share.Batch, false)
 	for _, model := range share.Models {
-		name := place.Key(model.Backend, model.Model)
-		counted := s.arrivals[name]
-		counted.Arrivals += model.Arrivals
-		counted.ReadMs += model.ReadMs
-		s.arrivals[name] = counted
-		delete(s.waiting, name)
+		delete(s.waiting, place.Key(model.Backend, model.Model))
 	}
 }
 
--- a/internal/controlplane/exchange.go
+++ b/internal/controlplane/exchange.go
@@ -81,7 +81,7 @@
 }
 
 // tellDemand gives this daemon's share of the demand to the placement holder, which may be itself.
-// Arrivals that cannot be delivered are kept for the next share.
+// Arrivals that may not have been delivered are sent again, and count once.
 func (d *Daemon) tellDemand(ctx context.Context, partial bool) {
 	holder := d.publisher.Read().Holder
 	if holder == "" {
@@ -91,13 +91,17 @@
 	if partial && len(share.Models) == 0 {
 		return
 	}
+	share.Life = d.life
 	if holder == d.self {
 		d.scheduler.hearDemand(share)
+		d.sums.delivered(share)
 		return
 	}
 	go func() {
 		if err := d.peers.Ask(ctx, "sums", holder, share, nil); err != nil {
 			d.sums.restore(share)
+			return
 		}
+		d.sums.delivered(share)
 	}()
 }
--- a/internal/controlplane/sums.go
+++ b/internal/controlplane/sums.go
@@ -29,8 +29,8 @@
 	// suspects counts the data planes that suspect each replica.
 	suspects map[string]int
 	others   map[string]memberSums
-	// arrivals counts, by model, what has not gone to the placement holder yet.
-	arrivals map[string]peer.ModelLoad
+	// arrivals are on their way to the placement holder.
+	arrivals *arrivalOutbox
 	// waiting marks the models that were waited for when the demand was last told.
 	waiting map[string]bool
 	// fresh marks the models newly waited for since then.
@@ -46,7 +46,7 @@
 		own:      newReplicaSums(),
 		suspects: map[string]int{},
 		others:   map[string]memberSums{},
-		arrivals: map[string]peer.ModelLoad{},
+		arrivals: newArrivalOutbox(),
 		waiting:  map[string]bool{},
 		fresh:    map[string]bool{},
 		nudge:    make(chan struct{}, 1),
@@ -69,10 +69,9 @@
 	s.count(load, 1)
 	for _, model := range load.Models {
 		name := place.Key(model.Backend, model.Model)
-		counted := s.arrivals[name]
-		counted.Arrivals += model.Arrivals
-		counted.ReadMs += model.ReadMs
-		s.arrivals[name] = counted
+		if model.Arrivals > 0 || model.ReadMs > 0 {
+			s.arrivals.collect(name, model)
+		}
 		if model.Waiting > 0 && !s.waiting[name] {
 			s.waiting[name], s.fresh[name] = true, true
 		}
--- a/internal/controlplane/tally.go
+++ b/internal/controlplane/tally.go
@@ -51,6 +51,8 @@
 	suspecting int
 	// stirred is set by what may call for a new plan.
 	stirred bool
+	// batches are those heard, by member.
+	batches map[string]*heardBatches
 }
 
 // NewTally is an empty tally.
@@ -61,9 +63,23 @@
 		touched:  map[string]bool{},
 		waiting:  map[string]bool{},
 		suspects: map[string]int{},
+		batches:  map[string]*heardBatches{},
 	}
 }
 
+// isNew notes the batch of arrivals in a share and tells whether it was not heard before.
+func (t *Tally) isNew(share peer.LoadSum) bool {
+	if share.Batch == 0 {
+		return true
+	}
+	held := t.batches[share.Member]
+	if held == nil || held.life != share.Life {
+		held = &heardBatches{life: share.Life, numbers: map[uint64]bool{}}
+		t.batches[share.Member] = held
+	}
+	return held.isNew(share.Batch)
+}
+
 // Hear takes in a share, whose models' keys are given, and reports whether a model is newly waited
 // for. A partial share replaces only the models that it names.
 func (t *Tally) Hear(share peer.LoadSum, names []string, now time.Time) (fresh bool) {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -130,7 +130,9 @@
 }
 
 // LoadSum is what a control daemon tells the others of the data planes that report to it. Partial
-// tells that only changed models are named.
+// tells that only changed models are named. Batch is the number of the arrivals and reading times in
+// Models within the sender's Life: they are sent again under it until they are known to be heard, and
+// count once.
 type LoadSum struct {
 	Member   string                  `json:"member"`
 	Daemons  int                     `json:"daemons"`
@@ -142,6 +144,8 @@
 	Models   []ModelLoad             `json:"models,omitempty"`
 	Demand   bool                    `json:"demand,omitempty"`
 	Partial  bool                    `json:"partial,omitempty"`
+	Life     string                  `json:"life,omitempty"`
+	Batch    uint64                  `json:"batch,omitempty"`
 }
 
 // ZoneOutcomes holds outcomes by zone.
