Daemons that read the platform's list without the lease share a third of its rate

Cause: every reader took a third of the platform's rate by itself. With the holder gone or cut off, all other control daemons read the list: from the fourth reader on, together beyond the rate, and a list of which one page is refused counts for nothing. A list so long that the holder's own pause is more than 1.3 s counted as stale at all others between any two readings, so they read it all the time.

Change: the pause of a reader without the lease grows with their number; a list is stale by the holder's pause and 0.85 s. Where the shortest pause (0.45 s) binds, nothing changes.

What stays: the first readings at a start and at the loss of the holder are not spread.

--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -26,21 +26,35 @@
 	return max(listEvery, time.Duration(float64(listShare*time.Second)*float64(pages)/max(perSecond, 0.1)))
 }
 
+// sharedListPause is the pause of each of the daemons that read the list without the lease: together
+// they take no more of the platform's rate than the holder does.
+func sharedListPause(perSecond float64, pages, readers int) time.Duration {
+	return listPause(perSecond, pages*max(readers, 1))
+}
+
+// staleAfter is how old a list of that many pages may be before it is read without the lease: staleList,
+// or as much later as the holder's pause is longer than the shortest.
+func staleAfter(perSecond float64, pages int) time.Duration {
+	return staleList + listPause(perSecond, pages) - listEvery
+}
+
 // rosterLoop reads the platform's list while this daemon holds the lease, or where the holder's list
 // has not come for too long.
 func (d *Daemon) rosterLoop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		began := d.clock()
+		began, perSecond := d.clock(), d.settings.CloudAPI.RatePerS
 		holding := d.scheduler.Holding()
-		if holding || d.roster.age(began) > staleList {
+		if holding || d.roster.age(began) > staleAfter(perSecond, d.list.Pages()) {
 			d.readList(ctx, began)
 		}
+		pause := sharedListPause(perSecond, d.list.Pages(), len(d.publisher.Read().Control)-1)
 		if holding {
 			d.shareRoster(ctx, true)
+			pause = listPause(perSecond, d.list.Pages())
 		}
-		timer.Reset(max(listPause(d.settings.CloudAPI.RatePerS, d.list.Pages())-d.clock().Sub(began), listEvery/4))
+		timer.Reset(max(pause-d.clock().Sub(began), listEvery/4))
 		select {
 		case <-ctx.Done():
 			return
