Status tells why the daemon last changed the members

The log told it already. The reason isn't part of the member list, so only the daemon that committed the change knows it, in this life.

Measured: story TestGivenALostMember... passes with the check of the reason and its number.

--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -18,6 +18,7 @@
 	"ferryspar/internal/heartbeat"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/operator"
 	"ferryspar/internal/peer"
 	"ferryspar/internal/platform"
 	"ferryspar/internal/retention"
@@ -63,6 +64,8 @@
 	network    peer.Network
 	forecasts  forecasts
 	drills     drills
+	// membersChange is the last change of the members that this daemon committed.
+	membersChange atomic.Pointer[operator.MembersChange]
 }
 
 func nonce() uint64 {
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -11,6 +11,7 @@
 	"ferryspar/internal/event"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/membership"
+	"ferryspar/internal/operator"
 	"ferryspar/internal/peer"
 )
 
@@ -114,6 +115,7 @@
 	logrus.WithFields(logrus.Fields{
 		"why": change.Reason, "present": change.Members.Present, "next": change.Members.Next, "number": change.Members.Number,
 	}).Info("members change committed")
+	d.membersChange.Store(&operator.MembersChange{Number: change.Members.Number, Reason: change.Reason})
 	d.apply(slot)
 	_ = d.bus.Publish(event.Committed, peer.KeyUpdate{Slot: slot.Bare()})
 }
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -16,7 +16,8 @@
 	fleet := operator.Fleet{
 		Member: d.self, IsMember: members.Has(d.self), Voting: self.Voting, Leaving: d.isLeaving(),
 		Fresh: snapshot.Fresh(now), ConfirmedMs: age(now, snapshot.ConfirmedAt),
-		Revision: snapshot.Revision, Members: members.Present, Next: members.Next, MembersNumber: members.Number, Holder: snapshot.Holder,
+		Revision: snapshot.Revision, Members: members.Present, Next: members.Next, MembersNumber: members.Number,
+		MembersChange: d.membersChange.Load(), Holder: snapshot.Holder,
 		Control: snapshot.Control, Replicas: snapshot.Replicas, ListMs: age(now, snapshot.RosterAt), Drained: []string{},
 		Silent: d.membershipView().Silent(),
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -25,6 +25,8 @@
 	Next        []string `json:"nextMembers,omitempty"`
 	// MembersNumber rises with each change of the member list.
 	MembersNumber uint64 `json:"membersNumber"`
+	// MembersChange is the last change of the member list that the daemon itself committed in this life.
+	MembersChange *MembersChange `json:"membersChange,omitempty"`
 	// Silent lists the members that the daemon does not hear.
 	Silent   []string           `json:"silent,omitempty"`
 	Holder   string             `json:"placementHolder"`
@@ -36,6 +38,12 @@
 	ListMs int64 `json:"listAgeMs"`
 }
 
+// MembersChange is a change of the member list: the number of the list that it made, and why.
+type MembersChange struct {
+	Number uint64 `json:"number"`
+	Reason string `json:"reason"`
+}
+
 func status(state State, request *http.Request) ([]byte, error) {
 	return json.Marshal(state.Status())
 }
--- a/internal/story/control_test.go
+++ b/internal/story/control_test.go
@@ -145,6 +145,14 @@
 		f.kill(coreHost(1))
 		f.startCore(coreHost(4), false, 2, 3, 4)
 		time.Sleep(6 * time.Second)
+		o, told := newOperators(f, 1, 2, 3), uint64(0)
+		for number := 2; number <= 4; number++ {
+			if change := o.status(coreHost(number)).MembersChange; change != nil {
+				assert.Assert(t, change.Reason != "")
+				told = max(told, change.Number)
+			}
+		}
+		assert.Equal(t, told, o.status(coreHost(3)).MembersNumber, "who committed the last change tells why")
 		f.kill(coreHost(2))
 		time.Sleep(time.Second)
 		assert.Equal(t, f.put(3, 1, 2, document(2, newRoute)).status, http.StatusOK, "the newcomer counts towards the majority")
