A control daemon that has just started takes no order to forget

Cause: an order to forget names the data planes that this daemon knows; one that has just started knows few or none. The item then showed itself complete without the data planes that had not let go.

Ruled out: data planes that are told nothing (the rule goes to each with its news, whoever took the order; only what the operator is told was wrong).

Change: such a daemon answers 503 in its first 2.5 s, as long as it doesn't tell the count of data planes either; by then polls and greetings have named them.

What stays: a data plane that no control daemon has heard for 3 s when this one started isn't named.

Measured: story TestGivenAControlDaemonThatJustStarted... failed before (0 of 2 data planes named, with one cut off from that daemon), passes now.

--- a/internal/controlplane/context.go
+++ b/internal/controlplane/context.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"ferryspar/internal/apierror"
 	"ferryspar/internal/controlstate"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/retention"
@@ -95,11 +96,15 @@
 }
 
 // Forget stores that context in the scope is to be forgotten, and returns the item's state so far;
-// the work goes on afterwards. Asking again adds another item. Any goroutine may call it.
+// the work goes on afterwards. The item names the data planes known here, so a daemon that has just
+// started takes none. Asking again adds another item. Any goroutine may call it.
 func (d *Daemon) Forget(ctx context.Context, scope retention.Scope) (retention.Status, error) {
 	if err := scope.Check(); err != nil {
 		return retention.Status{}, err
 	}
+	if d.clock().Sub(d.started) < settleTime {
+		return retention.Status{}, apierror.New(apierror.NoMajority, "this daemon has just started and may not know all data planes")
+	}
 	edges := d.knownEdges()
 	var added retention.Item
 	err := d.changeContext(ctx, keystore.ForgetKey, func(current keystore.Slot) (any, error) {
--- a/internal/story/retention_test.go
+++ b/internal/story/retention_test.go
@@ -163,3 +163,18 @@
 		assert.Equal(t, read.body, `{"number":1,"lifeMs":60000}`)
 	})
 }
+
+func TestGivenAControlDaemonThatJustStartedThenAForgetNamesEveryDataPlane(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := settled(t, 2, newStandInReplica("i-1", "10.1.2.1", "north", "swift"))
+		f.kill(coreHost(1))
+		f.network.cut(edgeHost(2), coreHost(1), true)
+		f.startCore(coreHost(1), false, 1, 2, 3)
+		status, code := f.forget(1, `{}`)
+		for began := time.Now(); code != http.StatusOK; status, code = f.forget(1, `{}`) {
+			assert.Assert(t, time.Since(began) < 10*time.Second, "%d", code)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Equal(t, len(states(status, "edge")), 2, "%v", status)
+	})
+}
