A restarted data plane counts its former life's shares as used; spans by the steady clock

Cause: the retry budget and the cold rule are divided among data planes, and each keeps its share by what it remembers of its own sends. A new life remembered nothing and had the whole share at once: with all data planes restarted in one period, up to 1.6 times the slack of further tries, and twice the share of a cold replica in the second of the restart. The budget's bins were numbered by the time of day, so that a step of the clock began the period anew as well.

Ruled out: tries by the ratio (each life's own requests pay for them).

Change: from the first start of the whole system (bootstrap) on, a new life has no slack for one period and sends nothing to a cold replica for one window of its share. The bins count from the first moment seen, by the steady clock.

--- a/internal/client/budget.go
+++ b/internal/client/budget.go
@@ -9,12 +9,17 @@
 )
 
 const (
-	budgetBins   = 64
-	budgetEpoch  = 16
-	usedShare    = 0.8
+	// budgetBins is into how many bins a period is cut.
+	budgetBins = 64
+	// budgetEpoch is how many periods a draw of the daemon's share holds.
+	budgetEpoch = 16
+	// usedShare is the part of the budget that is used.
+	usedShare = 0.8
+	// uncountShare is the part of the slack that is kept for daemons that are not counted.
 	uncountShare = 0.1
 )
 
+// bin counts the requests and further tries of a part of a period.
 type bin struct {
 	number   int64
 	requests int
@@ -25,7 +30,13 @@
 type Budget struct {
 	// Daemon is the name that the share is drawn by.
 	Daemon string
-	lock   sync.Mutex
+	// Since is when this life of the daemon began. The life before may have used its share of the
+	// slack up to then, so this life has none of it until a period later; zero for no life before.
+	Since time.Time
+	lock  sync.Mutex
+	// origin is the first moment seen. Spans since then go by the steady clock, which no step of the
+	// time of day moves.
+	origin time.Time
 	period time.Duration
 	ratio  float64
 	slack  float64
@@ -37,10 +48,20 @@
 	return &Budget{period: period, ratio: ratio, slack: slack}
 }
 
+// elapsed is the time since the first moment seen. The caller holds the lock.
+func (b *Budget) elapsed(at time.Time) time.Duration {
+	if b.origin.IsZero() {
+		b.origin = at
+	}
+	return max(at.Sub(b.origin), 0)
+}
+
+// number is that of the bin of a moment. The caller holds the lock.
 func (b *Budget) number(at time.Time) int64 {
-	return at.UnixNano() / max(int64(b.period)/budgetBins, 1)
+	return int64(b.elapsed(at)) / max(int64(b.period)/budgetBins, 1)
 }
 
+// bin is the bin of that number, emptied if it was that of an earlier one. The caller holds the lock.
 func (b *Budget) bin(number int64) *bin {
 	one := &b.bins[number%int64(len(b.bins))]
 	if one.number != number {
@@ -69,7 +90,10 @@
 			}
 		}
 	}
-	allowed := usedShare*b.ratio*float64(requests) + b.slackShare(edges)
+	allowed := usedShare * b.ratio * float64(requests)
+	if b.Since.IsZero() || now.Sub(b.Since) > b.period {
+		allowed += b.slackShare(edges)
+	}
 	if repeats >= portion.RoundByDraw(allowed, b.draw(now)) {
 		return false
 	}
@@ -77,13 +101,15 @@
 	return true
 }
 
+// slackShare is this daemon's share of the slack, with a margin for what the draws of all may differ.
 func (b *Budget) slackShare(edges int) float64 {
 	count := float64(max(edges, 1))
 	margin := min(count, portion.SpreadMargin(count), b.slack-portion.MeanWithin(b.slack)) + uncountShare*b.slack
 	return max(min(usedShare*b.slack, b.slack-margin), 0) / count
 }
 
+// draw is this daemon's draw for the epoch. The caller holds the lock.
 func (b *Budget) draw(now time.Time) float64 {
-	epoch := float64(now.UnixNano())/float64(budgetEpoch*b.period) + portion.Draw(b.Daemon, "")
+	epoch := float64(b.elapsed(now))/float64(budgetEpoch*b.period) + portion.Draw(b.Daemon, "")
 	return portion.Draw(b.Daemon, strconv.FormatInt(int64(epoch), 10))
 }
--- a/internal/client/budget_test.go
+++ b/internal/client/budget_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/membersim"
 )
 
 func TestGivenManyDaemonsThenTheirSharesStayWithinTheBudget(t *testing.T) {
@@ -103,3 +105,47 @@
 		budget.Take(now, 400)
 	}
 }
+
+func TestGivenAStepOfTheTimeOfDayThenThePeriodIsNotBegunAnew(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, step := range []time.Duration{-time.Hour, -11 * time.Second, 11 * time.Second, time.Hour} {
+		budget := NewBudget(10*time.Second, 0.2, 50)
+		for budget.Take(membersim.Stepped(now, 0), 2) {
+		}
+		for passed := range 9 {
+			assert.Assert(t, !budget.Take(membersim.Stepped(now.Add(time.Duration(passed)*time.Second), step), 2), "step %s, after %d s", step, passed)
+		}
+		assert.Assert(t, budget.Take(membersim.Stepped(now.Add(11*time.Second), step), 2), "step %s", step)
+	}
+}
+
+func TestGivenDaemonsThatRestartThenTheirLivesTogetherStayWithinTheBudget(t *testing.T) {
+	draw := rand.New(rand.NewPCG(13, 14))
+	for _, edges := range []int{1, 3, 8, 81} {
+		now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+		budgets, orders, repeats := crowd(edges), []int{}, []int{}
+		for step := range 400 {
+			now = now.Add(500 * time.Millisecond)
+			arrived, taken := 0, 0
+			for edge := range budgets {
+				if draw.IntN(20) == 0 || step%100 == 50 {
+					budgets[edge] = crowd(edge + 1)[edge]
+					budgets[edge].Since = now
+				}
+				if draw.IntN(4) == 0 {
+					budgets[edge].Arrived(now)
+					arrived++
+				}
+				for budgets[edge].Take(now, edges) {
+					taken++
+				}
+			}
+			orders, repeats = append(orders, arrived), append(repeats, taken)
+			asked, again := 0, 0
+			for back := max(step-19, 0); back <= step; back++ {
+				asked, again = asked+orders[back], again+repeats[back]
+			}
+			assert.Assert(t, float64(again) <= 0.2*float64(asked)+56, "%d daemons: %d repeats of %d", edges, again, asked)
+		}
+	}
+}
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -44,8 +44,13 @@
 func New(settings nodesettings.Settings, path string, network peer.Network) *Daemon {
 	daemon := &Daemon{settings: settings, path: path, network: network, peers: peer.NewClient(network)}
 	bounds := settings.TimingBounds
+	// Only the first start of the whole system has no life of this daemon before it.
+	var lifeBegan time.Time
+	if !settings.Bootstrap {
+		lifeBegan = time.Now()
+	}
 	parameters := match.DefaultParameters()
-	parameters.Daemon = settings.NodeName
+	parameters.Daemon, parameters.LifeBegan = settings.NodeName, lifeBegan
 	parameters.ColdOverage = bounds.ColdOverage
 	parameters.ColdSlack = bounds.ColdSlack
 	daemon.fleet.Store(&match.Fleet{})
@@ -62,7 +67,7 @@
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
 	period := nodesettings.Seconds(bounds.BudgetPeriodS)
 	budget := client.NewBudget(period, bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
-	budget.Daemon = settings.NodeName
+	budget.Daemon, budget.Since = settings.NodeName, lifeBegan
 	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
 	return daemon
 }
--- a/internal/match/adopt_test.go
+++ b/internal/match/adopt_test.go
@@ -58,3 +58,18 @@
 	fixture.matcher.collectLoad()
 	assert.Assert(t, fixture.matcher.states[cold.ID] == nil, "left out for long: forgotten")
 }
+
+func TestGivenADataPlaneThatRestartedThenItCountsItsShareOfAColdReplicaAsUsedUp(t *testing.T) {
+	fixture := newTestFleet(1, 1, 1, func(int) int { return 0 })
+	fixture.fleet.Load().Replicas[0].ColdUntil = fixture.now.Add(time.Minute)
+	began := fixture.now
+	fixture.matcher.parameters.LifeBegan = began
+	request := fixture.request()
+	fixture.matcher.Begin(request)
+	fixture.now = began.Add(time.Second - 1)
+	fixture.matcher.Wake()
+	assert.Equal(t, len(request.Answer), 0, "the life before may have sent it in the same second")
+	fixture.now = began.Add(time.Second + retryInterval)
+	fixture.matcher.Wake()
+	assert.Equal(t, len(request.Answer), 1)
+}
--- a/internal/match/graph.go
+++ b/internal/match/graph.go
@@ -134,7 +134,7 @@
 		memory = backend.Runtime.KvCacheTokens
 	}
 	cold := now.Before(replica.ColdUntil) && backend.ColdPerS > 0
-	if cold && !state.mayUseCold(now, node.cold.share(m.fleet.Edges)) {
+	if cold && !m.mayUseCold(state, node.cold.share(m.fleet.Edges), now) {
 		return
 	}
 	node.limitToShare(memory, othersWeight(now.Sub(m.fleet.OthersAt)), m.fleet.Edges)
@@ -142,3 +142,9 @@
 		node.capacity = min(node.capacity, 1)
 	}
 }
+
+// mayUseCold reports whether this data plane may send one more request to a cold replica. What the life
+// of the daemon before sent isn't known, so its whole share counts as used up when this life began.
+func (m *Matcher) mayUseCold(state *replicaState, share coldShare, now time.Time) bool {
+	return now.Sub(m.parameters.LifeBegan) >= share.window && state.mayUseCold(now, share)
+}
--- a/internal/match/parameters.go
+++ b/internal/match/parameters.go
@@ -19,6 +19,7 @@
 	Daemon       string        // this data plane's name, hashed for its shares
 	ColdOverage  float64       // factor of coldPerS in the bound of one second
 	ColdSlack    float64       // requests above that in the bound of one second
+	LifeBegan    time.Time     // of a data plane that may have sent requests in a life before; or zero
 }
 
 // DefaultParameters are those of the policy in docs/design.md. Daemon and the cold bounds come from
