--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -106,7 +106,7 @@
 	defer s.lock.Unlock()
 	listed := s.listed
 	listed.Models = s.models.List()
-	listed.ColdRemainingMs = max(float64(time.Until(s.coldUntil).Milliseconds()), 0)
+	listed.ColdRemainingMs = max(listed.ColdRemainingMs, float64(time.Until(s.coldUntil).Milliseconds()))
 	return listed
 }
 
