Each service has a retry budget of its own

Cause: a data plane counted the requests and further tries of all services together. The rule is for each service: with one that is asked for often, another that fails could be sent that one's share of further tries beside its own.

Ruled out: slack shared by the services (the rule gives each its own).

Change: client.Budgets holds a Budget for each service.

Measured: TestGivenServicesThen... fails with one budget for all (200 tries at a service without requests, where 50 are allowed), passes now; client, dataplane, emulator pass.

--- a/internal/client/budget_test.go
+++ b/internal/client/budget_test.go
@@ -149,3 +149,17 @@
 		}
 	}
 }
+
+func TestGivenServicesThenTheRequestsOfOneAllowNoTriesAtAnother(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	budgets := Budgets{Period: 10 * time.Second, Ratio: 0.2, Slack: 50}
+	for range 1000 {
+		budgets.Of("busy").Arrived(now)
+	}
+	tries := 0
+	for budgets.Of("failing").Take(now, 1) {
+		tries++
+	}
+	assert.Assert(t, tries > 0 && tries <= 50, "%d tries at a service without requests", tries)
+	assert.Assert(t, budgets.Of("busy").Take(now, 1), "each has its own slack")
+}
--- a/internal/client/handler.go
+++ b/internal/client/handler.go
@@ -21,7 +21,7 @@
 	fleet     *atomic.Pointer[match.Fleet]
 	matcher   *match.Matcher
 	forwarder *replica.Forwarder
-	budget    *Budget
+	budgets   *Budgets
 	clock     func() time.Time
 	draw      func() float64
 	leaving   atomic.Bool
@@ -34,10 +34,10 @@
 // NewHandler returns a handler that reads the fleet as it stands at each request. draw gives numbers from 0 to 1 for
 // the split of traffic over services.
 func NewHandler(
-	fleet *atomic.Pointer[match.Fleet], matcher *match.Matcher, forwarder *replica.Forwarder, budget *Budget,
+	fleet *atomic.Pointer[match.Fleet], matcher *match.Matcher, forwarder *replica.Forwarder, budgets *Budgets,
 	clock func() time.Time, draw func() float64,
 ) *Handler {
-	return &Handler{fleet: fleet, matcher: matcher, forwarder: forwarder, budget: budget, clock: clock, draw: draw}
+	return &Handler{fleet: fleet, matcher: matcher, forwarder: forwarder, budgets: budgets, clock: clock, draw: draw}
 }
 
 // Leave asks clients from now on to close their connections.
@@ -66,7 +66,7 @@
 		apierror.Write(writer, err)
 		return
 	}
-	d.budget.Arrived(arrived)
+	d.budgets.Of(taken.request.Backend).Arrived(arrived)
 	ctx, cancel := context.WithDeadline(request.Context(), taken.request.Deadline)
 	defer cancel()
 	_ = http.NewResponseController(writer).SetWriteDeadline(taken.request.Deadline.Add(writeSlack))
@@ -158,7 +158,7 @@
 			s.fail(command.Error)
 			return
 		}
-		if s.sent > 0 && !s.handler.budget.Take(s.handler.clock(), s.handler.fleet.Load().Edges) {
+		if s.sent > 0 && !s.handler.budgets.Of(request.Backend).Take(s.handler.clock(), s.handler.fleet.Load().Edges) {
 			s.handler.matcher.Report(command.Ticket, match.OutcomeCancelled)
 			s.fail(apierror.Later(apierror.NotExecuted, 100*time.Millisecond))
 			return
--- a/internal/client/server_test.go
+++ b/internal/client/server_test.go
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go matcher.Run(ctx)
 	forwarder := replica.NewForwarder(network, time.Now, time.Second, time.Second)
-	handler := NewHandler(&fleet, matcher, forwarder, NewBudget(time.Second, 1, 100), time.Now, rand.Float64)
+	handler := NewHandler(&fleet, matcher, forwarder, &Budgets{Period: time.Second, Ratio: 1, Slack: 100}, time.Now, rand.Float64)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -44,13 +44,9 @@
 func New(settings nodesettings.Settings, path string, network peer.Network) *Daemon {
 	daemon := &Daemon{settings: settings, path: path, network: network, peers: peer.NewClient(network)}
 	bounds := settings.TimingBounds
-	// Only the first start of the whole system has no life of this daemon before it.
-	var lifeBegan time.Time
-	if !settings.Bootstrap {
-		lifeBegan = time.Now()
-	}
+	began := lifeBegan(settings)
 	parameters := match.DefaultParameters()
-	parameters.Daemon, parameters.LifeBegan = settings.NodeName, lifeBegan
+	parameters.Daemon, parameters.LifeBegan = settings.NodeName, began
 	parameters.ColdOverage = bounds.ColdOverage
 	parameters.ColdSlack = bounds.ColdSlack
 	daemon.fleet.Store(&match.Fleet{})
@@ -65,10 +61,11 @@
 	silence := nodesettings.Milliseconds(bounds.ContactMs)
 	daemon.forwarder = replica.NewForwarder(network, time.Now, connectBound, silence)
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
-	period := nodesettings.Seconds(bounds.BudgetPeriodS)
-	budget := client.NewBudget(period, bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
-	budget.Daemon, budget.Since = settings.NodeName, lifeBegan
-	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
+	budgets := &client.Budgets{
+		Daemon: settings.NodeName, Since: began, Period: nodesettings.Seconds(bounds.BudgetPeriodS),
+		Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack,
+	}
+	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budgets, time.Now, rand.Float64)
 	return daemon
 }
 
--- /dev/null
+++ b/internal/dataplane/life.go
@@ -0,0 +1,16 @@
+package dataplane
+
+import (
+	"time"
+
+	"ferryspar/internal/nodesettings"
+)
+
+// lifeBegan is when this life of the daemon begins: now, or zero at the first start of the whole system,
+// before which there was none.
+func lifeBegan(settings nodesettings.Settings) time.Time {
+	if settings.Bootstrap {
+		return time.Time{}
+	}
+	return time.Now()
+}
