A list that changes between its pages leaves no replica out and shows none twice

Cause: pages are cut by position. When an entry of an earlier page leaves while a list is being read, the one that moves over the cut is skipped; when one comes, an entry stands on two pages. A skipped replica was taken for gone by everybody until the next reading: placement forgot what it knew of it, with an order under way, data planes stopped sending to it, a drill ended. Of a doubled one, the older entry might win ('ready' before 'draining'). Small fleets have one page; it shows at size.

Ruled out: failed pages (a list counts only whole), changes between readings (in order by their time).

Change: platform.Merger keeps the last page's entry of each id, and carries over once what the reading before showed, where there is more than one page.

Measured: story TestGivenAListThatChangesBetweenItsPages... failed before (a ready replica was not listed at a member), passes now, as do platform and controlplane.

--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -55,6 +55,7 @@
 	joining    map[string]peer.Greeting
 	remembered map[string]retention.EdgeView
 	list       *platform.List
+	merger     platform.Merger
 	scheduler  *Scheduler
 	roster     rosterState
 	bus        *event.Bus
--- a/internal/controlplane/roster.go
+++ b/internal/controlplane/roster.go
@@ -66,11 +66,12 @@
 // readList reads the platform's list and publishes it. What a member shares meanwhile may be newer
 // than the question that began then; the list that was read is dropped in that case.
 func (d *Daemon) readList(ctx context.Context, began time.Time) {
-	replicas, err := d.list.Read(ctx)
+	entries, err := d.list.Read(ctx)
 	if err != nil {
 		logrus.WithError(err).Debug("platform list not read")
 		return
 	}
+	replicas := d.merger.Merge(entries, d.list.Pages(), began)
 	sort.Slice(replicas, func(left, right int) bool { return replicas[left].ID < replicas[right].ID })
 	countColdFrom(replicas, d.clock().Sub(began))
 	if d.roster.set(replicas, began) {
--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -20,7 +20,6 @@
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
-	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
 )
 
@@ -45,6 +44,8 @@
 	client   *http.Client
 	listed   int
 	listTook time.Duration
+	pageSize int
+	paged    func(from int)
 	losses   int
 	cores    int
 }
@@ -124,11 +125,7 @@
 	took := f.listTook
 	f.lock.Unlock()
 	time.Sleep(took)
-	page := platform.Page{Instances: []platform.Replica{}}
-	for _, one := range replicas {
-		page.Instances = append(page.Instances, one.entry())
-	}
-	_ = json.NewEncoder(writer).Encode(page)
+	_ = json.NewEncoder(writer).Encode(f.pageOf(replicas, request.URL.Query().Get("pageToken")))
 }
 
 func (f *fleet) settings(host string, bootstrap bool, seeds ...int) nodesettings.Settings {
--- a/internal/story/roster_test.go
+++ b/internal/story/roster_test.go
@@ -1,6 +1,7 @@
 package story
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ferryspar/internal/platform"
 	"ferryspar/internal/retention"
 )
 
@@ -111,3 +113,55 @@
 		})
 	}
 }
+
+// pageOf is a page of the list. As on the platform, tokens are offsets in the list of the moment.
+func (f *fleet) pageOf(replicas []*standInReplica, token string) platform.Page {
+	f.lock.Lock()
+	size, paged := f.pageSize, f.paged
+	f.lock.Unlock()
+	page, from := platform.Page{Instances: []platform.Replica{}}, 0
+	_, _ = fmt.Sscanf(token, "p-%d", &from)
+	end := len(replicas)
+	if size > 0 && from+size < end {
+		end = from + size
+		next := fmt.Sprintf("p-%d", end)
+		page.NextToken = &next
+	}
+	for _, one := range replicas[min(from, end):end] {
+		page.Instances = append(page.Instances, one.entry())
+	}
+	if paged != nil {
+		paged(from)
+	}
+	return page
+}
+
+func TestGivenAListThatChangesBetweenItsPagesThenNoReplicaIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.2.2.1", "south", "swift")
+		three, four := newStandInReplica("i-3", "10.3.2.1", "east", "swift"), newStandInReplica("i-4", "10.3.2.2", "east", "swift")
+		f := startFleet(t, 1, one, two, three, four)
+		defer f.network.breakOff("10.1.2.1")
+		f.lock.Lock()
+		f.pageSize = 2
+		f.lock.Unlock()
+		time.Sleep(4 * time.Second)
+		o := newOperators(f, 1, 1, 2, 3)
+		ended := false
+		f.lock.Lock()
+		f.paged = func(from int) {
+			if !ended && from == 0 {
+				ended = true
+				f.hide(one, true)
+			}
+		}
+		f.lock.Unlock()
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			for number := 1; number <= 3; number++ {
+				assert.Equal(t, o.stateListed(coreHost(number), "i-3"), "ready", "at %d", number)
+			}
+		}
+		assert.Equal(t, o.stateListed(coreHost(1), "i-1"), "", "the one that ended is gone")
+	})
+}
