--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -20,7 +20,6 @@
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
-	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
 )
 
@@ -44,6 +43,9 @@
 	folders  map[string]keystore.Folder
 	client   *http.Client
 	listed   int
+	listTook time.Duration
+	pageSize int
+	paged    func(from int)
 	losses   int
 	cores    int
 }
@@ -120,12 +122,10 @@
 	f.lock.Lock()
 	replicas := append([]*standInReplica(nil), f.replicas...)
 	f.listed++
+	took := f.listTook
 	f.lock.Unlock()
-	page := platform.Page{Instances: []platform.Replica{}}
-	for _, one := range replicas {
-		page.Instances = append(page.Instances, one.entry())
-	}
-	_ = json.NewEncoder(writer).Encode(page)
+	time.Sleep(took)
+	_ = json.NewEncoder(writer).Encode(f.pageOf(replicas, request.URL.Query().Get("pageToken")))
 }
 
 func (f *fleet) settings(host string, bootstrap bool, seeds ...int) nodesettings.Settings {
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -46,6 +46,7 @@
 	fails     string
 	failEvery int
 	probed    int
+	coldUntil time.Time
 	healthy   bool
 
 	// disk are the models that were loaded before, storeLoads the beginnings of loads of others.
@@ -100,11 +101,18 @@
 	}
 }
 
+func (s *standInReplica) cool(until time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.coldUntil = until
+}
+
 func (s *standInReplica) entry() platform.Replica {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	listed := s.listed
 	listed.Models = s.models.List()
+	listed.ColdRemainingMs = max(listed.ColdRemainingMs, float64(time.Until(s.coldUntil).Milliseconds()))
 	return listed
 }
 
