Configuration: tenants and their keys, read, checked, indexed by hash

Cause: configurations now hold tenants, each with its keys. Ruled out: reading them with koanf, whose errors quote values and which takes a number in quotes that data planes can't decode: such a configuration was accepted and then never adopted. Read now decodes as data planes do and its errors name fields only. Change: Tenant, APIKey (formatted as its digest), checks, Table.FindTenant; tables keep hashes and digests only.

--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -36,7 +36,7 @@
 		names[route.Name] = true
 		places[place] = route.Name
 	}
-	return nil
+	return checkTenants(l.Tenants)
 }
 
 func (b Backend) check(position int, services map[string]bool) error {
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -11,6 +11,7 @@
 	jsonparser "github.com/knadh/koanf/parsers/json"
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
+	"github.com/pkg/errors"
 
 	"ferryspar/internal/apierror"
 )
@@ -28,6 +29,8 @@
 	Routes   []Route   `json:"routeTable" koanf:"routeTable"`
 	Backends []Backend `json:"backends" koanf:"backends"`
 	Limits   Limits    `json:"limits" koanf:"limits"`
+	// Tenants is nil where no request needs a key. An empty list lets only public routes be used.
+	Tenants []Tenant `json:"tenants,omitzero" koanf:"-"`
 }
 
 // Route maps a host and path prefix to backends, with the bounds its requests must keep. Times are
@@ -47,6 +50,8 @@
 	Resumable       bool     `json:"resumable" koanf:"resumable"`
 	TokenGapMs      float64  `json:"tokenGapMs" koanf:"tokenGapMs"`
 	AllowedRegions  []string `json:"allowedRegions" koanf:"allowedRegions"`
+	// Public routes take requests without a key.
+	Public bool `json:"public" koanf:"public"`
 }
 
 // Split is one backend's part of a route's traffic, relative to the other weights.
@@ -127,9 +132,25 @@
 	if err := tree.Unmarshal("", &read); err != nil {
 		return read, apierror.New(apierror.InvalidConfiguration, "%s", err.Error())
 	}
+	decoded, err := Decode(document)
+	if err != nil {
+		return read, unreadable(err)
+	}
+	read.Tenants = decoded.Tenants
 	return read, read.Check()
 }
 
+// unreadable names the part of a configuration that data planes could not decode, and nothing of its content: that
+// may be a key.
+func unreadable(err error) error {
+	part := "configuration"
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) && wrongType.Field != "" {
+		part = wrongType.Field
+	}
+	return apierror.New(apierror.InvalidConfiguration, "%s cannot be read", part)
+}
+
 // Decode parses a configuration that was accepted before, without checks.
 func Decode(document []byte) (Configuration, error) {
 	var read Configuration
--- /dev/null
+++ b/internal/configuration/keys.go
@@ -0,0 +1,71 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// APIKey is the secret by which a request shows whose it is. However it is formatted, only its digest is seen; the
+// key itself is written by encoding/json alone, where a configuration is stored or sent.
+type APIKey string
+
+// KeyHash stands for a key in look-ups, so that no key needs to be kept.
+type KeyHash [sha256.Size]byte
+
+const (
+	// digestMark begins a key's digest, so that neither is taken for the other.
+	digestMark = "sha256:"
+	// digestBytes is how much of the hash a digest shows: enough to tell keys apart, too little to confirm a guess.
+	digestBytes = 4
+)
+
+// HashKey returns the hash of a key as a client sent it.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Digest is what logs and status show for the key.
+func (k APIKey) Digest() string {
+	hash := HashKey(string(k))
+	return digestMark + hex.EncodeToString(hash[:digestBytes])
+}
+
+// Format writes the digest for every verb.
+func (k APIKey) Format(state fmt.State, _ rune) { _, _ = io.WriteString(state, k.Digest()) }
+
+// fault says why the key cannot be used, without telling it.
+func (k APIKey) fault() string {
+	switch {
+	case k == "":
+		return "is empty"
+	case !headerValue(string(k)):
+		return "cannot stand in a header"
+	case strings.HasPrefix(string(k), digestMark):
+		return "is the digest of a key"
+	default:
+		return ""
+	}
+}
+
+// Redacted returns a copy of the configuration with a digest in the place of each key.
+func (l Configuration) Redacted() Configuration {
+	if l.Tenants == nil {
+		return l
+	}
+	tenants := make([]Tenant, len(l.Tenants))
+	for position, tenant := range l.Tenants {
+		tenants[position] = tenant.redacted()
+	}
+	l.Tenants = tenants
+	return l
+}
+
+func (t Tenant) redacted() Tenant {
+	digests := make([]APIKey, len(t.Keys))
+	for position, key := range t.Keys {
+		digests[position] = APIKey(key.Digest())
+	}
+	t.Keys = digests
+	return t
+}
--- a/internal/configuration/table.go
+++ b/internal/configuration/table.go
@@ -14,10 +14,11 @@
 	hosts         map[string]map[string]int
 	backends      map[string]int
 	models        []map[string]int
+	tenants       map[KeyHash]TenantNumber
 }
 
 // NewTable returns the table of a configuration. Document is what it was read from, nil where nobody
-// asks for it.
+// asks for it. The table keeps hashes of keys only.
 func NewTable(source Configuration, document []byte) *Table {
 	table := &Table{Configuration: source, Document: document, hosts: map[string]map[string]int{}, backends: map[string]int{}}
 	for index, route := range source.Routes {
@@ -38,9 +39,34 @@
 			table.models[index][model.Name] = position
 		}
 	}
+	table.indexTenants(source.Tenants)
 	return table
 }
 
+func (t *Table) indexTenants(tenants []Tenant) {
+	t.Configuration = t.Configuration.Redacted()
+	t.tenants = map[KeyHash]TenantNumber{}
+	for position, tenant := range tenants {
+		for _, key := range tenant.Keys {
+			t.tenants[HashKey(string(key))] = TenantNumber(position + 1)
+		}
+	}
+}
+
+// NeedsKeys tells whether requests must carry a key, but for public routes.
+func (t *Table) NeedsKeys() bool { return t.Configuration.Tenants != nil }
+
+// FindTenant returns the number of the tenant that holds a key, or NoTenant.
+func (t *Table) FindTenant(key KeyHash) TenantNumber { return t.tenants[key] }
+
+// Tenant returns the tenant of a number, nil for NoTenant. Its keys are digests.
+func (t *Table) Tenant(number TenantNumber) *Tenant {
+	if number <= NoTenant || int(number) > len(t.Configuration.Tenants) {
+		return nil
+	}
+	return &t.Configuration.Tenants[number-1]
+}
+
 // FindRoute returns the route of a request by its host and the longest path prefix.
 func (t *Table) FindRoute(hostHeader, path string) (*Route, bool) {
 	host := strings.ToLower(hostHeader)
--- /dev/null
+++ b/internal/configuration/tenants.go
@@ -0,0 +1,83 @@
+package configuration
+
+import (
+	"math"
+	"strings"
+	"unicode"
+)
+
+// Tenant is a customer whose requests are told from those of others by their key. RatePerS and Burst bound its
+// requests over all data planes; 0 for no bound. Priority, if set, takes the place of the route's.
+type Tenant struct {
+	Name     string   `json:"name"`
+	Keys     []APIKey `json:"apiKeys"`
+	Priority *int     `json:"priority"`
+	RatePerS float64  `json:"ratePerS"`
+	Burst    float64  `json:"burst"`
+}
+
+// TenantNumber is a tenant's place in its configuration, counted from 1, so that it can index dense tables. It holds
+// for one version of the configuration only.
+type TenantNumber int
+
+// NoTenant is the number of requests that belong to no tenant.
+const NoTenant TenantNumber = 0
+
+// PriorityOr is the tenant's priority, or the given one where it states none or there is no tenant.
+func (t *Tenant) PriorityOr(priority int) int {
+	if t == nil || t.Priority == nil {
+		return priority
+	}
+	return *t.Priority
+}
+
+// checkTenants returns the first reason why the tenants cannot be used. It names tenants, never keys.
+func checkTenants(tenants []Tenant) error {
+	names := make(map[string]bool, len(tenants))
+	holders := map[APIKey]string{}
+	for position, tenant := range tenants {
+		if err := tenant.check(position); err != nil {
+			return err
+		}
+		if names[tenant.Name] {
+			return invalid("tenants %q: name stands twice", tenant.Name)
+		}
+		names[tenant.Name] = true
+		for _, key := range tenant.Keys {
+			if holder, held := holders[key]; held && holder != tenant.Name {
+				return invalid("tenants %q: a key is held by %q already", tenant.Name, holder)
+			}
+			holders[key] = tenant.Name
+		}
+	}
+	return nil
+}
+
+func (t Tenant) check(position int) error {
+	if t.Name == "" {
+		return invalid("tenants[%d]: name is missing", position)
+	}
+	if !headerValue(t.Name) {
+		return invalid("tenants[%d]: name cannot stand in a header", position)
+	}
+	if !nonNegative(t.RatePerS) {
+		return invalid("tenants %q: ratePerS is below 0", t.Name)
+	}
+	if !nonNegative(t.Burst) {
+		return invalid("tenants %q: burst is below 0", t.Name)
+	}
+	for position, key := range t.Keys {
+		if reason := key.fault(); reason != "" {
+			return invalid("tenants %q: apiKeys[%d] %s", t.Name, position, reason)
+		}
+	}
+	return nil
+}
+
+func nonNegative(value float64) bool { return value >= 0 && !math.IsInf(value, 1) }
+
+// headerValue tells whether a text arrives unchanged as the value of a header: it has no control characters and neither
+// begins nor ends with a space.
+func headerValue(text string) bool {
+	return text != "" && strings.Trim(text, " ") == text && strings.IndexFunc(text, unicode.IsControl) < 0
+}
