Data plane: requests need a key, replicas are told the tenant

Cause: with tenants in the configuration every request was passed on with its key and with whatever tenant the client claimed. Ruled out: refusing what is unknown here at once, since a data plane that lags or is cut off may not know a newer key or route; trusting held keys for ever where revocationClosed is true. Change: access by key hash, checked again before each send; 503 where a newer configuration may allow the request, or keys are not proven new within revokeMs by the confirmations of a majority; a place for the quota; counts of refusals; records hold digests. The lease's length moved to internal/peer.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -44,6 +44,10 @@
 	InvalidRehearsal
 	UnknownRegion
 	RehearsalUnderWay
+	UnknownKey
+	TenantLimit
+	DatedConfiguration
+	DatedKeys
 )
 
 type answer struct {
@@ -79,6 +83,10 @@
 	UnknownRegion:        {http.StatusNotFound, "no such region"},
 	RehearsalUnderWay:    {http.StatusConflict, "another is under way"},
 	NoConfiguration:      {http.StatusServiceUnavailable, "no configuration yet"},
+	UnknownKey:           {http.StatusUnauthorized, "one known key is needed"},
+	TenantLimit:          {http.StatusTooManyRequests, "tenant is beyond its limit"},
+	DatedConfiguration:   {http.StatusServiceUnavailable, "a newer configuration may allow this"},
+	DatedKeys:            {http.StatusServiceUnavailable, "keys may have been taken away since last heard of"},
 }
 
 // Error is an error with what its caller is to know.
@@ -100,6 +108,11 @@
 // Status is the HTTP status that the kind is answered with.
 func (k Kind) Status() int { return answers[k].Status }
 
+// NeverRan tells whether the answer lets its caller believe that the request has not run and never will.
+func (k Kind) NeverRan() bool {
+	return k == UnknownKey || k == TenantLimit || k.Status() == http.StatusServiceUnavailable
+}
+
 // Reason says in words what went wrong.
 func (k Kind) Reason() string { return answers[k].Reason }
 
--- a/internal/client/handler.go
+++ b/internal/client/handler.go
@@ -29,6 +29,12 @@
 
 	// Recorder, if set before the first request, writes down how each request went.
 	Recorder *record.Writer
+	// Currency, if set before the first request, tells how new the configuration is. Without it, it counts as the newest.
+	Currency Currency
+	// Quota, if set before the first request, may turn away requests of tenants beyond their limit.
+	Quota Quota
+	// Refusals counts what was answered with an error of this data plane's own.
+	Refusals Refusals
 }
 
 // NewHandler returns a handler that reads the fleet as it stands at each request. draw gives numbers from 0 to 1 for
@@ -59,7 +65,11 @@
 		writer.Header().Set("Connection", "close")
 	}
 	taken, err := d.take(request, arrived)
+	if err == nil {
+		err = d.withinQuota(taken, d.clock())
+	}
 	if err != nil {
+		d.Refusals.count(apierror.Of(err).Kind)
 		if apierror.Of(err).Kind == apierror.LargeBody {
 			writer.Header().Set("Connection", "close")
 		}
@@ -112,7 +122,7 @@
 	request := s.parsedRequest.request
 	entry := record.Entry{
 		Kind: record.KindRequest, AtMs: writer.Milliseconds(request.Arrived), Attempt: request.Attempt,
-		Route: s.parsedRequest.route.Name, Backend: request.Backend, Model: request.Model,
+		Route: s.parsedRequest.route.Name, Backend: request.Backend, Model: request.Model, Tenant: s.parsedRequest.job.Tenant,
 		Prefix: s.parsedRequest.job.Header.Get(replica.HeaderPrefix), Prompt: request.Prompt, Output: request.Output,
 		LeftMs: float64(request.Deadline.Sub(request.Arrived).Milliseconds()), Error: s.reason(),
 	}
@@ -158,6 +168,11 @@
 			s.fail(command.Error)
 			return
 		}
+		if refusal := s.readmit(); refusal != nil {
+			s.handler.matcher.Report(command.Ticket, match.OutcomeCancelled)
+			s.fail(refusal)
+			return
+		}
 		if s.sent > 0 && !s.handler.budget.Take(s.handler.clock(), s.handler.fleet.Load().Edges) {
 			s.handler.matcher.Report(command.Ticket, match.OutcomeCancelled)
 			s.fail(apierror.Later(apierror.NotExecuted, 100*time.Millisecond))
@@ -243,8 +258,9 @@
 	if s.headed {
 		panic(http.ErrAbortHandler)
 	}
-	if s.ran && failure.Kind.Status() == http.StatusServiceUnavailable {
+	if s.ran && failure.Kind.NeverRan() {
 		failure = apierror.New(apierror.ReplicaFailed, "")
 	}
+	s.handler.Refusals.count(failure.Kind)
 	apierror.Write(s.writer, failure)
 }
--- a/internal/client/parse.go
+++ b/internal/client/parse.go
@@ -1,10 +1,10 @@
 package client
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +17,7 @@
 
 type parsedRequest struct {
 	route   *configuration.Route
+	access  access
 	request match.Request
 	job     replica.Job
 }
@@ -47,11 +48,12 @@
 	if bound := fleet.Table.Configuration.Limits.MaxHeaderBytes; bound > 0 && headBytes(request) > bound {
 		return nil, apierror.New(apierror.LargeHead, "")
 	}
-	path, _, _ := strings.Cut(request.RequestURI, "?")
-	route, found := fleet.Table.FindRoute(request.Host, path)
-	if !found {
-		return nil, apierror.New(apierror.UnknownRoute, "")
+	fleet, allowed, err := d.admit(request, arrived)
+	if err != nil {
+		return nil, err
 	}
+	route, tenant := allowed.route, fleet.Table.Tenant(allowed.tenant)
+	priority := tenant.PriorityOr(route.Priority)
 	if !replica.Sendable(request.RequestURI) {
 		return nil, apierror.New(apierror.MalformedRequest, "request target cannot be passed on unchanged")
 	}
@@ -80,17 +82,18 @@
 	model := request.Header.Get(replica.HeaderModel)
 	deadline := arrived.Add(min(remaining, patience))
 	return &parsedRequest{
-		route: route,
+		route: route, access: allowed,
 		request: match.Request{
 			Attempt: attempt, Backend: backend, Model: model, Parts: parts, Dialogues: match.Dialogues(parts), Prompt: prompt, Output: output,
-			Arrived: arrived, Deadline: deadline, Aim: time.Duration(route.TargetLatencyMs * float64(time.Millisecond)), Priority: route.Priority,
+			Arrived: arrived, Deadline: deadline, Aim: time.Duration(route.TargetLatencyMs * float64(time.Millisecond)), Priority: priority,
 			Homes: route.AllowedRegions, Excluded: map[string]bool{}, Returned: remaining < patience-returnedSlack,
-			Repeatable: route.Repeatable(), Route: route.Name,
+			Repeatable: route.Repeatable(), Route: route.Name, Tenant: allowed.tenant,
 		},
 		job: replica.Job{
 			Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header, Body: body, Attempt: attempt,
-			Urgency: min(max(route.Priority, 0), 9), Deadline: deadline, LastEvent: request.Header.Get(replica.HeaderLastEvent),
+			Urgency: min(max(priority, 0), 9), Deadline: deadline, LastEvent: request.Header.Get(replica.HeaderLastEvent),
 			Service: backend, Once: !route.Repeatable(), Connections: connectionShare(fleet, backend),
+			Tenant: tenant.Called(),
 		},
 	}, nil
 }
@@ -111,16 +114,24 @@
 		if fleet.Table != nil || d.clock().Sub(arrived) > configurationPatience || d.Leaving() {
 			return fleet
 		}
-		timer := time.NewTimer(configurationLook)
-		select {
-		case <-timer.C:
-		case <-request.Context().Done():
-			timer.Stop()
+		if !pause(request.Context()) {
 			return fleet
 		}
 	}
 }
 
+// pause waits until the configuration is to be looked at again, or returns false when the client has gone.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(configurationLook)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func connectionShare(fleet *match.Fleet, backend string) int {
 	if stated, _, known := fleet.Table.Backend(backend); known && stated.MaxConns > 0 {
 		return max(stated.MaxConns/max(fleet.Edges, 1), 1)
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -134,7 +134,7 @@
 	}
 	decoded, err := Decode(document)
 	if err != nil {
-		return read, unreadable(err)
+		return read, err
 	}
 	read.Tenants = decoded.Tenants
 	return read, read.Check()
@@ -154,6 +154,8 @@
 // Decode parses a configuration that was accepted before, without checks.
 func Decode(document []byte) (Configuration, error) {
 	var read Configuration
-	err := json.Unmarshal(document, &read)
-	return read, err
+	if err := json.Unmarshal(document, &read); err != nil {
+		return read, unreadable(err)
+	}
+	return read, nil
 }
--- a/internal/configuration/keys.go
+++ b/internal/configuration/keys.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -16,6 +17,8 @@
 type KeyHash [sha256.Size]byte
 
 const (
+	// tenantsSection is the configuration's member that holds tenants and so keys.
+	tenantsSection = "tenants"
 	// digestMark begins a key's digest, so that neither is taken for the other.
 	digestMark = "sha256:"
 	// digestBytes is how much of the hash a digest shows: enough to tell keys apart, too little to confirm a guess.
@@ -61,6 +64,30 @@
 	return l
 }
 
+// RedactDocument returns a configuration's document with a digest in the place of each key.
+func RedactDocument(document []byte) ([]byte, error) {
+	read, err := Decode(document)
+	if err != nil {
+		return nil, err
+	}
+	if read.Tenants == nil {
+		return document, nil
+	}
+	members := map[string]json.RawMessage{}
+	if err := json.Unmarshal(document, &members); err != nil {
+		return nil, unreadable(err)
+	}
+	for name := range members {
+		if strings.EqualFold(name, tenantsSection) {
+			delete(members, name)
+		}
+	}
+	if members[tenantsSection], err = json.Marshal(read.Redacted().Tenants); err != nil {
+		return nil, err
+	}
+	return json.Marshal(members)
+}
+
 func (t Tenant) redacted() Tenant {
 	digests := make([]APIKey, len(t.Keys))
 	for position, key := range t.Keys {
--- a/internal/configuration/table.go
+++ b/internal/configuration/table.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// TenantNamed returns the tenant of a name, nil where there is none.
+func (t *Table) TenantNamed(name string) *Tenant {
+	for index := range t.Configuration.Tenants {
+		if t.Configuration.Tenants[index].Name == name {
+			return &t.Configuration.Tenants[index]
+		}
+	}
+	return nil
+}
+
 // NeedsKeys tells whether requests must carry a key, but for public routes.
 func (t *Table) NeedsKeys() bool { return t.Configuration.Tenants != nil }
 
--- a/internal/configuration/tenants.go
+++ b/internal/configuration/tenants.go
@@ -31,6 +31,14 @@
 	return *t.Priority
 }
 
+// Called is the tenant's name, empty where there is no tenant.
+func (t *Tenant) Called() string {
+	if t == nil {
+		return ""
+	}
+	return t.Name
+}
+
 // checkTenants returns the first reason why the tenants cannot be used. It names tenants, never keys.
 func checkTenants(tenants []Tenant) error {
 	names := make(map[string]bool, len(tenants))
--- a/internal/controlplane/publisher.go
+++ b/internal/controlplane/publisher.go
@@ -36,17 +36,12 @@
 	confirmed   chan struct{}
 }
 
-// freshFor is how long a confirmation by a majority may be relied on. It is a lease: counted
-// from before the question was asked, by the steady clock, and looked at anew for each answer,
-// so no freeze or blocked loop outlives it.
-const freshFor = 1100 * time.Millisecond
-
 // FreshFor is how much longer the state counts as confirmed; zero if it does not.
 func (s *Snapshot) FreshFor(now time.Time) time.Duration {
 	if s.ConfirmedAt.IsZero() {
 		return 0
 	}
-	return max(freshFor-now.Sub(s.ConfirmedAt), 0)
+	return max(peer.ConfirmationLease-now.Sub(s.ConfirmedAt), 0)
 }
 
 // Fresh says whether a majority confirmed the state recently enough to tell it.
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -64,6 +65,7 @@
 	budget := client.NewBudget(period, bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
 	budget.Daemon = settings.NodeName
 	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
+	daemon.handler.Currency = daemon.state.currency
 	return daemon
 }
 
@@ -180,6 +182,10 @@
 		}
 		writer.WriteHeader(http.StatusOK)
 	})
+	router.Get("/ferryspar/refusals", func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(d.handler.Refusals.Counts())
+	})
 	return router
 }
 
--- a/internal/dataplane/listener.go
+++ b/internal/dataplane/listener.go
@@ -102,6 +102,7 @@
 		if !poll.Wants {
 			poll.HoldMs = min(2*poll.HoldMs, longestHold)
 		}
+		poll.HoldMs = l.state.currency.hold(poll.HoldMs)
 		var news peer.News
 		asked := l.clock()
 		err, again := l.ask(ctx, address, poll, &news)
--- a/internal/dataplane/recording.go
+++ b/internal/dataplane/recording.go
@@ -1,10 +1,20 @@
 package dataplane
 
 import (
+	"ferryspar/internal/configuration"
 	"ferryspar/internal/match"
 	"ferryspar/internal/record"
 )
 
+// redacted is the packed configuration as records hold it: without keys. Where that fails it is empty.
+func redacted(document []byte) []byte {
+	shown, err := configuration.RedactDocument(document)
+	if err != nil {
+		return nil
+	}
+	return configuration.Pack(shown)
+}
+
 // record writes the fleet to the recording, if there is one.
 func (d *FleetState) record(fleet *match.Fleet) {
 	if d.Recorder == nil || d.usedFrom == "" {
--- a/internal/dataplane/state.go
+++ b/internal/dataplane/state.go
@@ -61,6 +61,7 @@
 	counted    int
 	countedAt  time.Time
 	rehearsal  drillState
+	currency   *currency
 }
 
 // NewFleetState starts empty; notify is called after each swap.
@@ -68,6 +69,7 @@
 	state := &FleetState{
 		settings: settings, clock: clock, fleet: fleet, sources: map[string]*source{}, zones: map[string]peer.ZoneState{},
 		outlook: make(chan peer.FleetLoad, 4), notify: notify, askAgain: func(string) {}, interest: NewInterest(clock), answers: make(chan answered, 4),
+		currency: newCurrency(settings),
 	}
 	fleet.Store(&match.Fleet{})
 	nobody := ""
@@ -108,6 +110,9 @@
 			if d.hear(one) {
 				d.publish()
 			}
+			if !one.failed {
+				d.currency.note(one.news, one.asked, d.wants.revision.Load(), one.news.Fresh(one.asked, one.at))
+			}
 			one.taken()
 			if !one.failed {
 				listener.Follow(ctx, one.news.Control)
@@ -178,7 +183,7 @@
 		d.table = configuration.NewTable(read, nil)
 		d.wants.revision.Store(read.Revision)
 		if d.Recorder != nil {
-			d.Recorder.Write(record.Entry{Kind: record.KindConfiguration, AtMs: d.Recorder.Milliseconds(d.clock()), Packed: news.Packed})
+			d.Recorder.Write(record.Entry{Kind: record.KindConfiguration, AtMs: d.Recorder.Milliseconds(d.clock()), Packed: redacted(document)})
 		}
 		logrus.WithField("revision", read.Revision).Info("configuration adopted")
 		changed = true
--- a/internal/match/request.go
+++ b/internal/match/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ferryspar/internal/apierror"
+	"ferryspar/internal/configuration"
 )
 
 // Request is one attempt to serve a client's request. The submitter fills the exported fields; from
@@ -19,13 +20,14 @@
 	Arrived    time.Time
 	Deadline   time.Time
 	Aim        time.Duration   // of the route, for the first event; 0 for none
-	Priority   int             // of the route, 0 is the highest
+	Priority   int             // of the tenant or the route, 0 is the highest
 	Excluded   map[string]bool // ids of replicas that must not be used again
 	Homes      []string        // regions allowed by the route; empty for all
 	Returned   bool            // a client's second try: little of its patience is left
 	Repeatable bool            // the route allows a second run
 	Route      string          // name; empty for requests that are not to be sampled
-	Resumed    bool            // the client already has a head and part of the stream
+	Tenant     configuration.TenantNumber
+	Resumed    bool // the client already has a head and part of the stream
 
 	// Answer receives exactly one command. Submit and Begin make it.
 	Answer chan Command
--- a/internal/nodesettings/settings.go
+++ b/internal/nodesettings/settings.go
@@ -89,6 +89,8 @@
 	ConfigApplyMs    float64 `koanf:"configApplyMs"`
 	RollbackSlackMs  float64 `koanf:"rollbackSlackMs"`
 	MaxStretchMs     float64 `koanf:"maxStretchMs"`
+	RevocationClosed bool    `koanf:"revocationClosed"`
+	RevokeMs         float64 `koanf:"revokeMs"`
 	RetryBudgetRatio float64 `koanf:"retryBudgetRatio"`
 	BudgetPeriodS    float64 `koanf:"budgetPeriodS"`
 	RetryBudgetSlack float64 `koanf:"retryBudgetSlack"`
@@ -154,7 +156,7 @@
 	return Settings{
 		HeartbeatMs: 1000,
 		TimingBounds: TimingBounds{
-			ContactMs: 3000, AckTimeoutMs: 4000, DrainMs: 3000, GraceS: 8, ConfigApplyMs: 2000,
+			ContactMs: 3000, AckTimeoutMs: 4000, DrainMs: 3000, GraceS: 8, ConfigApplyMs: 2000, RevokeMs: 5000,
 			BudgetPeriodS: 10, ColdOverage: 1, EvacuateMs: 5000, LeaseMs: 3000, OriginPeriodS: 5, OriginOverage: 1,
 		},
 		CloudAPI: CloudAPI{RatePerS: 10, MaxLagMs: 1000},
@@ -178,6 +180,7 @@
 		{s.CloudAPI.Address == "", "cloudApi.address is missing"},
 		{s.TimingBounds.LeaseMs <= 0, "timingBounds.leaseMs must be above 0"},
 		{s.TimingBounds.ContactMs <= 0, "timingBounds.contactMs must be above 0"},
+		{s.TimingBounds.RevocationClosed && s.TimingBounds.RevokeMs <= 0, "timingBounds.revokeMs must be above 0"},
 		{s.HeartbeatMs <= 0, "heartbeatMs must be above 0"},
 		{serves == "edge" && s.BindAddresses.DataPlane == "", "bindAddresses.dataPlane is missing"},
 		{serves == "edge" && s.BindAddresses.Readiness == "", "bindAddresses.readiness is missing"},
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -36,6 +36,7 @@
 	Route    string             `json:"route,omitempty"`
 	Backend  string             `json:"backend,omitempty"`
 	Model    string             `json:"model,omitempty"`
+	Tenant   string             `json:"tenant,omitempty"`
 	Prefix   string             `json:"prefix,omitempty"`
 	Prompt   float64            `json:"prompt,omitempty"`
 	Output   float64            `json:"output,omitempty"`
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -126,7 +126,7 @@
 		for _, route := range e.table.Configuration.Routes {
 			if route.Name == entry.Route {
 				request.Aim = milliseconds(route.TargetLatencyMs)
-				request.Priority = route.Priority
+				request.Priority = e.table.TenantNamed(entry.Tenant).PriorityOr(route.Priority)
 				request.Homes = route.AllowedRegions
 				request.Returned = entry.LeftMs < route.TimeoutMs-1
 			}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -21,6 +21,8 @@
 	HeaderPrefix      = "Ferryspar-Prompt-Prefix"
 	HeaderLastEvent   = "Last-Event-Id"
 	HeaderCold        = "Ferryspar-Cold-Remaining"
+	HeaderTenant      = "Ferryspar-Tenant"
+	HeaderKey         = "X-Api-Key"
 )
 
 // protocolPrefix begins the names of the protocol's own headers.
--- a/internal/replica/forward.go
+++ b/internal/replica/forward.go
@@ -29,6 +29,8 @@
 	// LastEvent, if any, is the id of the event after which a stream goes on.
 	LastEvent string
 	Service   string
+	// Tenant is the name told to the replica, empty for a request of no tenant.
+	Tenant string
 	// Once says that the request may not be repeated.
 	Once bool
 	// Connections bounds the idle connections kept to the replica; 0 leaves it to the forwarder.
@@ -70,6 +72,7 @@
 	request.Header.Set(HeaderRemaining, strconv.FormatInt(max(remaining, 1), 10))
 	request.Header.Set(HeaderTarget, identity)
 	request.Header.Set(HeaderUrgency, strconv.Itoa(job.Urgency))
+	identify(request.Header, job.Tenant)
 	if job.LastEvent != "" {
 		request.Header.Set(HeaderLastEvent, job.LastEvent)
 	}
@@ -79,6 +82,15 @@
 	return request
 }
 
+// identify names the tenant whatever the client claimed, and takes the client's key away.
+func identify(header http.Header, tenant string) {
+	header.Del(HeaderKey)
+	header.Del(HeaderTenant)
+	if tenant != "" {
+		header.Set(HeaderTenant, tenant)
+	}
+}
+
 // Sendable tells whether a request target, as a client sent it, can be passed on unchanged.
 func Sendable(uri string) bool {
 	if !strings.HasPrefix(uri, "/") {
--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -46,6 +46,7 @@
 	listed   int
 	losses   int
 	cores    int
+	adjust   func(settings *nodesettings.Settings)
 }
 
 var zones = map[string]string{"north": "land", "south": "land", "east": "land", "abroad": "far"}
@@ -145,6 +146,9 @@
 	settings.BindAddresses = nodesettings.BindAddresses{DataPlane: host + ":8161", Readiness: host + ":8167", ControlPlane: host + ":8166"}
 	settings.CloudAPI = nodesettings.CloudAPI{Address: "10.200.0.1:80", RatePerS: 40, MaxLagMs: 100}
 	settings.TimingBounds.RetryBudgetRatio, settings.TimingBounds.RetryBudgetSlack = 0.2, 50
+	if f.adjust != nil {
+		f.adjust(&settings)
+	}
 	return settings
 }
 
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -19,6 +19,7 @@
 	lastEvent string
 	path      string
 	at        time.Time
+	header    http.Header
 }
 
 type ordered struct {
@@ -196,7 +197,7 @@
 	}
 	from := 0
 	_, _ = fmt.Sscanf(request.Header.Get(replica.HeaderLastEvent), "%d", &from)
-	s.runs = append(s.runs, arrival{attempt, request.Header.Get(replica.HeaderLastEvent), request.RequestURI, time.Now()})
+	s.runs = append(s.runs, arrival{attempt, request.Header.Get(replica.HeaderLastEvent), request.RequestURI, time.Now(), request.Header.Clone()})
 	cutAfter, events, slow := s.cutAfter, s.events, s.slow
 	fail := failings[s.fails]
 	failing := fail != nil && len(s.runs)%max(s.failEvery, 1) == 0
