--- a/cmd/ferryspar-operator/commands.go
+++ b/cmd/ferryspar-operator/commands.go
@@ -26,6 +26,7 @@
 	{"put", "replace the configuration by a file's", &putConfiguration{}},
 	{"patch", "change named items of the configuration", &patchConfiguration{}},
 	{"check", "check a configuration file here, asking nobody", &checkConfiguration{}},
+	{"tenants", "list the tenants, their limits and the digests of their keys", &listTenants{}},
 	{"drain", "send nothing more to a zone's replicas", &drainZone{method: http.MethodPost}},
 	{"undrain", "take a zone's evacuation back", &drainZone{method: http.MethodDelete}},
 	{"retention", "print or set how long cached context may live", &retain{}},
@@ -36,10 +37,15 @@
 	{"status", "print the fleet as one control daemon sees it", &showStatus{}},
 }
 
-type readConfiguration struct{}
+type readConfiguration struct {
+	Keys bool `long:"keys" description:"print tenants' keys instead of their digests"`
+}
 
 func (r *readConfiguration) Execute(rest []string) error {
 	content, err := ask(http.MethodGet, "/ferryspar/config", "", nil)
+	if err == nil && !r.Keys {
+		content, err = configuration.RedactDocument(content)
+	}
 	if err == nil {
 		fmt.Println(string(content))
 	}
@@ -97,7 +103,8 @@
 	}
 	read, err := configuration.Read(content)
 	if err == nil {
-		fmt.Printf("sound: revision %d, %d routes, %d backends\n", read.Revision, len(read.Routes), len(read.Backends))
+		fmt.Printf("sound: revision %d, %d routes, %d backends, %d tenants\n",
+			read.Revision, len(read.Routes), len(read.Backends), len(read.Tenants))
 	}
 	return err
 }
--- a/cmd/ferryspar-operator/inspect.go
+++ b/cmd/ferryspar-operator/inspect.go
@@ -16,7 +16,7 @@
 
 // inspectFolder reads a stopped member's data folder; it asks no daemon and writes nothing.
 type inspectFolder struct {
-	Values bool `long:"values" description:"print the values as well"`
+	Values bool `long:"values" description:"print the values as well; that of the configuration holds tenants' keys"`
 	Args   struct {
 		Folder string `positional-arg-name:"DIR" required:"yes"`
 	} `positional-args:"yes"`
@@ -29,6 +29,9 @@
 		return err
 	}
 	if shared.JSON {
+		if !i.Values {
+			inspection.DropValues()
+		}
 		content, err := json.Marshal(inspection)
 		if err != nil {
 			return err
--- a/cmd/ferryspar-operator/inspect_test.go
+++ b/cmd/ferryspar-operator/inspect_test.go
@@ -71,6 +71,9 @@
 	assert.NilError(t, json.Unmarshal([]byte(told), &inspection))
 	assert.Equal(t, inspection.Generation, uint64(2))
 	assert.Equal(t, len(inspection.Slots), 3)
+	for _, slot := range inspection.Slots {
+		assert.Equal(t, len(slot.Value), 0, "values may hold tenants' keys, so they must be asked for")
+	}
 	assert.DeepEqual(t, contents(t, path), before)
 }
 
--- a/cmd/ferryspar-operator/query.go
+++ b/cmd/ferryspar-operator/query.go
@@ -32,11 +32,8 @@
 		return err
 	}
 	var current configuration.Configuration
-	if strings.Contains(strings.ToLower(q.Args.Statement), "routes") {
-		if content, err = ask(http.MethodGet, "/ferryspar/config", "", nil); err != nil {
-			return err
-		}
-		if current, err = configuration.Decode(content); err != nil {
+	if asksConfiguration(q.Args.Statement) {
+		if current, err = askConfiguration(); err != nil {
 			return err
 		}
 	}
@@ -52,3 +49,19 @@
 	}
 	return result.Table(os.Stdout)
 }
+
+// asksConfiguration tells whether a statement may name a table that is made of the configuration.
+func asksConfiguration(statement string) bool {
+	statement = strings.ToLower(statement)
+	return strings.Contains(statement, "routes") || strings.Contains(statement, "tenants")
+}
+
+// askConfiguration reads the newest configuration, with digests in the place of keys.
+func askConfiguration() (configuration.Configuration, error) {
+	content, err := ask(http.MethodGet, "/ferryspar/config", "", nil)
+	if err != nil {
+		return configuration.Configuration{}, err
+	}
+	current, err := configuration.Decode(content)
+	return current.Redacted(), err
+}
--- a/internal/configuration/keys.go
+++ b/internal/configuration/keys.go
@@ -28,12 +28,17 @@
 // HashKey returns the hash of a key as a client sent it.
 func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
-// Digest is what logs and status show for the key.
+// Digest is what logs and status show for the key. That of a digest is the digest itself.
 func (k APIKey) Digest() string {
+	if k.isDigest() {
+		return string(k)
+	}
 	hash := HashKey(string(k))
 	return digestMark + hex.EncodeToString(hash[:digestBytes])
 }
 
+func (k APIKey) isDigest() bool { return strings.HasPrefix(string(k), digestMark) }
+
 // Format writes the digest for every verb.
 func (k APIKey) Format(state fmt.State, _ rune) { _, _ = io.WriteString(state, k.Digest()) }
 
@@ -44,7 +49,7 @@
 		return "is empty"
 	case !headerValue(string(k)):
 		return "cannot stand in a header"
-	case strings.HasPrefix(string(k), digestMark):
+	case k.isDigest():
 		return "is the digest of a key"
 	default:
 		return ""
--- a/internal/configuration/tenants.go
+++ b/internal/configuration/tenants.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"strings"
 	"unicode"
 )
@@ -31,6 +32,14 @@
 	return *t.Priority
 }
 
+// StatedPriority is the tenant's priority in words.
+func (t *Tenant) StatedPriority() string {
+	if t.Priority == nil {
+		return "of the route"
+	}
+	return strconv.Itoa(*t.Priority)
+}
+
 // Called is the tenant's name, empty where there is no tenant.
 func (t *Tenant) Called() string {
 	if t == nil {
--- a/internal/keystore/inspect.go
+++ b/internal/keystore/inspect.go
@@ -54,6 +54,13 @@
 	Value      json.RawMessage            `json:"value,omitempty"`
 }
 
+// DropValues takes the values of slots away, which may hold secrets.
+func (i *Inspection) DropValues() {
+	for position := range i.Slots {
+		i.Slots[position].Value = nil
+	}
+}
+
 const (
 	keyField   = "key"
 	valueField = "value"
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -27,7 +27,7 @@
 	return Tables(seen, configuration.Configuration{Routes: []configuration.Route{
 		{Name: "plain", Backend: "chat", TimeoutMs: 1000},
 		{Name: "split", TrafficSplit: []configuration.Split{{Backend: "chat", Weight: 90}, {Backend: "gone", Weight: 10}}},
-	}})
+	}, Tenants: []configuration.Tenant{{Name: "one", Keys: []configuration.APIKey{"secret"}, RatePerS: 4}, {Name: "two"}}})
 }
 
 var wide = Bounds{Rows: 100, Time: 10 * time.Second}
@@ -54,6 +54,11 @@
 			statement: "SELECT address, part FROM members ORDER BY address DESC LIMIT 1",
 			wanted:    "address        part\n10.0.0.3:9000  next\n",
 		},
+		{
+			statement: "SELECT * FROM tenants ORDER BY name",
+			wanted: "name  priority  rate_per_s  burst  key_digest\none             4           0      " +
+				configuration.APIKey("secret").Digest() + "\ntwo             0           0      \n",
+		},
 		{
 			statement: "SELECT duty, holder, (SELECT count(*) FROM edges) AS edges, (SELECT max(adapter) FROM adapters) AS adapter, " +
 				"time_left_ms FROM tenures, replicas LIMIT 1",
--- a/internal/query/tables.go
+++ b/internal/query/tables.go
@@ -15,9 +15,9 @@
 	Rows    [][]any
 }
 
-// Tables returns the tables of a fleet and its configuration.
+// Tables returns the tables of a fleet and its configuration, with digests in the place of keys.
 func Tables(fleet operator.Fleet, current configuration.Configuration) []Table {
-	return []Table{replicas(fleet), models(fleet), adapters(fleet), zones(fleet), edges(fleet), routes(current), members(fleet), leases(fleet)}
+	return []Table{replicas(fleet), models(fleet), adapters(fleet), zones(fleet), edges(fleet), routes(current), tenants(current), members(fleet), leases(fleet)}
 }
 
 func replicas(fleet operator.Fleet) Table {
@@ -88,7 +88,7 @@
 		Columns: []string{
 			"name", "hostname", "path_prefix", "route_type", "backend", "weight",
 			"timeout_ms", "target_latency_ms", "priority", "retry_count", "sticky", "resumable",
-			"token_gap_ms",
+			"token_gap_ms", "public",
 		},
 	}
 	for _, one := range current.Routes {
@@ -96,13 +96,33 @@
 			table.Rows = append(table.Rows, []any{
 				one.Name, one.Hostname, one.PathPrefix, one.RouteType, split.Backend,
 				split.Weight, one.TimeoutMs, one.TargetLatencyMs, one.Priority, one.RetryCount,
-				one.Sticky, one.Resumable, one.TokenGapMs,
+				one.Sticky, one.Resumable, one.TokenGapMs, one.Public,
 			})
 		}
 	}
 	return table
 }
 
+// tenants has one row for each key, and one with an empty digest for a tenant without keys.
+func tenants(current configuration.Configuration) Table {
+	current = current.Redacted()
+	table := Table{Name: "tenants", Columns: []string{"name", "priority", "rate_per_s", "burst", "key_digest"}}
+	for _, one := range current.Tenants {
+		var priority any
+		if one.Priority != nil {
+			priority = *one.Priority
+		}
+		row := []any{one.Name, priority, one.RatePerS, one.Burst}
+		for _, key := range one.Keys {
+			table.Rows = append(table.Rows, append(slices.Clone(row), string(key)))
+		}
+		if len(one.Keys) == 0 {
+			table.Rows = append(table.Rows, append(row, ""))
+		}
+	}
+	return table
+}
+
 func members(fleet operator.Fleet) Table {
 	table := Table{Name: "members", Columns: []string{"address", "part"}}
 	for _, address := range fleet.Members {
