--- a/internal/client/access.go
+++ b/internal/client/access.go
@@ -145,5 +145,6 @@
 func (p *parsedRequest) belongTo(table *configuration.Table, tenant configuration.TenantNumber) {
 	p.access.table, p.access.tenant = table, tenant
 	p.request.Tenant = tenant
+	p.request.Homes = table.Tenant(tenant).RegionsWithin(p.route.AllowedRegions)
 	p.job.Tenant = table.Tenant(tenant).Called()
 }
--- a/internal/client/parse.go
+++ b/internal/client/parse.go
@@ -86,12 +86,12 @@
 		request: match.Request{
 			Attempt: attempt, Backend: backend, Model: model, Parts: parts, Dialogues: match.Dialogues(parts), Prompt: prompt, Output: output,
 			Arrived: arrived, Deadline: deadline, Aim: time.Duration(route.TargetLatencyMs * float64(time.Millisecond)), Priority: priority,
-			Homes: route.AllowedRegions, Excluded: map[string]bool{}, Returned: remaining < patience-returnedSlack,
+			Homes: tenant.RegionsWithin(route.AllowedRegions), Excluded: map[string]bool{}, Returned: remaining < patience-returnedSlack,
 			Repeatable: route.Repeatable(), Route: route.Name, Tenant: allowed.tenant,
 		},
 		job: replica.Job{
 			Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header, Body: body, Attempt: attempt,
-			Urgency: min(max(priority, 0), 9), Deadline: deadline, LastEvent: request.Header.Get(replica.HeaderLastEvent),
+			Urgency: min(priority, 9), Deadline: deadline, LastEvent: request.Header.Get(replica.HeaderLastEvent),
 			Service: backend, Once: !route.Repeatable(), Connections: connectionShare(fleet, backend),
 			Tenant: tenant.Called(),
 		},
--- a/internal/configuration/tenants.go
+++ b/internal/configuration/tenants.go
@@ -2,19 +2,23 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode"
 )
 
 // Tenant is a customer whose requests are told from those of others by their key. RatePerS and Burst bound its
-// requests over all data planes; 0 for no bound. Priority, if set, takes the place of the route's.
+// requests over all data planes; 0 for no bound. Priority, if set, takes the place of the route's. AllowedRegions bind
+// beside those of the route.
 type Tenant struct {
 	Name     string   `json:"name"`
 	Keys     []APIKey `json:"apiKeys"`
 	Priority *int     `json:"priority"`
 	RatePerS float64  `json:"ratePerS"`
 	Burst    float64  `json:"burst"`
+
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // TenantNumber is a tenant's place in its configuration, counted from 1, so that it can index dense tables. It holds
@@ -24,12 +28,36 @@
 // NoTenant is the number of requests that belong to no tenant.
 const NoTenant TenantNumber = 0
 
-// PriorityOr is the tenant's priority, or the given one where it states none or there is no tenant.
+// PriorityOr is the tenant's priority, or the given one where it states none or there is no tenant; never below 0, which
+// is the highest.
 func (t *Tenant) PriorityOr(priority int) int {
-	if t == nil || t.Priority == nil {
-		return priority
+	if t != nil && t.Priority != nil {
+		priority = *t.Priority
+	}
+	return max(priority, 0)
+}
+
+// noRegion is the name of no region: where a route's and a tenant's regions have nothing in common.
+const noRegion = "\x00"
+
+// RegionsWithin returns the regions allowed by both the tenant and a route that allows the given ones, empty for all.
+func (t *Tenant) RegionsWithin(regions []string) []string {
+	if t == nil || len(t.AllowedRegions) == 0 {
+		return regions
+	}
+	if len(regions) == 0 {
+		return t.AllowedRegions
+	}
+	var common []string
+	for _, region := range regions {
+		if slices.Contains(t.AllowedRegions, region) {
+			common = append(common, region)
+		}
+	}
+	if len(common) == 0 {
+		return []string{noRegion}
 	}
-	return *t.Priority
+	return common
 }
 
 // StatedPriority is the tenant's priority in words.
--- a/internal/configuration/tenants_test.go
+++ b/internal/configuration/tenants_test.go
@@ -35,6 +35,20 @@
 	assert.Equal(t, read.Tenants[0].RatePerS, 42.0)
 }
 
+func TestGivenRegionsOfRouteAndTenantThenBothBind(t *testing.T) {
+	for _, one := range []struct{ route, tenant, both []string }{
+		{nil, nil, nil}, {[]string{"a"}, nil, []string{"a"}}, {nil, []string{"b"}, []string{"b"}},
+		{[]string{"a", "b", "c"}, []string{"c", "b"}, []string{"b", "c"}}, {[]string{"a"}, []string{"b"}, []string{noRegion}},
+	} {
+		tenant := &Tenant{AllowedRegions: one.tenant}
+		assert.DeepEqual(t, tenant.RegionsWithin(one.route), one.both)
+	}
+	var none *Tenant
+	assert.DeepEqual(t, none.RegionsWithin([]string{"a"}), []string{"a"})
+	negative := -1
+	assert.Equal(t, (&Tenant{Priority: &negative}).PriorityOr(4), 0)
+}
+
 func TestGivenAConfigurationWithoutTenantsThenNoKeyIsNeeded(t *testing.T) {
 	for tenants, needed := range map[string]bool{"null": false, "[]": true, "[ ]": true} {
 		read, err := Read(withTenants(tenants))
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"ferryspar/internal/apierror"
 	"ferryspar/internal/client"
 	"ferryspar/internal/match"
 	"ferryspar/internal/nodesettings"
@@ -168,27 +165,6 @@
 	return nodesettings.Milliseconds(limits.HeaderTimeoutMs), nodesettings.Milliseconds(limits.IdleTimeoutMs)
 }
 
-// readinessRoutes answers whether this daemon may be sent requests.
-func (d *Daemon) readinessRoutes() http.Handler {
-	router := chi.NewRouter()
-	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
-		if d.leaving.Load() {
-			apierror.Write(writer, apierror.New(apierror.Leaving, ""))
-			return
-		}
-		if !d.state.Ready() {
-			apierror.Write(writer, apierror.New(apierror.NoConfiguration, ""))
-			return
-		}
-		writer.WriteHeader(http.StatusOK)
-	})
-	router.Get("/ferryspar/refusals", func(writer http.ResponseWriter, request *http.Request) {
-		writer.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(writer).Encode(d.handler.Refusals.Counts())
-	})
-	return router
-}
-
 const (
 	// noticeTime is how long clients are given to be routed elsewhere before the server closes.
 	noticeTime = 2300 * time.Millisecond
--- /dev/null
+++ b/internal/dataplane/readiness.go
@@ -0,0 +1,31 @@
+package dataplane
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"ferryspar/internal/apierror"
+)
+
+// readinessRoutes answers whether this daemon may be sent requests, and what it refused since its start, by reason.
+func (d *Daemon) readinessRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
+		if d.leaving.Load() {
+			apierror.Write(writer, apierror.New(apierror.Leaving, ""))
+			return
+		}
+		if !d.state.Ready() {
+			apierror.Write(writer, apierror.New(apierror.NoConfiguration, ""))
+			return
+		}
+		writer.WriteHeader(http.StatusOK)
+	})
+	router.Get("/ferryspar/refusals", func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(d.handler.Refusals.Counts())
+	})
+	return router
+}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -126,8 +126,9 @@
 		for _, route := range e.table.Configuration.Routes {
 			if route.Name == entry.Route {
 				request.Aim = milliseconds(route.TargetLatencyMs)
-				request.Priority = e.table.TenantNamed(entry.Tenant).PriorityOr(route.Priority)
-				request.Homes = route.AllowedRegions
+				tenant := e.table.TenantNamed(entry.Tenant)
+				request.Priority = tenant.PriorityOr(route.Priority)
+				request.Homes = tenant.RegionsWithin(route.AllowedRegions)
 				request.Returned = entry.LeftMs < route.TimeoutMs-1
 			}
 		}
