--- /dev/null
+++ b/internal/configuration/keys.go
@@ -0,0 +1,103 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// APIKey is the secret by which a request shows whose it is. However it is formatted, only its digest is seen; the
+// key itself is written by encoding/json alone, where a configuration is stored or sent.
+type APIKey string
+
+// KeyHash stands for a key in look-ups, so that no key needs to be kept.
+type KeyHash [sha256.Size]byte
+
+const (
+	// tenantsSection is the configuration's member that holds tenants and so keys.
+	tenantsSection = "tenants"
+	// digestMark begins a key's digest, so that neither is taken for the other.
+	digestMark = "sha256:"
+	// digestBytes is how much of the hash a digest shows: enough to tell keys apart, too little to confirm a guess.
+	digestBytes = 4
+)
+
+// HashKey returns the hash of a key as a client sent it.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Digest is what logs and status show for the key. That of a digest is the digest itself.
+func (k APIKey) Digest() string {
+	if k.isDigest() {
+		return string(k)
+	}
+	hash := HashKey(string(k))
+	return digestMark + hex.EncodeToString(hash[:digestBytes])
+}
+
+func (k APIKey) isDigest() bool { return strings.HasPrefix(string(k), digestMark) }
+
+// Format writes the digest for every verb.
+func (k APIKey) Format(state fmt.State, _ rune) { _, _ = io.WriteString(state, k.Digest()) }
+
+// fault says why the key cannot be used, without telling it.
+func (k APIKey) fault() string {
+	switch {
+	case k == "":
+		return "is empty"
+	case !headerValue(string(k)):
+		return "cannot stand in a header"
+	case k.isDigest():
+		return "is the digest of a key"
+	default:
+		return ""
+	}
+}
+
+// Redacted returns a copy of the configuration with a digest in the place of each key.
+func (l Configuration) Redacted() Configuration {
+	if l.Tenants == nil {
+		return l
+	}
+	tenants := make([]Tenant, len(l.Tenants))
+	for position, tenant := range l.Tenants {
+		tenants[position] = tenant.redacted()
+	}
+	l.Tenants = tenants
+	return l
+}
+
+// RedactDocument returns a configuration's document with a digest in the place of each key.
+func RedactDocument(document []byte) ([]byte, error) {
+	read, err := Decode(document)
+	if err != nil {
+		return nil, err
+	}
+	if read.Tenants == nil {
+		return document, nil
+	}
+	members := map[string]json.RawMessage{}
+	if err := json.Unmarshal(document, &members); err != nil {
+		return nil, unreadable(err)
+	}
+	for name := range members {
+		if strings.EqualFold(name, tenantsSection) {
+			delete(members, name)
+		}
+	}
+	if members[tenantsSection], err = json.Marshal(read.Redacted().Tenants); err != nil {
+		return nil, err
+	}
+	return json.Marshal(members)
+}
+
+func (t Tenant) redacted() Tenant {
+	digests := make([]APIKey, len(t.Keys))
+	for position, key := range t.Keys {
+		digests[position] = APIKey(key.Digest())
+	}
+	t.Keys = digests
+	return t
+}
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -7,11 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"ferryspar/internal/apierror"
 	"ferryspar/internal/client"
 	"ferryspar/internal/match"
 	"ferryspar/internal/nodesettings"
@@ -66,6 +64,7 @@
 		Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack,
 	}
 	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budgets, time.Now, rand.Float64)
+	daemon.handler.Currency = daemon.state.currency
 	return daemon
 }
 
@@ -168,23 +167,6 @@
 	return nodesettings.Milliseconds(limits.HeaderTimeoutMs), nodesettings.Milliseconds(limits.IdleTimeoutMs)
 }
 
-// readinessRoutes answers whether this daemon may be sent requests.
-func (d *Daemon) readinessRoutes() http.Handler {
-	router := chi.NewRouter()
-	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
-		if d.leaving.Load() {
-			apierror.Write(writer, apierror.New(apierror.Leaving, ""))
-			return
-		}
-		if !d.state.Ready() {
-			apierror.Write(writer, apierror.New(apierror.NoConfiguration, ""))
-			return
-		}
-		writer.WriteHeader(http.StatusOK)
-	})
-	return router
-}
-
 const (
 	// noticeTime is how long clients are given to be routed elsewhere before the server closes.
 	noticeTime = 2300 * time.Millisecond
