A grant that was never acted under is inherited, and its wait is not cut short

The same grant acted at once, though the wait for the lease of the other holder had not ended. Change: a grant names the own grant that it follows, and the ledger goes on only from that one; a record says while its holder still has to wait, and so has its next life.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -20,12 +20,14 @@
 // Record is what the key store keeps of a lease: its holder, where to reach it, the fence, a number
 // that rises with each grant, and the reservation: an upper bound of what the holder may have used
 // of a budget that outlives its grant. Reserved is nil in records of holders that reserved nothing
-// because they knew of no reservations; what those used is unknown.
+// because they knew of no reservations; what those used is unknown. Settling is set until the
+// holder has written after the lease of another holder before it has surely run out.
 type Record struct {
 	Holder   string `json:"holder"`
 	Address  string `json:"address"`
 	Fence    uint64 `json:"fence"`
 	Reserved *int   `json:"reserved,omitempty"`
+	Settling bool   `json:"settling,omitempty"`
 }
 
 // sameHolder says whether two records name one daemon, in this life or another.
@@ -46,14 +48,14 @@
 // Grant is a lease that was granted. It is valid until Until on the holder's steady clock; ActsFrom
 // is the first moment at which the holder may act, after the lease of its predecessor has surely run
 // out. The predecessor's last act was before Since. The record's reservation is that of the record
-// before it. Continues is set if no other holder, and no other life of this one, was granted the
-// lease since this Lease was granted it last.
+// before it. Continues is the fence of the last grant of this Lease if no other holder, and no other
+// life of this one, was granted the lease since, and 0 otherwise.
 type Grant struct {
 	Record    Record
 	Since     time.Time
 	Until     time.Time
 	ActsFrom  time.Time
-	Continues bool
+	Continues uint64
 }
 
 // Allows tells whether the holder may start something at now that takes the time needs. A nil Hold
@@ -77,6 +79,8 @@
 	// granted is the fence of the last grant, 0 before the first; proposed is the highest one that
 	// was asked for.
 	granted, proposed uint64
+	// actsFrom is the ActsFrom of the last grant.
+	actsFrom time.Time
 	// interrupted is set once a record of another holder, or of another life, was seen since.
 	interrupted bool
 }
@@ -89,12 +93,10 @@
 func (t *Lease) Acquire(ctx context.Context) (*Grant, error) {
 	began := t.Clock()
 	var record Record
-	undisturbed := false
 	_, err := t.Store.Seize(ctx, t.Key, func(current keystore.Slot) json.RawMessage {
 		var last Record
 		_ = json.Unmarshal(current.Value, &last)
 		record = t.following(last)
-		undisturbed = last.Fence == 0 || record.sameHolder(last)
 		t.interrupted = t.interrupted || !record.sameHolder(last) || last.Fence < t.granted || last.Fence > t.proposed
 		t.proposed = record.Fence
 		value, _ := json.Marshal(record)
@@ -104,25 +106,39 @@
 		return nil, err
 	}
 	now := t.Clock()
-	hold := &Grant{
-		Record: record, Since: now, Until: began.Add(t.Length), ActsFrom: now.Add(t.Settle),
-		Continues: t.granted > 0 && !t.interrupted,
+	hold := &Grant{Record: record, Since: now, Until: began.Add(t.Length), ActsFrom: now}
+	if !t.interrupted {
+		hold.Continues = t.granted
 	}
-	t.granted, t.interrupted = record.Fence, false
-	if undisturbed {
-		hold.ActsFrom = now
+	if record.Settling {
+		hold.ActsFrom = t.settled(hold.Continues, now)
 	}
+	t.granted, t.interrupted, t.actsFrom = record.Fence, false, hold.ActsFrom
 	logrus.WithFields(logrus.Fields{"tenure": t.Key, "fence": record.Fence}).Info("lease taken")
 	return hold, nil
 }
 
+// settled is when the lease of another holder before has surely run out. A grant that follows one of
+// the same life ends the wait that began with that one.
+func (t *Lease) settled(continues uint64, now time.Time) time.Time {
+	if continues == 0 {
+		return now.Add(t.Settle)
+	}
+	if t.actsFrom.After(now) {
+		return t.actsFrom
+	}
+	return now
+}
+
 // following is the record of this holder's next grant. The reservation is carried over; the very
 // first grant has nothing to carry.
 func (t *Lease) following(last Record) Record {
 	record := Record{Holder: t.Holder, Address: t.Address, Fence: last.Fence + 1, Reserved: last.Reserved}
 	if last.Fence == 0 {
 		record.Reserved = new(int)
+		return record
 	}
+	record.Settling = last.Settling || !record.sameHolder(last)
 	return record
 }
 
@@ -138,6 +154,7 @@
 			return nil, errNotGranted
 		}
 		last.Reserved = &reserved
+		last.Settling = last.Settling && t.Clock().Before(hold.ActsFrom)
 		return json.Marshal(last)
 	})
 }
--- a/internal/lease/reserve_test.go
+++ b/internal/lease/reserve_test.go
@@ -201,29 +201,50 @@
 	}
 	first, other := daemon("a", "1"), daemon("b", "2")
 	steps := []struct {
-		name               string
-		keeper             *lease.Lease
-		continues, settles bool
-		inherits           int
+		name      string
+		keeper    *lease.Lease
+		continues uint64
+		waits     time.Duration
+		inherits  int
 	}{
-		{"the very first", first, false, false, 0},
-		{"the same life", first, true, false, 1},
-		{"the next life", daemon("a", "1"), false, false, 2},
-		{"the life before, taken for dead", first, false, false, 3},
-		{"another daemon", other, false, true, 4},
-		{"the first once more", first, false, true, 5},
-		{"the first again", first, true, false, 6},
-		{"the same name at another address", daemon("a", "3"), false, true, 7},
+		{"the very first", first, 0, 0, 0},
+		{"the same life", first, 1, 0, 1},
+		{"the next life", daemon("a", "1"), 0, 0, 2},
+		{"the life before, taken for dead", first, 0, 0, 3},
+		{"another daemon", other, 0, time.Minute, 4},
+		{"the first once more", first, 0, time.Minute, 5},
+		{"the first again, which hasn't waited to the end", first, 6, time.Minute - time.Second, 6},
+		{"its next life, which doesn't know since when", daemon("a", "1"), 0, time.Minute, 7},
+		{"the same name at another address", daemon("a", "3"), 0, time.Minute, 8},
 	}
 	for number, one := range steps {
 		grant, err := one.keeper.Acquire(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, grant.Continues, one.continues, one.name)
-		assert.Equal(t, grant.ActsFrom.After(now), one.settles, one.name)
+		assert.Equal(t, grant.ActsFrom.Sub(now), one.waits, one.name)
 		assert.Equal(t, *grant.Record.Reserved, one.inherits, one.name)
 		assert.Equal(t, grant.Record.Fence, uint64(number+1))
 		assert.NilError(t, one.keeper.Reserve(t.Context(), grant, number+1))
+		now = now.Add(time.Second)
 	}
 	past := &lease.Grant{Record: lease.Record{Holder: "a", Address: "1", Fence: 1}}
 	assert.ErrorContains(t, first.Reserve(t.Context(), past, 50), "anew")
 }
+
+func TestGivenAHolderThatWroteAfterItsWaitThenItsNextLifeNeedNotWait(t *testing.T) {
+	store, now := &register{}, time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for life, name := range []string{"a", "b", "b", "b"} {
+		keeper := &lease.Lease{
+			Key: "k", Holder: name, Address: name, Length: time.Second, Settle: time.Minute,
+			Store: store, Clock: func() time.Time { return now },
+		}
+		grant, err := keeper.Acquire(t.Context())
+		assert.NilError(t, err)
+		waits := life == 1 || life == 2
+		assert.Equal(t, grant.ActsFrom.After(now), waits, "life %d", life)
+		if life == 2 {
+			now = grant.ActsFrom
+			assert.NilError(t, keeper.Reserve(t.Context(), grant, 1))
+		}
+	}
+}
--- a/internal/loadbudget/budget.go
+++ b/internal/loadbudget/budget.go
@@ -11,8 +11,9 @@
 	// Reserved is the reservation in the record of this grant, carried over from the one before. It
 	// is nil if that record has none: then its holder may have begun as many loads as are allowed.
 	Reserved *int
-	// Continues is set if this process held the lease last: its ledger then has all that began.
-	Continues bool
+	// Continues is the fence of the last grant of this process if it was followed directly by this one,
+	// and 0 otherwise. The ledger has all that began if the budget took that grant over.
+	Continues uint64
 }
 
 // Budget decides which loads a holder may begin and what it must reserve for them. The zero value
@@ -37,6 +38,7 @@
 // TakeOver begins a grant. Unless this process itself held the lease last, everything that was
 // reserved counts as begun at the last moment possible.
 func (b *Budget) TakeOver(grant Takeover, bounds Bounds) {
+	continues := grant.Continues != 0 && grant.Continues == b.fence
 	b.fence, b.writing, b.retryAt, b.excessSince = grant.Fence, false, time.Time{}, time.Time{}
 	b.reserved = 0
 	inherited := bounds.Loads
@@ -44,7 +46,7 @@
 		b.reserved = *grant.Reserved
 		inherited = b.reserved
 	}
-	if !grant.Continues {
+	if !continues {
 		b.ledger.Settle(grant.At)
 		b.ledger.Inherit(inherited, grant.At)
 	}
--- a/internal/loadbudget/budget_test.go
+++ b/internal/loadbudget/budget_test.go
@@ -31,6 +31,7 @@
 		"the own former life is not counted":         formerLifeNotCounted,
 		"an uncertain write is spent":                uncertainWriteSpent,
 		"loads count once they are answered":         countedOnceAnswered,
+		"a grant that was never acted under is lost": unseenGrantContinued,
 	}
 	for name, planted := range faults {
 		t.Run(name, func(t *testing.T) {
--- a/internal/loadbudget/simulation_test.go
+++ b/internal/loadbudget/simulation_test.go
@@ -29,6 +29,7 @@
 	formerLifeNotCounted
 	uncertainWriteSpent
 	countedOnceAnswered
+	unseenGrantContinued
 )
 
 // order is a load that was ordered: it begins at beginsAt, and its answer or report comes at toldAt.
@@ -55,6 +56,9 @@
 	write  *write
 	fence  uint64
 	number int
+	// takeover is the grant that the budget hasn't seen yet: it does once the holder may act.
+	takeover *loadbudget.Takeover
+	actsFrom time.Time
 }
 
 type simulation struct {
@@ -158,6 +162,13 @@
 		return
 	}
 	one := s.processes[s.holder]
+	if s.now.Before(one.actsFrom) {
+		return
+	}
+	if one.takeover != nil {
+		one.budget.TakeOver(*one.takeover, s.bounds())
+		one.takeover = nil
+	}
 	s.propose(one)
 	for s.wanted > 0 && one.budget.Free(s.now, s.bounds()) >= 1 && s.chance(2) {
 		s.order(one)
@@ -175,16 +186,22 @@
 		s.settleWrite(other)
 	}
 	takeover := loadbudget.Takeover{Fence: s.fence + 1, At: s.now, Reserved: s.reserved}
-	takeover.Continues = s.fence > 0 && one.fence == s.fence
+	if one.fence == s.fence {
+		takeover.Continues = s.fence
+	}
 	switch {
 	case s.fault == reservationForgotten:
 		takeover.Reserved = new(int)
-	case s.fault == formerLifeNotCounted && s.holder == s.takenBy:
-		takeover.Continues = true
+	case s.fault == formerLifeNotCounted && one.number == s.takenBy && one.fence == 0:
+		takeover.Reserved = new(int)
+	case s.fault == unseenGrantContinued && one.fence == s.fence:
+		takeover.Continues = one.budget.Fence()
 	}
 	s.fence++
-	one.fence = s.fence
-	one.budget.TakeOver(takeover, s.bounds())
+	one.fence, one.takeover, one.actsFrom = s.fence, &takeover, s.now
+	if takeover.Continues == 0 && s.chance(2) {
+		one.actsFrom = s.now.Add(s.within(3 * time.Second))
+	}
 }
 
 func (s *simulation) propose(one *process) {
