Found the system although its founders were killed before they wrote their disks

Cause: a daemon whose disk is empty and whose settings say bootstrap = false takes itself for wiped and waits for n - majority + 1 voting members.

Ruled out: damage of the ring (the same with disks kept), and members that know the list but do not vote.

Change: the catch-up question is answered by members without a vote too, each having the asking member's incarnation on its disk first. If every founder has answered, and each votes under the founding list or never voted on its present disk, the asking member takes over what the voting ones hold and votes. A member that saw every founder vote notes it, and no founding follows from then on.

--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -63,6 +63,8 @@
 	network    peer.Network
 	forecasts  forecasts
 	drills     drills
+	// founding holds the last keystore.FoundingVerdict.
+	founding atomic.Value
 }
 
 func nonce() uint64 {
@@ -82,7 +84,8 @@
 }
 
 // New opens the disk and puts the daemon together. A disk that is empty, or has lost a file, makes a
-// member without a vote, unless the whole system starts for the first time.
+// member without a vote, unless the whole system starts for the first time. Such a member catches up
+// from the others, or founds the system with them if all of them are as it is.
 func New(settings nodesettings.Settings, path string, network peer.Network, folder keystore.Folder) (*Daemon, error) {
 	journal, err := openJournal(folder, ringBytes(settings.Limits.DiskMb))
 	if err != nil {
@@ -92,7 +95,7 @@
 	empty := len(journal.State()) == 0
 	fresh := empty && settings.Bootstrap && journal.Damage() == nil
 	seeds := settings.SeedPeers()
-	founding := keystore.Members{Number: 1, Present: seeds}
+	founding := keystore.FoundingList(seeds)
 	if empty {
 		first := keystore.WipedSlots(nonce())
 		if fresh && founding.Has(self) {
@@ -108,7 +111,7 @@
 		journal: journal, publisher: NewPublisher(), parts: NewParts(), sums: NewSums(), shown: map[string]keystore.Slot{}, joining: map[string]peer.Greeting{}, remembered: map[string]retention.EdgeView{},
 		edges: heartbeat.NewRegistry(10 * time.Second), controls: heartbeat.NewRegistry(30 * time.Second), leaving: make(chan struct{}), caughtUp: make(chan struct{}, 1), bus: event.NewBus(), started: time.Now(), network: network,
 	}
-	rules := keystore.Rules{Lease: daemon.leaseLength(), Clock: time.Now}
+	rules := keystore.Rules{Lease: daemon.leaseLength(), Clock: time.Now, Seeds: seeds}
 	daemon.acceptor = keystore.NewAcceptor(self, journal, rules, fresh)
 	members := daemon.acceptor.Members()
 	if members.Number == 0 && fresh {
--- a/internal/controlplane/greetings.go
+++ b/internal/controlplane/greetings.go
@@ -72,17 +72,6 @@
 	}
 }
 
-// catchUp tries to gain the vote, and has the others told at once if that succeeds.
-func (d *Daemon) catchUp(ctx context.Context) {
-	if !d.store.CatchUp(ctx, d.acceptor) {
-		return
-	}
-	select {
-	case d.caughtUp <- struct{}{}:
-	default:
-	}
-}
-
 func (d *Daemon) isLeaving() bool {
 	select {
 	case <-d.leaving:
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -79,6 +79,7 @@
 			return
 		case <-ticker.C:
 		}
+		d.completeFounding(ctx)
 		now := d.clock()
 		if now.Sub(d.started) < membersSettle || !d.acceptor.Self().Voting || !d.publisher.Read().Fresh(now) {
 			due = dueChange{}
--- a/internal/explore/apply.go
+++ b/internal/explore/apply.go
@@ -153,11 +153,22 @@
 	for number, of := range w.proposers {
 		if f.proposers.get(of).Machine == f.machines[index] {
 			f.restartProposer(w, number, next.list)
+			f.forgetList(w, number, next)
 		}
 	}
 	return f.observe(w)
 }
 
+// forgetList leaves a proposer that is to catch up without a list where its disk holds none.
+func (f *fleet) forgetList(w *world, index int, own *member) {
+	if own.list.Number > 0 || !f.scenario.forgetsList(f.scenario.Clients[index]) {
+		return
+	}
+	next := f.proposers.get(w.proposers[index]).clone()
+	next.Members = keystore.Members{}
+	w.proposers[index] = f.proposers.add(next)
+}
+
 func (f *fleet) restartProposer(w *world, index int, members keystore.Members) {
 	w.proposers[index] = f.proposers.add(f.proposers.get(w.proposers[index]).restart(members))
 }
--- a/internal/explore/asking.go
+++ b/internal/explore/asking.go
@@ -55,11 +55,12 @@
 
 func (p *proposer) judgeCatchUp(at view) outcome {
 	incarnation := at.own.self.Incarnation
-	read, enough := keystore.ConcludeCatchUp(p.Machine, incarnation, p.Asked, p.Replies)
+	question := keystore.CatchUpQuestion{Self: p.Machine, Incarnation: incarnation, Members: p.Asked, Known: p.Known}
+	read, _, enough := keystore.ConcludeCatchUp(question, p.Replies, at.rules.Founding)
 	if !enough {
 		return outcome{}
 	}
-	if p.Members.Number != p.Asked.Number {
+	if p.Members.Number != p.AskedUnder {
 		p.fail()
 		return outcome{}
 	}
--- a/internal/explore/fleet.go
+++ b/internal/explore/fleet.go
@@ -69,10 +69,17 @@
 	first := &world{left: scenario.Troubles, dayOffsets: make([]int, len(f.machines))}
 	for _, address := range scenario.Members.Present {
 		slots := append(keystore.FreshSlots(scenario.Members, 1), scenario.Held[address]...)
-		first.members = append(first.members, f.members.add(newMember(address, scenario.lease(), slots, time.Time{})))
+		if slices.Contains(scenario.Unborn, address) {
+			slots = keystore.WipedSlots(1)
+		}
+		made := newMember(address, scenario.Members.Present, scenario.lease(), slots, time.Time{})
+		if scenario.Completed {
+			made = made.completeFounding()
+		}
+		first.members = append(first.members, f.members.add(made))
 	}
 	for _, address := range scenario.Newcomers {
-		wiped := newMember(address, scenario.lease(), f.rules.Wiped(1, scenario.Members), epoch.Add(scenario.lease()))
+		wiped := newMember(address, scenario.Members.Present, scenario.lease(), f.rules.Wiped(1, scenario.Members), epoch.Add(scenario.lease()))
 		first.members = append(first.members, f.members.add(wiped))
 	}
 	for index, client := range scenario.Clients {
@@ -80,9 +87,12 @@
 		if client.Knows.Number > 0 {
 			list = client.Knows
 		}
+		if scenario.forgetsList(client) && slices.Contains(scenario.Unborn, client.Machine) {
+			list = keystore.Members{}
+		}
 		first.proposers = append(first.proposers, f.proposers.add(&proposer{
 			Machine: client.Machine, Index: index, Life: 1, Members: list, Tasks: client.Tasks, Phase: phaseIdle,
-			length: scenario.lease(), reaches: client.Reaches, keepsLooks: scenario.Validity > 0,
+			founding: scenario.Members, length: scenario.lease(), reaches: client.Reaches, keepsLooks: scenario.Validity > 0,
 		}))
 	}
 	first.history = f.histories.add(&history{})
--- a/internal/explore/member.go
+++ b/internal/explore/member.go
@@ -29,10 +29,10 @@
 	m.self, m.list = keystore.SelfOf(m.Durable), keystore.MembersOf(m.Durable)
 }
 
-func newMember(address string, lease time.Duration, slots []keystore.Slot, quietUntil time.Time) *member {
+func newMember(address string, seeds []string, lease time.Duration, slots []keystore.Slot, quietUntil time.Time) *member {
 	made := &member{Durable: map[string]keystore.Slot{}}
 	made.State = keystore.MemberState{
-		Address: address, Lease: lease, Slots: map[string]keystore.Slot{}, Grants: map[string]time.Time{}, QuietUntil: quietUntil,
+		Address: address, Seeds: seeds, Lease: lease, Slots: map[string]keystore.Slot{}, Grants: map[string]time.Time{}, QuietUntil: quietUntil,
 	}
 	for _, slot := range slots {
 		made.Durable[slot.Key] = slot
@@ -42,6 +42,16 @@
 	return made
 }
 
+// completeFounding is the member after it has seen every founder vote.
+func (m *member) completeFounding() *member {
+	next := m.clone()
+	_, changes := next.State.CompleteFounding()
+	next.State.Apply(changes)
+	next.Durable = withSlots(m.Durable, changes)
+	next.read()
+	return next
+}
+
 func (m *member) clone() *member {
 	copied := *m
 	copied.State = *m.State.Clone()
@@ -125,7 +135,7 @@
 // wipe is a crash that takes the disk along.
 func (m *member) wipe(rules Rules, now time.Time) *member {
 	slots := rules.Wiped(m.self.Incarnation+1, m.list)
-	return newMember(m.State.Address, m.State.Lease, slots, now.Add(m.State.Lease))
+	return newMember(m.State.Address, m.State.Seeds, m.State.Lease, slots, now.Add(m.State.Lease))
 }
 
 func withSlots(slots map[string]keystore.Slot, changes []keystore.Slot) map[string]keystore.Slot {
--- a/internal/explore/proposer.go
+++ b/internal/explore/proposer.go
@@ -43,11 +43,14 @@
 	Members keystore.Members
 	Tasks   []Task
 
-	Phase   phase
-	Round   int
-	Asked   keystore.Members
-	Replies map[string]keystore.Reply
-	Began   time.Time
+	Phase phase
+	Round int
+	Asked keystore.Members
+	// AskedUnder is the number of the list known when a catch-up began, Known what the member's disk told then.
+	AskedUnder uint64
+	Known      map[string]uint64
+	Replies    map[string]keystore.Reply
+	Began      time.Time
 	// Floor is what was acknowledged when the present look or read began.
 	Floor []string
 
@@ -58,6 +61,8 @@
 	// Looked is the last look, kept where its freshness is judged.
 	Looked *hold
 
+	// founding is the list that is asked while none is known.
+	founding   keystore.Members
 	length     time.Duration
 	reaches    []string
 	keepsLooks bool
@@ -101,6 +106,7 @@
 // idle leaves the round; replies to it count no more.
 func (p *proposer) idle() {
 	p.Phase, p.Replies, p.Asked = phaseIdle, nil, keystore.Members{}
+	p.AskedUnder, p.Known = 0, nil
 	p.Began, p.Floor, p.Writing = time.Time{}, nil, keystore.Slot{}
 }
 
@@ -130,7 +136,7 @@
 func (p *proposer) restart(members keystore.Members) *proposer {
 	next := &proposer{
 		Machine: p.Machine, Index: p.Index, Life: p.Life + 1, Ballots: p.Ballots, Members: p.Members, Tasks: p.Tasks,
-		Phase: phaseIdle, length: p.length, reaches: p.reaches, keepsLooks: p.keepsLooks,
+		Phase: phaseIdle, founding: p.founding, length: p.length, reaches: p.reaches, keepsLooks: p.keepsLooks,
 	}
 	if members.Number > 0 {
 		next.Members = members
@@ -146,7 +152,12 @@
 
 // ask begins a round: one question to each member.
 func (p *proposer) ask(in phase, message keystore.Message) []packet {
-	p.Phase, p.Asked, p.Replies = in, p.Members, map[string]keystore.Reply{}
+	return p.askFrom(p.Members, in, message)
+}
+
+// askFrom puts the question to a list that need not be the one known to be in force.
+func (p *proposer) askFrom(asked keystore.Members, in phase, message keystore.Message) []packet {
+	p.Phase, p.Asked, p.Replies = in, asked, map[string]keystore.Reply{}
 	p.Round++
 	message.Sender, message.Members = p.Machine, p.Members
 	var packets []packet
--- a/internal/explore/rounds.go
+++ b/internal/explore/rounds.go
@@ -31,11 +31,22 @@
 }
 
 func (p *proposer) startCatchUp(at view) (*proposer, outcome, bool) {
-	if at.own == nil || at.own.self.Voting || !p.Members.Has(p.Machine) {
+	asked := p.catchUpFrom()
+	if at.own == nil || at.own.self.Voting || !asked.Has(p.Machine) {
 		return nil, outcome{}, false
 	}
-	asked := keystore.Message{Operation: keystore.OperationCatchUp, Incarnation: at.own.self.Incarnation}
-	return p, outcome{packets: p.ask(phaseAsking, asked)}, true
+	message := keystore.Message{Operation: keystore.OperationCatchUp, Incarnation: at.own.self.Incarnation}
+	packets := p.askFrom(asked, phaseAsking, message)
+	p.AskedUnder, p.Known = p.Members.Number, keystore.KnownIncarnations(at.own.Durable)
+	return p, outcome{packets: packets}, true
+}
+
+// catchUpFrom is the list known or, while there is none, that of the founders.
+func (p *proposer) catchUpFrom() keystore.Members {
+	if p.Members.Number == 0 {
+		return p.founding
+	}
+	return p.Members
 }
 
 func (p *proposer) startOwned(at view) (*proposer, outcome, bool) {
--- a/internal/explore/rules.go
+++ b/internal/explore/rules.go
@@ -14,7 +14,9 @@
 		state *keystore.MemberState, message keystore.Message, now time.Time, durable map[string]keystore.Slot,
 	) (keystore.Reply, []keystore.Slot)
 	Install func(state *keystore.MemberState, read keystore.CatchUp, now time.Time) (keystore.Reply, []keystore.Slot)
-	Learn   func(state *keystore.MemberState, chosen keystore.Slot) (keystore.Reply, []keystore.Slot)
+	// Founding judges the founding, see keystore.JudgeFounding.
+	Founding keystore.FoundingJudge
+	Learn    func(state *keystore.MemberState, chosen keystore.Slot) (keystore.Reply, []keystore.Slot)
 	// Wiped is a member's first state after the loss of its disk.
 	Wiped func(incarnation uint64, members keystore.Members) []keystore.Slot
 	// Waits says whether an answer waits until these changes are synced.
@@ -36,14 +38,15 @@
 // Product gives the rules of the product.
 func Product() Rules {
 	return Rules{
-		Step:    (*keystore.MemberState).Step,
-		Install: (*keystore.MemberState).Install,
-		Learn:   (*keystore.MemberState).Learn,
-		Wiped:   func(incarnation uint64, _ keystore.Members) []keystore.Slot { return keystore.WipedSlots(incarnation) },
-		Waits:   func(changes []keystore.Slot) bool { return len(changes) > 0 },
-		Agreed:  keystore.Tally,
-		Carries: keystore.Ownership.Carries,
-		Accepts: keystore.Ownership.Accepts,
+		Step:     (*keystore.MemberState).Step,
+		Install:  (*keystore.MemberState).Install,
+		Learn:    (*keystore.MemberState).Learn,
+		Founding: keystore.JudgeFounding,
+		Wiped:    func(incarnation uint64, _ keystore.Members) []keystore.Slot { return keystore.WipedSlots(incarnation) },
+		Waits:    func(changes []keystore.Slot) bool { return len(changes) > 0 },
+		Agreed:   keystore.Tally,
+		Carries:  keystore.Ownership.Carries,
+		Accepts:  keystore.Ownership.Accepts,
 		Ballot: func(round uint64, member string, life uint64) keystore.Ballot {
 			return keystore.Ballot{Round: round, Member: member, Life: life}
 		},
--- a/internal/explore/scenario.go
+++ b/internal/explore/scenario.go
@@ -48,6 +48,13 @@
 	// Members is the first list, whose present members vote; Newcomers are machines with empty disks.
 	Members   keystore.Members
 	Newcomers []string
+	// Unborn are present members that were killed before they wrote that they are founders.
+	Unborn []string
+	// Completed says that the members have seen the end of the founding.
+	Completed bool
+	// ForgetsLists says that a member whose disk is empty knows no list until it is told one. It is so wherever
+	// some are Unborn.
+	ForgetsLists bool
 	// Held gives the members slots that they hold at the beginning, by address.
 	Held     map[string][]keystore.Slot
 	Clients  []Client
@@ -67,6 +74,11 @@
 	Learns bool
 }
 
+// forgetsList says whether a client begins a life on an empty disk without a list.
+func (s Scenario) forgetsList(client Client) bool {
+	return (s.ForgetsLists || len(s.Unborn) > 0) && client.Tasks[0].Kind == taskCatchUp
+}
+
 func (s Scenario) lease() time.Duration { return time.Duration(s.Lease) * Tick }
 
 func (s Scenario) machines() []string { return slices.Concat(s.Members.Present, s.Newcomers) }
--- a/internal/histories/membership_test.go
+++ b/internal/histories/membership_test.go
@@ -119,7 +119,7 @@
 func (p *play) rejoin(name string, store *keystore.Store, acceptor *keystore.Acceptor) {
 	ctx, cancel := bounded(changeBound)
 	defer cancel()
-	if store.CatchUp(ctx, acceptor) {
+	if votes, _ := store.CatchUp(ctx, acceptor); votes {
 		p.lock.Lock()
 		defer p.lock.Unlock()
 		delete(p.empty, name)
--- a/internal/keystore/acceptor.go
+++ b/internal/keystore/acceptor.go
@@ -16,6 +16,8 @@
 	// Lease is how long a lease is granted; another holder is refused for as long.
 	Lease time.Duration
 	Clock Clock
+	// Seeds are the founders of the system by the member's settings.
+	Seeds []string
 }
 
 // decision is one question to the member's state.
@@ -41,6 +43,7 @@
 // holds up nothing else.
 type Acceptor struct {
 	state   *MemberState
+	seeds   []string
 	clock   Clock
 	calls   chan call
 	write   chan batch
@@ -53,12 +56,14 @@
 // NewAcceptor makes the member at address from what its journal holds. With founding set no
 // earlier life can have granted a lease; otherwise none is promised for one lease's length.
 func NewAcceptor(address string, journal *Journal, rules Rules, founding bool) *Acceptor {
-	state := &MemberState{Address: address, Lease: rules.Lease, Slots: journal.State(), Grants: map[string]time.Time{}}
+	state := &MemberState{
+		Address: address, Seeds: rules.Seeds, Lease: rules.Lease, Slots: journal.State(), Grants: map[string]time.Time{},
+	}
 	if !founding {
 		state.QuietUntil = rules.Clock().Add(rules.Lease)
 	}
 	acceptor := &Acceptor{
-		state: state, clock: rules.Clock, calls: make(chan call, 64), write: make(chan batch, 1), written: make(chan error, 1),
+		state: state, seeds: rules.Seeds, clock: rules.Clock, calls: make(chan call, 64), write: make(chan batch, 1), written: make(chan error, 1),
 	}
 	durable := journal.State()
 	acceptor.durable.Store(&durable)
@@ -112,6 +117,20 @@
 	})
 }
 
+// CompleteFounding notes that every founder votes, see MemberState.CompleteFounding.
+func (a *Acceptor) CompleteFounding(ctx context.Context) error {
+	return a.require(ctx, func(state *MemberState, _ time.Time, _ map[string]Slot) (Reply, []Slot) {
+		return state.CompleteFounding()
+	})
+}
+
+// Hear keeps a newer member list that was told outside of the members' own questions.
+func (a *Acceptor) Hear(ctx context.Context, told Members) error {
+	return a.require(ctx, func(state *MemberState, _ time.Time, _ map[string]Slot) (Reply, []Slot) {
+		return Reply{Granted: true}, state.adopt(told)
+	})
+}
+
 func (a *Acceptor) require(ctx context.Context, decide decision) error {
 	reply, err := a.submit(ctx, decide)
 	if err == nil && !reply.Granted {
@@ -141,6 +160,9 @@
 // Self is what the member's disk says of itself.
 func (a *Acceptor) Self() Self { return readSelf(a.Durable()) }
 
+// Seeds are the founders of the system by the member's settings.
+func (a *Acceptor) Seeds() []string { return a.seeds }
+
 // Members is the newest list on the member's disk.
 func (a *Acceptor) Members() Members { return readMembers(a.Durable()) }
 
--- a/internal/keystore/ask.go
+++ b/internal/keystore/ask.go
@@ -63,8 +63,15 @@
 // gather puts a question to all members and collects replies until look has seen enough.
 // Promises and writes go on to the members that have not answered yet.
 func (s *Store) gather(ctx context.Context, message Message, look func(r *round) progress) *round {
-	asked := &round{members: s.Members(), replies: map[string]Reply{}}
-	message.Sender, message.Members = s.self, asked.members
+	members := s.Members()
+	message.Members = members
+	return s.gatherFrom(ctx, members, message, look)
+}
+
+// gatherFrom puts a question to the members of a list, whether or not that list is in force.
+func (s *Store) gatherFrom(ctx context.Context, members Members, message Message, look func(r *round) progress) *round {
+	asked := &round{members: members, replies: map[string]Reply{}}
+	message.Sender = s.self
 	if ctx.Err() != nil {
 		return asked
 	}
--- a/internal/keystore/catchup.go
+++ b/internal/keystore/catchup.go
@@ -10,30 +10,53 @@
 // installBound is how long a member waits for its own disk to take what it has read.
 const installBound = 5 * time.Second
 
+// CatchUpQuestion is who catches up, and from whom: Members are asked, which is the list in force or, while none
+// is known, the founding list. Known holds the incarnations of others that the member's own disk told before.
+type CatchUpQuestion struct {
+	Self        string
+	Incarnation uint64
+	Members     Members
+	Known       map[string]uint64
+}
+
+// FoundingJudge decides on founding, see JudgeFounding.
+type FoundingJudge func(self string, founding Members, replies map[string]Reply) FoundingVerdict
+
 // CatchUp brings a member that does not vote to where it may: it reads enough of the others
-// and installs what they hold. It says whether the member votes.
-func (s *Store) CatchUp(ctx context.Context, acceptor *Acceptor) bool {
-	self := acceptor.Self()
+// and installs what they hold. It says whether the member votes and, if too few voting members
+// were there to read, what the verdict on founding was.
+func (s *Store) CatchUp(ctx context.Context, acceptor *Acceptor) (bool, FoundingVerdict) {
+	held := acceptor.Durable()
+	self := readSelf(held)
 	if self.Voting {
-		return true
+		return true, ""
+	}
+	inForce := s.Members()
+	question := CatchUpQuestion{Self: s.self, Incarnation: self.Incarnation, Members: inForce, Known: knownIncarnations(held)}
+	if inForce.Number == 0 {
+		question.Members = FoundingList(acceptor.Seeds())
 	}
-	members := s.Members()
-	if !members.Has(s.self) {
-		return false
+	if !question.Members.Has(s.self) {
+		return false, FoundingNotFounder
 	}
-	told := s.gather(ctx, Message{Operation: OperationCatchUp, Incarnation: self.Incarnation}, func(r *round) progress {
+	message := Message{Operation: OperationCatchUp, Incarnation: self.Incarnation, Members: inForce}
+	told := s.gatherFrom(ctx, question.Members, message, func(r *round) progress {
 		if r.covers(s.self) {
 			return finished
 		}
 		return wait
 	})
-	if s.Members().Number != told.members.Number || !told.covers(s.self) {
-		return false
+	read, verdict, enough := ConcludeCatchUp(question, told.replies, JudgeFounding)
+	if !enough || s.Members().Number != inForce.Number {
+		return false, verdict
 	}
-	read := CatchUp{Members: told.members, Incarnation: self.Incarnation, Slots: told.merged()}
 	bounded, cancel := context.WithTimeout(ctx, installBound)
 	defer cancel()
-	return acceptor.Install(bounded, read) == nil
+	if acceptor.Install(bounded, read) != nil {
+		return false, verdict
+	}
+	s.Adopt(read.Members)
+	return true, verdict
 }
 
 // covers says whether enough members told the one that catches up what they hold. A majority
@@ -49,6 +72,18 @@
 	return r.members.Covered(self, told, earlierLife)
 }
 
+// told lists the incarnations of the others that answered with a vote and, at a founding, of all others.
+func (r *round) told(self string) map[string]uint64 {
+	incarnations := map[string]uint64{}
+	for address, reply := range r.replies {
+		noted := reply.Granted || r.members.Number == FoundingNumber
+		if address != self && noted && reply.Incarnation != 0 {
+			incarnations[address] = reply.Incarnation
+		}
+	}
+	return incarnations
+}
+
 // merged combines what all members told of each key, in the order of the keys.
 func (r *round) merged() []Slot {
 	newest := map[string]Slot{}
--- a/internal/keystore/conclusions.go
+++ b/internal/keystore/conclusions.go
@@ -15,11 +15,18 @@
 	return asked.digest()
 }
 
-// ConcludeCatchUp is what Store.CatchUp installs from the replies, and whether they are enough.
-func ConcludeCatchUp(self string, incarnation uint64, members Members, replies map[string]Reply) (CatchUp, bool) {
-	asked := round{members: members, replies: replies}
-	read := CatchUp{Members: members, Incarnation: incarnation, Slots: asked.merged()}
-	return read, asked.covers(self)
+// ConcludeCatchUp is what Store.CatchUp installs from the replies to its question, and whether they are enough:
+// either enough voting members have answered, or the judge of the founding finds it ready.
+func ConcludeCatchUp(question CatchUpQuestion, replies map[string]Reply, judge FoundingJudge) (CatchUp, FoundingVerdict, bool) {
+	asked := round{members: question.Members, replies: replies}
+	read := CatchUp{
+		Members: question.Members, Incarnation: question.Incarnation, Known: question.Known, Slots: asked.merged(), Told: asked.told(question.Self),
+	}
+	if asked.covers(question.Self) {
+		return read, "", true
+	}
+	verdict := judge(question.Self, question.Members, replies)
+	return read, verdict, verdict == FoundingReady
 }
 
 // SelfOf reads what a member notes of itself from its slots.
@@ -27,3 +34,6 @@
 
 // MembersOf reads the newest member list from a member's slots.
 func MembersOf(slots map[string]Slot) Members { return readMembers(slots) }
+
+// KnownIncarnations reads the incarnations of other members that a member's slots tell.
+func KnownIncarnations(slots map[string]Slot) map[string]uint64 { return knownIncarnations(slots) }
--- a/internal/keystore/message.go
+++ b/internal/keystore/message.go
@@ -71,6 +71,11 @@
 	Known       map[string]uint64 `json:"known,omitempty"`
 	// Lives is how many incarnations of a member that catches up have asked here, this one counted.
 	Lives uint64 `json:"lives,omitempty"`
+	// NeverVoted says that a member without a vote never had one on its present disk; Seeds are the founders by
+	// its settings. Completed says that the member saw every founder vote.
+	NeverVoted bool     `json:"neverVoted,omitempty"`
+	Seeds      []string `json:"seeds,omitempty"`
+	Completed  bool     `json:"completed,omitempty"`
 }
 
 // IsZero leaves an empty slot out of JSON.
--- a/internal/keystore/slot.go
+++ b/internal/keystore/slot.go
@@ -65,6 +65,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	Voting      bool   `json:"voting"`
 	Number      uint64 `json:"number"`
+	// Completed says that the member has seen every founder vote under the founding list.
+	Completed bool `json:"completed,omitempty"`
 }
 
 func readSelf(slots map[string]Slot) Self {
--- a/internal/keystore/steps.go
+++ b/internal/keystore/steps.go
@@ -137,6 +137,6 @@
 		}
 	}
 	noted := knownSlot(m.Slots[knownPrefix+message.Sender], message.Sender, message.Incarnation)
-	reply.Granted, reply.Lives = true, noted.Sequence
+	reply.Granted, reply.Lives, reply.Completed = true, noted.Sequence, readSelf(m.Slots).Completed
 	return reply, []Slot{noted}
 }
--- a/internal/membersim/fleet.go
+++ b/internal/membersim/fleet.go
@@ -96,7 +96,10 @@
 	f.lock.Unlock()
 	go acceptor.Run(ctx, journal)
 	go func() {
-		for ctx.Err() == nil && !store.CatchUp(ctx, acceptor) {
+		for ctx.Err() == nil {
+			if votes, _ := store.CatchUp(ctx, acceptor); votes {
+				return
+			}
 			time.Sleep(200 * time.Millisecond)
 		}
 	}()
