Walk the founding exhaustively, and refuse it where a change of members was accepted

Five planted faults are caught: a silent founder counted as one that never voted, a second founding after the first was completed, founding under a later list, a testimony not tied to a life, a catch-up installed over a testimony.

--- a/internal/controlplane/founding.go
+++ b/internal/controlplane/founding.go
@@ -52,6 +52,9 @@
 
 // completeFounding notes on this member's disk that every founder votes, once that is so.
 func (d *Daemon) completeFounding(ctx context.Context) {
+	if d.store.Members().Number != keystore.FoundingNumber {
+		return
+	}
 	self := d.acceptor.Self()
 	if !self.Voting || self.Completed || !membership.FoundersVote(d.membershipView()) {
 		return
--- a/internal/explore/faults_test.go
+++ b/internal/explore/faults_test.go
@@ -123,7 +123,71 @@
 	}
 }
 
+// foundsOn changes the answers on which founding is judged; silent founders count as given by blank.
+func foundsOn(rules *explore.Rules, change func(address string, reply keystore.Reply) keystore.Reply) {
+	rules.Founding = func(self string, founding keystore.Members, replies map[string]keystore.Reply) keystore.FoundingVerdict {
+		judged := map[string]keystore.Reply{}
+		for _, address := range founding.Present {
+			judged[address] = change(address, replies[address])
+		}
+		founding.Number = keystore.FoundingNumber
+		return keystore.JudgeFounding(self, founding, judged)
+	}
+}
+
+// foundsWithoutTheSilent takes a founder that did not answer for one that never voted.
+func foundsWithoutTheSilent(rules *explore.Rules) {
+	foundsOn(rules, func(_ string, reply keystore.Reply) keystore.Reply {
+		if reply.Incarnation == 0 {
+			return keystore.Reply{Refusal: keystore.RefusedNotVoting, NeverVoted: true, Seeds: explore.FoundingWithoutOne().Members.Present}
+		}
+		return reply
+	})
+}
+
+func foundsAfterTheEnd(rules *explore.Rules) {
+	foundsOn(rules, func(_ string, reply keystore.Reply) keystore.Reply {
+		reply.Completed = false
+		return reply
+	})
+}
+
+func foundsUnderAnyList(rules *explore.Rules) {
+	foundsOn(rules, func(_ string, reply keystore.Reply) keystore.Reply {
+		if reply.Members.Number > 0 {
+			reply.Members.Number = keystore.FoundingNumber
+		}
+		return reply
+	})
+}
+
+// testifiesWithoutALife leaves it unnoted who was told that this member never voted.
+func testifiesWithoutALife(rules *explore.Rules) {
+	rules.Step = func(
+		state *keystore.MemberState, message keystore.Message, now time.Time, durable map[string]keystore.Slot,
+	) (keystore.Reply, []keystore.Slot) {
+		reply, changes := state.Step(message, now, durable)
+		if reply.NeverVoted {
+			changes = nil
+		}
+		return reply, changes
+	}
+}
+
+// installsOverATestimony installs what was read although a new life of another member has asked since.
+func installsOverATestimony(rules *explore.Rules) {
+	rules.Install = func(state *keystore.MemberState, read keystore.CatchUp, now time.Time) (keystore.Reply, []keystore.Slot) {
+		read.Known = keystore.KnownIncarnations(state.Slots)
+		return state.Install(read, now)
+	}
+}
+
 var faults = []fault{
+	{"silent founder counted as one that never voted", explore.FoundingWithoutOne(), foundsWithoutTheSilent},
+	{"second founding after the first was completed", explore.FoundingLongAgo(), foundsAfterTheEnd},
+	{"founding under a later member list", explore.FoundingListChanged(), foundsUnderAnyList},
+	{"testimony not tied to a life", explore.FoundingWithWipe(), testifiesWithoutALife},
+	{"catch-up installed over a testimony", explore.FoundingWithWipe(), installsOverATestimony},
 	{"vote after a wipe at once", explore.WipeSeen(), votesAtOnce},
 	{"answer before the sync", explore.CrashBetweenWrites(), answersBeforeSync},
 	{"one majority in a joint change", explore.JointMajorities(), countsOneMajority},
--- a/internal/explore/fleet.go
+++ b/internal/explore/fleet.go
@@ -87,7 +87,7 @@
 		if client.Knows.Number > 0 {
 			list = client.Knows
 		}
-		if scenario.forgetsList(client) && slices.Contains(scenario.Unborn, client.Machine) {
+		if scenario.forgetsList(client) && slices.Contains(scenario.Unborn, client.Machine) && client.Knows.Number == 0 {
 			list = keystore.Members{}
 		}
 		first.proposers = append(first.proposers, f.proposers.add(&proposer{
--- a/internal/explore/rounds.go
+++ b/internal/explore/rounds.go
@@ -89,7 +89,9 @@
 // relevant leaves out what the round does not look at, so that replies that differ only there
 // make one state.
 func (p *proposer) relevant(reply keystore.Reply) keystore.Reply {
-	reply.Members = keystore.Members{}
+	if p.task().Kind != taskCatchUp {
+		reply.Members = keystore.Members{}
+	}
 	reply.Slot.Promised = keystore.Ballot{}
 	if p.Phase != phasePromising || !reply.Granted {
 		reply.Slot = keystore.Slot{}
--- a/internal/explore/scenarios.go
+++ b/internal/explore/scenarios.go
@@ -24,7 +24,7 @@
 	return append(ShortScenarios(),
 		TwoProposersTwice(), OneCrash(), WipeDuringWrite(), WipeThreeWriters(),
 		JointWrites(), MemberReplaced(), LeaseTaken(), LeaseMembers(),
-		FoundingFromNothing(), FoundingHalfWritten(), FoundingWithWipe(),
+		FoundingHalfWritten(),
 	)
 }
 
@@ -33,7 +33,7 @@
 	return []Scenario{
 		TwoProposers(), ThreeProposers(), OwnerReads(), Restart(), CrashBetweenWrites(), WipeBetweenWrites(), WipeSeen(), WipeHalfWritten(),
 		JointMajorities(), ListDuringCatchUp(), LeaseReleased(), LeaseWiped(), LooksDuringWrites(), FreshLooks(),
-		FoundingWithoutOne(), FoundingLongAgo(), FoundingListChanged(),
+		FoundingFromNothing(), FoundingWithWipe(), FoundingWithoutOne(), FoundingLongAgo(), FoundingListChanged(),
 	}
 }
 
--- a/internal/keystore/founding.go
+++ b/internal/keystore/founding.go
@@ -64,7 +64,7 @@
 	switch {
 	case !answered || reply.Refusal == RefusedUnreached:
 		return FoundingSilent
-	case reply.Members.Number > FoundingNumber || reply.Refusal == RefusedNotVoting && !reply.NeverVoted:
+	case reply.Members.Number > FoundingNumber || reply.changesMembers() || reply.Refusal == RefusedNotVoting && !reply.NeverVoted:
 		return FoundingLaterMembers
 	case reply.Completed:
 		return FoundingCompleted
@@ -84,6 +84,11 @@
 	return r.Seeds
 }
 
+// changesMembers says whether the member has accepted a change of the member list, which may be in force.
+func (r Reply) changesMembers() bool {
+	return slices.ContainsFunc(r.Slots, func(slot Slot) bool { return slot.Key == MembersKey && slot.Accepted() })
+}
+
 func sameAddresses(left, right []string) bool {
 	return slices.Equal(slices.Sorted(slices.Values(left)), slices.Sorted(slices.Values(right)))
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -222,17 +222,6 @@
 	return time.Duration(before) * rankPatience
 }
 
-// FoundersVote says whether every member of the founding list is known to have voted under it.
-func FoundersVote(view View) bool {
-	for _, founder := range view.Current.Present {
-		peer, known := view.Peers[founder]
-		if !known || peer.Joining || peer.Number == 0 {
-			return false
-		}
-	}
-	return view.Current.Number == keystore.FoundingNumber
-}
-
 // MayLeave says whether the daemon may end while it is a member: those that stay behind and
 // vote are a quorum, nobody is there to take its place, and no change is under way. Of members
 // that leave at the same time the one with the lowest address goes first.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -154,3 +154,11 @@
 		assert.Equal(t, membership.MayLeave(one.seen), one.may, name)
 	}
 }
+
+func TestGivenFoundersThenAllOfThemVoteOnlyUnderTheFoundingListAndOnceEachWasHeardToVote(t *testing.T) {
+	founding := keystore.FoundingList([]string{"a", "b", "c"})
+	assert.Assert(t, membership.FoundersVote(view("a", founding, "b", "c")))
+	assert.Assert(t, !membership.FoundersVote(view("a", founding, "b")), "c was never heard")
+	assert.Assert(t, !membership.FoundersVote(peerEdit(joining).on(view("a", founding, "b", "c"), "c")), "c does not vote")
+	assert.Assert(t, !membership.FoundersVote(view("a", three, "b", "c")), "the list was changed")
+}
