Reservations tell the ages of the loads they count

Change: the record tells by age what had begun when it was decided, and how many may begin after that. Ruled out: telling other members (lost when all restart), waiting, lowering the reservation sooner.

--- a/internal/controlplane/storebudget.go
+++ b/internal/controlplane/storebudget.go
@@ -27,7 +27,7 @@
 // reservation is one that is to be written into the record of a grant.
 type reservation struct {
 	grant *lease.Grant
-	loads int
+	loads loadbudget.Reservation
 }
 
 // storeBudget is the budget of loads from the store of weights, and the writing of its reservations.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/keystore"
+	"ferryspar/internal/loadbudget"
 )
 
 // Record is what the key store keeps of a lease: its holder, where to reach it, the fence, a number
@@ -23,11 +24,11 @@
 // because they knew of no reservations; what those used is unknown. Settling is set until the
 // holder has written after the lease of another holder before it has surely run out.
 type Record struct {
-	Holder   string `json:"holder"`
-	Address  string `json:"address"`
-	Fence    uint64 `json:"fence"`
-	Reserved *int   `json:"reserved,omitempty"`
-	Settling bool   `json:"settling,omitempty"`
+	Holder   string                  `json:"holder"`
+	Address  string                  `json:"address"`
+	Fence    uint64                  `json:"fence"`
+	Reserved *loadbudget.Reservation `json:"reserved,omitempty"`
+	Settling bool                    `json:"settling,omitempty"`
 }
 
 // sameHolder says whether two records name one daemon, in this life or another.
@@ -146,7 +147,7 @@
 func (t *Lease) following(last Record) Record {
 	record := Record{Holder: t.Holder, Address: t.Address, Fence: last.Fence + 1, Reserved: last.Reserved}
 	if last.Fence == 0 {
-		record.Reserved = new(int)
+		record.Reserved = new(loadbudget.Reservation)
 		return record
 	}
 	record.Settling = last.Settling || !record.sameHolder(last)
@@ -155,7 +156,7 @@
 
 // Reserve writes a reservation into the record of a grant. After an error a successor may find this
 // reservation or an earlier one.
-func (t *Lease) Reserve(ctx context.Context, hold *Grant, reserved int) error {
+func (t *Lease) Reserve(ctx context.Context, hold *Grant, reserved loadbudget.Reservation) error {
 	return t.Store.Rewrite(ctx, t.Key, func(current keystore.Slot) (json.RawMessage, error) {
 		var last Record
 		if err := json.Unmarshal(current.Value, &last); err != nil {
--- a/internal/loadbudget/bounds.go
+++ b/internal/loadbudget/bounds.go
@@ -32,5 +32,9 @@
 // headroom is how many loads are reserved ahead of those that are counted.
 func (b Bounds) headroom() int { return (b.Loads + headroomShare - 1) / headroomShare }
 
+// lookahead is how far ahead loads are reserved that may begin only when others have left the window. So a holder at its
+// bounds reserves several at a time.
+func (b Bounds) lookahead() time.Duration { return b.Window / headroomShare }
+
 // hysteresis is by how much the headroom may be off before the reservation is written anew.
 func (b Bounds) hysteresis() int { return (b.headroom() + 1) / 2 }
--- a/internal/loadbudget/budget.go
+++ b/internal/loadbudget/budget.go
@@ -2,6 +2,20 @@
 
 import "time"
 
+// Aged is a number of loads that had begun at least so long before a reservation was decided.
+type Aged struct {
+	Loads int   `json:"loads"`
+	AgeMs int64 `json:"ageMs"`
+}
+
+// Reservation is what stands in the lease's record for whoever holds the lease next: an upper bound of the loads that may
+// have begun within the window. Aged are those of them that had begun when the reservation was decided; the others may
+// begin, or have begun, at any time since.
+type Reservation struct {
+	Loads int    `json:"loads"`
+	Aged  []Aged `json:"aged,omitempty"`
+}
+
 // Takeover is what a new grant of the lease tells of the grants before it.
 type Takeover struct {
 	// Fence tells this grant from all others.
@@ -10,9 +24,9 @@
 	At time.Time
 	// Reserved is the reservation in the record of this grant, carried over from the one before. It
 	// is nil if that record has none: then its holder may have begun as many loads as are allowed.
-	Reserved *int
-	// Continues is the fence of the last grant of this process if it was followed directly by this one,
-	// and 0 otherwise. The ledger has all that began if the budget took that grant over.
+	Reserved *Reservation
+	// Continues is the fence of the grant before if this process held the lease then, and 0 otherwise: if
+	// the budget belongs to that grant, its ledger has all that began.
 	Continues uint64
 }
 
@@ -21,7 +35,10 @@
 type Budget struct {
 	ledger Ledger
 	fence  uint64
-	// reserved is the least reservation that a successor may find in the record.
+	// ahead is how many loads may begin beyond those that were counted when the last reservation was decided, and spent
+	// how many were ordered since. proposed is what ahead becomes once that reservation is surely on record.
+	ahead, spent, proposed int
+	// reserved is the bound in the last reservation that was surely written.
 	reserved int
 	writing  bool
 	retryAt  time.Time
@@ -35,31 +52,50 @@
 // Fence is the fence of the grant that the budget belongs to.
 func (b *Budget) Fence() uint64 { return b.fence }
 
-// TakeOver begins a grant. Unless this process itself held the lease last, everything that was
-// reserved counts as begun at the last moment possible.
+// TakeOver begins a grant. Unless this process itself held the lease last, everything that was reserved counts as begun as
+// late as it may have. Nothing may begin before a reservation was written under the grant.
 func (b *Budget) TakeOver(grant Takeover, bounds Bounds) {
 	continues := grant.Continues != 0 && grant.Continues == b.fence
 	b.fence, b.writing, b.retryAt, b.excessSince = grant.Fence, false, time.Time{}, time.Time{}
-	b.reserved = 0
-	inherited := bounds.Loads
+	b.ahead, b.spent, b.reserved = 0, 0, 0
 	if grant.Reserved != nil {
-		b.reserved = *grant.Reserved
-		inherited = b.reserved
+		b.reserved = grant.Reserved.Loads
+	}
+	if continues {
+		return
+	}
+	b.ledger.Settle(grant.At)
+	if grant.Reserved == nil {
+		b.ledger.Inherit(bounds.Loads, grant.At)
+		return
 	}
-	if !continues {
-		b.ledger.Settle(grant.At)
-		b.ledger.Inherit(inherited, grant.At)
+	b.inherit(*grant.Reserved, grant.At)
+}
+
+// inherit counts a reservation that was decided at a moment or before it.
+func (b *Budget) inherit(reserved Reservation, at time.Time) {
+	rest := reserved.Loads
+	for _, aged := range reserved.Aged {
+		b.ledger.Inherit(aged.Loads, at.Add(-time.Duration(aged.AgeMs)*time.Millisecond))
+		rest -= aged.Loads
 	}
+	b.ledger.Inherit(rest, at)
 }
 
 // Free is how many loads may begin now: within the bounds, and within what is surely reserved. It is
 // below 0 after the bounds were lowered.
 func (b *Budget) Free(now time.Time, bounds Bounds) int {
-	return min(bounds.Loads, b.reserved) - b.ledger.Count(now, bounds.Window)
+	return min(bounds.Loads-b.ledger.Count(now, bounds.Window), b.ahead-b.spent)
 }
 
+// Counted is how many loads may have begun within the window that ends at now.
+func (b *Budget) Counted(now time.Time, bounds Bounds) int { return b.ledger.Count(now, bounds.Window) }
+
 // Order counts a load that is ordered under a name.
-func (b *Budget) Order(name string) { b.ledger.Order(name) }
+func (b *Budget) Order(name string) {
+	b.ledger.Order(name)
+	b.spent++
+}
 
 // Open are the names under which loads are ordered whose fate is not known.
 func (b *Budget) Open() []string { return b.ledger.Open() }
@@ -67,39 +103,47 @@
 // Begun notes that the loads ordered under a name have begun at now or before, or never will.
 func (b *Budget) Begun(name string, now time.Time) { b.ledger.Begun(name, now) }
 
-// Refused takes the last load ordered under a name back: its order was refused.
+// Refused takes the last load ordered under a name back: its order was refused. What was reserved for it is not used again.
 func (b *Budget) Refused(name string) { b.ledger.Refused(name) }
 
 // CountBegun counts a load that was found only after it began, at a moment or before it. It may
 // exceed what is reserved, which Propose makes up for.
-func (b *Budget) CountBegun(at time.Time) { b.ledger.Inherit(1, at) }
+func (b *Budget) CountBegun(at time.Time) {
+	b.ledger.Inherit(1, at)
+	b.spent++
+}
 
-// Propose says which reservation to write now, if any; Written must follow. A lower reservation
-// binds from here on, a higher one from Written on.
-func (b *Budget) Propose(now time.Time, bounds Bounds) (reservation int, due bool) {
+// Propose says which reservation to write now, if any; Written must follow. From here on only what both the earlier
+// reservation and this one cover may begin, until Written tells that this one is on record.
+func (b *Budget) Propose(now time.Time, bounds Bounds) (reservation Reservation, due bool) {
 	if b.writing || now.Before(b.retryAt) {
-		return 0, false
+		return Reservation{}, false
 	}
 	counted := b.ledger.Count(now, bounds.Window)
-	target := max(counted, min(counted+bounds.headroom(), bounds.Loads))
-	if !b.raises(counted, target, bounds) && !b.lowers(now, target, bounds) {
-		return 0, false
+	soon := b.ledger.Remaining(now.Add(bounds.lookahead()), bounds.Window)
+	ahead := max(min(bounds.headroom(), bounds.Loads-soon), 0)
+	if !b.raises(ahead, bounds) && !b.lowers(now, counted+ahead, bounds) {
+		return Reservation{}, false
 	}
 	b.writing = true
 	b.excessSince = time.Time{}
-	b.reserved = min(b.reserved, target)
-	return target, true
+	b.ahead, b.spent, b.proposed = min(max(b.ahead-b.spent, 0), ahead), 0, ahead
+	return Reservation{Loads: counted + ahead, Aged: b.ledger.Aged(now, bounds.Window)}, true
 }
 
-// raises says whether the headroom is too small and the bounds allow more loads, or more began than
-// are reserved.
-func (b *Budget) raises(counted, target int, bounds Bounds) bool {
-	return target > b.reserved && b.reserved-counted < bounds.hysteresis()
+// raises says whether little is left of what may begin, and the bounds allow enough more to be worth a write. More than
+// was reserved has begun where loads were found late.
+func (b *Budget) raises(ahead int, bounds Bounds) bool {
+	left := b.ahead - b.spent
+	if left <= 0 {
+		return ahead > left
+	}
+	return left <= bounds.hysteresis() && ahead-left >= max(bounds.headroom()-bounds.hysteresis(), 1)
 }
 
 // lowers says whether the reservation was far above the need for a whole window.
-func (b *Budget) lowers(now time.Time, target int, bounds Bounds) bool {
-	if b.reserved < target+bounds.hysteresis() {
+func (b *Budget) lowers(now time.Time, need int, bounds Bounds) bool {
+	if b.reserved < need+bounds.hysteresis() {
 		b.excessSince = time.Time{}
 		return false
 	}
@@ -111,7 +155,7 @@
 
 // Written notes the outcome of the write that Propose asked for under a fence. A write that is not
 // certain may be what a successor finds, but this holder does not count on it.
-func (b *Budget) Written(fence uint64, reservation int, certain bool, now time.Time) {
+func (b *Budget) Written(fence uint64, written Reservation, certain bool, now time.Time) {
 	if fence != b.fence {
 		return
 	}
@@ -120,5 +164,5 @@
 		b.retryAt = now.Add(RetryPause)
 		return
 	}
-	b.reserved = reservation
+	b.reserved, b.ahead = written.Loads, b.proposed
 }
--- a/internal/loadbudget/ledger.go
+++ b/internal/loadbudget/ledger.go
@@ -57,9 +57,16 @@
 // Count is how many loads may have begun within the window that ends at now.
 func (l *Ledger) Count(now time.Time, window time.Duration) int {
 	l.begun = slices.DeleteFunc(l.begun, func(one entry) bool { return now.Sub(one.at) >= window })
+	return l.Remaining(now, window)
+}
+
+// Remaining is how many of the loads counted now will count at a later moment, if no more are ordered.
+func (l *Ledger) Remaining(later time.Time, window time.Duration) int {
 	total := 0
 	for _, one := range l.begun {
-		total += one.loads
+		if later.Sub(one.at) < window {
+			total += one.loads
+		}
 	}
 	for _, loads := range l.open {
 		total += loads
@@ -67,6 +74,28 @@
 	return total
 }
 
+// agedStep is the step in which ages are told, rounded down.
+const agedStep = 250 * time.Millisecond
+
+// Aged are the loads that have begun within the window that ends at now, by their least age, the youngest first. Open
+// loads are not among them, since they may begin later.
+func (l *Ledger) Aged(now time.Time, window time.Duration) []Aged {
+	var aged []Aged
+	for _, one := range slices.Backward(l.begun) {
+		age := max(now.Sub(one.at), 0).Truncate(agedStep)
+		if age >= window {
+			continue
+		}
+		position := slices.IndexFunc(aged, func(other Aged) bool { return other.AgeMs == age.Milliseconds() })
+		if position < 0 {
+			aged = append(aged, Aged{AgeMs: age.Milliseconds()})
+			position = len(aged) - 1
+		}
+		aged[position].Loads += one.loads
+	}
+	return aged
+}
+
 func (l *Ledger) add(at time.Time, loads int) {
 	if loads > 0 {
 		l.begun = append(l.begun, entry{at: at, loads: loads})
