--- a/internal/story/founding_fleet_test.go
+++ b/internal/story/founding_fleet_test.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// cutStandbys cuts the daemons that are no founders from the three that are, or heals that.
+func (s *foundingStory) cutStandbys(cut bool) {
+	for founder := 1; founder <= 3; founder++ {
+		for standby := 4; standby <= s.cores(); standby++ {
+			s.f.network.cut(coreHost(founder), coreHost(standby), cut)
+		}
+	}
+}
+
 func (s *foundingStory) hosts() []string {
 	var hosts []string
 	for number := 1; number <= s.cores(); number++ {
--- a/internal/story/founding_test.go
+++ b/internal/story/founding_test.go
@@ -128,3 +128,29 @@
 		})
 	}
 }
+
+func TestGivenMachinesThatNeverVotedAndNameOneAnotherAsSeedsThenTheyFoundNoSecondSystem(t *testing.T) {
+	for _, apart := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFoundingStory(t, 6, 1, []int{1, 2, 3}, 1)
+			s.cutStandbys(apart)
+			s.start(true)
+			time.Sleep(2 * restartDelay)
+			s.kill(true, s.hosts()...)
+			s.cutStandbys(false)
+			s.seeds = []int{4, 5, 6}
+			for number := 4; number <= 6; number++ {
+				s.startOne(coreHost(number), false, 0)
+			}
+			time.Sleep(10 * time.Second)
+			for number := 4; number <= 6; number++ {
+				put := s.f.put(number, 0, 1, document(1, ""))
+				assert.Assert(t, put.status != http.StatusOK, "core %d takes a configuration, apart before: %t", number, apart)
+			}
+			for number := 1; number <= 3; number++ {
+				s.startOne(coreHost(number), false, 0)
+			}
+			s.checkFounded(t, 3)
+		})
+	}
+}
