Leave the ordinary catch-up as it was: members note only who asked them

A member that noted the incarnations of all it read, too, held more notes that can grow old, and of five members one that missed a later loss would refuse all writes that count the member.

--- a/internal/explore/asking.go
+++ b/internal/explore/asking.go
@@ -55,7 +55,7 @@
 
 func (p *proposer) judgeCatchUp(at view) outcome {
 	incarnation := at.own.self.Incarnation
-	question := keystore.CatchUpQuestion{Self: p.Machine, Incarnation: incarnation, Members: p.Asked, Known: p.Known}
+	question := keystore.CatchUpQuestion{Self: p.Machine, Incarnation: incarnation, Members: p.Asked}
 	read, _, enough := keystore.ConcludeCatchUp(question, p.Replies, at.rules.Founding)
 	if !enough {
 		return outcome{}
--- a/internal/explore/proposer.go
+++ b/internal/explore/proposer.go
@@ -46,9 +46,8 @@
 	Phase phase
 	Round int
 	Asked keystore.Members
-	// AskedUnder is the number of the list known when a catch-up began, Known what the member's disk told then.
+	// AskedUnder is the number of the list known when a catch-up began.
 	AskedUnder uint64
-	Known      map[string]uint64
 	Replies    map[string]keystore.Reply
 	Began      time.Time
 	// Floor is what was acknowledged when the present look or read began.
@@ -106,7 +105,7 @@
 // idle leaves the round; replies to it count no more.
 func (p *proposer) idle() {
 	p.Phase, p.Replies, p.Asked = phaseIdle, nil, keystore.Members{}
-	p.AskedUnder, p.Known = 0, nil
+	p.AskedUnder = 0
 	p.Began, p.Floor, p.Writing = time.Time{}, nil, keystore.Slot{}
 }
 
--- a/internal/explore/rounds.go
+++ b/internal/explore/rounds.go
@@ -37,7 +37,7 @@
 	}
 	message := keystore.Message{Operation: keystore.OperationCatchUp, Incarnation: at.own.self.Incarnation}
 	packets := p.askFrom(asked, phaseAsking, message)
-	p.AskedUnder, p.Known = p.Members.Number, keystore.KnownIncarnations(at.own.Durable)
+	p.AskedUnder = p.Members.Number
 	return p, outcome{packets: packets}, true
 }
 
--- a/internal/keystore/catchup.go
+++ b/internal/keystore/catchup.go
@@ -11,12 +11,11 @@
 const installBound = 5 * time.Second
 
 // CatchUpQuestion is who catches up, and from whom: Members are asked, which is the list in force or, while none
-// is known, the founding list. Known holds the incarnations of others that the member's own disk told before.
+// is known, the founding list.
 type CatchUpQuestion struct {
 	Self        string
 	Incarnation uint64
 	Members     Members
-	Known       map[string]uint64
 }
 
 // FoundingJudge decides on founding, see JudgeFounding.
@@ -26,13 +25,12 @@
 // and installs what they hold. It says whether the member votes and, if too few voting members
 // were there to read, what the verdict on founding was.
 func (s *Store) CatchUp(ctx context.Context, acceptor *Acceptor) (bool, FoundingVerdict) {
-	held := acceptor.Durable()
-	self := readSelf(held)
+	self := acceptor.Self()
 	if self.Voting {
 		return true, ""
 	}
 	inForce := s.Members()
-	question := CatchUpQuestion{Self: s.self, Incarnation: self.Incarnation, Members: inForce, Known: knownIncarnations(held)}
+	question := CatchUpQuestion{Self: s.self, Incarnation: self.Incarnation, Members: inForce}
 	if inForce.Number == 0 {
 		question.Members = FoundingList(acceptor.Seeds())
 	}
@@ -72,18 +70,6 @@
 	return r.members.Covered(self, told, earlierLife)
 }
 
-// told lists the incarnations of the others that answered with a vote and, at a founding, of all others.
-func (r *round) told(self string) map[string]uint64 {
-	incarnations := map[string]uint64{}
-	for address, reply := range r.replies {
-		noted := reply.Granted || r.members.Number == FoundingNumber
-		if address != self && noted && reply.Incarnation != 0 {
-			incarnations[address] = reply.Incarnation
-		}
-	}
-	return incarnations
-}
-
 // merged combines what all members told of each key, in the order of the keys.
 func (r *round) merged() []Slot {
 	newest := map[string]Slot{}
--- a/internal/keystore/conclusions.go
+++ b/internal/keystore/conclusions.go
@@ -19,9 +19,7 @@
 // either enough voting members have answered, or the judge of the founding finds it ready.
 func ConcludeCatchUp(question CatchUpQuestion, replies map[string]Reply, judge FoundingJudge) (CatchUp, FoundingVerdict, bool) {
 	asked := round{members: question.Members, replies: replies}
-	read := CatchUp{
-		Members: question.Members, Incarnation: question.Incarnation, Known: question.Known, Slots: asked.merged(), Told: asked.told(question.Self),
-	}
+	read := CatchUp{Members: question.Members, Incarnation: question.Incarnation, Slots: asked.merged()}
 	if asked.covers(question.Self) {
 		return read, "", true
 	}
@@ -34,6 +32,3 @@
 
 // MembersOf reads the newest member list from a member's slots.
 func MembersOf(slots map[string]Slot) Members { return readMembers(slots) }
-
-// KnownIncarnations reads the incarnations of other members that a member's slots tell.
-func KnownIncarnations(slots map[string]Slot) map[string]uint64 { return knownIncarnations(slots) }
--- a/internal/keystore/member_state.go
+++ b/internal/keystore/member_state.go
@@ -92,21 +92,17 @@
 	}
 }
 
-// CatchUp is what a member without a vote has read of the others. Told holds the incarnations of those that
-// answered, Known those that the member's own disk held when it began to ask.
+// CatchUp is what a member without a vote has read of the others.
 type CatchUp struct {
 	Members     Members
 	Incarnation uint64
 	Slots       []Slot
-	Told        map[string]uint64
-	Known       map[string]uint64
 }
 
 // Install takes over what was read and begins to vote, unless the member has adopted a newer
-// list, was asked by a new life of another member, or begun to vote, since the reading began.
-// What the others promised and granted until they were read is in the slots; a lease that they
-// granted may run on, so none is promised here for as long. The incarnations of those that
-// answered are noted, so that this member refuses writes that count a promise from before.
+// list, or begun to vote, since the reading began. What the others promised and granted until
+// they were read is in the slots; a lease that they granted may run on, so none is promised
+// here for as long.
 func (m *MemberState) Install(read CatchUp, now time.Time) (Reply, []Slot) {
 	self, members := readSelf(m.Slots), readMembers(m.Slots)
 	reply := Reply{Incarnation: self.Incarnation, Members: members}
@@ -114,14 +110,7 @@
 		reply.Refusal = RefusedMovedOn
 		return reply, nil
 	}
-	if !maps.Equal(knownIncarnations(m.Slots), read.Known) {
-		reply.Refusal = RefusedMovedOn
-		return reply, nil
-	}
 	changes := []Slot{membersSlot(read.Members)}
-	for _, address := range slices.Sorted(maps.Keys(read.Told)) {
-		changes = append(changes, knownSlot(m.Slots[knownPrefix+address], address, read.Told[address]))
-	}
 	for _, slot := range read.Slots {
 		changes = append(changes, combine(m.Slots[slot.Key], slot))
 	}
