--- a/internal/client/parse.go
+++ b/internal/client/parse.go
@@ -62,13 +62,9 @@
 		return nil, err
 	}
 	patience := time.Duration(route.TimeoutMs * float64(time.Millisecond))
-	remaining := patience
-	if stated := request.Header.Get(replica.HeaderRemaining); stated != "" {
-		amount, err := strconv.ParseFloat(stated, 64)
-		if err != nil || amount < 0 || amount > 1e9 {
-			return nil, apierror.New(apierror.MalformedRequest, "%s is no number of milliseconds", replica.HeaderRemaining)
-		}
-		remaining = time.Duration(amount * float64(time.Millisecond))
+	remaining, err := remainingTime(request.Header, patience)
+	if err != nil {
+		return nil, err
 	}
 	prompt, output, valid := match.ParseTokens(request.Header.Get(replica.HeaderTokens))
 	if !valid {
@@ -98,6 +94,22 @@
 	}, nil
 }
 
+// longestRemainingMs bounds the time that a client may state, in milliseconds.
+const longestRemainingMs = 1e9
+
+// remainingTime is the time that the client says is left, or the route's patience where it says nothing.
+func remainingTime(header http.Header, patience time.Duration) (time.Duration, error) {
+	stated := header.Get(replica.HeaderRemaining)
+	if stated == "" {
+		return patience, nil
+	}
+	amount, err := strconv.ParseFloat(stated, 64)
+	if err != nil || amount < 0 || amount > longestRemainingMs {
+		return 0, apierror.New(apierror.MalformedRequest, "%s is no number of milliseconds", replica.HeaderRemaining)
+	}
+	return time.Duration(amount * float64(time.Millisecond)), nil
+}
+
 const (
 	returnedSlack = 20 * time.Millisecond
 	bodyBound     = 4 << 20
