A holder in its next life counts what its former life reserved from its own start on

Cause: it counted from its grant on, which comes after the election of a quorum; the former life began nothing after its end.

--- a/internal/controlplane/storebudget.go
+++ b/internal/controlplane/storebudget.go
@@ -66,7 +66,7 @@
 	store.lock.Lock()
 	defer store.lock.Unlock()
 	store.bounds = w.loadBounds(table)
-	store.follow(grant)
+	store.follow(grant, w.lastActBefore(grant))
 	for _, id := range store.budget.Open() {
 		if one := w.managed[id]; one == nil || !one.state.MayBegin(now) {
 			store.budget.Begun(id, now)
@@ -76,13 +76,21 @@
 	return float64(store.budget.Free(now, store.bounds))
 }
 
+// lastActBefore is a moment after which no holder before the grant begins a load.
+func (w *Scheduler) lastActBefore(grant *lease.Grant) time.Time {
+	if grant.FollowsFormerLife() && w.daemon.started.Before(grant.Since) {
+		return w.daemon.started
+	}
+	return grant.Since
+}
+
 // follow begins the budget of a grant that was not seen before. The caller holds the lock.
-func (s *storeBudget) follow(grant *lease.Grant) {
+func (s *storeBudget) follow(grant *lease.Grant, lastAct time.Time) {
 	if s.budget.Fence() == grant.Record.Fence {
 		return
 	}
 	s.budget.TakeOver(loadbudget.Takeover{
-		Fence: grant.Record.Fence, At: grant.Since, Reserved: grant.Record.Reserved, Continues: grant.Continues,
+		Fence: grant.Record.Fence, At: lastAct, Reserved: grant.Record.Reserved, Continues: grant.Continues,
 	}, s.bounds)
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -73,6 +73,12 @@
 	return h.Record.Fence == other.Record.Fence && h.Record.sameHolder(other.Record)
 }
 
+// FollowsFormerLife tells whether the holder before was this daemon in an earlier life, all of whose writes and acts came
+// before this life began.
+func (h *Grant) FollowsFormerLife() bool {
+	return !h.First() && h.Continues == 0 && !h.Record.Settling
+}
+
 // First tells whether nobody has held the lease before.
 func (h *Grant) First() bool { return h.Record.Fence == 1 }
 
