Replica knowledge: an order without answer counts again when its replica has restarted

Cause: an order of unknown fate was dropped for good once the replica had gone past its sequence. A replica that restarts counts from zero again and takes the order if it arrives then; its room was counted as free.

Change: such orders are kept until they can no longer arrive, and count while the replica's sequence is at most theirs.

Measured: TestGivenAnOrderWithoutAnswerWhenTheReplicaRestartsThenTheOrderMayStillArrive fails on the code before. With it unit tests of each transition of a replica's knowledge.

--- a/internal/replicastate/replica.go
+++ b/internal/replicastate/replica.go
@@ -1,6 +1,7 @@
 package replicastate
 
 import (
+	"slices"
 	"time"
 )
 
@@ -122,7 +123,6 @@
 // sequence ever will be.
 func (r *Replica) accept(now time.Time) {
 	r.sequence++
-	r.settleBelow(r.sequence)
 	r.await(now)
 }
 
@@ -146,24 +146,16 @@
 	}
 }
 
-// settleBelow drops the doubtful orders that the replica will refuse, since it has gone past their sequence.
-func (r *Replica) settleBelow(sequence int64) {
-	kept := r.doubtful[:0]
+// mayArrive are the doubtful orders that the replica may still carry out: they can still arrive, and the replica has not
+// gone past their sequence. They are kept until they can no longer arrive, since a replica that restarts counts from zero
+// again and would take them.
+func (r *Replica) mayArrive(now time.Time) []doubtfulOrder {
+	r.doubtful = slices.DeleteFunc(r.doubtful, func(order doubtfulOrder) bool { return !now.Before(order.until) })
+	var open []doubtfulOrder
 	for _, order := range r.doubtful {
-		if order.Expected >= sequence {
-			kept = append(kept, order)
+		if order.Expected >= r.sequence {
+			open = append(open, order)
 		}
 	}
-	r.doubtful = kept
-}
-
-// settleBefore drops the doubtful orders that can no longer arrive.
-func (r *Replica) settleBefore(now time.Time) {
-	kept := r.doubtful[:0]
-	for _, order := range r.doubtful {
-		if now.Before(order.until) {
-			kept = append(kept, order)
-		}
-	}
-	r.doubtful = kept
+	return open
 }
--- a/internal/replicastate/report.go
+++ b/internal/replicastate/report.go
@@ -48,7 +48,6 @@
 	r.held = report.Held
 	r.reported = true
 	r.phase = Idle
-	r.settleBelow(report.Sequence)
 	return true
 }
 
@@ -81,9 +80,8 @@
 // SurelyHeld is the lower bound of what the replica holds: what it reported, without what an order that was decided or
 // may yet arrive unloads. The set must not be changed.
 func (r *Replica) SurelyHeld(now time.Time) map[string]bool {
-	r.settleBefore(now)
 	held := r.held
-	for _, order := range r.doubtful {
+	for _, order := range r.mayArrive(now) {
 		if !order.Load {
 			held = after(held, order.Change)
 		}
@@ -97,9 +95,9 @@
 // MayHold is what the replica may hold beyond what it surely holds: what it reported and an order may have unloaded
 // since, and what an order that was decided or may yet arrive loads. It is nil where there is nothing of the kind.
 func (r *Replica) MayHold(now time.Time) map[string]bool {
-	r.settleBefore(now)
+	doubtful := r.mayArrive(now)
 	change, under := r.Under()
-	if len(r.doubtful) == 0 && !under {
+	if len(doubtful) == 0 && !under {
 		return nil
 	}
 	sure := r.SurelyHeld(now)
@@ -112,7 +110,7 @@
 	if under && change.Load && !sure[change.Reference] {
 		found[change.Reference] = true
 	}
-	for _, order := range r.doubtful {
+	for _, order := range doubtful {
 		if order.Load && !sure[order.Reference] {
 			found[order.Reference] = true
 		}
@@ -122,9 +120,8 @@
 
 // Doubtful lists the changes whose orders may yet arrive.
 func (r *Replica) Doubtful(now time.Time) []Change {
-	r.settleBefore(now)
-	changes := make([]Change, 0, len(r.doubtful))
-	for _, order := range r.doubtful {
+	var changes []Change
+	for _, order := range r.mayArrive(now) {
 		changes = append(changes, order.Change)
 	}
 	return changes
