--- /dev/null
+++ b/internal/replicastate/simulation/world_test.go
@@ -0,0 +1,150 @@
+package simulation
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"ferryspar/internal/configuration"
+	"ferryspar/internal/place"
+)
+
+const backendName = "s"
+
+// sizes are those of all models; an adapter takes adapterSize. Any two models and their adapters fit a server.
+var sizes = map[string]float64{"m1": 40, "m2": 40, "m3": 45, "m4": 30, "m5": 45}
+
+const (
+	adapterSize  = 5.0
+	adapterCount = 3
+	loadTokens   = 4
+)
+
+// sizeOf is the size of a model or adapter.
+func sizeOf(reference string) float64 {
+	if strings.Contains(reference, "/") {
+		return adapterSize
+	}
+	return sizes[reference]
+}
+
+// newTable is a configuration that names some models; the first two have adapters.
+func newTable(revision int64, models []string) *configuration.Table {
+	runtime := &configuration.Runtime{Slots: 8, WeightSizeMb: serverRoom, AdapterCapacity: serverPlaces, LoadsPerS: 1}
+	for _, name := range models {
+		model := configuration.Model{Name: name, WeightSizeMb: sizes[name], LoadTimeS: 1, AdapterSizeMb: adapterSize}
+		if name == "m1" || name == "m2" {
+			model.Adapters = adapterCount
+		}
+		runtime.Models = append(runtime.Models, model)
+	}
+	return configuration.NewTable(configuration.Configuration{
+		Revision: revision,
+		Backends: []configuration.Backend{{Name: backendName, Runtime: runtime}},
+	}, nil)
+}
+
+// bounds are what a play allows beyond the ordinary.
+type bounds struct {
+	beyond          bool // orders arrive later than any bound, twice too, and freezes fall between check and write
+	survivesRestart bool // orders that were held up reach the next process of a replica
+	rushed          bool // another holder orders without having waited for the end of the lease before
+}
+
+// failure is a rule that was broken.
+type failure struct {
+	rule   rule
+	detail string
+}
+
+// world is one play.
+type world struct {
+	*engine
+	bounds
+	variant        variant
+	fencing        bool
+	servers        []*server
+	daemons        []*daemon
+	register       *register
+	links          map[[2]string]*link
+	table          *configuration.Table
+	wanted         []string
+	waitingSince   map[string]time.Time
+	troublesEnd    time.Time
+	failures       []failure
+	refusedLate    int
+	refusedUnaware int
+	journal        []string
+	verbose        bool
+}
+
+func (w *world) fail(broken rule, format string, values ...any) {
+	w.failures = append(w.failures, failure{broken, w.stamp() + fmt.Sprintf(format, values...)})
+	w.log("%s broken: "+format, append([]any{broken}, values...)...)
+}
+
+func (w *world) failed() bool { return len(w.failures) > 0 }
+
+func (w *world) stamp() string { return fmt.Sprintf("%7.3f ", w.now.Sub(start).Seconds()) }
+
+func (w *world) log(format string, values ...any) {
+	if w.verbose {
+		w.journal = append(w.journal, w.stamp()+fmt.Sprintf(format, values...))
+	}
+}
+
+// missing is what is wanted, named by the configuration and loaded nowhere.
+func (w *world) missing() []string {
+	var missing []string
+	for _, reference := range w.wanted {
+		if w.table.KnowsModel(0, reference) && !w.loaded(reference) {
+			missing = append(missing, reference)
+		}
+	}
+	return missing
+}
+
+func (w *world) loaded(reference string) bool {
+	for _, one := range w.servers {
+		if one.held[reference] && !one.down {
+			return true
+		}
+	}
+	return false
+}
+
+// view is a planner's input without servers: what is wanted is asked for, and waits where it is loaded nowhere.
+func (w *world) view(d *daemon) *place.View {
+	view := &place.View{
+		Now: w.now, Table: d.table, Sizes: d.sizes, Demand: map[string]*place.Demand{}, Loading: map[string]int{},
+		Drained: map[string]bool{}, Tokens: loadTokens, Learned: true,
+	}
+	for _, reference := range w.wanted {
+		demand := &place.Demand{Rate: 1, Often: 1, LastSeen: w.now, Aim: 2000}
+		if !w.loaded(reference) {
+			demand.Waiting = 2
+			demand.OldestMs = float64(w.now.Sub(w.waitingSince[reference]).Milliseconds())
+		}
+		view.Demand[place.Key(backendName, reference)] = demand
+	}
+	return view
+}
+
+// want changes what is asked for.
+func (w *world) want(references []string) {
+	w.wanted = references
+	w.waitingSince = map[string]time.Time{}
+	for _, reference := range references {
+		w.waitingSince[reference] = w.now
+	}
+	w.log("wanted: %v", references)
+}
+
+// configure puts a configuration that names some models into force.
+func (w *world) configure(models []string) {
+	w.table = newTable(w.table.Configuration.Revision+1, models)
+	for _, one := range w.daemons {
+		one.adopt(w.table)
+	}
+	w.log("configured: %v", models)
+}
