--- a/internal/replicastate/simulation/judge_test.go
+++ b/internal/replicastate/simulation/judge_test.go
@@ -13,8 +13,8 @@
 const (
 	// overRoom is an accepted load beyond room or places.
 	overRoom rule = "LIMIT"
-	// refusedOverRoom is such a load that was refused, by a holder that knew of all orders taken under its grant and
-	// had heard of those before.
+	// refusedOverRoom is such a load, refused or not, by a holder that could know better: all orders taken since its
+	// grant began are its own, and nothing arrived later than the bounds.
 	refusedOverRoom rule = "LIMIT although refused"
 	// turns is a holder that orders too soon after another, or under a lower fence.
 	turns rule = "ONE"
@@ -62,11 +62,21 @@
 		w.refusedLate++
 	case s.takenFromOthers(order):
 		w.refusedUnaware++
+	case w.bounds.beyond:
+		w.refusedBeyond++
 	default:
 		w.fail(refusedOverRoom, "%s: %+v holding %v", s.id, order, s.held)
 	}
 }
 
+// count notes an order that arrived.
+func (w *world) count(order instruction, status int) {
+	w.answers[status]++
+	if order.late {
+		w.lateAnswers[status]++
+	}
+}
+
 // takenFromOthers tells whether the server has taken orders of another grant since that of the order began.
 func (s *server) takenFromOthers(order instruction) bool {
 	for _, one := range s.taken {
--- a/internal/replicastate/simulation/lease_test.go
+++ b/internal/replicastate/simulation/lease_test.go
@@ -29,6 +29,7 @@
 	owner  *daemon
 	life   int
 	until  time.Time // nobody else is granted the lease before
+	split  time.Time // until then whoever thinks that it holds the lease is believed
 }
 
 var errUnreachable = errors.New("no majority granted it")
@@ -58,7 +59,8 @@
 // Renew tells whether the lease is still this life's.
 func (c registerClient) Renew(context.Context, string) error {
 	kept := c.daemon.world.register
-	if c.daemon.storeCut() || kept.owner != c.daemon || kept.life != c.life {
+	owned := kept.owner == c.daemon && kept.life == c.life || c.daemon.world.now.Before(kept.split)
+	if c.daemon.storeCut() || !owned {
 		return errUnreachable
 	}
 	kept.until = c.daemon.world.now.Add(grantLength)
--- a/internal/replicastate/simulation/network_test.go
+++ b/internal/replicastate/simulation/network_test.go
@@ -61,6 +61,7 @@
 func (w *world) send(from *daemon, to *server, order instruction, done func(status int)) {
 	one := &call{}
 	finish := from.ending(one, done)
+	w.applyAimed(from, to)
 	way := w.link(from, to)
 	life := to.life
 	deliver := func() {
--- a/internal/replicastate/simulation/play_test.go
+++ b/internal/replicastate/simulation/play_test.go
@@ -19,6 +19,7 @@
 	w := &world{
 		engine: newEngine(plan.seed), bounds: allowed, variant: planted, fencing: plan.fencing, verbose: verbose,
 		register: &register{}, links: map[[2]string]*link{}, table: newTable(1, modelNames),
+		answers: map[int]int{}, lateAnswers: map[int]int{},
 	}
 	held := [][]string{{"m1", "m3"}, {"m2", "m4"}}
 	for index := range plan.servers {
@@ -73,6 +74,9 @@
 func (w *world) apply(next trouble) {
 	w.log("%s", next)
 	daemon, server, holder := w.daemons[next.daemon%len(w.daemons)], w.servers[next.server%len(w.servers)], w.holder(next.daemon)
+	if len(next.names) > 0 && next.kind != configureOther {
+		w.want(next.names)
+	}
 	switch next.kind {
 	case killHolder:
 		w.killFor(holder, next.pause)
@@ -92,12 +96,33 @@
 		w.restart(server, server.id, next.pause)
 	case restartOther:
 		w.restart(server, server.id+"'", next.pause)
-	case wantOthers:
-		w.want(next.names)
+	case holdOrder, loseOrderAnswer, killOrdering, freezeOrdering, restartOrdered:
+		w.aimed = append(w.aimed, next)
 	case configureOther:
 		w.configure(next.names)
 	case rushedSeizure:
-		w.rush(daemon)
+		w.rush(daemon, next.pause)
+	}
+}
+
+// applyAimed does the troubles that were to happen with the next order, as it is sent.
+func (w *world) applyAimed(from *daemon, to *server) {
+	aimed := w.aimed
+	w.aimed = nil
+	for _, next := range aimed {
+		w.log("now: %s", next)
+		switch next.kind {
+		case holdOrder:
+			w.cut(from, to, next.pause)
+		case loseOrderAnswer:
+			w.link(from, to).answersUntil = w.now.Add(next.pause)
+		case killOrdering:
+			w.after(w.between(0, slowest), func() { w.killFor(from, next.pause) })
+		case freezeOrdering:
+			w.after(w.between(0, slowest), func() { from.freeze(next.pause) })
+		case restartOrdered:
+			w.after(w.between(0, callBound), func() { w.restart(to, to.id, next.pause) })
+		}
 	}
 }
 
@@ -112,8 +137,8 @@
 	}
 }
 
-// rush has a daemon take the lease and act at once, as after a store that has lost what it knew.
-func (w *world) rush(one *daemon) {
+// rush has a daemon take the lease and act at once beside the holder, as after a store that has lost what it knew.
+func (w *world) rush(one *daemon, pause time.Duration) {
 	if !one.alive || one.frozen || w.register.owner == one {
 		return
 	}
@@ -121,6 +146,7 @@
 	_ = json.Unmarshal(w.register.value, &last)
 	record := lease.Record{Holder: one.name, Fence: last.Fence + 1}
 	w.register.value, _ = json.Marshal(record)
+	w.register.split = w.now.Add(pause)
 	w.register.holder, w.register.owner, w.register.life = one.name, one, one.life
 	one.hold = &lease.Grant{Record: record, Since: w.now, Until: w.now.Add(grantLength), ActsFrom: w.now}
 }
--- a/internal/replicastate/simulation/schedule_test.go
+++ b/internal/replicastate/simulation/schedule_test.go
@@ -23,7 +23,13 @@
 	restartOther   troubleKind = "restart under another id, down for"
 	wantOthers     troubleKind = "other wants"
 	configureOther troubleKind = "another configuration"
-	rushedSeizure  troubleKind = "another daemon orders without waiting"
+	rushedSeizure  troubleKind = "the store forgets, another daemon holds the lease too for"
+	// The following happen with the next order that is sent.
+	holdOrder       troubleKind = "hold up the next order for"
+	loseOrderAnswer troubleKind = "lose the answer of the next order and others for"
+	killOrdering    troubleKind = "kill the sender of the next order, back after"
+	freezeOrdering  troubleKind = "freeze the sender of the next order for"
+	restartOrdered  troubleKind = "restart the receiver of the next order under the same id, down for"
 )
 
 // trouble is one change of the world.
@@ -33,7 +39,7 @@
 	daemon int
 	server int
 	pause  time.Duration
-	names  []string
+	names  []string // of models in a configuration, or else what is wanted from then on
 }
 
 func (t trouble) String() string {
@@ -59,10 +65,21 @@
 }
 
 var ordinaryTroubles = []troubleKind{
-	wantOthers, wantOthers, wantOthers, killHolder, killHolder, killAny, freezeHolder, freezeDeciding, cutStore, cutRequests,
-	cutRequests, loseAnswers, loseAnswers, restartSame, restartOther, configureOther,
+	wantOthers, wantOthers, wantOthers, killHolder, killAny, freezeHolder, freezeDeciding, cutStore, cutRequests, loseAnswers,
+	restartSame, restartOther, configureOther, holdOrder, holdOrder, holdOrder, loseOrderAnswer, loseOrderAnswer,
+	killOrdering, killOrdering, freezeOrdering, restartOrdered,
 }
 
+// longestCalms are bounds of the time between two troubles: some come close together, others once a holder has
+// taken over and placed.
+var longestCalms = []time.Duration{500 * time.Millisecond, 2 * time.Second, 10 * time.Second}
+
+const (
+	// A play has so many troubles; those that only change what is wanted are among them.
+	leastTroubles = 12
+	mostTroubles  = 30
+)
+
 // without are the kinds of trouble less some.
 func without(kinds []troubleKind, left ...troubleKind) []troubleKind {
 	var kept []troubleKind
@@ -81,19 +98,26 @@
 var pauses = map[troubleKind][2]time.Duration{
 	killHolder:     {20 * time.Millisecond, 3 * time.Second},
 	killAny:        {20 * time.Millisecond, 8 * time.Second},
-	freezeHolder:   {50 * time.Millisecond, 8 * time.Second},
-	freezeDeciding: {50 * time.Millisecond, 6 * time.Second},
-	cutStore:       {200 * time.Millisecond, 8 * time.Second},
-	cutRequests:    {100 * time.Millisecond, 6 * time.Second},
+	freezeHolder:   {50 * time.Millisecond, 10 * time.Second},
+	freezeDeciding: {50 * time.Millisecond, 3 * time.Second},
+	cutStore:       {200 * time.Millisecond, 12 * time.Second},
+	cutRequests:    {100 * time.Millisecond, 10 * time.Second},
 	loseAnswers:    {100 * time.Millisecond, 2 * time.Second},
 	restartSame:    {100 * time.Millisecond, 600 * time.Millisecond},
 	restartOther:   {100 * time.Millisecond, 600 * time.Millisecond},
+
+	holdOrder:       {100 * time.Millisecond, 8 * time.Second},
+	loseOrderAnswer: {50 * time.Millisecond, time.Second},
+	killOrdering:    {20 * time.Millisecond, 3 * time.Second},
+	freezeOrdering:  {50 * time.Millisecond, 10 * time.Second},
+	restartOrdered:  {100 * time.Millisecond, 600 * time.Millisecond},
+	rushedSeizure:   {500 * time.Millisecond, 6 * time.Second},
 }
 
 var (
-	modelNames     = []string{"m1", "m2", "m3", "m4", "m5"}
+	modelNames     = []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}
 	adapterNames   = []string{"m1/a1", "m1/a2", "m1/a3", "m2/a1", "m2/a2"}
-	configurations = [][]string{modelNames, {"m1", "m2", "m3"}, {"m1", "m3", "m4", "m5"}, {"m2", "m4", "m5"}}
+	configurations = [][]string{modelNames, {"m1", "m2", "m3"}, {"m1", "m3", "m4", "m5", "m8"}, {"m2", "m4", "m5", "m6", "m7"}}
 )
 
 // drawWanted draws two models at most, and two adapters of those.
@@ -115,17 +139,17 @@
 func drawTrouble(kinds []troubleKind) func(t *rapid.T) trouble {
 	return func(t *rapid.T) trouble {
 		one := trouble{kind: rapid.SampledFrom(kinds).Draw(t, "kind")}
-		one.after = drawTime(t, "after", 0, 3*time.Second)
+		one.after = drawTime(t, "after", 0, rapid.SampledFrom(longestCalms).Draw(t, "longest"))
 		one.daemon = rapid.IntRange(0, 2).Draw(t, "daemon")
 		one.server = rapid.IntRange(0, 1).Draw(t, "server")
 		if between, known := pauses[one.kind]; known {
 			one.pause = drawTime(t, "pause", between[0], between[1])
 		}
-		switch one.kind {
-		case wantOthers:
-			one.names = drawWanted(t)
-		case configureOther:
+		switch {
+		case one.kind == configureOther:
 			one.names = rapid.SampledFrom(configurations).Draw(t, "configuration")
+		case one.kind == wantOthers || rapid.IntRange(0, 3).Draw(t, "wants too") > 0:
+			one.names = drawWanted(t)
 		}
 		return one
 	}
@@ -144,7 +168,7 @@
 			servers:  rapid.IntRange(1, 2).Draw(t, "servers"),
 			fencing:  rapid.Bool().Draw(t, "fencing"),
 			wanted:   drawWanted(t),
-			troubles: rapid.SliceOfN(rapid.Custom(drawTrouble(kinds)), 1, 24).Draw(t, "troubles"),
+			troubles: rapid.SliceOfN(rapid.Custom(drawTrouble(kinds)), leastTroubles, mostTroubles).Draw(t, "troubles"),
 		}
 	})
 }
--- a/internal/replicastate/simulation/server_test.go
+++ b/internal/replicastate/simulation/server_test.go
@@ -97,6 +97,7 @@
 	}
 	s.world.judge(s, order)
 	status := s.decide(order)
+	s.world.count(order, status)
 	s.last, s.lastAt = &order, s.world.now
 	if status == http.StatusPreconditionFailed {
 		s.fencedAt[order.Fence] = s.world.now
@@ -148,7 +149,7 @@
 	case s.disk[change.Reference]:
 		return s.world.between(100*time.Millisecond, 400*time.Millisecond)
 	}
-	return s.world.between(500*time.Millisecond, 3*time.Second)
+	return s.world.between(300*time.Millisecond, 2*time.Second)
 }
 
 func (s *server) finish(change replicastate.Change) {
--- a/internal/replicastate/simulation/world_test.go
+++ b/internal/replicastate/simulation/world_test.go
@@ -12,7 +12,7 @@
 const backendName = "s"
 
 // sizes are those of all models; an adapter takes adapterSize. Any two models and their adapters fit a server.
-var sizes = map[string]float64{"m1": 40, "m2": 40, "m3": 45, "m4": 30, "m5": 45}
+var sizes = map[string]float64{"m1": 40, "m2": 40, "m3": 45, "m4": 30, "m5": 45, "m6": 35, "m7": 45, "m8": 44}
 
 const (
 	adapterSize  = 5.0
@@ -69,11 +69,15 @@
 	links          map[[2]string]*link
 	table          *configuration.Table
 	wanted         []string
+	aimed          []trouble // to happen with the next order
 	waitingSince   map[string]time.Time
 	troublesEnd    time.Time
 	failures       []failure
 	refusedLate    int
 	refusedUnaware int
+	refusedBeyond  int
+	answers        map[int]int // orders that arrived, by status
+	lateAnswers    map[int]int // those of them whose call had ended
 	journal        []string
 	verbose        bool
 }
