Replica knowledge: an order without answer counts until a report of the time after it could arrive

Cause: an order of unknown fate was dropped once it could no longer arrive, also where the last report showed the time before it did. An idle replica is not asked again, so the order's load was never known of: the next load was ordered beyond room (and refused for its sequence). Where it was an unload that never arrived, data planes were kept from the model until the next order there.

Ruled out: dropping it by time with a wait longer by the age of reports (proves nothing without a report).

Change: such an order is dropped only by a report that was asked for late enough, and an idle replica is asked then.

--- a/internal/controlplane/eviction.go
+++ b/internal/controlplane/eviction.go
@@ -160,7 +160,7 @@
 			return
 		}
 		held := maps.Clone(one.state.Held())
-		maps.Copy(held, one.state.MayHold(w.daemon.clock()))
+		maps.Copy(held, one.state.MayHold())
 		for reference := range held {
 			if !strings.Contains(reference, "/") && item.Scope.CoversModel(reference) {
 				pairs = append(pairs, retention.Pair{Replica: id, Model: reference, State: retention.Pending})
@@ -181,7 +181,6 @@
 
 // updateItem stores which of an item's copies have been evicted or are gone with their replica.
 func (w *Scheduler) updateItem(ctx context.Context, item retention.Item) {
-	now := w.daemon.clock()
 	states := map[retention.Pair]string{}
 	for _, pair := range item.Pairs {
 		if pair.State != retention.Pending {
@@ -192,7 +191,7 @@
 			states[pair] = retention.Gone
 			continue
 		}
-		if one.state.Phase() == replicastate.Idle && !one.state.Held()[pair.Model] && !one.state.MayHold(now)[pair.Model] {
+		if one.state.Phase() == replicastate.Idle && !one.state.Held()[pair.Model] && !one.state.MayHold()[pair.Model] {
 			w.eviction.cleared[clearedKey(item.Number, pair)] = true
 		}
 		if w.eviction.cleared[clearedKey(item.Number, pair)] {
--- a/internal/controlplane/instructionanswers.go
+++ b/internal/controlplane/instructionanswers.go
@@ -69,7 +69,7 @@
 // liftBars lets the data planes use again what no order unloads any more.
 func (w *Scheduler) liftBars(one *managedReplica, now time.Time) {
 	one.barred = map[string]bool{}
-	for _, change := range one.state.Doubtful(now) {
+	for _, change := range one.state.Doubtful() {
 		if !change.Load {
 			w.barReferences(one, change.Reference)
 		}
--- a/internal/controlplane/managedreplica.go
+++ b/internal/controlplane/managedreplica.go
@@ -36,6 +36,7 @@
 	UnknownPause: unknownPause,
 	RefusedPause: refusedPause,
 	Settle:       orderSettle,
+	ReportAge:    reportAge,
 	Distrust:     reportDistrust,
 }
 
@@ -52,9 +53,9 @@
 	orderSettle = 3 * time.Second
 	// reportDistrust is how long reports that contradict an answer are taken for old ones.
 	reportDistrust = 2 * time.Second
-	// reportsAfter is how long after a grant that follows another one reports are asked for, so that none of them shows
-	// a moment before the last order of the holder before.
-	reportsAfter = 500 * time.Millisecond
+	// reportAge is how long before the question the moment may lie that a report shows. Reports are asked for so long
+	// after a grant that follows another one, so that none shows a moment before the last order of the holder before.
+	reportAge = 500 * time.Millisecond
 )
 
 // manage begins to know a listed replica under the present grant.
@@ -64,7 +65,7 @@
 	if w.grant != nil {
 		fence = w.grant.Record.Fence
 		if !w.grant.First() {
-			trustFrom = w.grant.Since.Add(reportsAfter)
+			trustFrom = w.grant.Since.Add(reportAge)
 		}
 	}
 	return &managedReplica{
--- a/internal/controlplane/reportpolls_test.go
+++ b/internal/controlplane/reportpolls_test.go
@@ -53,7 +53,7 @@
 		for _, id := range due {
 			assert.Assert(t, !seen[id])
 			seen[id] = true
-			w.managed[id].state.AskStarted()
+			w.managed[id].state.AskStarted(now)
 		}
 		assert.Equal(t, len(w.duePolls(table, now)), 0, "no more than that at once")
 		for _, id := range due {
--- a/internal/replicastate/answer_test.go
+++ b/internal/replicastate/answer_test.go
@@ -17,7 +17,7 @@
 	_, possible := one.Decide(load("c"), at(9))
 	assert.Assert(t, !possible)
 	assert.Assert(t, !one.AskDue(at(9)))
-	checkBounds(t, one, at(1), set("a"), set("b"))
+	checkBounds(t, one, set("a"), set("b"))
 }
 
 func TestGivenAReplicaThatHasNotReportedThenNothingIsOrderedAndItIsAskedFromTheMomentOfTrust(t *testing.T) {
@@ -27,14 +27,14 @@
 	_, possible := one.Decide(load("b"), at(9))
 	assert.Assert(t, !possible)
 	assert.Assert(t, !one.AskDue(at(0.4)) && one.AskDue(at(0.5)))
-	checkBounds(t, one, at(0), set("a"), nil)
+	checkBounds(t, one, set("a"), nil)
 }
 
 func TestGivenAQuestionUnderWayThenNothingIsOrderedAndItIsNotAskedAgain(t *testing.T) {
 	one := idle(t, 4, "a")
 	one.Recheck(at(1))
 	assert.Assert(t, one.AskDue(at(1)))
-	one.AskStarted()
+	one.AskStarted(at(1))
 	assert.Assert(t, !one.AskDue(at(2)))
 	one.AskFailed(at(2))
 	assert.Assert(t, !one.AskDue(at(2.4)) && one.AskDue(at(2.5)))
@@ -46,7 +46,7 @@
 	one := idle(t, 4, "a")
 	ended(t, one, load("b"), NotSent, at(1))
 	assert.Assert(t, one.Ready(at(1)))
-	checkBounds(t, one, at(1), set("a"), nil)
+	checkBounds(t, one, set("a"), nil)
 	assert.Equal(t, decide(t, one, load("c"), at(1)).Expected, int64(4))
 }
 
@@ -54,13 +54,13 @@
 	one := idle(t, 4, "a", "a/a1")
 	ended(t, one, unload("a"), Accepted, at(1))
 	assert.Equal(t, one.Phase(), Changing)
-	checkBounds(t, one, at(1), set(), set("a", "a/a1"))
+	checkBounds(t, one, set(), set("a", "a/a1"))
 	assert.Assert(t, !one.AskDue(at(1.2)) && one.AskDue(at(1.25)))
 	tell(t, one, false, Report{Sequence: 5, Busy: true, Held: set("a", "a/a1")}, at(1.25))
 	assert.Assert(t, !one.AskDue(at(1.4)) && one.AskDue(at(1.5)))
 	tell(t, one, true, Report{Sequence: 5, Held: set()}, at(1.5))
 	assert.Assert(t, one.Ready(at(1.5)))
-	checkBounds(t, one, at(1.5), set(), nil)
+	checkBounds(t, one, set(), nil)
 	assert.Equal(t, decide(t, one, load("b"), at(2)).Expected, int64(5))
 }
 
@@ -81,7 +81,7 @@
 	one := idle(t, 4, "a")
 	ended(t, one, load("b"), AlreadyDone, at(1))
 	assert.Equal(t, one.Phase(), Changing)
-	checkBounds(t, one, at(1), set("a"), set("b"))
+	checkBounds(t, one, set("a"), set("b"))
 	assert.Assert(t, one.AskDue(at(1.25)))
 	tell(t, one, true, Report{Sequence: 4, Held: set("a", "b")}, at(1.3))
 	assert.Equal(t, decide(t, one, load("c"), at(2)).Expected, int64(4))
@@ -92,7 +92,7 @@
 	ended(t, one, load("b"), Conflict, at(1))
 	assert.Assert(t, !one.Known())
 	assert.Assert(t, !one.AskDue(at(1.2)) && one.AskDue(at(1.25)))
-	checkBounds(t, one, at(1), set("a"), nil)
+	checkBounds(t, one, set("a"), nil)
 	old := Report{Sequence: 4, Held: set("a")}
 	tell(t, one, false, old, at(1.25))
 	tell(t, one, false, old, at(2.9))
@@ -104,7 +104,7 @@
 	one := idle(t, 4, "a")
 	ended(t, one, load("b"), Conflict, at(1))
 	tell(t, one, true, Report{Sequence: 5, Held: set("a", "c")}, at(1.25))
-	checkBounds(t, one, at(1.25), set("a", "c"), nil)
+	checkBounds(t, one, set("a", "c"), nil)
 }
 
 func TestGivenARefusalOfAnotherKindThenTheReplicaIsLeftAloneAndThenAsked(t *testing.T) {
@@ -113,7 +113,7 @@
 		ended(t, one, load("b"), outcome, at(1))
 		assert.Assert(t, !one.Known())
 		assert.Assert(t, !one.AskDue(at(4.9)) && one.AskDue(at(5)))
-		checkBounds(t, one, at(1), set("a"), nil)
+		checkBounds(t, one, set("a"), nil)
 		tell(t, one, true, Report{Sequence: 6, Held: set("c")}, at(5))
 		assert.Assert(t, one.Ready(at(5)))
 		assert.Equal(t, decide(t, one, load("b"), at(5)).Expected, int64(6))
@@ -130,10 +130,10 @@
 		later := decide(t, one, load("c"), at(3))
 		one.Answer(earlier, outcome, at(3))
 		assert.Equal(t, one.Phase(), Ordered)
-		checkBounds(t, one, at(3), set("a", "b"), set("c"))
+		checkBounds(t, one, set("a", "b"), set("c"))
 		one.Answer(later, Accepted, at(3.1))
 		one.Answer(later, outcome, at(3.2))
 		assert.Equal(t, one.Phase(), Changing, "an order is answered once")
-		assert.Equal(t, len(one.Doubtful(at(3.2))), 0)
+		assert.Equal(t, len(one.Doubtful()), 0)
 	}
 }
--- a/internal/replicastate/fixtures_test.go
+++ b/internal/replicastate/fixtures_test.go
@@ -15,6 +15,7 @@
 	UnknownPause: 1500 * time.Millisecond,
 	RefusedPause: 4 * time.Second,
 	Settle:       3 * time.Second,
+	ReportAge:    500 * time.Millisecond,
 	Distrust:     2 * time.Second,
 }
 
@@ -47,7 +48,7 @@
 // tell asks for a report, has it come at once and checks whether it is adopted.
 func tell(t *testing.T, one *Replica, adopted bool, report Report, now time.Time) {
 	t.Helper()
-	one.AskStarted()
+	one.AskStarted(now)
 	assert.Equal(t, one.Reported(report, now), adopted)
 	assert.Assert(t, !one.Asking())
 }
@@ -69,11 +70,11 @@
 }
 
 // checkBounds checks what the replica surely and what it may hold.
-func checkBounds(t *testing.T, one *Replica, now time.Time, sure, may map[string]bool) {
+func checkBounds(t *testing.T, one *Replica, sure, may map[string]bool) {
 	t.Helper()
 	if len(may) == 0 {
 		may = nil
 	}
-	assert.DeepEqual(t, one.SurelyHeld(now), sure)
-	assert.DeepEqual(t, one.MayHold(now), may)
+	assert.DeepEqual(t, one.SurelyHeld(), sure)
+	assert.DeepEqual(t, one.MayHold(), may)
 }
--- a/internal/replicastate/order.go
+++ b/internal/replicastate/order.go
@@ -48,7 +48,8 @@
 	Held     map[string]bool
 }
 
-// doubtfulOrder is an order whose fate is unknown. Until is when it can no longer arrive.
+// doubtfulOrder is an order whose fate is unknown. Until is when it can no longer arrive; only a report of a later moment
+// tells whether it has.
 type doubtfulOrder struct {
 	Order
 	until time.Time
--- a/internal/replicastate/replica.go
+++ b/internal/replicastate/replica.go
@@ -17,6 +17,8 @@
 	RefusedPause time.Duration
 	// Settle is how long after the end of its call an order may still arrive.
 	Settle time.Duration
+	// ReportAge is how long before the question the moment may lie that a report shows.
+	ReportAge time.Duration
 	// Distrust is how long reports that contradict what was learned from answers are taken for old ones.
 	Distrust time.Duration
 }
@@ -48,6 +50,7 @@
 	trustFrom  time.Time
 	askAt      time.Time
 	asking     bool
+	askedAt    time.Time
 	blocked    time.Time
 	refused    refusal
 	lowerSince time.Time
@@ -146,11 +149,10 @@
 	}
 }
 
-// mayArrive are the doubtful orders that the replica may still carry out: they can still arrive, and the replica has not
-// gone past their sequence. They are kept until they can no longer arrive, since a replica that restarts counts from zero
-// again and would take them.
-func (r *Replica) mayArrive(now time.Time) []doubtfulOrder {
-	r.doubtful = slices.DeleteFunc(r.doubtful, func(order doubtfulOrder) bool { return !now.Before(order.until) })
+// mayArrive are the doubtful orders that the replica may have carried out unseen or may still carry out: it has not gone
+// past their sequence. The others are kept too until they can no longer arrive, since a replica that restarts counts from
+// zero again and would take them.
+func (r *Replica) mayArrive() []doubtfulOrder {
 	var open []doubtfulOrder
 	for _, order := range r.doubtful {
 		if order.Expected >= r.sequence {
@@ -159,3 +161,16 @@
 	}
 	return open
 }
+
+// settleShown drops the doubtful orders whose fate a report shows that was asked for at a time: none of them can have
+// arrived after what it shows.
+func (r *Replica) settleShown(askedAt time.Time) {
+	shown := askedAt.Add(-r.timings.ReportAge)
+	r.doubtful = slices.DeleteFunc(r.doubtful, func(order doubtfulOrder) bool { return !shown.Before(order.until) })
+}
+
+// settleDue tells whether a report that is asked for now would settle a doubtful order.
+func (r *Replica) settleDue(now time.Time) bool {
+	shown := now.Add(-r.timings.ReportAge)
+	return slices.ContainsFunc(r.mayArrive(), func(order doubtfulOrder) bool { return !shown.Before(order.until) })
+}
--- a/internal/replicastate/report.go
+++ b/internal/replicastate/report.go
@@ -3,12 +3,12 @@
 import "time"
 
 // AskDue tells whether the replica should be asked for a report now. One that carries an order out is asked from the
-// moment that ExpectDone has named.
+// moment that ExpectDone has named, an idle one once that settles what became of an order without an answer.
 func (r *Replica) AskDue(now time.Time) bool {
 	if r.asking || now.Before(r.askAt) || now.Before(r.blocked) || now.Before(r.trustFrom) {
 		return false
 	}
-	return r.phase == Unknown || r.phase == Changing
+	return r.phase == Unknown || r.phase == Changing || r.phase == Idle && r.settleDue(now)
 }
 
 // ExpectDone puts off the question of a replica that has just accepted an order to the moment when it should be done.
@@ -18,8 +18,13 @@
 	}
 }
 
-// AskStarted notes that a report was asked for.
-func (r *Replica) AskStarted() { r.asking = true }
+// AskStarted notes that a report was asked for. Until it comes, nothing is known for sure.
+func (r *Replica) AskStarted(now time.Time) {
+	r.asking, r.askedAt = true, now
+	if r.phase == Idle {
+		r.phase = Unknown
+	}
+}
 
 // Asking tells whether a report was asked for and has not come.
 func (r *Replica) Asking() bool { return r.asking }
@@ -48,6 +53,7 @@
 	r.held = report.Held
 	r.reported = true
 	r.phase = Idle
+	r.settleShown(r.askedAt)
 	return true
 }
 
@@ -79,9 +85,9 @@
 
 // SurelyHeld is the lower bound of what the replica holds: what it reported, without what an order that was decided or
 // may yet arrive unloads. The set must not be changed.
-func (r *Replica) SurelyHeld(now time.Time) map[string]bool {
+func (r *Replica) SurelyHeld() map[string]bool {
 	held := r.held
-	for _, order := range r.mayArrive(now) {
+	for _, order := range r.mayArrive() {
 		if !order.Load {
 			held = after(held, order.Change)
 		}
@@ -94,13 +100,13 @@
 
 // MayHold is what the replica may hold beyond what it surely holds: what it reported and an order may have unloaded
 // since, and what an order that was decided or may yet arrive loads. It is nil where there is nothing of the kind.
-func (r *Replica) MayHold(now time.Time) map[string]bool {
-	doubtful := r.mayArrive(now)
+func (r *Replica) MayHold() map[string]bool {
+	doubtful := r.mayArrive()
 	change, under := r.Under()
 	if len(doubtful) == 0 && !under {
 		return nil
 	}
-	sure := r.SurelyHeld(now)
+	sure := r.SurelyHeld()
 	found := map[string]bool{}
 	for reference := range r.held {
 		if !sure[reference] {
@@ -119,9 +125,9 @@
 }
 
 // Doubtful lists the changes whose orders may yet arrive.
-func (r *Replica) Doubtful(now time.Time) []Change {
+func (r *Replica) Doubtful() []Change {
 	var changes []Change
-	for _, order := range r.mayArrive(now) {
+	for _, order := range r.mayArrive() {
 		changes = append(changes, order.Change)
 	}
 	return changes
--- a/internal/replicastate/report_test.go
+++ b/internal/replicastate/report_test.go
@@ -6,15 +6,15 @@
 	"gotest.tools/v3/assert"
 )
 
-func TestGivenAnIdleReplicaWhenAReportComesThenItChangesNothingUnlessARecheckAskedForIt(t *testing.T) {
+func TestGivenAnIdleReplicaThenItIsNotAskedUnlessARecheckWantsIt(t *testing.T) {
 	one := idle(t, 4, "a")
 	assert.Assert(t, !one.AskDue(at(60)))
-	tell(t, one, false, Report{Sequence: 5, Held: set("b")}, at(1))
-	checkBounds(t, one, at(1), set("a"), nil)
+	assert.Assert(t, !one.Reported(Report{Sequence: 5, Held: set("b")}, at(1)), "a report that nobody asked for")
+	checkBounds(t, one, set("a"), nil)
 	one.Recheck(at(2))
 	assert.Assert(t, !one.Known() && one.AskDue(at(2)))
 	tell(t, one, true, Report{Sequence: 5, Held: set("b")}, at(2))
-	checkBounds(t, one, at(2), set("b"), nil)
+	checkBounds(t, one, set("b"), nil)
 }
 
 func TestGivenAnOrderUnderWayThenARecheckIsOfNoEffect(t *testing.T) {
@@ -42,7 +42,7 @@
 	tell(t, one, false, restarted, at(1))
 	tell(t, one, false, restarted, at(2.9))
 	tell(t, one, true, restarted, at(3))
-	checkBounds(t, one, at(3), set(), nil)
+	checkBounds(t, one, set(), nil)
 	assert.Equal(t, decide(t, one, load("b"), at(3)).Expected, int64(0))
 }
 
@@ -53,11 +53,11 @@
 	tell(t, one, false, restarted, at(1.5))
 	adopted := false
 	for now := 1.75; now < 5 && !adopted; now += 0.25 {
-		one.AskStarted()
+		one.AskStarted(at(now))
 		adopted = one.Reported(restarted, at(now))
 	}
 	assert.Assert(t, adopted && one.Ready(at(5)))
-	checkBounds(t, one, at(5), set(), nil)
+	checkBounds(t, one, set(), nil)
 }
 
 func TestGivenTwoRestartsThenEachIsDistrustedFirst(t *testing.T) {
@@ -80,7 +80,7 @@
 		assert.Equal(t, one.Phase(), Changing)
 		tell(t, one, true, without, at(1.75))
 		assert.Assert(t, one.Ready(at(1.75)))
-		checkBounds(t, one, at(1.75), set("a"), nil)
+		checkBounds(t, one, set("a"), nil)
 	}
 }
 
--- a/internal/replicastate/simulation/daemon_test.go
+++ b/internal/replicastate/simulation/daemon_test.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	planEvery    = 100 * time.Millisecond
-	barTime      = 220 * time.Millisecond
-	reportsAfter = 500 * time.Millisecond
-	// orderSettle, refusedPause and reportDistrust are those of the control plane.
+	planEvery = 100 * time.Millisecond
+	barTime   = 220 * time.Millisecond
+	reportAge = 500 * time.Millisecond
+	// reportAge, orderSettle, refusedPause and reportDistrust are those of the control plane.
 	orderSettle    = 3 * time.Second
 	refusedPause   = 4 * time.Second
 	reportDistrust = 2 * time.Second
@@ -190,8 +190,8 @@
 			ID:      one.id,
 			Backend: backendName,
 			Zone:    "north",
-			Models:  one.state.SurelyHeld(d.world.now),
-			MayHold: one.state.MayHold(d.world.now),
+			Models:  one.state.SurelyHeld(),
+			MayHold: one.state.MayHold(),
 			Held:    one.server.disk,
 			Intent:  one.intent,
 			Ready:   one.state.Ready(d.world.now),
--- a/internal/replicastate/simulation/judge_test.go
+++ b/internal/replicastate/simulation/judge_test.go
@@ -50,9 +50,6 @@
 	if order.Fence != order.decided {
 		w.fail(grantMixed, "%s: decided under %d, sent under %d", s.id, order.decided, order.Fence)
 	}
-	if refused, known := s.fencedAt[order.Fence]; known && w.now.Sub(refused) < refusedPause && !order.released {
-		w.fail(impatient, "%s: under fence %d", s.id, order.Fence)
-	}
 	w.judgeTurns(s, order)
 	if !order.Load || s.fits(order.Change) {
 		return
@@ -87,6 +84,13 @@
 	return false
 }
 
+// judgePatience checks that a replica is left alone for a while once it has refused an order for its fence.
+func (k *knownReplica) judgePatience() {
+	if !k.fencedAt.IsZero() && k.now().Sub(k.fencedAt) < refusedPause {
+		k.daemon.world.fail(impatient, "%s: under fence %d", k.id, k.fence)
+	}
+}
+
 // judgeTurns checks that no two holders order within the length of a lease and that fences rise. What a cut has
 // released doesn't count.
 func (w *world) judgeTurns(s *server, order instruction) {
--- a/internal/replicastate/simulation/known_test.go
+++ b/internal/replicastate/simulation/known_test.go
@@ -15,6 +15,7 @@
 	UnknownPause: 1500 * time.Millisecond,
 	RefusedPause: refusedPause,
 	Settle:       orderSettle,
+	ReportAge:    reportAge,
 	Distrust:     reportDistrust,
 }
 
@@ -30,13 +31,14 @@
 	intent       string
 	reportedAt   time.Time
 	contradicted time.Time
-	highest      int64 // sequence reported, for a variant
+	fencedAt     time.Time // last refusal for the fence
+	highest      int64     // sequence reported, for a variant
 }
 
 func (d *daemon) newKnown(id string, server *server, listed map[string]bool) *knownReplica {
 	one := &knownReplica{daemon: d, id: id, server: server, fence: d.grant.Record.Fence}
 	if !d.grant.First() {
-		one.trustFrom = d.grant.Since.Add(reportsAfter)
+		one.trustFrom = d.grant.Since.Add(reportAge)
 	}
 	one.forget(listed)
 	return one
@@ -66,7 +68,7 @@
 }
 
 func (d *daemon) poll(one *knownReplica) {
-	one.state.AskStarted()
+	one.state.AskStarted(d.world.now)
 	d.world.ask(d, one.server, one.id, func(report *replicastate.Report) {
 		if report == nil {
 			one.state.AskFailed(d.world.now)
@@ -85,6 +87,7 @@
 	if !possible {
 		return
 	}
+	k.judgePatience()
 	k.pending = &action
 	pause := d.world.between(0, 2*time.Millisecond)
 	if !action.Load {
--- a/internal/replicastate/simulation/server_test.go
+++ b/internal/replicastate/simulation/server_test.go
@@ -60,11 +60,10 @@
 	taken    []accepted
 	last     *instruction // last order that arrived
 	lastAt   time.Time
-	fencedAt map[uint64]time.Time // when an order of a fence was refused for it
 }
 
 func newServer(world *world, id string, held ...string) *server {
-	one := &server{world: world, id: id, held: map[string]bool{}, disk: map[string]bool{}, fencedAt: map[uint64]time.Time{}}
+	one := &server{world: world, id: id, held: map[string]bool{}, disk: map[string]bool{}}
 	for _, reference := range held {
 		one.held[reference], one.disk[reference] = true, true
 	}
@@ -99,9 +98,6 @@
 	status := s.decide(order)
 	s.world.count(order, status)
 	s.last, s.lastAt = &order, s.world.now
-	if status == http.StatusPreconditionFailed {
-		s.fencedAt[order.Fence] = s.world.now
-	}
 	s.world.log("%s: %s %+v expected %d fence %d late %t: %d (sequence %d, held %v)",
 		s.id, order.holder, order.Change, order.Expected, order.Fence, order.late, status, s.sequence, s.held)
 	if status == http.StatusAccepted {
@@ -182,7 +178,6 @@
 	s.world.after(pause, func() {
 		s.down, s.busy, s.sequence, s.highest = false, nil, 0, 0
 		s.held, s.history, s.taken = map[string]bool{}, nil, nil
-		s.fencedAt = map[uint64]time.Time{}
 		s.note()
 	})
 }
--- a/internal/replicastate/simulation/variant_test.go
+++ b/internal/replicastate/simulation/variant_test.go
@@ -35,6 +35,9 @@
 
 // takeAnswer has the replica's state learn of an answer, as the variant falsifies it.
 func (k *knownReplica) takeAnswer(order replicastate.Order, outcome replicastate.Outcome) {
+	if outcome == replicastate.Fenced {
+		k.fencedAt = k.now()
+	}
 	falsified := map[variant]replicastate.Outcome{
 		unknownCountsAsFree: replicastate.NoAnswer,
 		fenceRefusalIgnored: replicastate.Fenced,
@@ -51,7 +54,7 @@
 	case everyReportBelieved:
 		if !report.Busy {
 			k.forget(report.Held)
-			k.state.AskStarted()
+			k.state.AskStarted(k.now())
 		}
 	case restartUnnoticed:
 		if report.Sequence < k.highest {
--- /dev/null
+++ b/internal/replicastate/walkworld_test.go
@@ -0,0 +1,186 @@
+package replicastate
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The walk visits every state that a small world can reach: one replica with room for two of three models and a place for
+// one of two adapters, one grant of the lease after another, and what the network may do with orders and answers.
+var walkReferences = []string{"a", "b", "c", "a/1", "a/2"}
+
+const (
+	walkModels   = 0b00111
+	walkAdapters = 0b11000
+	walkTick     = time.Second
+)
+
+// walkTimings are in ticks; a report shows the present or the state before the last tick.
+var walkTimings = &Timings{
+	ReportLag: walkTick, BusyPause: walkTick, UnknownPause: walkTick,
+	RefusedPause: 2 * walkTick, Settle: 2 * walkTick, ReportAge: walkTick, Distrust: 2 * walkTick,
+}
+
+// references is a set of walkReferences.
+type references uint8
+
+func (s references) set() map[string]bool {
+	found := map[string]bool{}
+	for index, reference := range walkReferences {
+		if s&(1<<index) != 0 {
+			found[reference] = true
+		}
+	}
+	return found
+}
+
+func maskOf(set map[string]bool) references {
+	var mask references
+	for index, reference := range walkReferences {
+		if set[reference] {
+			mask |= 1 << index
+		}
+	}
+	return mask
+}
+
+func (s references) fits() bool {
+	return bits.OnesCount8(uint8(s&walkModels)) <= 2 && bits.OnesCount8(uint8(s&walkAdapters)) <= 1
+}
+
+// changed is the set after a change.
+func (s references) changed(change Change) references {
+	if change.Load {
+		return s | 1<<slices.Index(walkReferences, change.Reference)
+	}
+	for index, reference := range walkReferences {
+		if reference == change.Reference || strings.HasPrefix(reference, change.Reference+"/") {
+			s &^= 1 << index
+		}
+	}
+	return s
+}
+
+// walkReplica is the replica's own state. Busy tells that an order is being carried out: next is what it holds then.
+type walkReplica struct {
+	held, next references
+	busy       bool
+	sequence   int64
+	highest    uint64
+}
+
+func (w walkReplica) report() Report {
+	return Report{Sequence: w.sequence, Busy: w.busy, Held: w.held.set()}
+}
+
+// walkMessage is an order in the network. The call is open until its end has been told to the holder.
+type walkMessage struct {
+	order   Order
+	open    bool
+	arrived bool
+	outcome Outcome // once arrived
+	ended   time.Time
+}
+
+// walkBudget bounds the world.
+type walkBudget struct{ orders, grants, restarts, strangers int }
+
+// walkWorld is one state of the world. Foreign tells that an order of another grant was taken since the present one
+// began, fenced when the holder heard last that an order was refused for its fence.
+type walkWorld struct {
+	now      time.Time
+	replica  walkReplica
+	before   walkReplica // as of the last tick
+	known    Replica
+	messages []walkMessage
+	left     walkBudget
+	foreign  bool
+	fenced   time.Time
+	broken   string
+	parent   *walkWorld
+	label    string // of the move that led here
+}
+
+// path lists the moves that led to a state.
+func (w *walkWorld) path() []string {
+	if w.parent == nil {
+		return nil
+	}
+	return append(w.parent.path(), w.label)
+}
+
+func newWalkWorld(left walkBudget) *walkWorld {
+	w := &walkWorld{now: start, left: left, known: *New(walkTimings, 1, time.Time{}, nil)}
+	w.replica.held = references(0b00011)
+	w.before = w.replica
+	return w
+}
+
+func (w *walkWorld) clone() *walkWorld {
+	copied := *w
+	copied.messages = slices.Clone(w.messages)
+	copied.known.doubtful = slices.Clone(w.known.doubtful)
+	return &copied
+}
+
+// key names the state: two worlds of one key behave alike. Times count by their distance from now, those long past alike.
+func (w *walkWorld) key() string {
+	key := make([]byte, 0, 128)
+	number := func(values ...int64) {
+		for _, value := range values {
+			key = binary.AppendVarint(key, value)
+		}
+	}
+	flag := func(values ...bool) {
+		for _, value := range values {
+			if value {
+				number(1)
+			} else {
+				number(0)
+			}
+		}
+	}
+	moment := func(at time.Time) {
+		if at.IsZero() {
+			number(-100)
+			return
+		}
+		number(max(int64(at.Sub(w.now)/walkTick), -4))
+	}
+	change := func(one Change) {
+		flag(one.Load)
+		number(int64(slices.Index(walkReferences, one.Reference)))
+	}
+	for _, one := range []walkReplica{w.replica, w.before} {
+		number(int64(one.held), int64(one.next), one.sequence, int64(one.highest))
+		flag(one.busy)
+	}
+	known := &w.known
+	number(int64(known.phase), known.sequence, int64(known.fence), int64(maskOf(known.held)), known.refused.sequence)
+	number(int64(known.mismatches), int64(len(known.doubtful)), int64(len(w.messages)))
+	moment(known.trustFrom)
+	moment(known.askAt)
+	moment(known.askedAt)
+	moment(known.blocked)
+	moment(known.refused.until)
+	moment(known.lowerSince)
+	change(known.current.Change)
+	for _, one := range known.doubtful {
+		change(one.Change)
+		number(one.Expected)
+		moment(one.until)
+	}
+	for _, one := range w.messages {
+		change(one.order.Change)
+		number(one.order.Expected, int64(one.order.Fence), int64(one.outcome))
+		flag(one.open, one.arrived)
+		moment(one.ended)
+	}
+	number(int64(w.left.orders), int64(w.left.grants), int64(w.left.restarts), int64(w.left.strangers))
+	flag(w.foreign)
+	moment(w.fenced)
+	return string(key)
+}
