--- a/internal/replicastate/walkworld_test.go
+++ b/internal/replicastate/walkworld_test.go
@@ -72,8 +72,8 @@
 	highest    uint64
 }
 
-func (w walkReplica) report() Report {
-	return Report{Sequence: w.sequence, Busy: w.busy, Held: w.held.set()}
+func (r walkReplica) report() Report {
+	return Report{Sequence: r.sequence, Busy: r.busy, Held: r.held.set()}
 }
 
 // walkMessage is an order in the network. The call is open until its end has been told to the holder.
