--- a/internal/story/late_order_test.go
+++ b/internal/story/late_order_test.go
@@ -20,13 +20,6 @@
 	return f.call(http.MethodPost, one.listed.Address, "/ferryspar/order", body, header).status
 }
 
-// count is how many orders the replica has taken.
-func (s *standInReplica) count() int64 {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	return s.sequence
-}
-
 func TestGivenALateOrderOfAnotherHolderThenTheReplicaIsNotLoadedBeyondItsRoom(t *testing.T) {
 	for _, pause := range []time.Duration{0, 300 * time.Millisecond, 2100 * time.Millisecond, 3 * time.Second} {
 		t.Run(pause.String(), func(t *testing.T) {
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -1,11 +1,9 @@
 package story
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,26 +19,17 @@
 	at        time.Time
 }
 
-// ordered is an instruction as it came. Expected is nil where the sender named no sequence.
-type ordered struct {
-	replica.Instruction
-	Expected *int64 `json:"expectedCount"`
-	at       time.Time
-}
-
 type standInReplica struct {
 	lock      sync.Mutex
 	listed    platform.Replica
 	models    standin.Holdings
 	runs      []arrival
 	orders    []ordered
-	sequence  int64
-	busyUntil time.Time
+	holding   standInOrders
 	cutAfter  int
 	full      bool
 	events    int
 	loadTime  time.Duration
-	highest   uint64
 	overfull  bool
 	slow      time.Duration
 	fails     string
@@ -82,7 +71,7 @@
 }
 
 func newStandInReplica(id, host, zone string, models ...string) *standInReplica {
-	stand := &standInReplica{models: standin.NewHoldings(models...), events: 5, loadTime: 2 * time.Second}
+	stand := &standInReplica{models: standin.NewHoldings(models...), events: 5, loadTime: 2 * time.Second, holding: ordinaryOrders()}
 	stand.listed = platform.Replica{ID: id, Backend: serviceName, Address: host + ":8080", Zone: zone, Revision: "v1", Slots: 8, State: "ready"}
 	return stand
 }
@@ -130,57 +119,6 @@
 	s.serve(writer, request)
 }
 
-func (s *standInReplica) report(writer http.ResponseWriter, request *http.Request) {
-	s.lock.Lock()
-	state := replica.State{Phase: "unified", Models: s.models.List(), Busy: time.Now().Before(s.busyUntil), Sequence: s.sequence}
-	s.lock.Unlock()
-	_ = json.NewEncoder(writer).Encode(state)
-}
-
-func (s *standInReplica) order(writer http.ResponseWriter, request *http.Request) {
-	instruction := ordered{at: time.Now()}
-	_ = json.NewDecoder(request.Body).Decode(&instruction)
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.orders = append(s.orders, instruction)
-	if instruction.Fence < s.highest {
-		writer.WriteHeader(http.StatusPreconditionFailed)
-		return
-	}
-	s.highest = instruction.Fence
-	if time.Now().Before(s.busyUntil) || instruction.Expected != nil && *instruction.Expected != s.sequence {
-		writer.WriteHeader(http.StatusConflict)
-		return
-	}
-	reference := instruction.Model
-	taking := s.loadTime
-	if instruction.Adapter != "" {
-		reference += "/" + instruction.Adapter
-		taking = 10 * time.Millisecond
-	}
-	s.sequence++
-	s.busyUntil = time.Now().Add(taking)
-	load := instruction.Operation == replica.OperationLoad
-	if load && instruction.Adapter == "" {
-		total := 0
-		for held := range s.models {
-			if !strings.Contains(held, "/") {
-				total++
-			}
-		}
-		s.overfull = s.overfull || total >= placesPerReplica
-	}
-	time.AfterFunc(taking, func() {
-		s.lock.Lock()
-		defer s.lock.Unlock()
-		s.models[reference] = true
-		if !load {
-			s.models.Drop(reference)
-		}
-	})
-	writer.WriteHeader(http.StatusAccepted)
-}
-
 func (s *standInReplica) serve(writer http.ResponseWriter, request *http.Request) {
 	attempt := request.Header.Get(replica.HeaderAttempt)
 	writer.Header().Set(replica.HeaderAttempt, attempt)
