Replica knowledge: a replica that stood still may carry out an order that was given up long ago

Cause: the fate of an order without an answer was taken for settled 3 s after its call, by the thought that a reset connection loses what was not read. Linux hands over what a process's kernel has received before it tells of the reset (measured with a stopped process, four ways, and by a test on a listener that accepts late): the order is carried out when the replica goes on.

Change: a doubtful order is dropped only by a report that shows a moment after the replica was seen to run, once the network can no longer hold the order; an idle replica is asked twice for that.

--- a/internal/controlplane/managedreplica.go
+++ b/internal/controlplane/managedreplica.go
@@ -49,7 +49,7 @@
 	busyPause = 250 * time.Millisecond
 	// refusedPause is how long a replica that rejects an instruction is left alone.
 	refusedPause = 4 * time.Second
-	// orderSettle is how long after its call was given up, and its connection reset, an order may still arrive.
+	// orderSettle is how long after its call was given up, and its connection reset, the network may still hold an order.
 	orderSettle = 3 * time.Second
 	// reportDistrust is how long reports that contradict an answer are taken for old ones.
 	reportDistrust = 2 * time.Second
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -104,7 +104,8 @@
 }
 
 // ResetOnClose makes connections that are reset when they are closed. What the network still
-// holds of a call that was given up is lost with that, and does not come late.
+// holds of a call that was given up is lost with that. What the receiver's kernel has got is not: a
+// process that stood still reads it when it goes on, however late.
 func ResetOnClose(dial DialFunction) DialFunction {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
--- /dev/null
+++ b/internal/peer/lateorder_linux_test.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A process that stands still accepts nothing, but its kernel does. What the kernel has received it hands over before it
+// tells of a reset, so a call that was given up can still be carried out, however long ago that was.
+func TestGivenACallGivenUpAndResetBeforeItsReceiverAcceptsThenItIsReadAllTheSame(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	dial := ResetOnClose(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	})
+	sent, err := dial(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = sent.Write([]byte("order"))
+	assert.NilError(t, err)
+	assert.NilError(t, sent.Close())
+	late, err := listener.Accept()
+	assert.NilError(t, err)
+	defer late.Close()
+	read, err := io.ReadAll(late)
+	assert.Equal(t, string(read), "order")
+	assert.ErrorContains(t, err, "reset")
+}
--- a/internal/replica/orders.go
+++ b/internal/replica/orders.go
@@ -65,8 +65,8 @@
 	return &Commander{client: peer.NewHTTPClient(commandTransport(network))}
 }
 
-// commandTransport makes connections that are reset when they are closed: what a replica hasn't read of a call that
-// was given up is dropped.
+// commandTransport makes connections that are reset when they are closed: what the network holds of a call that was
+// given up is dropped, but not what the replica's kernel has got.
 func commandTransport(network peer.Network) *http.Transport {
 	transport := peer.NewTransport(network, connectBound, silenceBound, reportsIdle)
 	dial := peer.ResetOnClose(transport.DialContext)
--- a/internal/replicastate/order.go
+++ b/internal/replicastate/order.go
@@ -48,13 +48,18 @@
 	Held     map[string]bool
 }
 
-// doubtfulOrder is an order whose fate is unknown. Until is when it can no longer arrive; only a report of a later moment
-// tells whether it has.
+// doubtfulOrder is an order whose fate is unknown. Until is when the network can no longer hold it. A replica that stands
+// still may even then find it in its sockets when it goes on, also once the connection was reset. So only a report tells
+// what became of it that shows a moment after the replica was seen to run: awake, zero before.
 type doubtfulOrder struct {
 	Order
 	until time.Time
+	awake time.Time
 }
 
+// settledBy tells whether a report of that moment tells what became of the order.
+func (o *doubtfulOrder) settledBy(shown time.Time) bool { return !o.awake.IsZero() && !shown.Before(o.awake) }
+
 // after is what a replica holds once the change is done. The set that was given is left alone.
 func after(held map[string]bool, change Change) map[string]bool {
 	next := maps.Clone(held)
--- a/internal/replicastate/replica.go
+++ b/internal/replicastate/replica.go
@@ -15,7 +15,7 @@
 	UnknownPause time.Duration
 	// RefusedPause is how long a replica that rejects an order is left alone.
 	RefusedPause time.Duration
-	// Settle is how long after the end of its call an order may still arrive.
+	// Settle is how long after the end of its call the network may hold an order.
 	Settle time.Duration
 	// ReportAge is how long before the question the moment may lie that a report shows.
 	ReportAge time.Duration
@@ -162,15 +162,22 @@
 	return open
 }
 
-// settleShown drops the doubtful orders whose fate a report shows that was asked for at a time: none of them can have
-// arrived after what it shows.
-func (r *Replica) settleShown(askedAt time.Time) {
+// settleShown drops the doubtful orders whose fate a report shows that was asked for at a time and came now.
+func (r *Replica) settleShown(askedAt, now time.Time) {
 	shown := askedAt.Add(-r.timings.ReportAge)
-	r.doubtful = slices.DeleteFunc(r.doubtful, func(order doubtfulOrder) bool { return !shown.Before(order.until) })
+	r.doubtful = slices.DeleteFunc(r.doubtful, func(order doubtfulOrder) bool { return order.settledBy(shown) })
+	for index := range r.doubtful {
+		order := &r.doubtful[index]
+		if order.awake.IsZero() && !askedAt.Before(order.until) {
+			order.awake = now
+		}
+	}
 }
 
-// settleDue tells whether a report that is asked for now would settle a doubtful order.
+// settleDue tells whether a report that is asked for now would bring the fate of a doubtful order nearer.
 func (r *Replica) settleDue(now time.Time) bool {
 	shown := now.Add(-r.timings.ReportAge)
-	return slices.ContainsFunc(r.mayArrive(), func(order doubtfulOrder) bool { return !shown.Before(order.until) })
+	return slices.ContainsFunc(r.mayArrive(), func(order doubtfulOrder) bool {
+		return order.awake.IsZero() && !now.Before(order.until) || order.settledBy(shown)
+	})
 }
--- a/internal/replicastate/report.go
+++ b/internal/replicastate/report.go
@@ -53,7 +53,7 @@
 	r.held = report.Held
 	r.reported = true
 	r.phase = Idle
-	r.settleShown(r.askedAt)
+	r.settleShown(r.askedAt, now)
 	return true
 }
 
--- a/internal/replicastate/simulation/network_test.go
+++ b/internal/replicastate/simulation/network_test.go
@@ -65,7 +65,6 @@
 	way := w.link(from, to)
 	life := to.life
 	deliver := func() {
-		order.late = one.ended
 		if one.ended && !w.mayArrive(one, to.life != life) {
 			return
 		}
@@ -73,11 +72,15 @@
 			from.after(fastRefusal, func() { finish(noAnswer) })
 			return
 		}
-		status := to.take(order)
-		if w.now.Before(way.answersUntil) {
-			return
-		}
-		from.after(w.between(quickest, slowest), func() { finish(status) })
+		order.released = order.released || w.now.Before(to.frozen)
+		to.whenAwake(func() {
+			order.late = one.ended
+			status := to.take(order)
+			if w.now.Before(way.answersUntil) {
+				return
+			}
+			from.after(w.between(quickest, slowest), func() { finish(status) })
+		})
 	}
 	w.after(w.between(quickest, slowest), func() {
 		if !w.now.Before(way.heldUntil) {
@@ -124,9 +127,11 @@
 			from.after(fastRefusal, func() { finish(noAnswer) })
 			return
 		}
-		shown := to.reportOf(w.between(0, longestLag))
-		report = &shown
-		from.after(w.answerTime(), func() { finish(http.StatusOK) })
+		to.whenAwake(func() {
+			shown := to.reportOf(w.between(0, longestLag))
+			report = &shown
+			from.after(w.answerTime(), func() { finish(http.StatusOK) })
+		})
 	})
 	from.after(callBound, func() { finish(noAnswer) })
 }
--- a/internal/replicastate/simulation/play_test.go
+++ b/internal/replicastate/simulation/play_test.go
@@ -92,11 +92,13 @@
 		w.cut(holder, server, next.pause)
 	case loseAnswers:
 		w.link(holder, server).answersUntil = w.now.Add(next.pause)
+	case freezeServer:
+		server.freeze(next.pause)
 	case restartSame:
 		w.restart(server, server.id, next.pause)
 	case restartOther:
 		w.restart(server, server.id+"'", next.pause)
-	case holdOrder, loseOrderAnswer, killOrdering, freezeOrdering, restartOrdered:
+	case holdOrder, loseOrderAnswer, killOrdering, freezeOrdering, restartOrdered, freezeOrdered:
 		w.aimed = append(w.aimed, next)
 	case configureOther:
 		w.configure(next.names)
@@ -120,6 +122,8 @@
 			w.after(w.between(0, slowest), func() { w.killFor(from, next.pause) })
 		case freezeOrdering:
 			w.after(w.between(0, slowest), func() { from.freeze(next.pause) })
+		case freezeOrdered:
+			to.freeze(next.pause)
 		case restartOrdered:
 			w.after(w.between(0, callBound), func() { w.restart(to, to.id, next.pause) })
 		}
--- a/internal/replicastate/simulation/schedule_test.go
+++ b/internal/replicastate/simulation/schedule_test.go
@@ -21,6 +21,7 @@
 	loseAnswers    troubleKind = "lose the holder's answers for"
 	restartSame    troubleKind = "restart under the same id, down for"
 	restartOther   troubleKind = "restart under another id, down for"
+	freezeServer   troubleKind = "freeze a replica for"
 	wantOthers     troubleKind = "other wants"
 	configureOther troubleKind = "another configuration"
 	rushedSeizure  troubleKind = "the store forgets, another daemon holds the lease too for"
@@ -29,6 +30,7 @@
 	loseOrderAnswer troubleKind = "lose the answer of the next order and others for"
 	killOrdering    troubleKind = "kill the sender of the next order, back after"
 	freezeOrdering  troubleKind = "freeze the sender of the next order for"
+	freezeOrdered   troubleKind = "freeze the receiver of the next order for"
 	restartOrdered  troubleKind = "restart the receiver of the next order under the same id, down for"
 )
 
@@ -66,8 +68,8 @@
 
 var ordinaryTroubles = []troubleKind{
 	wantOthers, wantOthers, wantOthers, killHolder, killAny, freezeHolder, freezeDeciding, cutStore, cutRequests, loseAnswers,
-	restartSame, restartOther, configureOther, holdOrder, holdOrder, holdOrder, loseOrderAnswer, loseOrderAnswer,
-	killOrdering, killOrdering, freezeOrdering, restartOrdered,
+	freezeServer, restartSame, restartOther, configureOther, holdOrder, holdOrder, holdOrder, loseOrderAnswer, loseOrderAnswer,
+	killOrdering, killOrdering, freezeOrdering, restartOrdered, freezeOrdered, freezeOrdered,
 }
 
 // longestCalms are bounds of the time between two troubles: some come close together, others once a holder has
@@ -111,6 +113,8 @@
 	killOrdering:    {20 * time.Millisecond, 3 * time.Second},
 	freezeOrdering:  {50 * time.Millisecond, 10 * time.Second},
 	restartOrdered:  {100 * time.Millisecond, 600 * time.Millisecond},
+	freezeServer:    {100 * time.Millisecond, 8 * time.Second},
+	freezeOrdered:   {100 * time.Millisecond, 8 * time.Second},
 	rushedSeizure:   {500 * time.Millisecond, 6 * time.Second},
 }
 
--- a/internal/replicastate/simulation/server_test.go
+++ b/internal/replicastate/simulation/server_test.go
@@ -50,6 +50,8 @@
 	former   string // id before the last change of it
 	changed  time.Time
 	down     bool
+	frozen   time.Time // until then it does nothing; what comes waits in its sockets
+	waiting  []func()
 	life     int
 	held     map[string]bool
 	disk     map[string]bool
@@ -131,7 +133,7 @@
 	life := s.life
 	s.world.after(s.timeFor(order.Change), func() {
 		if s.life == life {
-			s.finish(order.Change)
+			s.whenAwake(func() { s.finish(order.Change) })
 		}
 	})
 }
@@ -167,10 +169,44 @@
 	}
 }
 
+// freeze stops the server's process for a while. What reaches it meanwhile waits, also once its sender has reset the
+// connection: a kernel hands over what it has received before it tells of the reset.
+func (s *server) freeze(pause time.Duration) {
+	until := s.world.now.Add(pause)
+	if s.down || !until.After(s.frozen) {
+		return
+	}
+	s.frozen = until
+	s.world.after(pause, func() {
+		if s.world.now.Before(s.frozen) {
+			return
+		}
+		waiting := s.waiting
+		s.waiting = nil
+		for _, read := range waiting {
+			s.world.after(s.world.between(0, fastRefusal), read)
+		}
+	})
+}
+
+// whenAwake does something now, or when the process goes on; not if it ends before.
+func (s *server) whenAwake(run func()) {
+	if !s.world.now.Before(s.frozen) {
+		run()
+		return
+	}
+	life := s.life
+	s.waiting = append(s.waiting, func() {
+		if s.life == life {
+			run()
+		}
+	})
+}
+
 // restart ends the server's process and starts another after a while, under the same id or another.
 func (s *server) restart(id string, pause time.Duration) {
 	s.life++
-	s.down = true
+	s.down, s.frozen, s.waiting = true, time.Time{}, nil
 	if id != s.id {
 		s.former, s.changed = s.id, s.world.now
 		s.id = id
--- a/internal/replicastate/walkworld_test.go
+++ b/internal/replicastate/walkworld_test.go
@@ -172,6 +172,7 @@
 		change(one.Change)
 		number(one.Expected)
 		moment(one.until)
+		moment(one.awake)
 	}
 	for _, one := range w.messages {
 		change(one.order.Change)
