--- a/internal/replicastate/order.go
+++ b/internal/replicastate/order.go
@@ -58,7 +58,9 @@
 }
 
 // settledBy tells whether a report of that moment tells what became of the order.
-func (o *doubtfulOrder) settledBy(shown time.Time) bool { return !o.awake.IsZero() && !shown.Before(o.awake) }
+func (o *doubtfulOrder) settledBy(shown time.Time) bool {
+	return !o.awake.IsZero() && !shown.Before(o.awake)
+}
 
 // after is what a replica holds once the change is done. The set that was given is left alone.
 func after(held map[string]bool, change Change) map[string]bool {
