--- a/internal/place/adapterroom.go
+++ b/internal/place/adapterroom.go
@@ -16,7 +16,7 @@
 	victim, lowest := "", 0.0
 	for _, position := range p.holders[model] {
 		state := &p.servers[position]
-		if !state.idle() || p.hasAdapterRoom(state, model) || !p.adaptersTakeRoom(state, model) {
+		if !state.idle() || p.hasAdapterRoom(state, model) || !p.adaptersMakeWay(state, model, waited) {
 			continue
 		}
 		for _, number := range state.adapters {
@@ -37,19 +37,29 @@
 	return true
 }
 
-// adaptersTakeRoom reports whether a server without its adapters had room and a place for one of the model.
-func (p *planner) adaptersTakeRoom(state *serverState, model int) bool {
-	if state.places-len(state.adapters) >= p.runtime.AdapterCapacity {
-		return false
-	}
-	rest := state.used + p.adapterSize(model) - p.room
+// withoutExpendableAdapters is how much room and how many places would be taken at a server once all
+// adapters that may make way are gone.
+func (p *planner) withoutExpendableAdapters(state *serverState, waited bool) (used roomSize, places int) {
+	used, places = state.used, state.places
 	for _, number := range state.adapters {
-		if rest <= 0 {
-			break
+		if p.expendableAdapter(number, waited) {
+			used -= p.heldSize(state, number)
+			places--
 		}
-		rest -= p.heldSize(state, number)
 	}
-	return rest <= 0
+	return used, places
+}
+
+// adaptersMakeWay reports whether a server has room and a place for an adapter of the model then.
+func (p *planner) adaptersMakeWay(state *serverState, model int, waited bool) bool {
+	used, places := p.withoutExpendableAdapters(state, waited)
+	return used+p.adapterSize(model) <= p.room && places < p.runtime.AdapterCapacity
+}
+
+// mayHavePlace reports whether a server has a place for an adapter, or has one then.
+func (p *planner) mayHavePlace(state *serverState, waited bool) bool {
+	_, places := p.withoutExpendableAdapters(state, waited)
+	return places < p.runtime.AdapterCapacity
 }
 
 // expendableAdapter reports whether an adapter may make way for another one. One with a single copy goes
@@ -77,16 +87,16 @@
 
 // unloadForAdapter makes room for an adapter at one of the full holders of its model that have a place for
 // it, or can have one: where that costs least, the first victim goes. The intent marks that holder until the
-// unload is done, so that one at a time makes room.
-func (p *planner) unloadForAdapter(adapter int) {
+// unload is done, so that one at a time makes room. It reports whether one does.
+func (p *planner) unloadForAdapter(adapter int, waited bool) bool {
 	model := p.item(adapter).model
 	if p.intended[p.item(model).name] > 0 || model >= len(p.holders) {
-		return
+		return p.intended[p.item(model).name] > 0
 	}
 	best, victim, lowest := -1, -1, 0.0
 	for _, position := range p.holders[model] {
 		state := &p.servers[position]
-		if !state.free() || !p.mayHavePlace(state) {
+		if !state.free() || !p.mayHavePlace(state, waited) {
 			continue
 		}
 		first, cost, possible := p.adapterRoomCost(state, adapter)
@@ -95,7 +105,7 @@
 		}
 	}
 	if best < 0 {
-		return
+		return false
 	}
 	state, wanted := &p.servers[best], p.item(model).name
 	p.record(state, Action{
@@ -104,21 +114,26 @@
 		Why:    "makes way for " + p.item(adapter).name,
 	})
 	p.setIntent(state, wanted)
+	return true
 }
 
-// mayHavePlace reports whether a server has a place for an adapter, or has one once all its adapters that
-// may make way are gone.
-func (p *planner) mayHavePlace(state *serverState) bool {
-	places := state.places
-	for _, number := range state.adapters {
-		if places < p.runtime.AdapterCapacity {
-			break
+// copyForAdapter adds a copy of an adapter's model where none of those there are has room for the adapter,
+// now or once what may go has gone. Where only places are lacking, the adapters there take turns.
+func (p *planner) copyForAdapter(adapter int) {
+	model := p.item(adapter).model
+	if p.onItsWay(model) || model >= len(p.holders) {
+		return
+	}
+	for _, position := range p.holders[model] {
+		state := &p.servers[position]
+		if p.excess(state, adapter) <= 0 || p.adaptersMakeWay(state, model, true) {
+			return
 		}
-		if p.expendableAdapter(number, false) {
-			places--
+		if _, _, possible := p.adapterRoomCost(state, adapter); possible && p.mayHavePlace(state, true) {
+			return
 		}
 	}
-	return places < p.runtime.AdapterCapacity
+	p.addCopy(model, adapterCopyReason)
 }
 
 // adapterRoomCost is the first victim for an adapter at a server and what room for the adapter costs,
