--- a/internal/client/handler.go
+++ b/internal/client/handler.go
@@ -12,8 +12,6 @@
 	"ferryspar/internal/match"
 	"ferryspar/internal/record"
 	"ferryspar/internal/replica"
-
-	"github.com/sirupsen/logrus"
 )
 
 // Handler serves clients: it takes a request, has a replica chosen for it, forwards it and passes the answer on.
@@ -21,7 +19,7 @@
 	fleet     *atomic.Pointer[match.Fleet]
 	matcher   *match.Matcher
 	forwarder *replica.Forwarder
-	budget    *Budget
+	budgets   *Budgets
 	clock     func() time.Time
 	draw      func() float64
 	leaving   atomic.Bool
@@ -29,15 +27,21 @@
 
 	// Recorder, if set before the first request, writes down how each request went.
 	Recorder *record.Writer
+	// Currency, if set before the first request, tells how new the configuration is. Without it, it counts as the newest.
+	Currency Currency
+	// Quota, if set before the first request, may turn away requests of tenants beyond their limit.
+	Quota Quota
+	// Refusals counts what was answered with an error of this data plane's own.
+	Refusals Refusals
 }
 
 // NewHandler returns a handler that reads the fleet as it stands at each request. draw gives numbers from 0 to 1 for
 // the split of traffic over services.
 func NewHandler(
-	fleet *atomic.Pointer[match.Fleet], matcher *match.Matcher, forwarder *replica.Forwarder, budget *Budget,
+	fleet *atomic.Pointer[match.Fleet], matcher *match.Matcher, forwarder *replica.Forwarder, budgets *Budgets,
 	clock func() time.Time, draw func() float64,
 ) *Handler {
-	return &Handler{fleet: fleet, matcher: matcher, forwarder: forwarder, budget: budget, clock: clock, draw: draw}
+	return &Handler{fleet: fleet, matcher: matcher, forwarder: forwarder, budgets: budgets, clock: clock, draw: draw}
 }
 
 // Leave asks clients from now on to close their connections.
@@ -59,14 +63,18 @@
 		writer.Header().Set("Connection", "close")
 	}
 	taken, err := d.take(request, arrived)
+	if err == nil {
+		err = d.withinQuota(taken, d.clock())
+	}
 	if err != nil {
+		d.Refusals.count(apierror.Of(err).Kind)
 		if apierror.Of(err).Kind == apierror.LargeBody {
 			writer.Header().Set("Connection", "close")
 		}
 		apierror.Write(writer, err)
 		return
 	}
-	d.budget.Arrived(arrived)
+	d.budgets.Of(taken.request.Backend).Arrived(arrived)
 	ctx, cancel := context.WithDeadline(request.Context(), taken.request.Deadline)
 	defer cancel()
 	_ = http.NewResponseController(writer).SetWriteDeadline(taken.request.Deadline.Add(writeSlack))
@@ -97,47 +105,6 @@
 	failure       *apierror.Error
 }
 
-func (s *service) reason() string {
-	if s.failure == nil {
-		return ""
-	}
-	return s.failure.Error()
-}
-
-func (s *service) record() {
-	writer := s.handler.Recorder
-	if writer == nil {
-		return
-	}
-	request := s.parsedRequest.request
-	entry := record.Entry{
-		Kind: record.KindRequest, AtMs: writer.Milliseconds(request.Arrived), Attempt: request.Attempt,
-		Route: s.parsedRequest.route.Name, Backend: request.Backend, Model: request.Model,
-		Prefix: s.parsedRequest.job.Header.Get(replica.HeaderPrefix), Prompt: request.Prompt, Output: request.Output,
-		LeftMs: float64(request.Deadline.Sub(request.Arrived).Milliseconds()), Error: s.reason(),
-	}
-	if !s.firstAt.IsZero() {
-		entry.WaitedMs = float64(s.sentAt.Sub(request.Arrived).Milliseconds())
-		entry.FirstMs = float64(s.firstAt.Sub(request.Arrived).Milliseconds())
-		entry.TookMs = float64(s.lastAt.Sub(request.Arrived).Milliseconds())
-	}
-	writer.Write(entry)
-}
-
-func (s *service) explain() {
-	s.record()
-	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
-		return
-	}
-	arrived := s.parsedRequest.request.Arrived
-	logrus.WithFields(logrus.Fields{
-		"attempt": s.parsedRequest.request.Attempt, "route": s.parsedRequest.route.Name, "model": s.parsedRequest.request.Model,
-		"replica": s.chosen, "tries": s.sent, "prompt": s.parsedRequest.request.Prompt,
-		"waited_ms": s.sentAt.Sub(arrived).Milliseconds(), "first_ms": s.firstAt.Sub(arrived).Milliseconds(),
-		"took_ms": s.lastAt.Sub(arrived).Milliseconds(), "pause_ms": s.pause.Milliseconds(), "problem": s.reason(),
-	}).Debug("request ended")
-}
-
 var outcomes = map[replica.Verdict]match.Outcome{
 	replica.VerdictFull:      match.OutcomeFull,
 	replica.VerdictMissing:   match.OutcomeMissing,
@@ -158,7 +125,12 @@
 			s.fail(command.Error)
 			return
 		}
-		if s.sent > 0 && !s.handler.budget.Take(s.handler.clock(), s.handler.fleet.Load().Edges) {
+		if refusal := s.readmit(); refusal != nil {
+			s.handler.matcher.Report(command.Ticket, match.OutcomeCancelled)
+			s.fail(refusal)
+			return
+		}
+		if s.sent > 0 && !s.handler.budgets.Of(request.Backend).Take(s.handler.clock(), s.handler.fleet.Load().Edges) {
 			s.handler.matcher.Report(command.Ticket, match.OutcomeCancelled)
 			s.fail(apierror.Later(apierror.NotExecuted, 100*time.Millisecond))
 			return
@@ -243,8 +215,9 @@
 	if s.headed {
 		panic(http.ErrAbortHandler)
 	}
-	if s.ran && failure.Kind.Status() == http.StatusServiceUnavailable {
+	if s.ran && failure.Kind.NeverRan() {
 		failure = apierror.New(apierror.ReplicaFailed, "")
 	}
+	s.handler.Refusals.count(failure.Kind)
 	apierror.Write(s.writer, failure)
 }
--- a/internal/controlplane/instructionanswers.go
+++ b/internal/controlplane/instructionanswers.go
@@ -5,10 +5,12 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/replica"
 	"ferryspar/internal/replicastate"
 )
 
@@ -23,8 +25,11 @@
 	http.StatusMisdirectedRequest: replicastate.Rejected,
 }
 
-// outcomeOf is what the end of an order's call says; an error says nothing.
+// outcomeOf is what the end of an order's call says; an error says nothing, unless it is that nothing was sent.
 func outcomeOf(status int, err error) replicastate.Outcome {
+	if errors.Is(err, replica.ErrNotSent) {
+		return replicastate.Unreached
+	}
 	outcome, known := outcomes[status]
 	if err != nil || !known {
 		return replicastate.NoAnswer
@@ -37,8 +42,11 @@
 	w.stirred = true
 	now := w.daemon.clock()
 	w.logOrder(one, order, status, err)
-	one.state.Answer(order, outcomeOf(status, err), now)
+	outcome := outcomeOf(status, err)
+	w.noteLoad(one, outcome, now)
+	one.state.Answer(order, outcome, now)
 	if one.state.Phase() == replicastate.Changing {
+		one.began = now
 		one.state.ExpectDone(now.Add(w.expectedTime(one)))
 		return
 	}
@@ -48,6 +56,22 @@
 	}
 }
 
+// noteLoad counts a load from the store from its acceptance on, and takes it back where the replica refused it or nothing
+// was sent. Without a clear answer it goes on counting as one that may begin. Answers that belong to an earlier grant
+// change nothing: the budget counts their loads as begun.
+func (w *Scheduler) noteLoad(one *managedReplica, outcome replicastate.Outcome, now time.Time) {
+	if one.pending == nil || !fromStore(*one.pending) || w.managed[one.listed.ID] != one {
+		return
+	}
+	switch outcome {
+	case replicastate.NoAnswer:
+	case replicastate.Accepted:
+		w.loadsBegun(one.listed.ID, now)
+	default:
+		w.loadRefused(*one.pending)
+	}
+}
+
 // expectedTime is how long the order that a replica has accepted should take.
 func (w *Scheduler) expectedTime(one *managedReplica) time.Duration {
 	action := one.pending
--- a/internal/controlplane/managed.go
+++ b/internal/controlplane/managed.go
@@ -39,26 +39,39 @@
 	}
 	sort.Strings(w.order)
 	w.order = slices.Compact(w.order)
-	for id := range w.managed {
-		if !present[id] {
-			delete(w.managed, id)
-			w.unshown = true
-		}
+	for id, one := range w.managed {
+		w.noteAbsence(id, one, present[id], now)
 	}
 	if len(listed) > 0 {
 		w.followed = &listed[0]
 	}
 }
 
-// rememberListed notes that a listed replica's address holds its models, if any is new. Any
+// noteAbsence lets a replica go that the list has left out for long. For a while it is kept: its order and what is known
+// of it belong to it still if a later list shows it again.
+func (w *Scheduler) noteAbsence(id string, one *managedReplica, present bool, now time.Time) {
+	if present {
+		one.absentSince = time.Time{}
+		return
+	}
+	if one.absentSince.IsZero() {
+		one.absentSince = now
+	}
+	if now.Sub(one.absentSince) >= absenceKept {
+		delete(w.managed, id)
+		w.unshown = true
+	}
+}
+
+// rememberListed notes that a listed replica's disk holds its models, if any is new. Any
 // goroutine may call it.
 func (w *Scheduler) rememberListed(listed platform.Replica) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	known := w.heldOnce[listed.Address]
+	known := w.heldOnce[diskOf(listed)]
 	for _, one := range listed.Models {
 		if !known[one.Name] {
-			w.remember(listed.Address, references(listed.Models))
+			w.remember(listed, references(listed.Models))
 			return
 		}
 	}
@@ -112,10 +125,11 @@
 	return list
 }
 
-// remember adds models to those that an address once held, so that its disk may have them; the set
+// remember adds models to those that a replica once held, so that its disk may have them; the set
 // is replaced, never changed, because planner inputs keep it. The caller holds the lock.
-func (w *Scheduler) remember(address string, models map[string]bool) {
-	known := w.heldOnce[address]
+func (w *Scheduler) remember(listed platform.Replica, models map[string]bool) {
+	disk := diskOf(listed)
+	known := w.heldOnce[disk]
 	var next map[string]bool
 	for reference := range models {
 		if known[reference] || strings.Contains(reference, "/") {
@@ -125,7 +139,7 @@
 			if next = maps.Clone(known); next == nil {
 				next = map[string]bool{}
 			}
-			w.heldOnce[address] = next
+			w.heldOnce[disk] = next
 		}
 		next[reference] = true
 	}
@@ -148,7 +162,7 @@
 			Lost:     w.tally.Suspected(id),
 			Models:   one.state.SurelyHeld(),
 			MayHold:  one.state.MayHold(),
-			Held:     w.heldOnce[one.listed.Address],
+			Held:     w.heldOnce[diskOf(one.listed)],
 			Intent:   one.intent,
 			Ready:    one.state.Ready(now),
 		})
--- a/internal/controlplane/managedreplica.go
+++ b/internal/controlplane/managedreplica.go
@@ -15,12 +15,16 @@
 	state  *replicastate.Replica
 	// pending is the planner's action behind the order that is under way, if there is one.
 	pending *place.Action
+	// began is when that order was decided or, once it is accepted, when that was heard.
+	began time.Time
 	// overlayAt is when the replica's last report was adopted.
 	overlayAt time.Time
 	// matched is set once the platform's list was seen to show what the replica reported; contradicted is since when it
 	// has shown something else.
 	matched      bool
 	contradicted time.Time
+	// absentSince is since when the platform's list has left the replica out.
+	absentSince time.Time
 	// intent is the planner's own note for its next run.
 	intent string
 	// barred holds "replica reference" pairs that data planes must not use.
@@ -51,6 +55,8 @@
 	refusedPause = 4 * time.Second
 	// orderSettle is how long after its call was given up, and its connection reset, the network may still hold an order.
 	orderSettle = 3 * time.Second
+	// absenceKept is how long a replica is remembered that the platform's list leaves out.
+	absenceKept = 5 * time.Second
 	// reportDistrust is how long reports that contradict an answer are taken for old ones.
 	reportDistrust = 2 * time.Second
 	// reportAge is how long before the question the moment may lie that a report shows. Reports are asked for so long
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -11,6 +11,7 @@
 	"ferryspar/internal/event"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/membership"
+	"ferryspar/internal/operator"
 	"ferryspar/internal/peer"
 )
 
@@ -79,6 +80,7 @@
 			return
 		case <-ticker.C:
 		}
+		d.completeFounding(ctx)
 		now := d.clock()
 		if now.Sub(d.started) < membersSettle || !d.acceptor.Self().Voting || !d.publisher.Read().Fresh(now) {
 			due = dueChange{}
@@ -114,6 +116,7 @@
 	logrus.WithFields(logrus.Fields{
 		"why": change.Reason, "present": change.Members.Present, "next": change.Members.Next, "number": change.Members.Number,
 	}).Info("members change committed")
+	d.membersChange.Store(&operator.MembersChange{Number: change.Members.Number, Reason: change.Reason})
 	d.apply(slot)
 	_ = d.bus.Publish(event.Committed, peer.KeyUpdate{Slot: slot.Bare()})
 }
--- a/internal/controlplane/planning.go
+++ b/internal/controlplane/planning.go
@@ -36,7 +36,7 @@
 	if table == nil || snapshot.RosterAt.IsZero() || now.Sub(snapshot.RosterAt) > 3*time.Second {
 		return
 	}
-	listed, readAt := w.daemon.roster.read()
+	listed, readAt := w.daemon.roster.held()
 	w.adoptList(listed, readAt)
 	for _, id := range w.duePolls(table, now) {
 		w.pollReport(ctx, id)
@@ -65,6 +65,7 @@
 		Table:   table,
 		Catalog: w.currentCatalog(table),
 		Demand:  w.demand,
+		Sizes:   w.sizes,
 		Loading: map[string]int{},
 		Drained: map[string]bool{},
 		Tokens:  w.loadTokens(now, table),
--- a/internal/controlplane/scheduler.go
+++ b/internal/controlplane/scheduler.go
@@ -40,8 +40,10 @@
 	results   chan func()
 	managed   map[string]*managedReplica
 	// grant is the one that managed was learned under.
-	grant     *lease.Grant
-	loads     []time.Time
+	grant *lease.Grant
+	// sizes are those that models had in earlier configurations under the grant.
+	sizes     *place.SizeBook
+	store     storeBudget
 	table     *configuration.Table
 	lastRate  time.Time
 	heardFrom time.Time
@@ -60,9 +62,9 @@
 			Key: placementLease, Holder: daemon.settings.NodeName, Address: daemon.self, Length: daemon.leaseLength(),
 			Settle: nodesettings.Milliseconds(bounds.LeaseMs) + 100*time.Millisecond, Store: daemon.store, Clock: daemon.clock,
 		},
-		released: make(chan struct{}), commander: replica.NewCommander(daemon.network),
+		store: newStoreBudget(), released: make(chan struct{}), commander: replica.NewCommander(daemon.network),
 		demand: map[string]*place.Demand{}, counted: map[string]float64{}, reading: map[string]float64{}, heldOnce: map[string]map[string]bool{},
-		nudge: make(chan struct{}, 1), results: make(chan func(), 64), managed: map[string]*managedReplica{}, overlays: map[string]overlay{}, eviction: newContextEviction(), feed: feed{tally: NewTally()}, lastRate: daemon.clock(),
+		nudge: make(chan struct{}, 1), results: make(chan func(), 64), managed: map[string]*managedReplica{}, overlays: map[string]overlay{}, eviction: newContextEviction(), sizes: place.NewSizeBook(), feed: feed{tally: NewTally()}, lastRate: daemon.clock(),
 	}
 }
 
@@ -81,6 +83,7 @@
 // Run keeps or seeks the lease, and plans while it is held, until the context ends.
 func (w *Scheduler) Run(ctx context.Context) {
 	go w.keepLease(ctx)
+	go w.writeReservations(ctx)
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
 	for {
@@ -113,6 +116,7 @@
 		return
 	}
 	w.grant = grant
+	w.sizes = place.NewSizeBook()
 	w.followed = nil
 	if len(w.managed) > 0 {
 		w.managed = map[string]*managedReplica{}
@@ -137,6 +141,8 @@
 		case <-w.daemon.leaving:
 			w.release(ctx)
 			return
+		case stuck := <-w.store.stuck:
+			w.takeAnew(ctx, stuck)
 		case <-ticker.C:
 		}
 		if hold := w.hold.Load(); hold != nil {
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -7,11 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"ferryspar/internal/apierror"
 	"ferryspar/internal/client"
 	"ferryspar/internal/match"
 	"ferryspar/internal/nodesettings"
@@ -44,8 +42,9 @@
 func New(settings nodesettings.Settings, path string, network peer.Network) *Daemon {
 	daemon := &Daemon{settings: settings, path: path, network: network, peers: peer.NewClient(network)}
 	bounds := settings.TimingBounds
+	began := lifeBegan(settings)
 	parameters := match.DefaultParameters()
-	parameters.Daemon = settings.NodeName
+	parameters.Daemon, parameters.LifeBegan = settings.NodeName, began
 	parameters.ColdOverage = bounds.ColdOverage
 	parameters.ColdSlack = bounds.ColdSlack
 	daemon.fleet.Store(&match.Fleet{})
@@ -60,10 +59,12 @@
 	silence := nodesettings.Milliseconds(bounds.ContactMs)
 	daemon.forwarder = replica.NewForwarder(network, time.Now, connectBound, silence)
 	daemon.matcher.OnDistrust = daemon.forwarder.CloseIdle
-	period := nodesettings.Seconds(bounds.BudgetPeriodS)
-	budget := client.NewBudget(period, bounds.RetryBudgetRatio, bounds.RetryBudgetSlack)
-	budget.Daemon = settings.NodeName
-	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
+	budgets := &client.Budgets{
+		Daemon: settings.NodeName, Since: began, Period: nodesettings.Seconds(bounds.BudgetPeriodS),
+		Ratio: bounds.RetryBudgetRatio, Slack: bounds.RetryBudgetSlack,
+	}
+	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budgets, time.Now, rand.Float64)
+	daemon.handler.Currency = daemon.state.currency
 	return daemon
 }
 
@@ -166,23 +167,6 @@
 	return nodesettings.Milliseconds(limits.HeaderTimeoutMs), nodesettings.Milliseconds(limits.IdleTimeoutMs)
 }
 
-// readinessRoutes answers whether this daemon may be sent requests.
-func (d *Daemon) readinessRoutes() http.Handler {
-	router := chi.NewRouter()
-	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
-		if d.leaving.Load() {
-			apierror.Write(writer, apierror.New(apierror.Leaving, ""))
-			return
-		}
-		if !d.state.Ready() {
-			apierror.Write(writer, apierror.New(apierror.NoConfiguration, ""))
-			return
-		}
-		writer.WriteHeader(http.StatusOK)
-	})
-	return router
-}
-
 const (
 	// noticeTime is how long clients are given to be routed elsewhere before the server closes.
 	noticeTime = 2300 * time.Millisecond
--- a/internal/explore/rounds.go
+++ b/internal/explore/rounds.go
@@ -31,11 +31,22 @@
 }
 
 func (p *proposer) startCatchUp(at view) (*proposer, outcome, bool) {
-	if at.own == nil || at.own.self.Voting || !p.Members.Has(p.Machine) {
+	asked := p.catchUpFrom()
+	if at.own == nil || at.own.self.Voting || !asked.Has(p.Machine) {
 		return nil, outcome{}, false
 	}
-	asked := keystore.Message{Operation: keystore.OperationCatchUp, Incarnation: at.own.self.Incarnation}
-	return p, outcome{packets: p.ask(phaseAsking, asked)}, true
+	message := keystore.Message{Operation: keystore.OperationCatchUp, Incarnation: at.own.self.Incarnation}
+	packets := p.askFrom(asked, phaseAsking, message)
+	p.AskedUnder, p.Known = p.Members.Number, keystore.KnownIncarnations(at.own.Durable)
+	return p, outcome{packets: packets}, true
+}
+
+// catchUpFrom is the list known or, while there is none, that of the founders.
+func (p *proposer) catchUpFrom() keystore.Members {
+	if p.Members.Number == 0 {
+		return p.founding
+	}
+	return p.Members
 }
 
 func (p *proposer) startOwned(at view) (*proposer, outcome, bool) {
@@ -78,7 +89,9 @@
 // relevant leaves out what the round does not look at, so that replies that differ only there
 // make one state.
 func (p *proposer) relevant(reply keystore.Reply) keystore.Reply {
-	reply.Members = keystore.Members{}
+	if p.task().Kind != taskCatchUp {
+		reply.Members = keystore.Members{}
+	}
 	reply.Slot.Promised = keystore.Ballot{}
 	if p.Phase != phasePromising || !reply.Granted {
 		reply.Slot = keystore.Slot{}
--- a/internal/replicastate/answer_test.go
+++ b/internal/replicastate/answer_test.go
@@ -120,8 +120,35 @@
 	}
 }
 
+func TestGivenAReplicaThatWasNotReachedThenItIsAskedAgainAndTheOrderCountsNoMore(t *testing.T) {
+	one := idle(t, 4, "a")
+	ended(t, one, load("b"), Unreached, at(1))
+	assert.Assert(t, !one.Known() && !one.MayBegin())
+	assert.Assert(t, !one.AskDue(at(1.2)) && one.AskDue(at(1.25)))
+	checkBounds(t, one, set("a"), nil)
+	tell(t, one, true, Report{Sequence: 4, Held: set("a")}, at(1.25))
+	assert.Assert(t, one.Ready(at(1.25)))
+}
+
+func TestGivenAnOrderThenItMayBeginUntilItIsAnsweredOrItsFateIsKnown(t *testing.T) {
+	one := idle(t, 4, "a")
+	assert.Assert(t, !one.MayBegin())
+	order := decide(t, one, load("b"), at(1))
+	assert.Assert(t, one.MayBegin())
+	one.Answer(order, Accepted, at(1))
+	assert.Assert(t, !one.MayBegin())
+	assert.Assert(t, one.CarriesOut(Report{Sequence: 5, Busy: true}))
+	assert.Assert(t, !one.CarriesOut(Report{Sequence: 4, Busy: true}), "another order, or an old report")
+	assert.Assert(t, !one.CarriesOut(Report{Sequence: 5}))
+	tell(t, one, true, Report{Sequence: 5, Held: set("a", "b")}, at(2))
+	ended(t, one, load("c"), NoAnswer, at(3))
+	assert.Assert(t, one.MayBegin())
+	tell(t, one, true, Report{Sequence: 6, Held: set("a", "b", "c")}, at(4.5))
+	assert.Assert(t, !one.MayBegin())
+}
+
 func TestGivenAnOrderOfAnEarlierDecisionWhenItsAnswerComesLateThenNothingChanges(t *testing.T) {
-	for _, outcome := range []Outcome{NotSent, Accepted, AlreadyDone, Conflict, Fenced, Rejected, NoAnswer} {
+	for _, outcome := range []Outcome{NotSent, Accepted, AlreadyDone, Conflict, Fenced, Rejected, Unreached, NoAnswer} {
 		one := idle(t, 4, "a")
 		earlier := ended(t, one, load("b"), Accepted, at(1))
 		tell(t, one, true, Report{Sequence: 5, Held: set("a", "b")}, at(2))
--- a/internal/replicastate/simulation/daemon_test.go
+++ b/internal/replicastate/simulation/daemon_test.go
@@ -37,6 +37,7 @@
 	keeper        *lease.Lease
 	hold          *lease.Grant
 	grant         *lease.Grant
+	written       uint64 // fence of the grant whose record was written to since it settled
 	table         *configuration.Table
 	sizes         *place.SizeBook
 	known         map[string]*knownReplica
@@ -64,7 +65,7 @@
 	d.life++
 	d.alive, d.frozen, d.deferred = true, false, nil
 	d.started, d.heardAt = d.world.now, time.Time{}
-	d.keeper, d.hold, d.grant = d.newKeeper(), nil, nil
+	d.keeper, d.hold, d.grant, d.written = d.newKeeper(), nil, nil, 0
 	d.known, d.calls = map[string]*knownReplica{}, nil
 	d.table = d.world.table
 	d.after(d.world.between(0, mostPatience), d.keepLease)
--- a/internal/replicastate/simulation/known_test.go
+++ b/internal/replicastate/simulation/known_test.go
@@ -138,6 +138,7 @@
 
 func outcomeOf(status int) replicastate.Outcome {
 	outcomes := map[int]replicastate.Outcome{
+		unreached:                     replicastate.Unreached,
 		http.StatusAccepted:           replicastate.Accepted,
 		http.StatusOK:                 replicastate.AlreadyDone,
 		http.StatusConflict:           replicastate.Conflict,
--- a/internal/replicastate/simulation/lease_test.go
+++ b/internal/replicastate/simulation/lease_test.go
@@ -56,11 +56,29 @@
 	return keystore.Slot{Value: kept.value}, nil
 }
 
+// owned tells whether the lease is still this life's.
+func (c registerClient) owned() bool {
+	kept := c.daemon.world.register
+	return kept.owner == c.daemon && kept.life == c.life || c.daemon.world.now.Before(kept.split)
+}
+
+// Rewrite writes the record again.
+func (c registerClient) Rewrite(_ context.Context, _ string, decide keystore.Decide) error {
+	if c.daemon.storeCut() || !c.owned() {
+		return errUnreachable
+	}
+	kept := c.daemon.world.register
+	value, err := decide(keystore.Slot{Value: kept.value})
+	if err == nil {
+		kept.value = value
+	}
+	return err
+}
+
 // Renew tells whether the lease is still this life's.
 func (c registerClient) Renew(context.Context, string) error {
 	kept := c.daemon.world.register
-	owned := kept.owner == c.daemon && kept.life == c.life || c.daemon.world.now.Before(kept.split)
-	if c.daemon.storeCut() || !owned {
+	if c.daemon.storeCut() || !c.owned() {
 		return errUnreachable
 	}
 	kept.until = c.daemon.world.now.Add(grantLength)
@@ -75,12 +93,13 @@
 // newKeeper makes the lease of one life of a daemon.
 func (d *daemon) newKeeper() *lease.Lease {
 	return &lease.Lease{
-		Key:    "placement",
-		Holder: d.name,
-		Length: grantLength,
-		Settle: grantSettle,
-		Store:  registerClient{d, d.life},
-		Clock:  func() time.Time { return d.world.now },
+		Key:     "placement",
+		Holder:  d.name,
+		Address: d.name,
+		Length:  grantLength,
+		Settle:  grantSettle,
+		Store:   registerClient{d, d.life},
+		Clock:   func() time.Time { return d.world.now },
 	}
 }
 
@@ -89,6 +108,7 @@
 	d.after(renewEvery, d.keepLease)
 	if d.hold != nil {
 		d.hold = d.keeper.Renew(context.Background(), d.hold)
+		d.noteSettled()
 		d.spreadHolder()
 		return
 	}
@@ -100,6 +120,17 @@
 	}
 }
 
+// noteSettled writes to the record once the lease of the holder before has surely run out, as the scheduler does with its
+// reservation of loads.
+func (d *daemon) noteSettled() {
+	if d.hold == nil || d.written == d.hold.Record.Fence || d.world.now.Before(d.hold.ActsFrom) {
+		return
+	}
+	if d.keeper.Reserve(context.Background(), d.hold, 0) == nil {
+		d.written = d.hold.Record.Fence
+	}
+}
+
 // spreadHolder has the other daemons hear of the holder.
 func (d *daemon) spreadHolder() {
 	if d.hold == nil || d.storeCut() {
--- a/internal/replicastate/simulation/network_test.go
+++ b/internal/replicastate/simulation/network_test.go
@@ -12,6 +12,7 @@
 	quickest     = time.Millisecond
 	slowest      = 30 * time.Millisecond
 	noAnswer     = -1
+	unreached    = -2
 	fastRefusal  = 5 * time.Millisecond
 	doubledAfter = 2 * time.Second
 )
@@ -56,7 +57,7 @@
 	})
 }
 
-// send carries an order to a server; done gets the status, noAnswer for none. Held up, it still arrives when the cut
+// send carries an order to a server; done gets the status, noAnswer for none or unreached. Held up, it still arrives when the cut
 // ends, also after its call was given up, unless that is longer ago than the bounds of the play allow.
 func (w *world) send(from *daemon, to *server, order instruction, done func(status int)) {
 	one := &call{}
@@ -69,7 +70,7 @@
 			return
 		}
 		if to.down {
-			from.after(fastRefusal, func() { finish(noAnswer) })
+			from.after(fastRefusal, func() { finish(unreached) })
 			return
 		}
 		order.released = order.released || w.now.Before(to.frozen)
--- a/internal/replicastate/simulation/play_test.go
+++ b/internal/replicastate/simulation/play_test.go
@@ -148,7 +148,7 @@
 	}
 	var last lease.Record
 	_ = json.Unmarshal(w.register.value, &last)
-	record := lease.Record{Holder: one.name, Fence: last.Fence + 1}
+	record := lease.Record{Holder: one.name, Address: one.name, Fence: last.Fence + 1}
 	w.register.value, _ = json.Marshal(record)
 	w.register.split = w.now.Add(pause)
 	w.register.holder, w.register.owner, w.register.life = one.name, one, one.life
--- a/internal/story/fleet_test.go
+++ b/internal/story/fleet_test.go
@@ -20,7 +20,6 @@
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
-	"ferryspar/internal/platform"
 	"ferryspar/internal/replica"
 )
 
@@ -44,8 +43,12 @@
 	folders  map[string]keystore.Folder
 	client   *http.Client
 	listed   int
+	listTook time.Duration
+	pageSize int
+	paged    func(from int)
 	losses   int
 	cores    int
+	adjust   func(settings *nodesettings.Settings)
 }
 
 var zones = map[string]string{"north": "land", "south": "land", "east": "land", "abroad": "far"}
@@ -120,12 +123,10 @@
 	f.lock.Lock()
 	replicas := append([]*standInReplica(nil), f.replicas...)
 	f.listed++
+	took := f.listTook
 	f.lock.Unlock()
-	page := platform.Page{Instances: []platform.Replica{}}
-	for _, one := range replicas {
-		page.Instances = append(page.Instances, one.entry())
-	}
-	_ = json.NewEncoder(writer).Encode(page)
+	time.Sleep(took)
+	_ = json.NewEncoder(writer).Encode(f.pageOf(replicas, request.URL.Query().Get("pageToken")))
 }
 
 func (f *fleet) settings(host string, bootstrap bool, seeds ...int) nodesettings.Settings {
@@ -145,6 +146,9 @@
 	settings.BindAddresses = nodesettings.BindAddresses{DataPlane: host + ":8161", Readiness: host + ":8167", ControlPlane: host + ":8166"}
 	settings.CloudAPI = nodesettings.CloudAPI{Address: "10.200.0.1:80", RatePerS: 40, MaxLagMs: 100}
 	settings.TimingBounds.RetryBudgetRatio, settings.TimingBounds.RetryBudgetSlack = 0.2, 50
+	if f.adjust != nil {
+		f.adjust(&settings)
+	}
 	return settings
 }
 
@@ -190,12 +194,6 @@
 	f.network.breakOff(host)
 }
 
-func (f *fleet) wipe(host string) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	f.folders[host] = &memoryFolder{files: map[string][]byte{}}
-}
-
 type reply struct {
 	status int
 	body   string
--- a/internal/story/replica_orders_test.go
+++ b/internal/story/replica_orders_test.go
@@ -129,6 +129,9 @@
 		return http.StatusOK
 	}
 	s.overfull = s.overfull || beyond
+	if instruction.load() && instruction.Adapter == "" {
+		s.countStoreLoad(instruction.Model)
+	}
 	s.begin(instruction)
 	return http.StatusAccepted
 }
--- a/internal/story/replica_test.go
+++ b/internal/story/replica_test.go
@@ -17,6 +17,7 @@
 	lastEvent string
 	path      string
 	at        time.Time
+	header    http.Header
 }
 
 type standInReplica struct {
@@ -35,7 +36,12 @@
 	fails     string
 	failEvery int
 	probed    int
+	coldUntil time.Time
 	healthy   bool
+
+	// disk are the models that were loaded before, storeLoads the beginnings of loads of others.
+	disk       map[string]bool
+	storeLoads []time.Time
 }
 
 var failings = map[string]func(writer http.ResponseWriter, request *http.Request){
@@ -85,11 +91,18 @@
 	}
 }
 
+func (s *standInReplica) cool(until time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.coldUntil = until
+}
+
 func (s *standInReplica) entry() platform.Replica {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	listed := s.listed
 	listed.Models = s.models.List()
+	listed.ColdRemainingMs = max(listed.ColdRemainingMs, float64(time.Until(s.coldUntil).Milliseconds()))
 	return listed
 }
 
@@ -119,6 +132,17 @@
 	s.serve(writer, request)
 }
 
+// countStoreLoad notes a load of a model that the disk doesn't have. The caller holds the lock.
+func (s *standInReplica) countStoreLoad(model string) {
+	if s.disk == nil {
+		s.disk = map[string]bool{}
+	}
+	if !s.disk[model] && !s.models[model] {
+		s.storeLoads = append(s.storeLoads, time.Now())
+	}
+	s.disk[model] = true
+}
+
 func (s *standInReplica) serve(writer http.ResponseWriter, request *http.Request) {
 	attempt := request.Header.Get(replica.HeaderAttempt)
 	writer.Header().Set(replica.HeaderAttempt, attempt)
@@ -136,7 +160,7 @@
 	}
 	from := 0
 	_, _ = fmt.Sscanf(request.Header.Get(replica.HeaderLastEvent), "%d", &from)
-	s.runs = append(s.runs, arrival{attempt, request.Header.Get(replica.HeaderLastEvent), request.RequestURI, time.Now()})
+	s.runs = append(s.runs, arrival{attempt, request.Header.Get(replica.HeaderLastEvent), request.RequestURI, time.Now(), request.Header.Clone()})
 	cutAfter, events, slow := s.cutAfter, s.events, s.slow
 	fail := failings[s.fails]
 	failing := fail != nil && len(s.runs)%max(s.failEvery, 1) == 0
