Scheduler: a grant that seems over keeps what was learned under it until another is held

Cause: a renewal that begins before a grant's end and succeeds after it saves the grant. The loop had seen it over and forgotten orders under way and of unknown fate; under the same grant, old reports were believed at once.

Ruled out: trusting reports only later then (does not bring back orders of unknown fate).

Change: nothing is forgotten while no grant is held; what is shown to data planes is taken back as before.

Measured: TestGivenAGrantThatSeemsOver... fails on the code before.

--- a/internal/controlplane/managed.go
+++ b/internal/controlplane/managed.go
@@ -104,6 +104,20 @@
 	_ = w.daemon.bus.Publish(event.Placement, len(w.managed))
 }
 
+// hideOverlays takes back what showOverlays has given: another daemon may know better.
+func (w *Scheduler) hideOverlays() {
+	w.lock.Lock()
+	shown := len(w.overlays) > 0
+	clear(w.overlays)
+	w.lock.Unlock()
+	if !shown {
+		return
+	}
+	w.unshown = true
+	w.daemon.publishRoster()
+	_ = w.daemon.bus.Publish(event.Placement, 0)
+}
+
 // heldModels lists a set of references as the platform's list does, ordered by name.
 func heldModels(models map[string]bool) []platform.Held {
 	adapters := map[string][]string{}
--- a/internal/controlplane/managedreplica_test.go
+++ b/internal/controlplane/managedreplica_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ferryspar/internal/event"
 	"ferryspar/internal/lease"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/place"
@@ -69,3 +70,23 @@
 		assert.Assert(t, w.managed["r"].state.AskDue(now.Add(reportAge)))
 	}
 }
+
+func TestGivenAGrantThatSeemsOverWhenItIsRenewedAfterAllThenItsOrdersAreStillKnown(t *testing.T) {
+	now := partsNow
+	w, _ := placingScheduler(&now, 1)
+	one := w.managed["r"]
+	assert.Assert(t, one.state.Reported(replicastate.Report{Held: map[string]bool{"m": true}}, now))
+	order, decided := one.state.Decide(replicastate.Change{Load: true, Reference: "n"}, now)
+	assert.Assert(t, decided)
+	w.daemon.scheduler, w.daemon.bus = w, event.NewBus()
+	renewed := *w.grant
+	now = w.grant.Until
+	w.adoptGrant(w.grant)
+	w.adoptGrant(nil)
+	one.state.Answer(order, replicastate.NoAnswer, now)
+	renewed.Until = now.Add(time.Second)
+	w.adoptGrant(&renewed)
+	assert.Equal(t, w.managed["r"], one)
+	assert.Assert(t, w.managed["r"].state.MayHold()["n"])
+	assert.Equal(t, w.grant.Until, renewed.Until)
+}
--- a/internal/controlplane/scheduler.go
+++ b/internal/controlplane/scheduler.go
@@ -106,10 +106,12 @@
 }
 
 // adoptGrant forgets all that is known of replicas unless it was learned under this very grant: under any other, someone
-// else may have ordered there since, even if this daemon held the lease before and holds it now.
+// else may have ordered there since, even if this daemon held the lease before and holds it now. While none is held
+// nothing is forgotten: a renewal under way may save the grant, and its orders of unknown fate still count then.
 func (w *Scheduler) adoptGrant(grant *lease.Grant) {
-	if grant != nil && !w.daemon.clock().Before(grant.Until) {
-		grant = nil
+	if grant == nil || !w.daemon.clock().Before(grant.Until) {
+		w.hideOverlays()
+		return
 	}
 	if w.grant.SameAs(grant) {
 		w.grant = grant
