--- a/internal/replicastate/simulation/daemon_test.go
+++ b/internal/replicastate/simulation/daemon_test.go
@@ -121,26 +121,25 @@
 func (d *daemon) run() {
 	d.after(planEvery, d.run)
 	d.adoptGrant()
-	if d.grant.Allows(d.world.now, orderNeeds) {
+	if d.hold.Allows(d.world.now, orderNeeds) {
 		d.step()
 	}
 }
 
+// adoptGrant forgets what was learned under another grant. While none is held nothing is forgotten.
 func (d *daemon) adoptGrant() {
-	grant := d.hold
-	if grant != nil && !d.world.now.Before(grant.Until) {
-		grant = nil
+	if d.hold == nil || !d.world.now.Before(d.hold.Until) {
+		return
 	}
-	if d.grant.SameAs(grant) || d.world.variant == keptAcrossGrants && grant == nil {
-		d.grant = grant
+	same := d.grant.SameAs(d.hold)
+	d.grant = d.hold
+	if same {
 		return
 	}
-	d.grant = grant
 	d.sizes = place.NewSizeBook()
-	if d.world.variant == keptAcrossGrants {
-		return
+	if d.world.variant != keptAcrossGrants {
+		d.known = map[string]*knownReplica{}
 	}
-	d.known = map[string]*knownReplica{}
 }
 
 func (d *daemon) step() {
