--- a/internal/controlplane/storebudget.go
+++ b/internal/controlplane/storebudget.go
@@ -68,7 +68,7 @@
 	store.bounds = w.loadBounds(table)
 	store.follow(grant, w.lastActBefore(grant))
 	for _, id := range store.budget.Open() {
-		if one := w.managed[id]; one == nil || !one.state.MayBegin(now) {
+		if one := w.managed[id]; one == nil || !one.state.MayBegin() {
 			store.budget.Begun(id, now)
 		}
 	}
--- a/internal/replicastate/replica.go
+++ b/internal/replicastate/replica.go
@@ -1,6 +1,7 @@
 package replicastate
 
 import (
+	"slices"
 	"time"
 )
 
@@ -14,8 +15,10 @@
 	UnknownPause time.Duration
 	// RefusedPause is how long a replica that rejects an order is left alone.
 	RefusedPause time.Duration
-	// Settle is how long after the end of its call an order may still arrive.
+	// Settle is how long after the end of its call the network may hold an order.
 	Settle time.Duration
+	// ReportAge is how long before the question the moment may lie that a report shows.
+	ReportAge time.Duration
 	// Distrust is how long reports that contradict what was learned from answers are taken for old ones.
 	Distrust time.Duration
 }
@@ -47,6 +50,7 @@
 	trustFrom  time.Time
 	askAt      time.Time
 	asking     bool
+	askedAt    time.Time
 	blocked    time.Time
 	refused    refusal
 	lowerSince time.Time
@@ -124,7 +128,6 @@
 // sequence ever will be.
 func (r *Replica) accept(now time.Time) {
 	r.sequence++
-	r.settleBelow(r.sequence)
 	r.await(now)
 }
 
@@ -148,24 +151,41 @@
 	}
 }
 
-// settleBelow drops the doubtful orders that the replica will refuse, since it has gone past their sequence.
-func (r *Replica) settleBelow(sequence int64) {
-	kept := r.doubtful[:0]
+// mayArrive are the doubtful orders that the replica may have carried out unseen or may still carry out: it has not gone
+// past their sequence. The others are kept too until they can no longer arrive, since a replica that restarts counts from
+// zero again and would take them.
+func (r *Replica) mayArrive() []doubtfulOrder {
+	var open []doubtfulOrder
 	for _, order := range r.doubtful {
-		if order.Expected >= sequence {
-			kept = append(kept, order)
+		if order.Expected >= r.sequence {
+			open = append(open, order)
 		}
 	}
-	r.doubtful = kept
+	return open
 }
 
-// settleBefore drops the doubtful orders that can no longer arrive.
-func (r *Replica) settleBefore(now time.Time) {
-	kept := r.doubtful[:0]
-	for _, order := range r.doubtful {
-		if now.Before(order.until) {
-			kept = append(kept, order)
+// settleShown drops the doubtful orders whose fate a report shows that was asked for at a time and came now.
+func (r *Replica) settleShown(askedAt, now time.Time) {
+	shown := askedAt.Add(-r.timings.ReportAge)
+	r.doubtful = slices.DeleteFunc(r.doubtful, func(order doubtfulOrder) bool { return order.settledBy(shown) })
+	for index := range r.doubtful {
+		order := &r.doubtful[index]
+		if order.awake.IsZero() && !askedAt.Before(order.until) {
+			order.awake = now
 		}
 	}
-	r.doubtful = kept
+}
+
+// settleDue tells whether a report that is asked for now would bring the end of a doubtful order nearer that counts.
+func (r *Replica) settleDue(now time.Time) bool {
+	shown := now.Add(-r.timings.ReportAge)
+	return slices.ContainsFunc(r.doubtful, func(order doubtfulOrder) bool {
+		return r.counts(order) && (order.awake.IsZero() && !now.Before(order.until) || order.settledBy(shown))
+	})
+}
+
+// counts tells whether a doubtful order makes a difference: the replica may carry it out, or receive a load that it
+// refuses and that takes room beside what it holds.
+func (r *Replica) counts(order doubtfulOrder) bool {
+	return order.Expected >= r.sequence || order.Load && !r.held[order.Reference]
 }
--- a/internal/replicastate/report.go
+++ b/internal/replicastate/report.go
@@ -3,12 +3,12 @@
 import "time"
 
 // AskDue tells whether the replica should be asked for a report now. One that carries an order out is asked from the
-// moment that ExpectDone has named.
+// moment that ExpectDone has named, an idle one once that settles what became of an order without an answer.
 func (r *Replica) AskDue(now time.Time) bool {
 	if r.asking || now.Before(r.askAt) || now.Before(r.blocked) || now.Before(r.trustFrom) {
 		return false
 	}
-	return r.phase == Unknown || r.phase == Changing
+	return r.phase == Unknown || r.phase == Changing || r.phase == Idle && r.settleDue(now)
 }
 
 // ExpectDone puts off the question of a replica that has just accepted an order to the moment when it should be done.
@@ -18,8 +18,13 @@
 	}
 }
 
-// AskStarted notes that a report was asked for.
-func (r *Replica) AskStarted() { r.asking = true }
+// AskStarted notes that a report was asked for. Until it comes, nothing is known for sure.
+func (r *Replica) AskStarted(now time.Time) {
+	r.asking, r.askedAt = true, now
+	if r.phase == Idle {
+		r.phase = Unknown
+	}
+}
 
 // Asking tells whether a report was asked for and has not come.
 func (r *Replica) Asking() bool { return r.asking }
@@ -48,7 +53,7 @@
 	r.held = report.Held
 	r.reported = true
 	r.phase = Idle
-	r.settleBelow(report.Sequence)
+	r.settleShown(r.askedAt, now)
 	return true
 }
 
@@ -84,16 +89,15 @@
 }
 
 // MayBegin tells whether an order that was decided may yet be taken.
-func (r *Replica) MayBegin(now time.Time) bool {
-	return r.phase == Ordered || len(r.Doubtful(now)) > 0
+func (r *Replica) MayBegin() bool {
+	return r.phase == Ordered || len(r.mayArrive()) > 0
 }
 
 // SurelyHeld is the lower bound of what the replica holds: what it reported, without what an order that was decided or
 // may yet arrive unloads. The set must not be changed.
-func (r *Replica) SurelyHeld(now time.Time) map[string]bool {
-	r.settleBefore(now)
+func (r *Replica) SurelyHeld() map[string]bool {
 	held := r.held
-	for _, order := range r.doubtful {
+	for _, order := range r.mayArrive() {
 		if !order.Load {
 			held = after(held, order.Change)
 		}
@@ -105,14 +109,14 @@
 }
 
 // MayHold is what the replica may hold beyond what it surely holds: what it reported and an order may have unloaded
-// since, and what an order that was decided or may yet arrive loads. It is nil where there is nothing of the kind.
-func (r *Replica) MayHold(now time.Time) map[string]bool {
-	r.settleBefore(now)
+// since, and what an order that was decided or may yet arrive loads. A load that would be refused counts too: no other
+// may be ordered that finds no room beside it, whichever comes first. It is nil where there is nothing of the kind.
+func (r *Replica) MayHold() map[string]bool {
 	change, under := r.Under()
 	if len(r.doubtful) == 0 && !under {
 		return nil
 	}
-	sure := r.SurelyHeld(now)
+	sure := r.SurelyHeld()
 	found := map[string]bool{}
 	for reference := range r.held {
 		if !sure[reference] {
@@ -131,10 +135,9 @@
 }
 
 // Doubtful lists the changes whose orders may yet arrive.
-func (r *Replica) Doubtful(now time.Time) []Change {
-	r.settleBefore(now)
-	changes := make([]Change, 0, len(r.doubtful))
-	for _, order := range r.doubtful {
+func (r *Replica) Doubtful() []Change {
+	var changes []Change
+	for _, order := range r.mayArrive() {
 		changes = append(changes, order.Change)
 	}
 	return changes
