Quota: shares lent to homes, pooled in buckets, and borrowed as tokens, as pure decisions

Cause: limits of tenants bind over all data planes together. Ruled out: loans that name only their length (a thawed home would count them from then on), and lending on the first news after a silence or a start (found by the histories: a node counted out and back lent beside others that still had the lower count). Nothing uses it yet.

--- /dev/null
+++ b/internal/quota/fleet_test.go
@@ -0,0 +1,303 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// fault is a mistake planted in the simulated fleet, to see that the checks find it.
+type fault int
+
+const (
+	soundFleet fault = iota
+	// loansCountFromReceipt: a home that was frozen takes an old loan for a fresh one.
+	loansCountFromReceipt
+	// repeatsCountTwice: a doubled message is taken for a second loan.
+	repeatsCountTwice
+	// restartForgets: a restarted lender lends at once what its last life still has lent.
+	restartForgets
+	// silentNotCounted: a data plane that falls silent isn't counted any more at once.
+	silentNotCounted
+	// tokensNeverExpire: a thawed borrower spends tokens of any age.
+	tokensNeverExpire
+	// halfLowered: a lower limit reaches only every second data plane.
+	halfLowered
+	// leaversCountedForever: the share of a data plane that left is never given again.
+	leaversCountedForever
+)
+
+const testTenant = "tenant"
+
+type node struct {
+	name          string
+	lives         int
+	speed         float64
+	frozen, apart bool
+	lender        *Lender
+	pool          *Pool
+	borrower      *Borrower
+	limit         Limit
+}
+
+// message is under way until it is delivered to the life that it is for; the answer is made on delivery.
+type message struct {
+	to      *node
+	life    int
+	from    *node
+	deliver func(repeated bool)
+}
+
+type spent struct {
+	at     time.Duration
+	tokens int
+}
+
+// fleet is a simulated fleet of data planes with steady clocks of slightly different speeds, over a network that
+// loses, delays and doubles messages.
+type fleet struct {
+	parameters Parameters
+	fault      fault
+	random     *rand.Rand
+	now        time.Duration
+	nodes      []*node
+	under      []message
+	seen       map[string]time.Duration
+	known      map[string]time.Duration
+	spends     []spent
+	named      int
+	limit      Limit
+	// wanted is set while the tenant sends requests, more than its limit.
+	wanted bool
+}
+
+func newFleet(parameters Parameters, limit Limit, size int, planted fault, seed uint64) *fleet {
+	made := &fleet{parameters: parameters, fault: planted, random: rand.New(rand.NewPCG(seed, 1)), seen: map[string]time.Duration{}, known: map[string]time.Duration{}, limit: limit}
+	for range size {
+		made.join()
+	}
+	return made
+}
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func (f *fleet) clock(one *node) time.Time {
+	return epoch.Add(time.Duration(float64(f.now) * one.speed))
+}
+
+func (f *fleet) join() {
+	f.named++
+	half := f.parameters.Drift / 2
+	one := &node{name: fmt.Sprintf("node-%d", f.named), speed: 1 + half*(2*f.random.Float64()-1), limit: f.limit}
+	f.nodes = append(f.nodes, one)
+	f.start(one)
+}
+
+// start begins a new life of a data plane, without anything that the last one knew.
+func (f *fleet) start(one *node) {
+	one.lives++
+	one.frozen = false
+	life := fmt.Sprintf("%s/%d", one.name, one.lives)
+	now := f.clock(one)
+	one.lender = NewLender(f.parameters, life, now)
+	if f.fault == restartForgets {
+		one.lender.born = now.Add(-time.Minute)
+	}
+	one.pool = NewPool(f.parameters, life, now)
+	one.pool.SetLimits(map[string]Limit{testTenant: one.limit}, now)
+	one.borrower = NewBorrower(f.parameters, one.name)
+}
+
+func (f *fleet) leave(one *node) {
+	f.nodes = slices.DeleteFunc(f.nodes, func(other *node) bool { return other == one })
+}
+
+// touch counts the data planes that are in touch with the control daemons, and tells them the number.
+func (f *fleet) touch() {
+	for _, one := range f.nodes {
+		if !one.apart && !one.frozen {
+			f.seen[one.name] = f.now
+			if _, counted := f.known[one.name]; !counted {
+				f.known[one.name] = f.now
+			}
+		}
+	}
+	count := 0
+	for name, at := range f.seen {
+		lifetime := f.parameters.Counted + f.parameters.Counted/100
+		if f.fault == silentNotCounted {
+			lifetime = time.Second
+		}
+		if f.now-at < lifetime || f.fault == leaversCountedForever {
+			count++
+			continue
+		}
+		delete(f.seen, name)
+		delete(f.known, name)
+	}
+	for _, one := range f.nodes {
+		if !one.apart && !one.frozen {
+			one.lender.Touch(count, f.now-f.known[one.name], f.clock(one))
+			one.pool.SetCount(count)
+		}
+	}
+}
+
+func (f *fleet) members() []string {
+	var names []string
+	for _, one := range f.nodes {
+		names = append(names, one.name)
+	}
+	return names
+}
+
+func (f *fleet) find(name string) *node {
+	for _, one := range f.nodes {
+		if one.name == name {
+			return one
+		}
+	}
+	return nil
+}
+
+func (f *fleet) send(from, to *node, deliver func(repeated bool)) {
+	if to == nil || from.apart != to.apart {
+		return
+	}
+	f.under = append(f.under, message{to: to, life: to.lives, from: from, deliver: deliver})
+}
+
+// lend has every data plane lend to its homes.
+func (f *fleet) lend() {
+	for _, one := range f.nodes {
+		if one.frozen {
+			continue
+		}
+		for _, offer := range one.lender.Plan(f.members(), f.clock(one)) {
+			home := f.find(offer.Home)
+			if home == nil || home.apart != one.apart || home.frozen && f.random.IntN(2) == 0 {
+				one.lender.Failed(offer.Home, f.clock(one))
+			}
+			f.send(one, home, func(repeated bool) { f.lendAt(one, home, offer.Request, repeated) })
+		}
+	}
+}
+
+func (f *fleet) lendAt(lender, home *node, request LendRequest, repeated bool) {
+	if f.fault == loansCountFromReceipt && request.Stamp.Life == home.pool.life {
+		request.Stamp.At = int64(f.clock(home).Sub(home.pool.started))
+	}
+	if f.fault == repeatsCountTwice && repeated {
+		request.Lender += " again"
+	}
+	reply := home.pool.Lend(request, f.clock(home))
+	f.send(home, lender, func(bool) { lender.lender.Answered(home.name, reply, f.clock(lender)) })
+}
+
+// borrow has every data plane ask for many tokens, to spend them sooner or later.
+func (f *fleet) borrow() {
+	for _, one := range f.nodes {
+		now := f.clock(one)
+		if one.frozen {
+			continue
+		}
+		name, free := one.borrower.Home(testTenant, one.lender.Homes(testTenant), now)
+		home := f.find(name)
+		if !free || home == nil {
+			continue
+		}
+		f.send(one, home, func(bool) {
+			reply := home.pool.Borrow(BorrowRequest{Tenant: testTenant, Want: 1 << 20}, f.clock(home))
+			f.send(home, one, func(bool) { one.borrower.Answered(testTenant, name, reply, now, f.clock(one)) })
+		})
+	}
+}
+
+func (f *fleet) spend() {
+	for _, one := range f.nodes {
+		if one.frozen {
+			continue
+		}
+		if held := one.borrower.accounts[testTenant]; held != nil && f.fault == tokensNeverExpire {
+			held.until = f.clock(one).Add(time.Hour)
+		}
+		tokens := 0
+		for one.borrower.Take(testTenant, f.clock(one)) {
+			tokens++
+		}
+		if tokens > 0 {
+			f.spends = append(f.spends, spent{at: f.now, tokens: tokens})
+		}
+	}
+}
+
+// carry gives the messages under way their fate: most arrive, some twice or later, few never. The answers
+// come in the same round or a later one.
+func (f *fleet) carry() {
+	for range 2 {
+		waiting := f.under
+		f.under = nil
+		for _, one := range waiting {
+			fate := f.random.IntN(20)
+			if one.to.frozen {
+				fate = 0
+			}
+			switch {
+			case fate < 2:
+				f.under = append(f.under, one)
+			case fate == 2:
+			case one.life != one.to.lives:
+			case fate == 3:
+				one.deliver(false)
+				f.under = append(f.under, message{one.to, one.life, one.from, func(bool) { one.deliver(true) }})
+			default:
+				one.deliver(false)
+			}
+		}
+	}
+}
+
+// round lets the fleet go on for a while.
+func (f *fleet) round(passed time.Duration) {
+	f.now += passed
+	f.spend()
+	f.touch()
+	f.lend()
+	f.carry()
+	if f.wanted {
+		f.borrow()
+	}
+	f.carry()
+	if f.random.IntN(2) == 0 {
+		f.spend()
+	}
+}
+
+// lent sums the shares of the tenant's group over all homes.
+func (f *fleet) lent() float64 {
+	sum := 0.0
+	for _, one := range f.nodes {
+		sum += one.pool.Share(f.parameters.Group(testTenant), f.clock(one))
+	}
+	return sum
+}
+
+// worst is the largest number of tokens spent in a window since the time given.
+func (f *fleet) worst(since time.Duration) int {
+	most := 0
+	for first := range f.spends {
+		if f.spends[first].at < since {
+			continue
+		}
+		sum := 0
+		for _, one := range f.spends[first:] {
+			if one.at-f.spends[first].at > f.parameters.Bounds.Window {
+				break
+			}
+			sum += one.tokens
+		}
+		most = max(most, sum)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/quota/homes.go
@@ -0,0 +1,29 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Group returns the group that a tenant belongs to.
+func (p Parameters) Group(tenant string) int {
+	return int(xxhash.Sum64String(tenant) % uint64(max(p.Groups, 1)))
+}
+
+// Rank orders the members by how they are preferred as homes of a group (rendezvous hashing): where two
+// lists differ, the members in both keep their order.
+func Rank(group int, members []string) []string {
+	prefix := strconv.Itoa(group) + "\x00"
+	weights := make(map[string]uint64, len(members))
+	for _, member := range members {
+		weights[member] = xxhash.Sum64String(prefix + member)
+	}
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(left, right string) int {
+		return cmp.Or(cmp.Compare(weights[right], weights[left]), cmp.Compare(left, right))
+	})
+	return ranked
+}
--- /dev/null
+++ b/internal/quota/lender.go
@@ -0,0 +1,208 @@
+package quota
+
+import (
+	"time"
+)
+
+// Lender is the part of a data plane that owns a share of the limits of all tenants and lends it to homes. It keeps
+// in its books what it may still have lent to whom, so that no part of the share is ever at two places.
+type Lender struct {
+	parameters Parameters
+	// life names this process, which began when it was born.
+	life   string
+	born   time.Time
+	number uint64
+	// share is the data plane's part of every limit, believed until touched + Touch. It has been counted among the
+	// data planes since countedSince.
+	share        float64
+	touched      time.Time
+	countedSince time.Time
+	books        map[bookKey][]entry
+	homes        map[string]*home
+	chosen       [][]string
+}
+
+type bookKey struct {
+	home  string
+	group int
+}
+
+// entry is a share that may be lent until a moment.
+type entry struct {
+	share float64
+	until time.Time
+}
+
+// home is what a lender knows of another data plane as a home.
+type home struct {
+	stamp   Stamp
+	heardAt time.Time
+	// silentUntil is when a home that gave no answer is asked again.
+	silentUntil time.Time
+}
+
+// Offer is a request to be sent to a home.
+type Offer struct {
+	Home    string
+	Request LendRequest
+}
+
+// NewLender returns a lender without a share. It lends nothing for a term, since what an earlier process on the same
+// machine lent may not have ended.
+func NewLender(parameters Parameters, life string, now time.Time) *Lender {
+	return &Lender{
+		parameters: parameters,
+		life:       life,
+		born:       now,
+		books:      map[bookKey][]entry{},
+		homes:      map[string]*home{},
+		chosen:     make([][]string, max(parameters.Groups, 1)),
+	}
+}
+
+// Touch notes that the number of data planes was confirmed in answer to a question put at the time given, and how long
+// this one had been counted by then. Where the last such answer is so old that this data plane may not have been
+// counted meanwhile, it counts as new unless told otherwise.
+func (l *Lender) Touch(count int, counted time.Duration, asked time.Time) {
+	if asked.Before(l.touched) {
+		return
+	}
+	if l.touched.IsZero() || asked.Sub(l.touched) >= l.parameters.Counted {
+		l.countedSince = asked
+	}
+	l.countedSince = earlier(l.countedSince, asked.Add(-counted))
+	l.share, l.touched = 1/float64(max(count, 1)), asked
+}
+
+// lends says whether the share may be lent now.
+func (l *Lender) lends(now time.Time) bool {
+	if l.touched.IsZero() || now.Sub(l.touched) >= l.parameters.Touch {
+		return false
+	}
+	return now.Sub(l.born) > l.parameters.lent() && now.Sub(l.countedSince) > l.parameters.JoiningWait()
+}
+
+// Plan returns the requests to be sent now, and notes what they lend as lent. Members are the names of the data planes
+// that may be homes, this one among them.
+func (l *Lender) Plan(members []string, now time.Time) []Offer {
+	l.settle(now)
+	requests := map[string]*LendRequest{}
+	var order []string
+	request := func(home string) *LendRequest {
+		if requests[home] == nil {
+			l.number++
+			requests[home] = &LendRequest{Lender: l.life, Number: l.number, Stamp: l.known(home).stamp}
+			order = append(order, home)
+		}
+		return requests[home]
+	}
+	for group := range l.chosen {
+		chosen, probed := l.choose(Rank(group, members), now)
+		l.chosen[group] = chosen
+		for _, home := range probed {
+			request(home)
+		}
+		for _, home := range chosen {
+			one := request(home)
+			if share := l.lend(home, group, len(chosen), now); share > 0 {
+				one.Loans = append(one.Loans, Loan{Group: group, Share: share, Homes: len(chosen)})
+			}
+		}
+	}
+	offers := make([]Offer, 0, len(order))
+	for _, home := range order {
+		offers = append(offers, Offer{Home: home, Request: *requests[home]})
+	}
+	return offers
+}
+
+// choose picks the first ranked homes that answer, and those to be asked whether they do.
+func (l *Lender) choose(ranked []string, now time.Time) (chosen, probed []string) {
+	for _, name := range ranked {
+		if len(chosen) >= l.parameters.Homes {
+			break
+		}
+		known := l.known(name)
+		answers := known.stamp.Life != "" && now.Sub(known.heardAt) < l.parameters.Term/2
+		switch {
+		case answers:
+			chosen = append(chosen, name)
+		case len(probed) < l.parameters.Homes && !now.Before(known.silentUntil):
+			probed = append(probed, name)
+		}
+	}
+	return chosen, probed
+}
+
+// lend notes the part of the share that a home is to have of a group as lent, as far as it isn't lent elsewhere.
+func (l *Lender) lend(home string, group, homes int, now time.Time) float64 {
+	if !l.lends(now) {
+		return 0
+	}
+	elsewhere := 0.0
+	for key, entries := range l.books {
+		if key.group == group && key.home != home {
+			elsewhere += most(entries)
+		}
+	}
+	share := min(l.share/float64(homes), l.share-elsewhere)
+	if share <= 0 {
+		return 0
+	}
+	key := bookKey{home, group}
+	l.books[key] = append(l.books[key], entry{share: share, until: now.Add(l.parameters.lent())})
+	return share
+}
+
+// settle drops what has surely ended from the books.
+func (l *Lender) settle(now time.Time) {
+	for key, entries := range l.books {
+		var open []entry
+		for _, one := range entries {
+			if now.Before(one.until) {
+				open = append(open, one)
+			}
+		}
+		if len(open) == 0 {
+			delete(l.books, key)
+			continue
+		}
+		l.books[key] = open
+	}
+}
+
+// most is the largest share of the entries: a home holds one of them at a time, and which one isn't known.
+func most(entries []entry) float64 {
+	largest := 0.0
+	for _, one := range entries {
+		largest = max(largest, one.share)
+	}
+	return largest
+}
+
+func (l *Lender) known(name string) *home {
+	if l.homes[name] == nil {
+		l.homes[name] = &home{}
+	}
+	return l.homes[name]
+}
+
+// Answered notes a home's answer. It says whether the home is newly known to answer, so that a plan is due at once.
+func (l *Lender) Answered(name string, reply LendReply, now time.Time) bool {
+	known := l.known(name)
+	if known.stamp.Life == reply.Stamp.Life && reply.Stamp.At <= known.stamp.At {
+		return false
+	}
+	fresh := known.stamp.Life != reply.Stamp.Life
+	known.stamp, known.heardAt, known.silentUntil = reply.Stamp, now, time.Time{}
+	return fresh
+}
+
+// Failed notes that a home gave no answer. It isn't lent to before it answers again.
+func (l *Lender) Failed(name string, now time.Time) {
+	known := l.known(name)
+	known.stamp, known.silentUntil = Stamp{}, now.Add(2*l.parameters.Renewal)
+}
+
+// Homes returns the homes of a tenant's group that shares were last lent to.
+func (l *Lender) Homes(tenant string) []string { return l.chosen[l.parameters.Group(tenant)] }
--- /dev/null
+++ b/internal/quota/messages.go
@@ -0,0 +1,41 @@
+package quota
+
+// Stamp is a moment of the steady clock of one life of a home, in nanoseconds since the life began.
+type Stamp struct {
+	Life string `json:"life"`
+	At   int64  `json:"at"`
+}
+
+// Loan is a share of the limits of a group of tenants. Homes is how many homes the lender divides its share
+// of the group between.
+type Loan struct {
+	Group int     `json:"g"`
+	Share float64 `json:"s"`
+	Homes int     `json:"h"`
+}
+
+// LendRequest lends shares to a home until a term after the stamp, in place of what the same life of
+// the lender lent to it before. Number rises with each request of a lender's life.
+type LendRequest struct {
+	Lender string `json:"lender"`
+	Number uint64 `json:"number"`
+	Stamp  Stamp  `json:"stamp,omitzero"`
+	Loans  []Loan `json:"loans,omitempty"`
+}
+
+// LendReply tells the home's present stamp, which the next request must name.
+type LendReply struct {
+	Stamp Stamp `json:"stamp"`
+}
+
+// BorrowRequest asks a home for tokens of a tenant.
+type BorrowRequest struct {
+	Tenant string `json:"tenant"`
+	Want   int    `json:"want"`
+}
+
+// BorrowReply gives tokens. RetryMs is how long none will be left, where fewer were given than wanted.
+type BorrowReply struct {
+	Tokens  int   `json:"tokens"`
+	RetryMs int64 `json:"retryMs,omitempty"`
+}
--- /dev/null
+++ b/internal/quota/pool.go
@@ -0,0 +1,282 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Pool is the part of a data plane as a home: the shares lent to it, and the token buckets that they fill.
+type Pool struct {
+	parameters Parameters
+	life       string
+	started    time.Time
+	// count is the number of data planes, zero while it isn't known.
+	count  int
+	limits map[string]Limit
+	groups []*group
+	loans  map[loanKey]*loan
+	// nextEnd is the earliest end of a loan that is in force, zero without one.
+	nextEnd time.Time
+}
+
+type loanKey struct {
+	lender string
+	group  int
+}
+
+// loan is what one life of a lender lent of one group. It is kept a while after its end for number and seeded.
+type loan struct {
+	number uint64
+	share  float64
+	homes  int
+	until  time.Time
+	seeded time.Time
+}
+
+// group is a group of tenants with the share of it that is lent.
+type group struct {
+	share   float64
+	buckets map[string]*bucket
+}
+
+// bucket holds the tokens of one tenant, as of a moment.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// NewPool returns a pool with nothing lent to it. The life names this process and no other.
+func NewPool(parameters Parameters, life string, now time.Time) *Pool {
+	pool := &Pool{parameters: parameters, life: life, started: now, limits: map[string]Limit{}, loans: map[loanKey]*loan{}}
+	for range max(parameters.Groups, 1) {
+		pool.groups = append(pool.groups, &group{buckets: map[string]*bucket{}})
+	}
+	return pool
+}
+
+// SetLimits puts the limits of all tenants in force. Tenants that stay keep the tokens they have up to what
+// the new limit allows; new ones start with none.
+func (p *Pool) SetLimits(limits map[string]Limit, now time.Time) {
+	p.expire(now)
+	p.accrueAll(now)
+	p.limits = limits
+	for number, one := range p.groups {
+		for tenant := range one.buckets {
+			if limit, known := limits[tenant]; !known || limit.Unlimited() || p.parameters.Group(tenant) != number {
+				delete(one.buckets, tenant)
+			}
+		}
+	}
+	for tenant, limit := range limits {
+		buckets := p.groups[p.parameters.Group(tenant)].buckets
+		if buckets[tenant] == nil && !limit.Unlimited() {
+			buckets[tenant] = &bucket{at: now}
+		}
+	}
+	p.clipAll()
+}
+
+// SetCount notes the number of data planes. Loans by lenders that count fewer are cut to it as they are renewed.
+func (p *Pool) SetCount(count int) { p.count = count }
+
+// Lend takes the loans of a request, unless it was overtaken or its stamp is too old or of another life, and
+// answers with the present stamp.
+func (p *Pool) Lend(request LendRequest, now time.Time) LendReply {
+	p.expire(now)
+	reply := LendReply{Stamp: Stamp{Life: p.life, At: int64(now.Sub(p.started))}}
+	until := p.started.Add(time.Duration(request.Stamp.At) + p.parameters.Term)
+	if request.Stamp.Life != p.life || request.Stamp.At > reply.Stamp.At || !now.Before(until) {
+		return reply
+	}
+	changed := p.take(request, until, now)
+	for number, share := range changed {
+		p.setShare(number, share, now)
+	}
+	p.findNextEnd()
+	return reply
+}
+
+// take puts the request's loans in place of the lender's former ones and returns the new shares of the groups
+// that they change.
+func (p *Pool) take(request LendRequest, until, now time.Time) map[int]float64 {
+	lent := make(map[int]Loan, len(request.Loans))
+	for _, one := range request.Loans {
+		lent[one.Group] = one
+	}
+	changed := map[int]float64{}
+	for number := range p.groups {
+		key := loanKey{request.Lender, number}
+		held := p.loans[key]
+		stated, renewed := lent[number]
+		if held == nil && !renewed || held != nil && request.Number <= held.number {
+			continue
+		}
+		if held == nil {
+			held = &loan{}
+			p.loans[key] = held
+		}
+		share := p.believed(stated)
+		grown := share > held.share
+		held.number, held.until = request.Number, until
+		held.share, held.homes = share, stated.Homes
+		before := p.groups[number].share
+		after := p.shareOf(number)
+		if after != before {
+			changed[number] = after
+		}
+		if grown && (held.seeded.IsZero() || now.Sub(held.seeded) > p.parameters.lent()) {
+			held.seeded = now
+			p.sow(number, after-before, now)
+		}
+	}
+	return changed
+}
+
+// believed is the share of a loan, but no more than a lender has by this home's count.
+func (p *Pool) believed(stated Loan) float64 {
+	share := max(stated.Share, 0)
+	if p.count > 0 {
+		share = min(share, 1/float64(p.count*max(stated.Homes, 1)))
+	}
+	return share
+}
+
+// shareOf sums what is lent of a group. It is never more than the part that a lender gives to one home, so that
+// lenders that count too few data planes don't add up to more than the limit.
+func (p *Pool) shareOf(number int) float64 {
+	sum, most := 0.0, 0.0
+	for key, held := range p.loans {
+		if key.group == number && held.share > 0 {
+			sum += held.share
+			most = max(most, 1/float64(max(held.homes, 1)))
+		}
+	}
+	return min(sum, most)
+}
+
+// sow adds the tokens that a share brings with it when it comes newly.
+func (p *Pool) sow(number int, share float64, now time.Time) {
+	if share <= 0 {
+		return
+	}
+	one := p.groups[number]
+	for tenant, held := range one.buckets {
+		p.accrue(one, tenant, held, now)
+		held.tokens += share * p.parameters.seed(p.limits[tenant])
+	}
+}
+
+// setShare changes the share of a group from now on; tokens beyond what the new share may hold are lost.
+func (p *Pool) setShare(number int, share float64, now time.Time) {
+	one := p.groups[number]
+	for tenant, held := range one.buckets {
+		p.accrue(one, tenant, held, now)
+	}
+	one.share = share
+	p.clip(one)
+}
+
+func (p *Pool) accrue(one *group, tenant string, held *bucket, now time.Time) {
+	if !now.After(held.at) {
+		return
+	}
+	limit := p.limits[tenant]
+	gained := one.share * p.parameters.rate(limit) * now.Sub(held.at).Seconds()
+	ceiling := max(one.share*p.parameters.capacity(limit), held.tokens)
+	held.tokens = min(held.tokens+gained, ceiling)
+	held.at = now
+}
+
+func (p *Pool) accrueAll(now time.Time) {
+	for _, one := range p.groups {
+		for tenant, held := range one.buckets {
+			p.accrue(one, tenant, held, now)
+		}
+	}
+}
+
+func (p *Pool) clip(one *group) {
+	for tenant, held := range one.buckets {
+		held.tokens = min(held.tokens, one.share*p.parameters.capacity(p.limits[tenant]))
+	}
+}
+
+func (p *Pool) clipAll() {
+	for _, one := range p.groups {
+		p.clip(one)
+	}
+}
+
+// expire ends the loans whose time is over, each at its own moment.
+func (p *Pool) expire(now time.Time) {
+	for !p.nextEnd.IsZero() && !now.Before(p.nextEnd) {
+		end := p.nextEnd
+		for _, held := range p.loans {
+			if held.share > 0 && !end.Before(held.until) {
+				held.share = 0
+			}
+		}
+		for number, one := range p.groups {
+			if share := p.shareOf(number); share != one.share {
+				p.setShare(number, share, end)
+			}
+		}
+		p.forget(end)
+		p.findNextEnd()
+	}
+}
+
+// forget drops loans that ended so long ago that nothing more can come of them.
+func (p *Pool) forget(now time.Time) {
+	for key, held := range p.loans {
+		if held.share == 0 && now.Sub(held.until) > 2*p.parameters.Term {
+			delete(p.loans, key)
+		}
+	}
+}
+
+func (p *Pool) findNextEnd() {
+	p.nextEnd = time.Time{}
+	for _, held := range p.loans {
+		if held.share > 0 && (p.nextEnd.IsZero() || held.until.Before(p.nextEnd)) {
+			p.nextEnd = held.until
+		}
+	}
+}
+
+// Share returns how much of a group's limits is lent to this home.
+func (p *Pool) Share(number int, now time.Time) float64 {
+	p.expire(now)
+	return p.groups[number].share
+}
+
+// Borrow gives as many of the wanted tokens as there are.
+func (p *Pool) Borrow(request BorrowRequest, now time.Time) BorrowReply {
+	p.expire(now)
+	one := p.groups[p.parameters.Group(request.Tenant)]
+	held := one.buckets[request.Tenant]
+	if held == nil {
+		return BorrowReply{RetryMs: p.parameters.Renewal.Milliseconds()}
+	}
+	p.accrue(one, request.Tenant, held, now)
+	given := int(min(math.Floor(held.tokens+rounding), float64(max(request.Want, 0))))
+	held.tokens = max(held.tokens-float64(given), 0)
+	if given >= request.Want {
+		return BorrowReply{Tokens: given}
+	}
+	return BorrowReply{Tokens: given, RetryMs: p.retry(one, request.Tenant, held)}
+}
+
+// rounding makes up for the rounding of sums of many small shares.
+const rounding = 1e-9
+
+// retry is the time until the bucket has a token again, in milliseconds, at most a renewal.
+func (p *Pool) retry(one *group, tenant string, held *bucket) int64 {
+	longest := p.parameters.Renewal.Milliseconds()
+	pace := one.share * p.parameters.rate(p.limits[tenant])
+	if pace <= 0 {
+		return longest
+	}
+	missing := max(1-held.tokens, 0) / pace
+	return min(int64(math.Ceil(missing*1000)), longest)
+}
