Data planes keep tenants to their limits over the whole fleet

Cause: nothing bound ratePerS and burst. Ruled out: naming all data planes to all (bytes by the square of their number; the first eight of each group are enough), and the count that is kept high twice over, which withheld a dead one's share for 20 s. Change: polls name the address of a data plane, news the neighbours that may be homes, how long it has been counted and whether the count is sure; data planes answer lend and borrow on their internal port; the hook in the client side waits for one call at most a home, 503 where homes can't tell; the server side of calls moved to internal/peer.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -48,6 +48,7 @@
 	TenantLimit
 	DatedConfiguration
 	DatedKeys
+	QuotaUnknown
 )
 
 type answer struct {
@@ -87,6 +88,7 @@
 	TenantLimit:          {http.StatusTooManyRequests, "tenant is beyond its limit"},
 	DatedConfiguration:   {http.StatusServiceUnavailable, "a newer configuration may allow this"},
 	DatedKeys:            {http.StatusServiceUnavailable, "keys may have been taken away since last heard of"},
+	QuotaUnknown:         {http.StatusServiceUnavailable, "what the tenant may still send is not known here"},
 }
 
 // Error is an error with what its caller is to know.
--- a/internal/client/access_test.go
+++ b/internal/client/access_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ferryspar/internal/apierror"
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/replica"
 )
@@ -194,18 +196,21 @@
 
 // testQuota lets no request of one tenant pass and notes who asked.
 type testQuota struct {
-	refuses configuration.TenantNumber
-	asked   []configuration.TenantNumber
+	refuses string
+	asked   []string
 }
 
-func (q *testQuota) Take(_ *configuration.Table, tenant configuration.TenantNumber, _ time.Time) (time.Duration, bool) {
-	q.asked = append(q.asked, tenant)
-	return 250 * time.Millisecond, tenant != q.refuses
+func (q *testQuota) Take(_ context.Context, tenant *configuration.Tenant) error {
+	q.asked = append(q.asked, tenant.Name)
+	if tenant.Name == q.refuses {
+		return apierror.Later(apierror.TenantLimit, 250*time.Millisecond)
+	}
+	return nil
 }
 
 func TestGivenATenantBeyondItsLimitThenItsRequestIsRefusedBeforeItIsQueued(t *testing.T) {
 	server, one := startTenants(t)
-	quota := &testQuota{refuses: 2}
+	quota := &testQuota{refuses: "two"}
 	server.handler.Quota = quota
 	answer := server.connect(t).ask("POST", post("/once/", "a", keyed(secondKey)))
 	assert.Equal(t, answer.status, http.StatusTooManyRequests)
@@ -213,6 +218,6 @@
 	assert.Equal(t, one.times(), 0)
 	assert.Equal(t, server.connect(t).ask("POST", post("/once/", "a", keyed(firstKey))).status, http.StatusOK)
 	assert.Equal(t, server.connect(t).ask("POST", post("/open/", "a")).status, http.StatusOK)
-	assert.DeepEqual(t, quota.asked, []configuration.TenantNumber{2, 1})
+	assert.DeepEqual(t, quota.asked, []string{"two", "one"})
 	assert.DeepEqual(t, server.handler.Refusals.Counts(), map[string]uint64{"tenant is beyond its limit": 1})
 }
--- a/internal/client/handler.go
+++ b/internal/client/handler.go
@@ -66,7 +66,7 @@
 	}
 	taken, err := d.take(request, arrived)
 	if err == nil {
-		err = d.withinQuota(taken, d.clock())
+		err = d.withinQuota(request.Context(), taken)
 	}
 	if err != nil {
 		d.Refusals.count(apierror.Of(err).Kind)
--- a/internal/controlplane/daemon.go
+++ b/internal/controlplane/daemon.go
@@ -52,6 +52,7 @@
 	edges      *heartbeat.Registry
 	controls   *heartbeat.Registry
 	joining    map[string]peer.Greeting
+	neighbours map[string]string
 	remembered map[string]retention.EdgeView
 	list       *platform.List
 	scheduler  *Scheduler
@@ -105,7 +106,7 @@
 	life := nonce()
 	daemon := &Daemon{
 		settings: settings, path: path, self: self, life: strconv.FormatUint(life, 36), clock: time.Now, peers: peer.NewClient(network),
-		journal: journal, publisher: NewPublisher(), parts: NewParts(), sums: NewSums(), shown: map[string]keystore.Slot{}, joining: map[string]peer.Greeting{}, remembered: map[string]retention.EdgeView{},
+		journal: journal, publisher: NewPublisher(), parts: NewParts(), sums: NewSums(), shown: map[string]keystore.Slot{}, joining: map[string]peer.Greeting{}, neighbours: map[string]string{}, remembered: map[string]retention.EdgeView{},
 		edges: heartbeat.NewRegistry(10 * time.Second), controls: heartbeat.NewRegistry(30 * time.Second), leaving: make(chan struct{}), caughtUp: make(chan struct{}, 1), bus: event.NewBus(), started: time.Now(), network: network,
 	}
 	rules := keystore.Rules{Lease: daemon.leaseLength(), Clock: time.Now}
--- a/internal/controlplane/greetings.go
+++ b/internal/controlplane/greetings.go
@@ -137,13 +137,14 @@
 func (d *Daemon) publishCounts(others []string) {
 	d.watching.Lock()
 	counted := max(d.edges.Count(d.clock()), 1)
+	neighbours := d.listNeighbours()
 	d.watching.Unlock()
 	if d.clock().Sub(d.started) < settleTime {
 		counted = 0
 	}
 	control := append(others, d.self)
 	sort.Strings(control)
-	d.publisher.Touch(func(next *Snapshot) { next.Edges, next.Control = counted, control })
+	d.publisher.Touch(func(next *Snapshot) { next.Edges, next.Control, next.Neighbours = counted, control, neighbours })
 }
 
 func (d *Daemon) hearGreeting(_ context.Context, greeting peer.Greeting) greeted {
--- a/internal/controlplane/publisher.go
+++ b/internal/controlplane/publisher.go
@@ -28,6 +28,7 @@
 	Holder      string
 	Control     []string
 	Edges       int
+	Neighbours  *peer.Neighbours
 	Policy      retention.Policy
 	Forgets     retention.Record
 	Question    *drill.Question
@@ -118,6 +119,9 @@
 		return news
 	}
 	news.Edges = s.Edges
+	if poll.Wants && s.Neighbours != nil && s.Neighbours.Mark != poll.Neighbours {
+		news.Neighbours = s.Neighbours
+	}
 	if s.ZoneNumber > poll.ZoneNumber {
 		news.Zones = s.Zones
 	}
--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
-	"ferryspar/internal/apierror"
 	"ferryspar/internal/heartbeat"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/operator"
@@ -17,36 +14,18 @@
 	"ferryspar/internal/retention"
 )
 
-func answer[Question, Answer any](handle func(ctx context.Context, question Question) Answer) http.HandlerFunc {
-	return func(writer http.ResponseWriter, request *http.Request) {
-		var question Question
-		if err := json.NewDecoder(request.Body).Decode(&question); err != nil {
-			apierror.Write(writer, apierror.New(apierror.MalformedRequest, "%s", err.Error()))
-			return
-		}
-		content, err := json.Marshal(handle(request.Context(), question))
-		if err != nil {
-			apierror.Write(writer, err)
-			return
-		}
-		writer.Header().Set("Content-Type", "application/json")
-		writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
-		_, _ = writer.Write(content)
-	}
-}
-
 func (d *Daemon) peerRoutes() http.Handler {
 	router := chi.NewRouter()
-	router.Post(peer.Calls["keystore"].Path, answer(d.hearKeystore))
-	router.Post(peer.Calls["learn"].Path, answer(d.hearLearned))
-	router.Post(peer.Calls["news"].Path, answer(d.hearPoll))
-	router.Post(peer.Calls["pressure"].Path, answer(d.hearLoad))
-	router.Post(peer.Calls["follow"].Path, answer(d.hearFollow))
-	router.Post(peer.Calls["sums"].Path, answer(d.hearSums))
-	router.Post(peer.Calls["roster"].Path, answer(d.hearRoster))
-	router.Post(peer.Calls["greet"].Path, answer(d.hearGreeting))
-	router.Post(peer.Calls["forecast"].Path, answer(d.hearForecast))
-	router.Post(peer.Calls["plan"].Path, answer(d.hearPlan))
+	router.Post(peer.Calls["keystore"].Path, peer.Answer(d.hearKeystore))
+	router.Post(peer.Calls["learn"].Path, peer.Answer(d.hearLearned))
+	router.Post(peer.Calls["news"].Path, peer.Answer(d.hearPoll))
+	router.Post(peer.Calls["pressure"].Path, peer.Answer(d.hearLoad))
+	router.Post(peer.Calls["follow"].Path, peer.Answer(d.hearFollow))
+	router.Post(peer.Calls["sums"].Path, peer.Answer(d.hearSums))
+	router.Post(peer.Calls["roster"].Path, peer.Answer(d.hearRoster))
+	router.Post(peer.Calls["greet"].Path, peer.Answer(d.hearGreeting))
+	router.Post(peer.Calls["forecast"].Path, peer.Answer(d.hearForecast))
+	router.Post(peer.Calls["plan"].Path, peer.Answer(d.hearPlan))
 	return router
 }
 
@@ -112,6 +91,9 @@
 	d.watching.Lock()
 	d.edges.Record(poll.Daemon, heartbeat.Beat{At: came, Zone: poll.Zone, Revision: poll.Revision, Zones: poll.ZoneNumber})
 	d.remembered[poll.Daemon] = retention.EdgeView{Applied: poll.Forgot, Left: poll.Leaving}
+	if poll.Address != "" {
+		d.neighbours[poll.Daemon] = poll.Address
+	}
 	d.watching.Unlock()
 	if poll.Drill != nil {
 		d.noteReport(poll.Daemon, *poll.Drill)
@@ -134,6 +116,12 @@
 		news.Proven = snapshot.ConfirmedAt.After(came)
 		answers = news.Proven
 	}
+	if news.Edges > 0 {
+		d.watching.Lock()
+		news.CountedMs = now.Sub(d.edges.Since(poll.Daemon)).Milliseconds()
+		news.EdgesSure = now.Sub(d.started) > d.edges.Lifetime
+		d.watching.Unlock()
+	}
 	if d.isLeaving() {
 		news.FreshMs, news.Proven = 0, false
 	}
--- /dev/null
+++ b/internal/dataplane/admission.go
@@ -0,0 +1,108 @@
+package dataplane
+
+import (
+	"context"
+	"time"
+
+	"ferryspar/internal/apierror"
+	"ferryspar/internal/configuration"
+	"ferryspar/internal/quota"
+)
+
+const (
+	// admissionPatience is how long a request may wait for tokens of its tenant.
+	admissionPatience = 600 * time.Millisecond
+	// unknownRetry is when a request may try again whose tenant's homes give no answer.
+	unknownRetry = 200 * time.Millisecond
+)
+
+// Take spends a token of the tenant, and asks a home for some where there is none here. Requests of a tenant that come while
+// a home is asked share the next call.
+func (q *Quotas) Take(ctx context.Context, tenant *configuration.Tenant) error {
+	if limitOf(tenant).Unlimited() {
+		return nil
+	}
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	began := q.clock()
+	q.borrower.Arrived(tenant.Name, began)
+	q.wait(tenant.Name, 1)
+	defer q.wait(tenant.Name, -1)
+	for now := began; now.Sub(began) < admissionPatience && ctx.Err() == nil; now = q.clock() {
+		if q.borrower.Take(tenant.Name, now) {
+			return nil
+		}
+		answered := q.ask(tenant.Name, now)
+		if answered == nil {
+			return q.refusal(tenant.Name, now)
+		}
+		q.lock.Unlock()
+		select {
+		case <-answered:
+		case <-ctx.Done():
+		}
+		q.lock.Lock()
+	}
+	return apierror.Later(apierror.QuotaUnknown, unknownRetry)
+}
+
+// wait counts the requests of the tenant that wait for tokens. The caller holds the lock.
+func (q *Quotas) wait(tenant string, more int) {
+	q.pending[tenant] += more
+	if q.pending[tenant] == 0 {
+		delete(q.pending, tenant)
+	}
+}
+
+// answeredAtOnce is what ask returns where nobody had to be waited for.
+var answeredAtOnce = func() chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}()
+
+// ask asks a home for tokens, unless a call is under way for the tenant, and returns what is closed when it was
+// answered; nil where no home is to be asked now. The caller holds the lock.
+func (q *Quotas) ask(tenant string, now time.Time) <-chan struct{} {
+	if answered := q.asking[tenant]; answered != nil {
+		return answered
+	}
+	home, found := q.borrower.Home(tenant, q.lender.Homes(tenant), now)
+	if !found {
+		return nil
+	}
+	question := quota.BorrowRequest{Tenant: tenant, Want: q.borrower.Want(tenant, q.pending[tenant], now)}
+	if home == q.name {
+		q.borrower.Answered(tenant, home, q.pool.Borrow(question, now), now, now)
+		return answeredAtOnce
+	}
+	answered := make(chan struct{})
+	q.asking[tenant] = answered
+	go q.borrow(home, q.addresses[home], question, answered)
+	return answered
+}
+
+// borrow calls a home. It isn't bound to the request that it began with, since others wait for it too.
+func (q *Quotas) borrow(home, address string, question quota.BorrowRequest, answered chan struct{}) {
+	asked := q.clock()
+	var reply quota.BorrowReply
+	err := q.peers.Ask(context.Background(), "borrow", address, question, &reply)
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if now := q.clock(); err != nil {
+		q.borrower.Failed(home, now)
+	} else {
+		q.borrower.Answered(question.Tenant, home, reply, asked, now)
+	}
+	delete(q.asking, question.Tenant)
+	close(answered)
+}
+
+// refusal is the answer where no home is to be asked: the tenant is beyond its limit, or homes can't be reached.
+// The caller holds the lock.
+func (q *Quotas) refusal(tenant string, now time.Time) error {
+	if left := q.borrower.Denied(tenant, now); left > 0 {
+		return apierror.Later(apierror.TenantLimit, left)
+	}
+	return apierror.Later(apierror.QuotaUnknown, unknownRetry)
+}
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -35,6 +35,7 @@
 	handler   *client.Handler
 	peers     *peer.Client
 	forwarder *replica.Forwarder
+	quotas    *Quotas
 	// leaving is set once the daemon is to end.
 	leaving atomic.Bool
 	network peer.Network
@@ -56,6 +57,8 @@
 	daemon.state.rehearsal.answer = daemon.answerForecast
 	daemon.matcher.OnWanted = daemon.state.interest.Want
 	daemon.matcher.Trusts = daemon.state.Trusts
+	daemon.quotas = NewQuotas(settings, daemon.peers, time.Now)
+	daemon.state.quotas = daemon.quotas
 	daemon.listener = NewListener(settings, daemon.peers, time.Now, daemon.state)
 	daemon.state.askAgain = daemon.listener.AskAgain
 	silence := nodesettings.Milliseconds(bounds.ContactMs)
@@ -66,6 +69,7 @@
 	budget.Daemon = settings.NodeName
 	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budget, time.Now, rand.Float64)
 	daemon.handler.Currency = daemon.state.currency
+	daemon.handler.Quota = daemon.quotas
 	return daemon
 }
 
@@ -93,6 +97,7 @@
 	d.listener.Follow(ctx, d.settings.SeedPeers())
 	go d.state.Run(ctx, d.listener)
 	go d.reportLoads(ctx)
+	go d.quotas.Run(ctx)
 	followSeeds := func(fresh nodesettings.Settings) { d.listener.Follow(ctx, fresh.SeedPeers()) }
 	go nodesettings.Watch(ctx, d.path, "edge", signals.Hangup, followSeeds)
 
@@ -106,11 +111,18 @@
 		return errors.Wrap(err, "readiness address")
 	}
 	cleanup = append(cleanup, func() { readiness.Close() })
+	inner, err := d.network.Listen(d.settings.PeerAddress())
+	if err != nil {
+		return errors.Wrap(err, "internal address")
+	}
+	cleanup = append(cleanup, func() { inner.Close() })
 	server := d.newServer()
-	failures := make(chan error, 2)
+	failures := make(chan error, 3)
 	limited := client.NewLimitedListener(clients, d.maxConnections(), d.clientLimits)
 	go func() { failures <- server.Serve(limited) }()
 	go func() { failures <- http.Serve(readiness, d.readinessRoutes()) }()
+	neighbours := &http.Server{Handler: d.quotas.routes(), IdleTimeout: time.Minute, ErrorLog: discardLog()}
+	go func() { failures <- neighbours.Serve(inner) }()
 	logrus.WithFields(logrus.Fields{
 		"data_plane": clients.Addr().String(),
 		"zone":       d.settings.Zone,
--- a/internal/dataplane/primary.go
+++ b/internal/dataplane/primary.go
@@ -88,3 +88,19 @@
 	}
 	return d.counted
 }
+
+// sureCount is the number of data planes, without those that fell silent so long ago that what they lent of tenants'
+// limits has ended. Where no control daemon has run for long enough to tell, it is the one that is kept high.
+func (d *FleetState) sureCount() int {
+	now, most, sure := d.clock(), 0, false
+	for _, held := range d.sources {
+		if now.Sub(held.heardAt) < countFresh {
+			most = max(most, held.edges)
+			sure = sure || held.sure
+		}
+	}
+	if !sure {
+		return d.count()
+	}
+	return most
+}
--- /dev/null
+++ b/internal/dataplane/quotas.go
@@ -0,0 +1,196 @@
+package dataplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/configuration"
+	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/peer"
+	"ferryspar/internal/quota"
+)
+
+// Quotas keeps tenants to their limits over all data planes together, see docs/quota.md: it lends this one's share
+// to homes, is a home itself, and borrows tokens for requests. Any goroutine may use it.
+type Quotas struct {
+	parameters quota.Parameters
+	name       string
+	peers      *peer.Client
+	clock      func() time.Time
+	// wake has shares lent at once.
+	wake chan struct{}
+
+	lock     sync.Mutex
+	lender   *quota.Lender
+	pool     *quota.Pool
+	borrower *quota.Borrower
+	// addresses are those of the data planes that may be homes, from the list that mark stands for.
+	addresses map[string]string
+	mark      uint64
+	// asking holds the calls under way by tenant, and pending the number of requests that wait for them.
+	asking  map[string]chan struct{}
+	pending map[string]int
+}
+
+// NewQuotas returns quotas that know no tenant and no other data plane yet.
+func NewQuotas(settings nodesettings.Settings, peers *peer.Client, clock func() time.Time) *Quotas {
+	bounds := settings.TimingBounds
+	parameters := quota.DefaultParameters(quota.Bounds{
+		Window:  nodesettings.Seconds(bounds.QuotaWindowS),
+		Overage: bounds.QuotaOverage,
+		Slack:   bounds.QuotaSlack,
+	})
+	life := settings.NodeName + "/" + strconv.FormatUint(rand.Uint64(), 36)
+	now := clock()
+	return &Quotas{
+		parameters: parameters,
+		name:       settings.NodeName,
+		peers:      peers,
+		clock:      clock,
+		wake:       make(chan struct{}, 1),
+		lender:     quota.NewLender(parameters, life, now),
+		pool:       quota.NewPool(parameters, life, now),
+		borrower:   quota.NewBorrower(parameters, settings.NodeName),
+		addresses:  map[string]string{},
+		asking:     map[string]chan struct{}{},
+		pending:    map[string]int{},
+	}
+}
+
+// hear takes in confirmed news: the number of data planes and those that may be homes.
+func (q *Quotas) hear(news peer.News, count int, asked time.Time) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if news.Edges > 0 {
+		q.lender.Touch(count, time.Duration(news.CountedMs)*time.Millisecond, asked)
+		q.pool.SetCount(count)
+	}
+	if news.Neighbours == nil {
+		return
+	}
+	q.mark = news.Neighbours.Mark
+	q.addresses = make(map[string]string, len(news.Neighbours.List))
+	for _, one := range news.Neighbours.List {
+		q.addresses[one.Name] = one.Address
+	}
+	q.lendSoon()
+}
+
+// neighbours is the mark of the list of data planes that is held.
+func (q *Quotas) neighbours() uint64 {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	return q.mark
+}
+
+// setLimits puts the limits of a configuration in force.
+func (q *Quotas) setLimits(tenants []configuration.Tenant) {
+	limits := make(map[string]quota.Limit, len(tenants))
+	for _, tenant := range tenants {
+		limits[tenant.Name] = limitOf(&tenant)
+	}
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.pool.SetLimits(limits, q.clock())
+}
+
+func limitOf(tenant *configuration.Tenant) quota.Limit {
+	return quota.Limit{RatePerS: tenant.RatePerS, Burst: tenant.Burst}
+}
+
+func (q *Quotas) lendSoon() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run lends until the context ends.
+func (q *Quotas) Run(ctx context.Context) {
+	ticker := time.NewTicker(q.parameters.Renewal)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-q.wake:
+		}
+		for _, offer := range q.plan() {
+			go q.lend(ctx, offer)
+		}
+	}
+}
+
+// plan names what is to be lent to whom. What is lent to the own pool is lent at once.
+func (q *Quotas) plan() []plannedOffer {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	now := q.clock()
+	q.borrower.Forget(now)
+	members := []string{q.name}
+	for name := range q.addresses {
+		if name != q.name {
+			members = append(members, name)
+		}
+	}
+	var planned []plannedOffer
+	for _, offer := range q.lender.Plan(members, now) {
+		if offer.Home != q.name {
+			planned = append(planned, plannedOffer{offer, q.addresses[offer.Home]})
+			continue
+		}
+		if q.lender.Answered(q.name, q.pool.Lend(offer.Request, now), now) {
+			q.lendSoon()
+		}
+	}
+	return planned
+}
+
+type plannedOffer struct {
+	quota.Offer
+	address string
+}
+
+func (q *Quotas) lend(ctx context.Context, offer plannedOffer) {
+	var reply quota.LendReply
+	err := q.peers.Ask(ctx, "lend", offer.address, offer.Request, &reply)
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	if err != nil {
+		q.lender.Failed(offer.Home, q.clock())
+		logrus.WithError(err).WithField("home", offer.Home).Debug("home of tenants' limits gave no answer")
+		q.lendSoon()
+		return
+	}
+	if q.lender.Answered(offer.Home, reply, q.clock()) {
+		q.lendSoon()
+	}
+}
+
+// routes answers other data planes.
+func (q *Quotas) routes() http.Handler {
+	router := chi.NewRouter()
+	router.Post(peer.Calls["lend"].Path, peer.Answer(q.hearLend))
+	router.Post(peer.Calls["borrow"].Path, peer.Answer(q.hearBorrow))
+	return router
+}
+
+func (q *Quotas) hearLend(_ context.Context, request quota.LendRequest) quota.LendReply {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	return q.pool.Lend(request, q.clock())
+}
+
+func (q *Quotas) hearBorrow(_ context.Context, request quota.BorrowRequest) quota.BorrowReply {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	return q.pool.Borrow(request, q.clock())
+}
--- a/internal/dataplane/state.go
+++ b/internal/dataplane/state.go
@@ -20,6 +20,7 @@
 	heardAt   time.Time
 	revision  int64
 	edges     int
+	sure      bool
 	life      string
 	parts     map[peer.PartName]peer.Part
 	whole     bool
@@ -62,6 +63,7 @@
 	countedAt  time.Time
 	rehearsal  drillState
 	currency   *currency
+	quotas     *Quotas
 }
 
 // NewFleetState starts empty; notify is called after each swap.
@@ -81,6 +83,9 @@
 func (d *FleetState) fill(poll *peer.Poll, address string) {
 	poll.Revision = d.wants.revision.Load()
 	poll.Proof = poll.Revision == 0
+	if d.quotas != nil {
+		poll.Address, poll.Neighbours = d.settings.PeerAddress(), d.quotas.neighbours()
+	}
 	poll.ZoneNumber = d.wants.zones.Load()
 	poll.Context, poll.Forgot = d.wants.context.Load(), d.wants.forgot.Load()
 	poll.Leaving, poll.Drill = d.wants.leaving.Load(), d.rehearsal.report(d.clock())
@@ -156,7 +161,10 @@
 		d.heard.Store(&one.at)
 		changed = d.rehearse(one) || changed
 	}
-	held.zone = news.Zone
+	held.zone, held.sure = news.Zone, news.EdgesSure
+	if fresh && d.quotas != nil {
+		d.quotas.hear(news, d.sureCount(), one.asked)
+	}
 	d.choose()
 	return d.hearParts(one.address, held, news, one.at, fresh) || changed
 }
@@ -181,6 +189,9 @@
 			return false
 		}
 		d.table = configuration.NewTable(read, nil)
+		if d.quotas != nil {
+			d.quotas.setLimits(read.Tenants)
+		}
 		d.wants.revision.Store(read.Revision)
 		if d.Recorder != nil {
 			d.Recorder.Write(record.Entry{Kind: record.KindConfiguration, AtMs: d.Recorder.Milliseconds(d.clock()), Packed: redacted(document)})
--- a/internal/heartbeat/ring.go
+++ b/internal/heartbeat/ring.go
@@ -37,11 +37,12 @@
 }
 
 // Beat is the last sign of life of one daemon. At is its last complete report, Heard the last
-// contact of any kind, Revision and Zones the configuration and the number of zone changes that it
+// contact of any kind, Since the first of those without a gap of a lifetime, Revision and Zones the configuration and the number of zone changes that it
 // said it applies.
 type Beat struct {
 	At       time.Time
 	Heard    time.Time
+	Since    time.Time
 	Zone     string
 	Revision int64
 	Zones    uint64
@@ -62,9 +63,14 @@
 
 // Record keeps beat for name, unless a later one is kept already.
 func (r *Registry) Record(name string, beat Beat) {
-	if held, known := r.beats[name]; known && beat.At.Before(held.At) {
+	held, known := r.beats[name]
+	if known && beat.At.Before(held.At) {
 		return
 	}
+	beat.Since = beat.At
+	if known {
+		beat.Since = held.Since
+	}
 	r.beats[name] = beat
 }
 
@@ -125,8 +131,11 @@
 		r.beats[name] = held
 		return
 	}
-	r.beats[name] = Beat{Heard: now}
+	r.beats[name] = Beat{Heard: now, Since: now}
 }
 
+// Since returns the time since which name has been counted, zero if it isn't.
+func (r *Registry) Since(name string) time.Time { return r.beats[name].Since }
+
 // LastBeat returns the time of the last report of name, zero if there was none.
 func (r *Registry) LastBeat(name string) time.Time { return r.beats[name].At }
--- a/internal/nodesettings/settings.go
+++ b/internal/nodesettings/settings.go
@@ -94,6 +94,9 @@
 	RetryBudgetRatio float64 `koanf:"retryBudgetRatio"`
 	BudgetPeriodS    float64 `koanf:"budgetPeriodS"`
 	RetryBudgetSlack float64 `koanf:"retryBudgetSlack"`
+	QuotaWindowS     float64 `koanf:"quotaWindowS"`
+	QuotaOverage     float64 `koanf:"quotaOverage"`
+	QuotaSlack       float64 `koanf:"quotaSlack"`
 	ColdOverage      float64 `koanf:"coldOverage"`
 	ColdSlack        float64 `koanf:"coldSlack"`
 	EvacuateMs       float64 `koanf:"evacuateMs"`
@@ -157,7 +160,7 @@
 		HeartbeatMs: 1000,
 		TimingBounds: TimingBounds{
 			ContactMs: 3000, AckTimeoutMs: 4000, DrainMs: 3000, GraceS: 8, ConfigApplyMs: 2000, RevokeMs: 5000,
-			BudgetPeriodS: 10, ColdOverage: 1, EvacuateMs: 5000, LeaseMs: 3000, OriginPeriodS: 5, OriginOverage: 1,
+			BudgetPeriodS: 10, QuotaWindowS: 5, ColdOverage: 1, EvacuateMs: 5000, LeaseMs: 3000, OriginPeriodS: 5, OriginOverage: 1,
 		},
 		CloudAPI: CloudAPI{RatePerS: 10, MaxLagMs: 1000},
 	}
@@ -181,6 +184,8 @@
 		{s.TimingBounds.LeaseMs <= 0, "timingBounds.leaseMs must be above 0"},
 		{s.TimingBounds.ContactMs <= 0, "timingBounds.contactMs must be above 0"},
 		{s.TimingBounds.RevocationClosed && s.TimingBounds.RevokeMs <= 0, "timingBounds.revokeMs must be above 0"},
+		{s.TimingBounds.QuotaWindowS <= 0, "timingBounds.quotaWindowS must be above 0"},
+		{s.TimingBounds.QuotaOverage < 0 || s.TimingBounds.QuotaSlack < 0, "timingBounds.quotaOverage and quotaSlack must not be below 0"},
 		{s.HeartbeatMs <= 0, "heartbeatMs must be above 0"},
 		{serves == "edge" && s.BindAddresses.DataPlane == "", "bindAddresses.dataPlane is missing"},
 		{serves == "edge" && s.BindAddresses.Readiness == "", "bindAddresses.readiness is missing"},
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -34,6 +34,8 @@
 	"greet":    {"/partner/greet", 600 * time.Millisecond},
 	"forecast": {"/partner/forecast", 900 * time.Millisecond},
 	"plan":     {"/partner/plan", 900 * time.Millisecond},
+	"lend":     {"/partner/lend", 500 * time.Millisecond},
+	"borrow":   {"/partner/borrow", 250 * time.Millisecond},
 }
 
 // Dialer returns a dialer that gives up a connection that doesn't come up within connectBound, and one whose other end
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -30,6 +30,9 @@
 	Leaving    bool          `json:"leaving,omitempty"`
 	Follows    uint64        `json:"follows,omitempty"`
 	Drill      *drill.Report `json:"drill,omitempty"`
+	// Address is where the data plane answers other data planes; Neighbours is the mark of the list of these that it has.
+	Address    string `json:"address,omitempty"`
+	Neighbours uint64 `json:"neighbours,omitempty"`
 	// Proof asks that contact with a majority be proven by a question that begins after this poll
 	// has come: a data plane without a configuration takes none on an earlier proof.
 	Proof bool `json:"proof,omitempty"`
@@ -82,6 +85,24 @@
 	Context    *ContextNews         `json:"context,omitempty"`
 	Question   *drill.Question      `json:"question,omitempty"`
 	Drill      *drill.Notice        `json:"drill,omitempty"`
+	// CountedMs is how long the data plane has been one of the Edges counted. Neighbours is sent where the data
+	// plane has another list.
+	CountedMs int64 `json:"countedMs,omitempty"`
+	// EdgesSure says that no data plane can be missing from Edges because the control daemon started lately.
+	EdgesSure  bool        `json:"edgesSure,omitempty"`
+	Neighbours *Neighbours `json:"neighbours,omitempty"`
+}
+
+// Neighbours lists data planes that hold pools for tenants' limits. Equal lists have equal marks.
+type Neighbours struct {
+	Mark uint64      `json:"mark"`
+	List []Neighbour `json:"list"`
+}
+
+// Neighbour is a data plane and the address at which it answers others.
+type Neighbour struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
 }
 
 // ModelLoad is the load of one model: requests waiting, arrived and running, the oldest wait, the
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -12,13 +12,18 @@
 	parameters Parameters
 	daemon     string
 	accounts   map[string]*account
+	// silent holds the homes that gave no answer, and when they are asked again.
+	silent map[string]time.Time
 }
 
 // account is what a data plane holds of one tenant.
 type account struct {
-	tokens  int
-	until   time.Time
+	tokens int
+	until  time.Time
+	// refused tells when homes are asked again that had no token. Until denied one of them had none because the tenant
+	// is beyond its limit.
 	refused map[string]time.Time
+	denied  time.Time
 	// recent counts the requests since the moment, the last ones of the span before in earlier.
 	recent, earlier int
 	since           time.Time
@@ -26,7 +31,7 @@
 
 // NewBorrower returns a borrower of a data plane without tokens.
 func NewBorrower(parameters Parameters, daemon string) *Borrower {
-	return &Borrower{parameters: parameters, daemon: daemon, accounts: map[string]*account{}}
+	return &Borrower{parameters: parameters, daemon: daemon, accounts: map[string]*account{}, silent: map[string]time.Time{}}
 }
 
 func (b *Borrower) account(tenant string, now time.Time) *account {
@@ -75,7 +80,7 @@
 	first := int(xxhash.Sum64String(b.daemon+"\x00"+tenant) % uint64(len(homes)))
 	for offset := range homes {
 		home := homes[(first+offset)%len(homes)]
-		if !now.Before(held.refused[home]) {
+		if !now.Before(held.refused[home]) && !now.Before(b.silent[home]) {
 			return home, true
 		}
 	}
@@ -92,8 +97,13 @@
 // Answered notes what a home gave in answer to a question put at the time given.
 func (b *Borrower) Answered(tenant, home string, reply BorrowReply, asked, now time.Time) {
 	held := b.account(tenant, now)
+	if reply.Unable {
+		held.refused[home] = now.Add(unablePause)
+		return
+	}
 	if reply.RetryMs > 0 {
-		held.refused[home] = now.Add(time.Duration(reply.RetryMs) * time.Millisecond)
+		held.denied = now.Add(time.Duration(reply.RetryMs) * time.Millisecond)
+		held.refused[home] = held.denied
 	}
 	until := asked.Add(b.parameters.TokenLife)
 	if reply.Tokens <= 0 || !now.Before(until) {
@@ -114,13 +124,24 @@
 	return right
 }
 
-// failurePause is how long a home that gave no answer isn't asked again.
-const failurePause = 500 * time.Millisecond
+// Denied returns how much longer the tenant counts as beyond its limit, zero where it doesn't.
+func (b *Borrower) Denied(tenant string, now time.Time) time.Duration {
+	held := b.accounts[tenant]
+	if held == nil {
+		return 0
+	}
+	return max(held.denied.Sub(now), 0)
+}
+
+const (
+	// failurePause is how long a home that gave no answer isn't asked again.
+	failurePause = 500 * time.Millisecond
+	// unablePause is how long a home that can't tell of a tenant isn't asked for it again.
+	unablePause = 100 * time.Millisecond
+)
 
 // Failed notes that a home gave no answer. What it may have given is lost.
-func (b *Borrower) Failed(tenant, home string, now time.Time) {
-	b.account(tenant, now).refused[home] = now.Add(failurePause)
-}
+func (b *Borrower) Failed(home string, now time.Time) { b.silent[home] = now.Add(failurePause) }
 
 // accountLife is how long an account without requests is kept.
 const accountLife = 30 * time.Second
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -34,8 +34,10 @@
 	Want   int    `json:"want"`
 }
 
-// BorrowReply gives tokens. RetryMs is how long none will be left, where fewer were given than wanted.
+// BorrowReply gives tokens. RetryMs is how long none will be left, where fewer were given than wanted. Unable says that
+// the home can't tell what the tenant may send: it doesn't know it, or nothing is lent to it.
 type BorrowReply struct {
 	Tokens  int   `json:"tokens"`
 	RetryMs int64 `json:"retryMs,omitempty"`
+	Unable  bool  `json:"unable,omitempty"`
 }
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -255,8 +255,8 @@
 	p.expire(now)
 	one := p.groups[p.parameters.Group(request.Tenant)]
 	held := one.buckets[request.Tenant]
-	if held == nil {
-		return BorrowReply{RetryMs: p.parameters.Renewal.Milliseconds()}
+	if held == nil || one.share <= 0 {
+		return BorrowReply{Unable: true}
 	}
 	p.accrue(one, request.Tenant, held, now)
 	given := int(min(math.Floor(held.tokens+rounding), float64(max(request.Want, 0))))
@@ -272,11 +272,8 @@
 
 // retry is the time until the bucket has a token again, in milliseconds, at most a renewal.
 func (p *Pool) retry(one *group, tenant string, held *bucket) int64 {
-	longest := p.parameters.Renewal.Milliseconds()
 	pace := one.share * p.parameters.rate(p.limits[tenant])
-	if pace <= 0 {
-		return longest
-	}
 	missing := max(1-held.tokens, 0) / pace
-	return min(int64(math.Ceil(missing*1000)), longest)
+	longest := p.parameters.Renewal.Milliseconds()
+	return int64(min(math.Ceil(missing*1000), float64(longest)))
 }
--- a/internal/quota/useful_test.go
+++ b/internal/quota/useful_test.go
@@ -76,7 +76,7 @@
 	c.calls++
 	home := c.find(name)
 	if home == nil || home.frozen {
-		one.borrower.Failed(testTenant, name, now)
+		one.borrower.Failed(name, now)
 		return true
 	}
 	question := BorrowRequest{Tenant: testTenant, Want: one.borrower.Want(testTenant, 1, now)}
