--- /dev/null
+++ b/internal/dataplane/server.go
@@ -0,0 +1,75 @@
+package dataplane
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"ferryspar/internal/apierror"
+	"ferryspar/internal/client"
+	"ferryspar/internal/nodesettings"
+)
+
+// newServer is the HTTP server for clients.
+func (d *Daemon) newServer() *http.Server {
+	return &http.Server{
+		DisableGeneralOptionsHandler: true,
+		Handler:                      d.handler,
+		ReadHeaderTimeout:            10 * time.Second,
+		IdleTimeout:                  60 * time.Second,
+		ErrorLog:                     discardLog(),
+		ConnState:                    client.FollowState,
+		ConnContext:                  client.Remember,
+	}
+}
+
+const (
+	// reservedDescriptors are the file descriptors kept for everything but clients.
+	reservedDescriptors = 200
+	// connectionShare is the share of the other descriptors that clients' connections may take.
+	connectionShare = 0.6
+	// unboundedConnections is the bound where the settings tell no number of descriptors.
+	unboundedConnections = 1 << 16
+)
+
+// maxConnections is how many clients' connections are accepted at once.
+func (d *Daemon) maxConnections() int {
+	if d.settings.Limits.MaxFds <= reservedDescriptors {
+		return unboundedConnections
+	}
+	return int(connectionShare * float64(d.settings.Limits.MaxFds-reservedDescriptors))
+}
+
+// clientLimits are the configuration's bounds on a request's head and on idle connections; 0 before
+// there is one.
+func (d *Daemon) clientLimits() (head, idle time.Duration) {
+	table := d.fleet.Load().Table
+	if table == nil {
+		return 0, 0
+	}
+	limits := table.Configuration.Limits
+	return nodesettings.Milliseconds(limits.HeaderTimeoutMs), nodesettings.Milliseconds(limits.IdleTimeoutMs)
+}
+
+// readinessRoutes answers whether this daemon may be sent requests.
+func (d *Daemon) readinessRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
+		if d.leaving.Load() {
+			apierror.Write(writer, apierror.New(apierror.Leaving, ""))
+			return
+		}
+		if !d.state.Ready() {
+			apierror.Write(writer, apierror.New(apierror.NoConfiguration, ""))
+			return
+		}
+		writer.WriteHeader(http.StatusOK)
+	})
+	router.Get("/ferryspar/refusals", func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(d.handler.Refusals.Counts())
+	})
+	return router
+}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -37,7 +37,9 @@
 type home struct {
 	stamp   Stamp
 	heardAt time.Time
-	// silentUntil is when a home that gave no answer is asked again.
+	// failures counts the calls without an answer since the last one; silentUntil is when a home that doesn't answer is
+	// asked again.
+	failures    int
 	silentUntil time.Time
 }
 
@@ -194,14 +196,20 @@
 		return false
 	}
 	fresh := known.stamp.Life != reply.Stamp.Life
-	known.stamp, known.heardAt, known.silentUntil = reply.Stamp, now, time.Time{}
+	known.stamp, known.heardAt, known.failures, known.silentUntil = reply.Stamp, now, 0, time.Time{}
 	return fresh
 }
 
-// Failed notes that a home gave no answer. It isn't lent to before it answers again.
+// failuresBorne is how many calls in a row may fail before a home counts as silent: a busy one may be late once.
+const failuresBorne = 1
+
+// Failed notes that a home gave no answer. After more than one in a row it isn't lent to before it answers again.
 func (l *Lender) Failed(name string, now time.Time) {
 	known := l.known(name)
-	known.stamp, known.silentUntil = Stamp{}, now.Add(2*l.parameters.Renewal)
+	known.failures++
+	if known.failures > failuresBorne || known.stamp.Life == "" {
+		known.stamp, known.silentUntil = Stamp{}, now.Add(2*l.parameters.Renewal)
+	}
 }
 
 // Homes returns the homes of a tenant's group that shares were last lent to.
