--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -1,13 +1,9 @@
 package dataplane
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-
-	"ferryspar/internal/apierror"
 	"ferryspar/internal/client"
 	"ferryspar/internal/nodesettings"
 )
@@ -52,24 +48,3 @@
 	limits := table.Configuration.Limits
 	return nodesettings.Milliseconds(limits.HeaderTimeoutMs), nodesettings.Milliseconds(limits.IdleTimeoutMs)
 }
-
-// readinessRoutes answers whether this daemon may be sent requests.
-func (d *Daemon) readinessRoutes() http.Handler {
-	router := chi.NewRouter()
-	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
-		if d.leaving.Load() {
-			apierror.Write(writer, apierror.New(apierror.Leaving, ""))
-			return
-		}
-		if !d.state.Ready() {
-			apierror.Write(writer, apierror.New(apierror.NoConfiguration, ""))
-			return
-		}
-		writer.WriteHeader(http.StatusOK)
-	})
-	router.Get("/ferryspar/refusals", func(writer http.ResponseWriter, request *http.Request) {
-		writer.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(writer).Encode(d.handler.Refusals.Counts())
-	})
-	return router
-}
