Data plane: patient requests wait for a home that can tell what their tenant may send

Cause: while shares of dead homes were not lent again, requests got 503 at once, also those with seconds to spare. Result: tests of client, dataplane and the stories of limits pass.

--- a/internal/dataplane/admission.go
+++ b/internal/dataplane/admission.go
@@ -10,15 +10,17 @@
 )
 
 const (
-	// admissionPatience is how long a request may wait for tokens of its tenant.
-	admissionPatience = 600 * time.Millisecond
+	// leastPatience is how long any request may wait for calls to its tenant's homes.
+	leastPatience = 600 * time.Millisecond
+	// unableLook is the pause after which homes are looked for again that can tell what the tenant may send.
+	unableLook = 50 * time.Millisecond
 	// unknownRetry is when a request may try again whose tenant's homes give no answer.
 	unknownRetry = 200 * time.Millisecond
 )
 
 // Take spends a token of the tenant, and asks a home for some where there is none here. Requests of a tenant that come while
-// a home is asked share the next call.
-func (q *Quotas) Take(ctx context.Context, tenant *configuration.Tenant) error {
+// a home is asked share the next call. Where no home can tell, it looks again until the patience is over.
+func (q *Quotas) Take(ctx context.Context, tenant *configuration.Tenant, patience time.Duration) error {
 	if limitOf(tenant).Unlimited() {
 		return nil
 	}
@@ -28,24 +30,39 @@
 	q.borrower.Arrived(tenant.Name, began)
 	q.wait(tenant.Name, 1)
 	defer q.wait(tenant.Name, -1)
-	for now := began; now.Sub(began) < admissionPatience && ctx.Err() == nil; now = q.clock() {
+	for now := began; now.Sub(began) < max(patience, leastPatience) && ctx.Err() == nil; now = q.clock() {
 		if q.borrower.Take(tenant.Name, now) {
 			return nil
 		}
 		answered := q.ask(tenant.Name, now)
-		if answered == nil {
-			return q.refusal(tenant.Name, now)
+		if left := q.borrower.Denied(tenant.Name, now); answered == nil && left > 0 {
+			return apierror.Later(apierror.TenantLimit, left)
 		}
-		q.lock.Unlock()
-		select {
-		case <-answered:
-		case <-ctx.Done():
+		if answered == nil && now.Sub(began) > patience {
+			break
 		}
+		q.lock.Unlock()
+		pause(ctx, answered)
 		q.lock.Lock()
 	}
 	return apierror.Later(apierror.QuotaUnknown, unknownRetry)
 }
 
+// pause waits for the answer that is under way, or for a short while where there is none.
+func pause(ctx context.Context, answered <-chan struct{}) {
+	timer := time.NewTimer(unableLook)
+	defer timer.Stop()
+	over := timer.C
+	if answered != nil {
+		over = nil
+	}
+	select {
+	case <-answered:
+	case <-over:
+	case <-ctx.Done():
+	}
+}
+
 // wait counts the requests of the tenant that wait for tokens. The caller holds the lock.
 func (q *Quotas) wait(tenant string, more int) {
 	q.pending[tenant] += more
@@ -97,12 +114,3 @@
 	delete(q.asking, question.Tenant)
 	close(answered)
 }
-
-// refusal is the answer where no home is to be asked: the tenant is beyond its limit, or homes can't be reached.
-// The caller holds the lock.
-func (q *Quotas) refusal(tenant string, now time.Time) error {
-	if left := q.borrower.Denied(tenant, now); left > 0 {
-		return apierror.Later(apierror.TenantLimit, left)
-	}
-	return apierror.Later(apierror.QuotaUnknown, unknownRetry)
-}
