--- /dev/null
+++ b/internal/dataplane/quotastatus.go
@@ -0,0 +1,35 @@
+package dataplane
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"ferryspar/internal/quota"
+)
+
+// quotaStatus is what operators see of the limits of tenants at one data plane: what is lent to it and what it lent.
+type quotaStatus struct {
+	Holds []quota.Holding `json:"holds"`
+	Lent  []quota.Debt    `json:"lent"`
+}
+
+// status tells the present state, in order of names.
+func (q *Quotas) status() quotaStatus {
+	q.lock.Lock()
+	now := q.clock()
+	status := quotaStatus{Holds: q.pool.Holdings(now), Lent: q.lender.Debts(now)}
+	q.lock.Unlock()
+	slices.SortFunc(status.Holds, func(left, right quota.Holding) int { return cmp.Compare(left.Tenant, right.Tenant) })
+	slices.SortFunc(status.Lent, func(left, right quota.Debt) int {
+		return cmp.Or(cmp.Compare(left.Group, right.Group), cmp.Compare(left.Home, right.Home))
+	})
+	return status
+}
+
+// showStatus answers with the status.
+func (q *Quotas) showStatus(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(q.status())
+}
--- a/internal/dataplane/readiness.go
+++ b/internal/dataplane/readiness.go
@@ -9,7 +9,8 @@
 	"ferryspar/internal/apierror"
 )
 
-// readinessRoutes answers whether this daemon may be sent requests, and what it refused since its start, by reason.
+// readinessRoutes answers whether this daemon may be sent requests, and what it refused since its start, by reason, and
+// what it holds and lent of tenants' limits.
 func (d *Daemon) readinessRoutes() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/ferryspar/readyz", func(writer http.ResponseWriter, request *http.Request) {
@@ -27,5 +28,6 @@
 		writer.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(writer).Encode(d.handler.Refusals.Counts())
 	})
+	router.Get("/ferryspar/quota", d.quotas.showStatus)
 	return router
 }
--- a/internal/story/quota_test.go
+++ b/internal/story/quota_test.go
@@ -1,6 +1,7 @@
 package story
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -203,6 +204,16 @@
 func TestGivenALimitLoweredUnderLoadThenItBindsAWindowAfterItIsInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := startQuota(t, 3, quota.Limit{RatePerS: 20, Burst: 10})
+		held := 0.0
+		for number := 1; number <= 3; number++ {
+			var status struct{ Holds []quota.Holding }
+			shown := q.call(http.MethodGet, edgeHost(number)+":8167", "/ferryspar/quota", "", nil)
+			assert.NilError(t, json.Unmarshal([]byte(shown.body), &status))
+			for _, one := range status.Holds {
+				held += one.Share
+			}
+		}
+		assert.Assert(t, held > 0.99 && held < 1.01, "all of the limit is at some home: %.3f", held)
 		low := quota.Limit{RatePerS: 4, Burst: 2}
 		var acknowledged time.Duration
 		go func() {
