Quota: shares stay lent while restarted control daemons don't tell a count yet

Cause: a data plane renewed its loans only on news with a count, which control daemons withhold for 2.5 s after their start; a herd of them killed for 3 s left tenants without pools. Ruled out: lending on news without any known count. Change: confirmed news counts as contact wherever a count was known before; touch 5.5 s instead of 4.

--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -116,7 +116,7 @@
 		news.Proven = snapshot.ConfirmedAt.After(came)
 		answers = news.Proven
 	}
-	if news.Edges > 0 {
+	if news.FreshMs > 0 {
 		d.watching.Lock()
 		news.CountedMs = now.Sub(d.edges.Since(poll.Daemon)).Milliseconds()
 		news.EdgesSure = now.Sub(d.started) > d.edges.Lifetime
--- a/internal/dataplane/primary.go
+++ b/internal/dataplane/primary.go
@@ -90,7 +90,8 @@
 }
 
 // sureCount is the number of data planes, without those that fell silent so long ago that what they lent of tenants'
-// limits has ended. Where no control daemon has run for long enough to tell, it is the one that is kept high.
+// limits has ended. Where no control daemon has run for long enough to tell, it is the one that is kept high, and 0 if
+// none was ever told.
 func (d *FleetState) sureCount() int {
 	now, most, sure := d.clock(), 0, false
 	for _, held := range d.sources {
@@ -99,8 +100,8 @@
 			sure = sure || held.sure
 		}
 	}
-	if !sure {
-		return d.count()
+	if d.count(); !sure {
+		return d.counted
 	}
 	return most
 }
--- a/internal/dataplane/quotas.go
+++ b/internal/dataplane/quotas.go
@@ -64,11 +64,12 @@
 	}
 }
 
-// hear takes in confirmed news: the number of data planes and those that may be homes.
+// hear takes in confirmed news, the number of data planes that holds with it (0 while it isn't known), and those that may
+// be homes.
 func (q *Quotas) hear(news peer.News, count int, asked time.Time) {
 	q.lock.Lock()
 	defer q.lock.Unlock()
-	if news.Edges > 0 {
+	if count > 0 {
 		q.lender.Touch(count, time.Duration(news.CountedMs)*time.Millisecond, asked)
 		q.pool.SetCount(count)
 	}
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -56,7 +56,7 @@
 		Term:      3 * time.Second,
 		Renewal:   800 * time.Millisecond,
 		TokenLife: 250 * time.Millisecond,
-		Touch:     4 * time.Second,
+		Touch:     5500 * time.Millisecond,
 		Counted:   10 * time.Second,
 		Drift:     1e-3,
 	}
--- a/internal/story/quota_test.go
+++ b/internal/story/quota_test.go
@@ -161,6 +161,20 @@
 			func(q *quotaFleet) { q.cutEdges([]int{1, 2}, []int{3, 4}, true) },
 			0.8,
 		},
+		"all control daemons away for three seconds": {
+			func(time.Duration) int { return 1 },
+			func(q *quotaFleet) {
+				time.Sleep(2 * time.Second)
+				for number := 1; number <= q.cores; number++ {
+					q.kill(coreHost(number))
+				}
+				time.Sleep(3 * time.Second)
+				for number := 1; number <= q.cores; number++ {
+					q.startCore(coreHost(number), false, 1, 2, 3)
+				}
+			},
+			0.9,
+		},
 		"data planes die while owing": {
 			func(after time.Duration) int { return 1 + int(after/time.Millisecond/25)%2 },
 			func(q *quotaFleet) {
