--- a/internal/story/quota_test.go
+++ b/internal/story/quota_test.go
@@ -4,18 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/quota"
-	"ferryspar/internal/replica"
 )
 
 var quotaBounds = quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
@@ -27,114 +22,6 @@
 	return documentOf(revision, tenants)
 }
 
-// quotaFleet is a fleet with the limit in force, and a tenant that may send more than that.
-type quotaFleet struct {
-	*fleet
-	replicas []*standInReplica
-	limit    quota.Limit
-	began    time.Time
-	attempts atomic.Int64
-	statuses [600]atomic.Int64
-}
-
-func startQuota(t *testing.T, edges int, limit quota.Limit) *quotaFleet {
-	q := &quotaFleet{limit: limit}
-	for number := range 4 {
-		q.replicas = append(q.replicas, newStandInReplica(fmt.Sprintf("i-%d", number), fmt.Sprintf("10.1.2.%d", number+1), "north", "swift"))
-	}
-	q.fleet = startFleet(t, 0, q.replicas...)
-	q.adjust = func(settings *nodesettings.Settings) {
-		bounds := &settings.TimingBounds
-		bounds.QuotaWindowS, bounds.QuotaOverage, bounds.QuotaSlack = quotaBounds.Window.Seconds(), quotaBounds.Overage, quotaBounds.Slack
-	}
-	for number := 1; number <= edges; number++ {
-		q.startEdge(edgeHost(number))
-	}
-	time.Sleep(3 * time.Second)
-	assert.Equal(t, q.put(1, 0, 1, limited(1, limit)).status, http.StatusOK)
-	time.Sleep(14 * time.Second)
-	q.began = time.Now()
-	return q
-}
-
-// send has the tenant send a number of requests a second for a while, to the data planes that the function names.
-func (q *quotaFleet) send(perS int, passed time.Duration, edge func(after time.Duration) int) {
-	began := time.Now()
-	for time.Since(began) < passed {
-		number := edge(time.Since(began))
-		go func() {
-			attempt := fmt.Sprintf("a-%d", q.attempts.Add(1))
-			answer := q.call(http.MethodPost, edgeHost(number)+":8161", "/quick/", "prompt", map[string]string{
-				"Host": "shop.example", replica.HeaderAttempt: attempt, replica.HeaderModel: "swift", replica.HeaderTokens: "10,2",
-				replica.HeaderKey: oldKey, replica.HeaderRemaining: "3000",
-			})
-			q.statuses[answer.status].Add(1)
-		}()
-		time.Sleep(time.Second / time.Duration(perS))
-	}
-}
-
-// times are when requests of the tenant came to replicas, after the start, in order.
-func (q *quotaFleet) times() []time.Duration {
-	var times []time.Duration
-	for _, one := range q.replicas {
-		for _, run := range one.ran() {
-			if run.header.Get(replica.HeaderTenant) == "one" {
-				times = append(times, run.at.Sub(q.began))
-			}
-		}
-	}
-	slices.Sort(times)
-	return times
-}
-
-// between counts the requests that came to replicas in a span.
-func (q *quotaFleet) between(from, to time.Duration) int {
-	count := 0
-	for _, at := range q.times() {
-		if at >= from && at < to {
-			count++
-		}
-	}
-	return count
-}
-
-// worst is the largest number of requests that came to replicas within one window that begins at the time given or later.
-func (q *quotaFleet) worst(since time.Duration) int {
-	times, most := q.times(), 0
-	for first, began := range times {
-		if began < since {
-			continue
-		}
-		last := first
-		for last < len(times) && times[last]-began <= quotaBounds.Window {
-			last++
-		}
-		most = max(most, last-first)
-	}
-	return most
-}
-
-func (q *quotaFleet) since() time.Duration { return time.Since(q.began) }
-
-func (q *quotaFleet) seen() string {
-	var seen []string
-	for status := range q.statuses {
-		if amount := q.statuses[status].Load(); amount > 0 {
-			seen = append(seen, fmt.Sprintf("%d: %d", status, amount))
-		}
-	}
-	return strings.Join(seen, ", ")
-}
-
-func (q *quotaFleet) cutEdges(left, right []int, cut bool) {
-	for _, one := range left {
-		for _, other := range right {
-			q.network.cut(edgeHost(one), edgeHost(other), cut)
-		}
-	}
-}
-
 const storySpan = 20 * time.Second
 
 func TestGivenATenantBeyondItsLimitThenAllDataPlanesTogetherKeepToItAndItGetsIt(t *testing.T) {
