--- a/internal/client/access_test.go
+++ b/internal/client/access_test.go
@@ -200,7 +200,7 @@
 	asked   []string
 }
 
-func (q *testQuota) Take(_ context.Context, tenant *configuration.Tenant, _ time.Duration) error {
+func (q *testQuota) Take(_ context.Context, tenant *configuration.Tenant, _ QuotaPatience) error {
 	q.asked = append(q.asked, tenant.Name)
 	if tenant.Name == q.refuses {
 		return apierror.Later(apierror.TenantLimit, 250*time.Millisecond)
--- a/internal/client/quota.go
+++ b/internal/client/quota.go
@@ -10,13 +10,19 @@
 // Quota decides whether a tenant may send one more request. Any goroutine may call it.
 type Quota interface {
 	// Take takes one request from what the tenant may still send over all data planes. It may wait for the answer of
-	// another one, and for as long as patience where that can't be told. The error is what the client is answered where
-	// it may not be sent.
-	Take(ctx context.Context, tenant *configuration.Tenant, patience time.Duration) error
+	// another one, and for as long as the patience where that can't be told. The error is what the client is answered
+	// where it may not be sent.
+	Take(ctx context.Context, tenant *configuration.Tenant, patience QuotaPatience) error
 }
 
-// quotaPatienceDivisor makes the part of a request's aim for which it may wait to learn whether it is within its quota, so
-// that its client can still try elsewhere in time.
+// QuotaPatience is how long a request may wait to learn whether it is within its quota: Alone where only this data plane
+// can't tell, so that the client can still try elsewhere in time, and Together where others can't either.
+type QuotaPatience struct {
+	Alone    time.Duration
+	Together time.Duration
+}
+
+// quotaPatienceDivisor makes the parts of a request's aim and of its time that are its patience.
 const quotaPatienceDivisor = 5
 
 // withinQuota is asked once for each request of a client, after it has been read whole and before it is queued.
@@ -24,5 +30,11 @@
 	if d.Quota == nil || taken.access.tenant == configuration.NoTenant {
 		return nil
 	}
-	return d.Quota.Take(ctx, taken.access.table.Tenant(taken.access.tenant), taken.request.Aim/quotaPatienceDivisor)
+	request := taken.request
+	alone := request.Aim / quotaPatienceDivisor
+	patience := QuotaPatience{
+		Alone:    alone,
+		Together: max(alone, request.Deadline.Sub(request.Arrived)/quotaPatienceDivisor),
+	}
+	return d.Quota.Take(ctx, taken.access.table.Tenant(taken.access.tenant), patience)
 }
--- a/internal/dataplane/admission.go
+++ b/internal/dataplane/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ferryspar/internal/apierror"
+	"ferryspar/internal/client"
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/quota"
 )
@@ -20,7 +21,7 @@
 
 // Take spends a token of the tenant, and asks a home for some where there is none here. Requests of a tenant that come while
 // a home is asked share the next call. Where no home can tell, it looks again until the patience is over.
-func (q *Quotas) Take(ctx context.Context, tenant *configuration.Tenant, patience time.Duration) error {
+func (q *Quotas) Take(ctx context.Context, tenant *configuration.Tenant, patience client.QuotaPatience) error {
 	if limitOf(tenant).Unlimited() {
 		return nil
 	}
@@ -30,7 +31,7 @@
 	q.borrower.Arrived(tenant.Name, began)
 	q.wait(tenant.Name, 1)
 	defer q.wait(tenant.Name, -1)
-	for now := began; now.Sub(began) < max(patience, leastPatience) && ctx.Err() == nil; now = q.clock() {
+	for now := began; now.Sub(began) < max(patience.Together, leastPatience) && ctx.Err() == nil; now = q.clock() {
 		if q.borrower.Take(tenant.Name, now) {
 			return nil
 		}
@@ -38,7 +39,7 @@
 		if left := q.borrower.Denied(tenant.Name, now); answered == nil && left > 0 {
 			return apierror.Later(apierror.TenantLimit, left)
 		}
-		if answered == nil && now.Sub(began) > patience {
+		if answered == nil && now.Sub(began) > patience.Alone && !q.lender.InTouch(now) {
 			break
 		}
 		q.lock.Unlock()
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -88,9 +88,14 @@
 	l.share, l.touched = 1/float64(max(count.DataPlanes, 1)), asked
 }
 
+// InTouch says whether the count was confirmed lately.
+func (l *Lender) InTouch(now time.Time) bool {
+	return !l.touched.IsZero() && now.Sub(l.touched) < l.parameters.Touch
+}
+
 // lends says whether the share may be lent now.
 func (l *Lender) lends(now time.Time) bool {
-	if l.touched.IsZero() || now.Sub(l.touched) >= l.parameters.Touch {
+	if !l.InTouch(now) {
 		return false
 	}
 	joined := !l.joining || now.Sub(l.countedSince) > l.parameters.JoiningWait()
@@ -131,6 +136,9 @@
 	return offers
 }
 
+// stampLife is the part of a term after which a stamp is too old to lend on: little would be left of the loan.
+const stampLife = 0.7
+
 // choose picks the first ranked homes that answer, and those to be asked whether they do.
 func (l *Lender) choose(ranked []string, now time.Time) (chosen, probed []string) {
 	for _, name := range ranked {
@@ -138,7 +146,7 @@
 			break
 		}
 		known := l.known(name)
-		answers := known.stamp.Life != "" && now.Sub(known.heardAt) < l.parameters.Term/2
+		answers := known.stamp.Life != "" && now.Sub(known.heardAt) < time.Duration(stampLife*float64(l.parameters.Term))
 		switch {
 		case answers:
 			chosen = append(chosen, name)
