--- /dev/null
+++ b/internal/quota/cost_bench_test.go
@@ -0,0 +1,82 @@
+package quota
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// sizes are the fleets that costs are measured at.
+var sizes = []struct{ dataPlanes, tenants int }{{80, 83}, {380, 83}, {380, 10000}}
+
+// filledPool is a home that all data planes lend their part of one group to.
+func filledPool(dataPlanes, tenants int) (pool *Pool, requests []LendRequest, limits map[string]Limit, now time.Time) {
+	parameters, now := DefaultParameters(testBounds), epoch
+	pool = NewPool(parameters, "home", now)
+	limits = map[string]Limit{}
+	for number := range tenants {
+		limits[fmt.Sprintf("tenant-%d", number)] = Limit{RatePerS: 3, Burst: 5}
+	}
+	pool.SetLimits(limits, now)
+	pool.SetCount(dataPlanes)
+	stamp := pool.Lend(LendRequest{}, now).Stamp
+	for number := range dataPlanes {
+		loans := []Loan{{Group: 0, Share: 1 / float64(2*dataPlanes), Homes: 2}}
+		requests = append(requests, LendRequest{Lender: fmt.Sprintf("data-%d/x", number), Number: 1, Stamp: stamp, Loans: loans})
+		pool.Lend(requests[number], now)
+	}
+	return pool, requests, limits, now
+}
+
+func BenchmarkRenewalAtAHome(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("dataPlanes=%d/tenants=%d", size.dataPlanes, size.tenants), func(b *testing.B) {
+			pool, requests, _, now := filledPool(size.dataPlanes, size.tenants)
+			content, _ := json.Marshal(requests[0])
+			position := 0
+			for b.Loop() {
+				request := &requests[position%len(requests)]
+				request.Number++
+				request.Stamp = pool.Lend(*request, now).Stamp
+				position++
+			}
+			b.ReportMetric(float64(len(content)), "bytes/message")
+		})
+	}
+}
+
+func BenchmarkBorrowAtAHome(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("dataPlanes=%d/tenants=%d", size.dataPlanes, size.tenants), func(b *testing.B) {
+			pool, _, limits, now := filledPool(size.dataPlanes, size.tenants)
+			question := BorrowRequest{Want: 1}
+			for tenant := range limits {
+				if pool.parameters.Group(tenant) == 0 {
+					question.Tenant = tenant
+				}
+			}
+			for b.Loop() {
+				pool.Borrow(question, now)
+			}
+		})
+	}
+}
+
+// The homes' work is part of it.
+func BenchmarkRoundOfALender(b *testing.B) {
+	for _, members := range []int{8, 32} {
+		b.Run(fmt.Sprintf("candidates=%d", members), func(b *testing.B) {
+			fleet := newCalm(Limit{RatePerS: 1}, members)
+			one, names := fleet.nodes[0], fleet.members()
+			for b.Loop() {
+				fleet.now += fleet.parameters.Renewal
+				fleet.touch()
+				for _, offer := range one.lender.Plan(names, fleet.clock(one)) {
+					home := fleet.find(offer.Home)
+					one.lender.Answered(home.name, home.pool.Lend(offer.Request, fleet.clock(home)), fleet.clock(one))
+				}
+			}
+		})
+	}
+}
