Quota: after a start of all, shares are lent on the count of the first second

Cause: control daemons tell no count for 2.5 s after their start, and tenants with limits were refused that long after a power loss. Ruled out: a share of an assumed 512 data planes, which is too little for one request of a small tenant.

--- a/internal/controlplane/greetings.go
+++ b/internal/controlplane/greetings.go
@@ -139,12 +139,18 @@
 	counted := max(d.edges.Count(d.clock()), 1)
 	neighbours := d.listNeighbours()
 	d.watching.Unlock()
-	if d.clock().Sub(d.started) < settleTime {
+	present, running := counted, d.clock().Sub(d.started)
+	if running < presentTime {
+		present = 0
+	}
+	if running < settleTime {
 		counted = 0
 	}
 	control := append(others, d.self)
 	sort.Strings(control)
-	d.publisher.Touch(func(next *Snapshot) { next.Edges, next.Control, next.Neighbours = counted, control, neighbours })
+	d.publisher.Touch(func(next *Snapshot) {
+		next.Edges, next.Present, next.Control, next.Neighbours = counted, present, control, neighbours
+	})
 }
 
 func (d *Daemon) hearGreeting(_ context.Context, greeting peer.Greeting) greeted {
--- a/internal/controlplane/neighbours.go
+++ b/internal/controlplane/neighbours.go
@@ -1,12 +1,18 @@
 package controlplane
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"ferryspar/internal/peer"
 	"ferryspar/internal/quota"
 )
 
+// presentTime is how long a control daemon that has just started does not say how many data planes it heard of: all that
+// run poll it within that time.
+const presentTime = time.Second
+
 // listNeighbours lists the data planes in touch that come into question as homes of tenants' limits. The caller holds
 // the lock of what is watched.
 func (d *Daemon) listNeighbours() *peer.Neighbours {
--- a/internal/controlplane/publisher.go
+++ b/internal/controlplane/publisher.go
@@ -28,6 +28,7 @@
 	Holder      string
 	Control     []string
 	Edges       int
+	Present     int
 	Neighbours  *peer.Neighbours
 	Policy      retention.Policy
 	Forgets     retention.Record
@@ -118,7 +119,7 @@
 	if news.FreshMs == 0 {
 		return news
 	}
-	news.Edges = s.Edges
+	news.Edges, news.Present = s.Edges, s.Present
 	if poll.Wants && s.Neighbours != nil && s.Neighbours.Mark != poll.Neighbours {
 		news.Neighbours = s.Neighbours
 	}
--- a/internal/dataplane/primary.go
+++ b/internal/dataplane/primary.go
@@ -96,12 +96,12 @@
 	now, most := d.clock(), 0
 	for _, held := range d.sources {
 		if now.Sub(held.heardAt) < countFresh {
-			most = max(most, held.edges)
+			most = max(most, held.edges, held.present)
 			sure = sure || held.sure
 		}
 	}
 	if d.count(); !sure {
-		return d.counted, false
+		return max(d.counted, most), false
 	}
 	return most, true
 }
--- a/internal/dataplane/state.go
+++ b/internal/dataplane/state.go
@@ -20,6 +20,7 @@
 	heardAt   time.Time
 	revision  int64
 	edges     int
+	present   int
 	sure      bool
 	life      string
 	parts     map[peer.PartName]peer.Part
@@ -161,7 +162,7 @@
 		d.heard.Store(&one.at)
 		changed = d.rehearse(one) || changed
 	}
-	held.zone, held.sure = news.Zone, news.EdgesSure
+	held.zone, held.present, held.sure = news.Zone, news.Present, news.EdgesSure
 	if fresh && d.quotas != nil {
 		count, sure := d.sureCount()
 		d.quotas.hear(news, count, sure, one.asked)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -89,7 +89,9 @@
 	// plane has another list.
 	CountedMs int64 `json:"countedMs,omitempty"`
 	// EdgesSure says that no data plane can be missing from Edges because the control daemon started lately.
-	EdgesSure  bool        `json:"edgesSure,omitempty"`
+	EdgesSure bool `json:"edgesSure,omitempty"`
+	// Present is how many data planes were heard of by now, told sooner after a start than Edges.
+	Present    int         `json:"present,omitempty"`
 	Neighbours *Neighbours `json:"neighbours,omitempty"`
 }
 
