Quota: homes end the loans of a lender's former life; no wait for these after a start of all

A restarted lender waited a term for what its last life may have lent. Ruled out: leaving out that wait in general, since homes that aren't asked again may hold a loan. Change: a home that hears a new life of a data plane ends the loans of the old one; where the control daemons have all started anew too, lenders don't wait.

--- a/internal/dataplane/quotas.go
+++ b/internal/dataplane/quotas.go
@@ -57,7 +57,7 @@
 		peers:      peers,
 		clock:      clock,
 		wake:       make(chan struct{}, 1),
-		lender:     quota.NewLender(parameters, life, now),
+		lender:     quota.NewLender(parameters, settings.NodeName, life, now),
 		pool:       quota.NewPool(parameters, life, now),
 		borrower:   quota.NewBorrower(parameters, settings.NodeName),
 		addresses:  map[string]string{},
--- a/internal/quota/cost_bench_test.go
+++ b/internal/quota/cost_bench_test.go
@@ -23,7 +23,7 @@
 	stamp := pool.Lend(LendRequest{}, now).Stamp
 	for number := range dataPlanes {
 		loans := []Loan{{Group: 0, Share: 1 / float64(2*dataPlanes), Homes: 2}}
-		requests = append(requests, LendRequest{Lender: fmt.Sprintf("data-%d/x", number), Number: 1, Stamp: stamp, Loans: loans})
+		requests = append(requests, LendRequest{Daemon: fmt.Sprintf("data-%d", number), Lender: fmt.Sprintf("data-%d/x", number), Number: 1, Stamp: stamp, Loans: loans})
 		pool.Lend(requests[number], now)
 	}
 	return pool, requests, limits, now
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -102,7 +102,7 @@
 	one.frozen = false
 	life := fmt.Sprintf("%s/%d", one.name, one.lives)
 	now := f.clock(one)
-	one.lender = NewLender(f.parameters, life, now)
+	one.lender = NewLender(f.parameters, one.name, life, now)
 	if f.fault == restartForgets {
 		one.lender.born = now.Add(-time.Minute)
 	}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -8,7 +8,8 @@
 // in its books what it may still have lent to whom, so that no part of the share is ever at two places.
 type Lender struct {
 	parameters Parameters
-	// life names this process, which began when it was born.
+	// life names this process of the data plane daemon, which began when it was born.
+	daemon string
 	life   string
 	born   time.Time
 	number uint64
@@ -18,9 +19,11 @@
 	touched      time.Time
 	countedSince time.Time
 	joining      bool
-	books        map[bookKey][]entry
-	homes        map[string]*home
-	chosen       [][]string
+	// anew is set where the control daemons have all started anew, like this process.
+	anew   bool
+	books  map[bookKey][]entry
+	homes  map[string]*home
+	chosen [][]string
 	// releasedAt tells when a home last released its part of a group.
 	releasedAt map[int]time.Time
 }
@@ -52,11 +55,12 @@
 	Request LendRequest
 }
 
-// NewLender returns a lender without a share. It lends nothing for a term, since what an earlier process on the same
-// machine lent may not have ended.
-func NewLender(parameters Parameters, life string, now time.Time) *Lender {
+// NewLender returns a lender without a share. It lends nothing for a term, since what an earlier process of the daemon
+// lent may not have ended; homes that it asks end that at once, and after a start of all that is relied upon.
+func NewLender(parameters Parameters, daemon, life string, now time.Time) *Lender {
 	return &Lender{
 		parameters: parameters,
+		daemon:     daemon,
 		life:       life,
 		born:       now,
 		books:      map[bookKey][]entry{},
@@ -81,6 +85,7 @@
 	if asked.Before(l.touched) {
 		return
 	}
+	l.anew = l.anew || l.touched.IsZero() && !count.Sure
 	if l.touched.IsZero() || asked.Sub(l.touched) >= l.parameters.Counted {
 		l.countedSince, l.joining = asked, count.Sure
 	}
@@ -99,7 +104,7 @@
 		return false
 	}
 	joined := !l.joining || now.Sub(l.countedSince) > l.parameters.JoiningWait()
-	return joined && now.Sub(l.born) > l.parameters.lent()
+	return joined && (l.anew || now.Sub(l.born) > l.parameters.lent())
 }
 
 // Plan returns the requests to be sent now, and notes what they lend as lent. Members are the names of the data planes
@@ -111,7 +116,7 @@
 	request := func(home string) *LendRequest {
 		if requests[home] == nil {
 			l.number++
-			requests[home] = &LendRequest{Lender: l.life, Number: l.number, Stamp: l.known(home).stamp}
+			requests[home] = &LendRequest{Daemon: l.daemon, Lender: l.life, Number: l.number, Stamp: l.known(home).stamp}
 			order = append(order, home)
 		}
 		return requests[home]
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -16,8 +16,10 @@
 }
 
 // LendRequest lends shares to a home until a term after the stamp, in place of what the same life of
-// the lender lent to it before. Number rises with each request of a lender's life.
+// the lender lent to it before. Daemon is the name of the lending data plane, Lender that of its life; Number rises with
+// each request of a life.
 type LendRequest struct {
+	Daemon string `json:"daemon"`
 	Lender string `json:"lender"`
 	Number uint64 `json:"number"`
 	Stamp  Stamp  `json:"stamp,omitzero"`
--- a/internal/quota/messages_test.go
+++ b/internal/quota/messages_test.go
@@ -30,7 +30,7 @@
 		request.Stamp.At = int64(f.clock(home).Sub(home.pool.started))
 	}
 	if f.fault == repeatsCountTwice && repeated {
-		request.Lender += " again"
+		request.Lender, request.Daemon = request.Lender+" again", request.Daemon+" again"
 	}
 	reply := LendReply{Stamp: Stamp{Life: home.pool.life}, Released: true}
 	if f.fault != releasedButKept || !home.pool.leaving {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -18,6 +18,9 @@
 	// nextEnd is the earliest end of a loan that is in force, zero without one.
 	nextEnd time.Time
 	leaving bool
+	// lives holds the present life of each lending data plane, displaced the moments at which former ones gave way.
+	lives     map[string]string
+	displaced map[string]time.Time
 }
 
 type loanKey struct {
@@ -36,7 +39,15 @@
 
 // NewPool returns a pool with nothing lent to it. The life names this process and no other.
 func NewPool(parameters Parameters, life string, now time.Time) *Pool {
-	pool := &Pool{parameters: parameters, life: life, started: now, limits: map[string]Limit{}, loans: map[loanKey]*loan{}}
+	pool := &Pool{
+		parameters: parameters,
+		life:       life,
+		started:    now,
+		limits:     map[string]Limit{},
+		loans:      map[loanKey]*loan{},
+		lives:      map[string]string{},
+		displaced:  map[string]time.Time{},
+	}
 	for range max(parameters.Groups, 1) {
 		pool.groups = append(pool.groups, &group{buckets: map[string]*bucket{}})
 	}
@@ -78,6 +89,9 @@
 		p.release(request.Lender, now)
 		return reply
 	}
+	if !p.present(request, now) {
+		return reply
+	}
 	until := p.started.Add(time.Duration(request.Stamp.At) + p.parameters.Term)
 	if request.Stamp.Life != p.life || request.Stamp.At > reply.Stamp.At || !now.Before(until) {
 		return reply
