Control daemons tell the first count of data planes at once

Cause: after a start of all the count came with the end of the next held poll, up to a second late. Change: the first one wakes the polls, and a data plane lends as soon as it hears it.

--- a/internal/controlplane/greetings.go
+++ b/internal/controlplane/greetings.go
@@ -148,9 +148,14 @@
 	}
 	control := append(others, d.self)
 	sort.Strings(control)
-	d.publisher.Touch(func(next *Snapshot) {
+	update := func(next *Snapshot) {
 		next.Edges, next.Present, next.Control, next.Neighbours = counted, present, control, neighbours
-	})
+	}
+	if firstCount := present > 0 && d.publisher.Read().Present == 0; firstCount {
+		d.publisher.Change(func(next *Snapshot) bool { update(next); return true })
+		return
+	}
+	d.publisher.Touch(update)
 }
 
 func (d *Daemon) hearGreeting(_ context.Context, greeting peer.Greeting) greeted {
--- a/internal/dataplane/quotas.go
+++ b/internal/dataplane/quotas.go
@@ -72,6 +72,9 @@
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	if count > 0 {
+		if !q.lender.InTouch(q.clock()) {
+			q.lendSoon()
+		}
 		since := time.Duration(news.CountedMs) * time.Millisecond
 		q.lender.Touch(quota.Count{DataPlanes: count, Since: since, Sure: sure}, asked)
 		q.pool.SetCount(count)
--- a/internal/story/quota_test.go
+++ b/internal/story/quota_test.go
@@ -151,6 +151,7 @@
 		time.Sleep(4 * time.Second)
 		t.Logf("%d in the 4 s that begin 4 s after, statuses %s", q.between(back+4*time.Second, back+8*time.Second), q.seen())
 		assert.Assert(t, q.between(back+4*time.Second, back+8*time.Second) >= 72, "nine tenths of what came")
+		assert.Assert(t, q.statuses[http.StatusServiceUnavailable].Load() <= 30, "refused for at most 1.5 s")
 		assert.Assert(t, float64(q.worst(0)) <= quotaBounds.Allowed(q.limit))
 	})
 }
