--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -7,7 +7,9 @@
 
 // group is a group of tenants with the share of it that is lent.
 type group struct {
-	share   float64
+	share float64
+	// since is when something came to be lent.
+	since   time.Time
 	buckets map[string]*bucket
 }
 
@@ -35,6 +37,9 @@
 	for tenant, held := range one.buckets {
 		p.accrue(one, tenant, held, now)
 	}
+	if one.share == 0 {
+		one.since = now
+	}
 	one.share = share
 	p.clip(one)
 }
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -40,7 +40,8 @@
 }
 
 // BorrowReply gives tokens. RetryMs is how long none will be left, where fewer were given than wanted. Unable says that
-// the home can't tell what the tenant may send: it doesn't know it, or nothing is lent to it.
+// the home can't tell what the tenant may send: it doesn't know it, or nothing is lent to it
+// yet, or too little so shortly after the first loan.
 type BorrowReply struct {
 	Tokens  int   `json:"tokens"`
 	RetryMs int64 `json:"retryMs,omitempty"`
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -237,5 +237,8 @@
 	if given >= request.Want {
 		return BorrowReply{Tokens: given}
 	}
+	if filling := now.Sub(one.since) < p.parameters.Term; filling && given == 0 {
+		return BorrowReply{Unable: true}
+	}
 	return BorrowReply{Tokens: given, RetryMs: p.retry(one, request.Tenant, held)}
 }
--- a/internal/quota/useful_test.go
+++ b/internal/quota/useful_test.go
@@ -204,6 +204,19 @@
 	assert.Assert(t, float64(fleet.worst(0)) <= testBounds.Allowed(fleet.limit))
 }
 
+func TestGivenAHomeThatLendersHaveJustBegunWithThenItTurnsNobodyAwayForGood(t *testing.T) {
+	pool, question := NewPool(DefaultParameters(testBounds), "home", epoch), BorrowRequest{Tenant: testTenant, Want: 1}
+	pool.SetLimits(map[string]Limit{testTenant: {RatePerS: 2, Burst: 3}}, epoch)
+	first := LendRequest{Daemon: "a", Lender: "a/1", Number: 1, Stamp: pool.Lend(LendRequest{}, epoch).Stamp}
+	first.Loans = []Loan{{Group: pool.parameters.Group(testTenant), Share: 0.01, Homes: 2}}
+	first.Stamp = pool.Lend(first, epoch).Stamp
+	assert.DeepEqual(t, pool.Borrow(question, epoch), BorrowReply{Unable: true})
+	later := epoch.Add(pool.parameters.Term)
+	first.Number, first.Stamp.At = 2, int64(time.Second)
+	pool.Lend(first, epoch.Add(time.Second))
+	assert.Assert(t, pool.Borrow(question, later).RetryMs > 0)
+}
+
 func boolToInt(holds bool) int {
 	if holds {
 		return 1
