Quota: after a start of all, shares bring what they gained while nobody could use them

Change: a lender that began with all others tells since when its share was idle, and the home adds that, up to the capacity. Result: property tests and stories pass; 3 of 200 more served in the story of a power loss.

--- a/internal/quota/books.go
+++ b/internal/quota/books.go
@@ -22,6 +22,14 @@
 	return share
 }
 
+// idle is how long the share was nobody's: after a start of all since this process began, else not at all.
+func (l *Lender) idle(group int, now time.Time) time.Duration {
+	if !l.anew || l.begun[group] {
+		return 0
+	}
+	return now.Sub(l.born)
+}
+
 // moved says whether a part of the group's share was released so lately that it may not bring tokens to a home.
 func (l *Lender) moved(group int, now time.Time) bool {
 	released, known := l.releasedAt[group]
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -19,15 +19,17 @@
 	at     time.Time
 }
 
-// sow adds the tokens that a share brings with it when it comes newly.
-func (p *Pool) sow(number int, share float64, now time.Time) {
+// sow adds the tokens that a share brings with it when it comes newly: the seed, and what it gained while it was idle.
+func (p *Pool) sow(number int, share float64, idle time.Duration, now time.Time) {
 	if share <= 0 {
 		return
 	}
 	one := p.groups[number]
 	for tenant, held := range one.buckets {
 		p.accrue(one, tenant, held, now)
-		held.tokens += share * p.parameters.seed(p.limits[tenant])
+		limit := p.limits[tenant]
+		gained := min(p.parameters.rate(limit)*idle.Seconds(), p.parameters.capacity(limit))
+		held.tokens += share * (p.parameters.seed(limit) + gained)
 	}
 }
 
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -26,6 +26,8 @@
 	chosen [][]string
 	// releasedAt tells when a home last released its part of a group.
 	releasedAt map[int]time.Time
+	// begun holds the groups that were lent of.
+	begun map[int]bool
 }
 
 type bookKey struct {
@@ -67,6 +69,7 @@
 		homes:      map[string]*home{},
 		chosen:     make([][]string, max(parameters.Groups, 1)),
 		releasedAt: map[int]time.Time{},
+		begun:      map[int]bool{},
 	}
 }
 
@@ -130,9 +133,16 @@
 		for _, home := range chosen {
 			one := request(home)
 			if share := l.lend(home, group, len(chosen), now); share > 0 {
-				one.Loans = append(one.Loans, Loan{Group: group, Share: share, Homes: len(chosen), Moved: l.moved(group, now)})
+				one.Loans = append(one.Loans, Loan{
+					Group:  group,
+					Share:  share,
+					Homes:  len(chosen),
+					Moved:  l.moved(group, now),
+					IdleMs: l.idle(group, now).Milliseconds(),
+				})
 			}
 		}
+		l.begun[group] = l.begun[group] || l.lends(now) && len(chosen) > 0
 	}
 	offers := make([]Offer, 0, len(order))
 	for _, home := range order {
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -7,12 +7,14 @@
 }
 
 // Loan is a share of the limits of a group of tenants. Homes is how many homes the lender divides its share
-// of the group between. Moved says that it comes from a home that released it, and so brings no tokens with it.
+// of the group between. Moved says that it comes from a home that released it, and so brings no tokens with it. IdleMs is
+// how long nobody could use it before.
 type Loan struct {
-	Group int     `json:"g"`
-	Share float64 `json:"s"`
-	Homes int     `json:"h"`
-	Moved bool    `json:"m,omitempty"`
+	Group  int     `json:"g"`
+	Share  float64 `json:"s"`
+	Homes  int     `json:"h"`
+	Moved  bool    `json:"m,omitempty"`
+	IdleMs int64   `json:"i,omitempty"`
 }
 
 // LendRequest lends shares to a home until a term after the stamp, in place of what the same life of
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -152,7 +152,7 @@
 		}
 		if grown && !stated.Moved && (held.seeded.IsZero() || now.Sub(held.seeded) > p.parameters.lent()) {
 			held.seeded = now
-			p.sow(number, after-before, now)
+			p.sow(number, after-before, time.Duration(stated.IdleMs)*time.Millisecond, now)
 		}
 	}
 	return changed
