--- a/internal/controlplane/greetings.go
+++ b/internal/controlplane/greetings.go
@@ -126,13 +126,25 @@
 func (d *Daemon) publishCounts(others []string) {
 	d.watching.Lock()
 	counted := max(d.edges.Count(d.clock()), 1)
+	neighbours := d.listNeighbours()
 	d.watching.Unlock()
-	if d.clock().Sub(d.started) < settleTime {
+	present, running := counted, d.clock().Sub(d.started)
+	if running < presentTime {
+		present = 0
+	}
+	if running < settleTime {
 		counted = 0
 	}
 	control := append(others, d.self)
 	sort.Strings(control)
-	d.publisher.Touch(func(next *Snapshot) { next.Edges, next.Control = counted, control })
+	update := func(next *Snapshot) {
+		next.Edges, next.Present, next.Control, next.Neighbours = counted, present, control, neighbours
+	}
+	if firstCount := present > 0 && d.publisher.Read().Present == 0; firstCount {
+		d.publisher.Change(func(next *Snapshot) bool { update(next); return true })
+		return
+	}
+	d.publisher.Touch(update)
 }
 
 func (d *Daemon) hearGreeting(_ context.Context, greeting peer.Greeting) greeted {
--- a/internal/controlplane/publisher.go
+++ b/internal/controlplane/publisher.go
@@ -28,6 +28,8 @@
 	Holder      string
 	Control     []string
 	Edges       int
+	Present     int
+	Neighbours  *peer.Neighbours
 	Policy      retention.Policy
 	Forgets     retention.Record
 	Question    *drill.Question
@@ -117,7 +119,10 @@
 	if news.FreshMs == 0 {
 		return news
 	}
-	news.Edges = s.Edges
+	news.Edges, news.Present = s.Edges, s.Present
+	if poll.Wants && s.Neighbours != nil && s.Neighbours.Mark != poll.Neighbours {
+		news.Neighbours = s.Neighbours
+	}
 	if s.ZoneNumber > poll.ZoneNumber {
 		news.Zones = s.Zones
 	}
--- a/internal/dataplane/daemon.go
+++ b/internal/dataplane/daemon.go
@@ -32,6 +32,7 @@
 	handler   *client.Handler
 	peers     *peer.Client
 	forwarder *replica.Forwarder
+	quotas    *Quotas
 	// leaving is set once the daemon is to end.
 	leaving atomic.Bool
 	network peer.Network
@@ -54,6 +55,8 @@
 	daemon.state.rehearsal.answer = daemon.answerForecast
 	daemon.matcher.OnWanted = daemon.state.interest.Want
 	daemon.matcher.Trusts = daemon.state.Trusts
+	daemon.quotas = NewQuotas(settings, daemon.peers, time.Now)
+	daemon.state.quotas = daemon.quotas
 	daemon.listener = NewListener(settings, daemon.peers, time.Now, daemon.state)
 	daemon.state.askAgain = daemon.listener.AskAgain
 	silence := nodesettings.Milliseconds(bounds.ContactMs)
@@ -65,6 +68,7 @@
 	}
 	daemon.handler = client.NewHandler(&daemon.fleet, daemon.matcher, daemon.forwarder, budgets, time.Now, rand.Float64)
 	daemon.handler.Currency = daemon.state.currency
+	daemon.handler.Quota = daemon.quotas
 	return daemon
 }
 
@@ -88,10 +92,16 @@
 		}
 	}()
 	cleanup = append(cleanup, cancel)
+	inner, err := d.listenInside()
+	if err != nil {
+		return errors.Wrap(err, "internal address")
+	}
+	cleanup = append(cleanup, func() { inner.Close() })
 	go d.matcher.Run(ctx)
 	d.listener.Follow(ctx, d.settings.SeedPeers())
 	go d.state.Run(ctx, d.listener)
 	go d.reportLoads(ctx)
+	go d.quotas.Run(ctx)
 	followSeeds := func(fresh nodesettings.Settings) { d.listener.Follow(ctx, fresh.SeedPeers()) }
 	go nodesettings.Watch(ctx, d.path, "edge", signals.Hangup, followSeeds)
 
@@ -106,10 +116,12 @@
 	}
 	cleanup = append(cleanup, func() { readiness.Close() })
 	server := d.newServer()
-	failures := make(chan error, 2)
+	failures := make(chan error, 3)
 	limited := client.NewLimitedListener(clients, d.maxConnections(), d.clientLimits)
 	go func() { failures <- server.Serve(limited) }()
 	go func() { failures <- http.Serve(readiness, d.readinessRoutes()) }()
+	neighbours := &http.Server{Handler: d.quotas.routes(), IdleTimeout: time.Minute, ErrorLog: discardLog()}
+	go func() { failures <- neighbours.Serve(inner) }()
 	logrus.WithFields(logrus.Fields{
 		"data_plane": clients.Addr().String(),
 		"zone":       d.settings.Zone,
@@ -126,47 +138,6 @@
 	}
 }
 
-// newServer is the HTTP server for clients.
-func (d *Daemon) newServer() *http.Server {
-	return &http.Server{
-		DisableGeneralOptionsHandler: true,
-		Handler:                      d.handler,
-		ReadHeaderTimeout:            10 * time.Second,
-		IdleTimeout:                  60 * time.Second,
-		ErrorLog:                     discardLog(),
-		ConnState:                    client.FollowState,
-		ConnContext:                  client.Remember,
-	}
-}
-
-const (
-	// reservedDescriptors are the file descriptors kept for everything but clients.
-	reservedDescriptors = 200
-	// connectionShare is the share of the other descriptors that clients' connections may take.
-	connectionShare = 0.6
-	// unboundedConnections is the bound where the settings tell no number of descriptors.
-	unboundedConnections = 1 << 16
-)
-
-// maxConnections is how many clients' connections are accepted at once.
-func (d *Daemon) maxConnections() int {
-	if d.settings.Limits.MaxFds <= reservedDescriptors {
-		return unboundedConnections
-	}
-	return int(connectionShare * float64(d.settings.Limits.MaxFds-reservedDescriptors))
-}
-
-// clientLimits are the configuration's bounds on a request's head and on idle connections; 0 before
-// there is one.
-func (d *Daemon) clientLimits() (head, idle time.Duration) {
-	table := d.fleet.Load().Table
-	if table == nil {
-		return 0, 0
-	}
-	limits := table.Configuration.Limits
-	return nodesettings.Milliseconds(limits.HeaderTimeoutMs), nodesettings.Milliseconds(limits.IdleTimeoutMs)
-}
-
 const (
 	// noticeTime is how long clients are given to be routed elsewhere before the server closes.
 	noticeTime = 2300 * time.Millisecond
@@ -181,6 +152,7 @@
 	d.leaving.Store(true)
 	d.handler.Leave()
 	d.matcher.Leave()
+	d.quotas.Leave()
 	d.state.wants.leaving.Store(true)
 	began := time.Now()
 	grace := nodesettings.Seconds(d.settings.TimingBounds.GraceS) - graceReserve
--- a/internal/dataplane/primary.go
+++ b/internal/dataplane/primary.go
@@ -88,3 +88,20 @@
 	}
 	return d.counted
 }
+
+// sureCount is the number of data planes, without those that fell silent so long ago that what they lent of tenants'
+// limits has ended. Where no control daemon has run for long enough to be sure of that, it is the one that is kept high,
+// and 0 if none was ever told.
+func (d *FleetState) sureCount() (count int, sure bool) {
+	now, most := d.clock(), 0
+	for _, held := range d.sources {
+		if now.Sub(held.heardAt) < countFresh {
+			most = max(most, held.edges, held.present)
+			sure = sure || held.sure
+		}
+	}
+	if d.count(); !sure {
+		return max(d.counted, most), false
+	}
+	return most, true
+}
--- /dev/null
+++ b/internal/story/quota_test.go
@@ -0,0 +1,175 @@
+package story
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/quota"
+)
+
+var quotaBounds = quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// limited is a configuration whose tenant "one" has the limit.
+func limited(revision int, limit quota.Limit) string {
+	tenants := fmt.Sprintf(`[{"name":"one","apiKeys":["%s"],"ratePerS":%g,"burst":%g},{"name":"other","apiKeys":["%s"]}]`,
+		oldKey, limit.RatePerS, limit.Burst, otherKey)
+	return documentOf(revision, tenants)
+}
+
+const storySpan = 20 * time.Second
+
+func TestGivenATenantBeyondItsLimitThenAllDataPlanesTogetherKeepToItAndItGetsIt(t *testing.T) {
+	inTurn := func(stop func(q *quotaFleet, host string)) func(q *quotaFleet) {
+		return func(q *quotaFleet) {
+			for number := 1; number <= 4; number++ {
+				stop(q, edgeHost(number))
+				time.Sleep(500 * time.Millisecond)
+				q.startEdge(edgeHost(number))
+				time.Sleep(2 * time.Second)
+			}
+		}
+	}
+	stories := map[string]struct {
+		edge    func(after time.Duration) int
+		trouble func(q *quotaFleet)
+		least   float64
+	}{
+		"at one data plane":   {func(time.Duration) int { return 1 }, nil, 0.97},
+		"at all":              {func(after time.Duration) int { return 1 + int(after/time.Millisecond/25)%4 }, nil, 0.97},
+		"moving between them": {func(after time.Duration) int { return 1 + int(after/time.Second)%4 }, nil, 0.97},
+		"halves cut from each other": {
+			func(after time.Duration) int { return 1 + int(after/time.Millisecond/25)%4 },
+			func(q *quotaFleet) { q.cutEdges([]int{1, 2}, []int{3, 4}, true) },
+			0.8,
+		},
+		"all control daemons away for three seconds": {
+			func(time.Duration) int { return 1 },
+			func(q *quotaFleet) {
+				time.Sleep(2 * time.Second)
+				for number := 1; number <= q.cores; number++ {
+					q.kill(coreHost(number))
+				}
+				time.Sleep(3 * time.Second)
+				for number := 1; number <= q.cores; number++ {
+					q.startCore(coreHost(number), false, 1, 2, 3)
+				}
+			},
+			0.9,
+		},
+		"data planes die while owing": {
+			func(after time.Duration) int { return 1 + int(after/time.Millisecond/25)%2 },
+			func(q *quotaFleet) {
+				time.Sleep(2 * time.Second)
+				q.kill(edgeHost(3))
+				q.kill(edgeHost(4))
+				time.Sleep(4 * time.Second)
+				q.startEdge(edgeHost(3))
+			},
+			0.6,
+		},
+		"killed and restarted in turn": {
+			func(after time.Duration) int { return 1 + int(after/time.Millisecond/25)%4 },
+			inTurn(func(q *quotaFleet, host string) { q.kill(host) }),
+			0.6,
+		},
+		"stopped and restarted in turn": {
+			func(after time.Duration) int { return 1 + int(after/time.Millisecond/25)%4 },
+			inTurn(func(q *quotaFleet, host string) { q.terminate(host) }),
+			0.7,
+		},
+	}
+	for name, story := range stories {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := startQuota(t, 4, quota.Limit{RatePerS: 10, Burst: 10})
+				if story.trouble != nil {
+					go story.trouble(q)
+				}
+				q.send(40, storySpan, story.edge)
+				time.Sleep(4 * time.Second)
+				got := float64(q.between(time.Second, storySpan)) / (q.limit.RatePerS * (storySpan - time.Second).Seconds())
+				t.Logf("%.3f of the limit, %d in the worst window of %.0f allowed, statuses %s", got, q.worst(0), quotaBounds.Allowed(q.limit), q.seen())
+				assert.Assert(t, float64(q.worst(0)) <= quotaBounds.Allowed(q.limit))
+				assert.Assert(t, got >= story.least, "got %.3f", got)
+			})
+		})
+	}
+}
+
+func TestGivenALimitLoweredUnderLoadThenItBindsAWindowAfterItIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := startQuota(t, 3, quota.Limit{RatePerS: 20, Burst: 10})
+		held := 0.0
+		for number := 1; number <= 3; number++ {
+			var status struct{ Holds []quota.Holding }
+			shown := q.call(http.MethodGet, edgeHost(number)+":8167", "/ferryspar/quota", "", nil)
+			assert.NilError(t, json.Unmarshal([]byte(shown.body), &status))
+			for _, one := range status.Holds {
+				held += one.Share
+			}
+		}
+		assert.Assert(t, held > 0.99 && held < 1.01, "all of the limit is at some home: %.3f", held)
+		low := quota.Limit{RatePerS: 4, Burst: 2}
+		var acknowledged time.Duration
+		go func() {
+			time.Sleep(5 * time.Second)
+			assert.Check(t, q.put(2, 1, 2, limited(2, low)).status == http.StatusOK)
+			acknowledged = q.since()
+		}()
+		q.send(40, storySpan, func(after time.Duration) int { return 1 + int(after/time.Millisecond/25)%3 })
+		time.Sleep(4 * time.Second)
+		t.Logf("%d in the worst window before, %d after", q.worst(0), q.worst(acknowledged+applyBound))
+		assert.Assert(t, float64(q.worst(0)) <= quotaBounds.Allowed(q.limit))
+		assert.Assert(t, float64(q.worst(acknowledged+applyBound)) <= quotaBounds.Allowed(low))
+	})
+}
+
+func TestGivenAllMachinesLosePowerThenTenantsWithLimitsAreServedSoonAfterTheyAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := startQuota(t, 4, quota.Limit{RatePerS: 20, Burst: 10})
+		for number := 1; number <= 4; number++ {
+			q.kill(edgeHost(number))
+		}
+		for number := 1; number <= q.cores; number++ {
+			q.kill(coreHost(number))
+		}
+		time.Sleep(time.Second)
+		for number := 1; number <= q.cores; number++ {
+			q.startCore(coreHost(number), false, 1, 2, 3)
+		}
+		for number := 1; number <= 4; number++ {
+			q.startEdge(edgeHost(number))
+		}
+		back := q.since()
+		q.send(20, 10*time.Second, func(time.Duration) int { return 1 })
+		time.Sleep(4 * time.Second)
+		t.Logf("%d in the 4 s that begin 4 s after, statuses %s", q.between(back+4*time.Second, back+8*time.Second), q.seen())
+		assert.Assert(t, q.between(back+4*time.Second, back+8*time.Second) >= 72, "nine tenths of what came")
+		assert.Assert(t, q.statuses[http.StatusServiceUnavailable].Load() <= 30, "refused for at most 1.5 s")
+		assert.Assert(t, float64(q.worst(0)) <= quotaBounds.Allowed(q.limit))
+	})
+}
+
+func TestGivenADataPlaneOutOfTouchThenItsTenantsWithoutLimitsAreServedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := startQuota(t, 3, quota.Limit{RatePerS: 20, Burst: 10})
+		assert.Equal(t, q.askWith(3, otherKey, "/quick/", "swift").status, http.StatusOK, "it follows the model from now on")
+		q.cutEdge(3, true)
+		q.cutEdges([]int{1, 2}, []int{3}, true)
+		time.Sleep(12 * time.Second)
+		refused := q.askWith(3, oldKey, "/quick/", "swift")
+		assert.Equal(t, refused.status, http.StatusServiceUnavailable, "what it held is the others' by now")
+		assert.Equal(t, q.askWith(3, otherKey, "/quick/", "swift").status, http.StatusOK)
+		assert.Equal(t, q.askWith(1, oldKey, "/quick/", "swift").status, http.StatusOK)
+		q.cutEdge(3, false)
+		q.cutEdges([]int{1, 2}, []int{3}, false)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, q.askWith(3, oldKey, "/quick/", "swift").status, http.StatusOK)
+	})
+}
