--- a/internal/lease/grant_test.go
+++ b/internal/lease/grant_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"ferryspar/internal/lease"
+	"ferryspar/internal/loadbudget"
 )
 
 func TestGivenAGrantThenItTellsWhetherItFollowsAnEarlierLifeOfItsHolder(t *testing.T) {
@@ -21,3 +23,21 @@
 		assert.Equal(t, one.grant.FollowsFormerLife(), one.want, name)
 	}
 }
+
+func TestGivenAHolderThatWroteAfterItsWaitThenItsNextLifeNeedNotWait(t *testing.T) {
+	store, now := &register{}, time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for life, name := range []string{"a", "b", "b", "b"} {
+		keeper := &lease.Lease{
+			Key: "k", Holder: name, Address: name, Length: time.Second, Settle: time.Minute,
+			Store: store, Clock: func() time.Time { return now },
+		}
+		grant, err := keeper.Acquire(t.Context())
+		assert.NilError(t, err)
+		waits := life == 1 || life == 2
+		assert.Equal(t, grant.ActsFrom.After(now), waits, "life %d", life)
+		if life == 2 {
+			now = grant.ActsFrom
+			assert.NilError(t, keeper.Reserve(t.Context(), grant, loadbudget.Reservation{Loads: 1}))
+		}
+	}
+}
