--- a/internal/replicastate/simulation/lease_test.go
+++ b/internal/replicastate/simulation/lease_test.go
@@ -9,6 +9,7 @@
 
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/lease"
+	"ferryspar/internal/loadbudget"
 )
 
 const (
@@ -126,7 +127,7 @@
 	if d.hold == nil || d.written == d.hold.Record.Fence || d.world.now.Before(d.hold.ActsFrom) {
 		return
 	}
-	if d.keeper.Reserve(context.Background(), d.hold, 0) == nil {
+	if d.keeper.Reserve(context.Background(), d.hold, loadbudget.Reservation{}) == nil {
 		d.written = d.hold.Record.Fence
 	}
 }
