A promise of a life that lost its disk counts towards no quorum

Cause: of five members one that lost its disk tells three others; a proposer whose quorum held the lost promise beside one that was not told could write over a value acknowledged since, by a higher ballot. Change: replies to a promise question tell the incarnations their giver knows, and a promise that another reply tells to be outlived is not counted, as Store.Digest does it. Of any quorum one member was told, or had promised before and was read when the member caught up. Ruled out: telling all others before voting again (one that is away would block every return).

--- a/internal/explore/rounds.go
+++ b/internal/explore/rounds.go
@@ -127,6 +127,9 @@
 	if p.Phase == phaseRecommitting || p.Phase == phaseWriting {
 		return func(address string, reply keystore.Reply) bool { return at.rules.Accepts(p.Owner, address, reply) }
 	}
+	if p.Phase == phasePromising {
+		return func(address string, _ keystore.Reply) bool { return keystore.Promises(p.Replies, address) }
+	}
 	return func(_ string, reply keystore.Reply) bool { return reply.Granted }
 }
 
--- a/internal/keystore/ask.go
+++ b/internal/keystore/ask.go
@@ -49,14 +49,19 @@
 
 // ask puts a question to all members until a quorum agrees or none can any more.
 func (s *Store) ask(ctx context.Context, message Message, agrees judge) (*round, bool) {
+	return s.askRound(ctx, message, func(*round) judge { return agrees })
+}
+
+// askRound is ask where a reply is judged by what the others of its round tell.
+func (s *Store) askRound(ctx context.Context, message Message, agrees func(r *round) judge) (*round, bool) {
 	asked := s.gather(ctx, message, func(r *round) progress {
-		agreed, possible := r.tally(agrees)
+		agreed, possible := r.tally(agrees(r))
 		if agreed || !possible {
 			return finished
 		}
 		return wait
 	})
-	agreed, _ := asked.tally(agrees)
+	agreed, _ := asked.tally(agrees(asked))
 	return asked, agreed
 }
 
--- a/internal/keystore/change.go
+++ b/internal/keystore/change.go
@@ -169,7 +169,7 @@
 func (s *Store) take(ctx context.Context, key *key) error {
 	key.held = false
 	ballot := s.nextBallot()
-	promised, agreed := s.ask(ctx, PromiseMessage(key.name, ballot), granted)
+	promised, agreed := s.askRound(ctx, PromiseMessage(key.name, ballot), func(r *round) judge { return r.promises })
 	if !agreed {
 		return promised.failure()
 	}
--- a/internal/keystore/conclusions.go
+++ b/internal/keystore/conclusions.go
@@ -9,6 +9,12 @@
 	return asked.tally(agrees)
 }
 
+// Promises says whether the reply of a member to a PromiseMessage counts, by what the others tell of it.
+func Promises(replies map[string]Reply, address string) bool {
+	asked := round{replies: replies}
+	return asked.promises(address, replies[address])
+}
+
 // ConcludeDigest is what Store.Digest concludes from the replies of a quorum.
 func ConcludeDigest(members Members, replies map[string]Reply) Digest {
 	asked := round{members: members, replies: replies}
--- a/internal/keystore/ownership.go
+++ b/internal/keystore/ownership.go
@@ -22,10 +22,11 @@
 
 // Owned concludes from promises of a quorum which value the new owner carries on.
 func Owned(key string, ballot Ballot, replies map[string]Reply) Ownership {
+	asked := round{replies: replies}
 	newest := Slot{Key: key}
 	incarnations := map[string]uint64{}
 	for address, reply := range replies {
-		if !reply.Granted {
+		if !asked.promises(address, reply) {
 			continue
 		}
 		incarnations[address] = reply.Incarnation
--- a/internal/keystore/read.go
+++ b/internal/keystore/read.go
@@ -102,6 +102,12 @@
 	return false
 }
 
+// promises says that a reply is a promise that still binds its giver. A member that lost its disk has told so many others
+// before it votes again that one of any quorum either knows of it, or had promised before and was read by it.
+func (r *round) promises(address string, reply Reply) bool {
+	return reply.Granted && !r.outlived(address)
+}
+
 func (r Reply) keeps(slot Slot) bool {
 	for _, other := range r.Slots {
 		if other.Key == slot.Key {
--- a/internal/keystore/steps.go
+++ b/internal/keystore/steps.go
@@ -30,9 +30,11 @@
 	return slot
 }
 
+// promise tells with each answer which incarnations of others this member knows, so that nobody counts the promise of a
+// member that has lost its disk since.
 func (m *MemberState) promise(message Message, reply Reply, at moment) (Reply, []Slot) {
 	slot := m.slot(message.Key)
-	reply.Slot = slot
+	reply.Slot, reply.Known = slot, knownIncarnations(m.Slots)
 	if !slot.Promised.Less(message.Ballot) {
 		reply.Refusal = RefusedPromised
 		return reply, nil
