Nothing is lent while no tenant has a limit; rounds of lending keep a pause

Change: rounds of lending begin with the first tenant that has a rate, and follow each other by 40 ms at least. Measured: unit test; stories of quotas, limits, tenants and keys pass.

--- a/internal/dataplane/quotas.go
+++ b/internal/dataplane/quotas.go
@@ -27,7 +27,9 @@
 	// wake has shares lent at once.
 	wake chan struct{}
 
-	lock     sync.Mutex
+	lock sync.Mutex
+	// limited is set while a tenant has a limit: without one nothing is lent.
+	limited  bool
 	lender   *quota.Lender
 	pool     *quota.Pool
 	borrower *quota.Borrower
@@ -106,11 +108,17 @@
 // setLimits puts the limits of a configuration in force.
 func (q *Quotas) setLimits(tenants []configuration.Tenant) {
 	limits := make(map[string]quota.Limit, len(tenants))
+	limited := false
 	for _, tenant := range tenants {
 		limits[tenant.Name] = limitOf(&tenant)
+		limited = limited || tenant.RatePerS > 0
 	}
 	q.lock.Lock()
 	defer q.lock.Unlock()
+	if limited && !q.limited {
+		q.lendSoon()
+	}
+	q.limited = limited
 	q.pool.SetLimits(limits, q.clock())
 }
 
@@ -132,6 +140,9 @@
 	}
 }
 
+// wakePause is the least time between two rounds of lending: answers and failures may ask for another one at once.
+const wakePause = 40 * time.Millisecond
+
 // Run lends until the context ends.
 func (q *Quotas) Run(ctx context.Context) {
 	ticker := time.NewTicker(q.parameters.Renewal)
@@ -146,6 +157,7 @@
 		for _, offer := range q.plan() {
 			go q.lend(ctx, offer)
 		}
+		nodesettings.Sleep(ctx, wakePause)
 	}
 }
 
@@ -155,6 +167,9 @@
 	defer q.lock.Unlock()
 	now := q.clock()
 	q.borrower.Forget(now)
+	if !q.limited {
+		return nil
+	}
 	members := []string{q.name}
 	for name := range q.addresses {
 		if name != q.name {
