Read once more: a field that nothing reads, a clock read twice

replicastate.Replica noted that a report was adopted and never looked at it; a report's question took the time twice. Behaviour as it was. Vet, lint, replicastate, its model, control plane and the order stories pass.

--- a/internal/controlplane/reportpolls.go
+++ b/internal/controlplane/reportpolls.go
@@ -60,9 +60,8 @@
 // pollReport asks a replica for its report; the answer comes back to the scheduler's goroutine.
 func (w *Scheduler) pollReport(ctx context.Context, id string) {
 	one := w.managed[id]
-	one.state.AskStarted(w.daemon.clock())
-	address := one.listed.Address
-	askedAt := w.daemon.clock()
+	address, askedAt := one.listed.Address, w.daemon.clock()
+	one.state.AskStarted(askedAt)
 	go func() {
 		state, err := w.commander.Report(ctx, address, id)
 		w.results <- func() {
--- a/internal/replicastate/replica.go
+++ b/internal/replicastate/replica.go
@@ -43,7 +43,6 @@
 	fence      uint64
 	phase      Phase
 	sequence   int64
-	reported   bool
 	held       map[string]bool
 	current    Order
 	doubtful   []doubtfulOrder
--- a/internal/replicastate/report.go
+++ b/internal/replicastate/report.go
@@ -51,7 +51,6 @@
 	r.mismatches = 0
 	r.sequence = report.Sequence
 	r.held = report.Held
-	r.reported = true
 	r.phase = Idle
 	r.settleShown(r.askedAt, now)
 	return true
