--- a/internal/controlplane/replicatracker/disks.go
+++ b/internal/controlplane/replicatracker/disks.go
@@ -3,13 +3,18 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
 	"ferryspar/internal/discovery"
 	"ferryspar/internal/placement"
 )
 
-// diskKey names the disk that a listed replica is taken to have: a replica that restarts at its address keeps its disk, one
-// of another backend that gets the address later has its own.
+// diskRetention is how long a disk is remembered whose replica no list has shown: well beyond the longest absence of a
+// replica that restarts.
+const diskRetention = 10 * time.Minute
+
+// diskKey names the disk that a listed replica may have: a replica that restarts at its address may keep its disk, one of
+// another backend that gets the address later has its own.
 type diskKey struct {
 	backend string
 	address string
@@ -19,80 +24,143 @@
 	return diskKey{backend: listed.Backend, address: listed.Address}
 }
 
-// DiskInventory remembers which models each replica has had loaded, so that its disk may hold their weights: loading one of
-// them again takes no token of the load budget. It outlives grants of the lease. Any goroutine may use it.
+// diskModels are the models on one disk. The set is replaced, never changed, because planner inputs keep it.
+type diskModels struct {
+	models   map[string]bool
+	listedAt time.Time
+}
+
+// disk is what is known of the disk of one listed replica.
+type disk struct {
+	// certain are the models that this incarnation of the replica was itself seen to have loaded.
+	certain map[string]bool
+	// possible are those that any incarnation at its address was seen to have loaded, certain ones included.
+	possible map[string]bool
+}
+
+// DiskInventory remembers which models the replicas have had loaded, so that their disks hold the weights. Only what
+// an incarnation was itself seen to have loaded is certain: an address says nothing of the disk behind it, since a
+// replica may come back there with its disk, with an empty one or with part of what it held (docs/questions.md). It
+// outlives grants of the lease. Any goroutine may use it.
 type DiskInventory struct {
 	lock sync.Mutex
-	// models holds a set of models per disk. A set is replaced, never changed, because planner inputs keep it.
-	models map[diskKey]map[string]bool
+	// byIncarnation is by replica id, which is new at each start.
+	byIncarnation map[string]diskModels
+	byAddress     map[diskKey]diskModels
+	prunedAt      time.Time
 }
 
 // NewDiskInventory returns an inventory that knows of no disk.
 func NewDiskInventory() *DiskInventory {
-	return &DiskInventory{models: map[diskKey]map[string]bool{}}
+	return &DiskInventory{byIncarnation: map[string]diskModels{}, byAddress: map[diskKey]diskModels{}}
+}
+
+// Possible returns the models that the disk of a listed replica may hold. The set must not be changed.
+func (d *DiskInventory) Possible(listed discovery.Replica) map[string]bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.byAddress[diskOf(listed)].models
 }
 
-// Models returns the models that the disk of a listed replica may hold. The set must not be changed.
-func (d *DiskInventory) Models(listed discovery.Replica) map[string]bool {
+// Certain returns the models that the disk of a listed replica certainly holds. The set must not be changed.
+func (d *DiskInventory) Certain(listed discovery.Replica) map[string]bool {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	return d.models[diskOf(listed)]
+	return d.byIncarnation[listed.ID].models
 }
 
-// modelsOf returns what Models does for each of some replicas, under one lock.
-func (d *DiskInventory) modelsOf(replicas []*Replica) []map[string]bool {
-	models := make([]map[string]bool, len(replicas))
+// disksOf returns what is known of the disks of some replicas, under one lock.
+func (d *DiskInventory) disksOf(replicas []*Replica) []disk {
+	disks := make([]disk, len(replicas))
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for index, replica := range replicas {
-		models[index] = d.models[diskOf(replica.listed)]
+		disks[index] = disk{
+			certain:  d.byIncarnation[replica.ID()].models,
+			possible: d.byAddress[diskOf(replica.listed)].models,
+		}
 	}
-	return models
+	return disks
 }
 
-// RecordListed records that the disk of a listed replica holds the models that the list names.
-func (d *DiskInventory) RecordListed(listed discovery.Replica) {
+// RecordList records that the disks of listed replicas hold the models that the list names, and forgets disks that no list
+// has shown for long.
+func (d *DiskInventory) RecordList(list []discovery.Replica, now time.Time) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	known := d.models[diskOf(listed)]
+	for index := range list {
+		d.recordListed(&list[index], now)
+	}
+	if now.Sub(d.prunedAt) < diskRetention {
+		return
+	}
+	d.prunedAt = now
+	isForgotten := func(known diskModels) bool { return now.Sub(known.listedAt) >= diskRetention }
+	maps.DeleteFunc(d.byIncarnation, func(_ string, known diskModels) bool { return isForgotten(known) })
+	maps.DeleteFunc(d.byAddress, func(_ diskKey, known diskModels) bool { return isForgotten(known) })
+}
+
+// recordListed records one entry of a list. The caller holds the lock.
+func (d *DiskInventory) recordListed(listed *discovery.Replica, now time.Time) {
+	incarnation, address := d.byIncarnation[listed.ID], d.byAddress[diskOf(*listed)]
+	incarnation.listedAt, address.listedAt = now, now
 	for _, model := range listed.Models {
-		if !known[model.Name] {
-			d.add(listed, References(listed.Models))
-			return
+		if !incarnation.models[model.Name] || !address.models[model.Name] {
+			references := References(listed.Models)
+			incarnation.models = withModels(incarnation.models, references)
+			address.models = withModels(address.models, references)
+			break
 		}
 	}
+	d.byIncarnation[listed.ID], d.byAddress[diskOf(*listed)] = incarnation, address
 }
 
 // recordLoaded records that the disk of a replica holds what it reported.
 func (d *DiskInventory) recordLoaded(listed discovery.Replica, loaded map[string]bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	d.add(listed, loaded)
+	incarnation, address := d.byIncarnation[listed.ID], d.byAddress[diskOf(listed)]
+	incarnation.models = withModels(incarnation.models, loaded)
+	address.models = withModels(address.models, loaded)
+	d.byIncarnation[listed.ID], d.byAddress[diskOf(listed)] = incarnation, address
 }
 
-// reset forgets what the disk of a replica was taken to hold but for what the replica has surely loaded.
+// reset forgets what the disk of a replica was taken to hold but for the model that it loads and what it surely has
+// loaded.
 func (d *DiskInventory) reset(listed discovery.Replica, model string, loaded map[string]bool) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	d.models[diskOf(listed)] = map[string]bool{model: true}
-	d.add(listed, loaded)
+	incarnation, address := d.byIncarnation[listed.ID], d.byAddress[diskOf(listed)]
+	incarnation.models = withModels(nil, loaded)
+	address.models = withModels(map[string]bool{model: true}, loaded)
+	d.byIncarnation[listed.ID], d.byAddress[diskOf(listed)] = incarnation, address
+}
+
+// forgetPossible forgets what earlier incarnations at the address of a replica had loaded.
+func (d *DiskInventory) forgetPossible(listed discovery.Replica) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	address := d.byAddress[diskOf(listed)]
+	address.models = d.byIncarnation[listed.ID].models
+	d.byAddress[diskOf(listed)] = address
 }
 
-// add adds models to a disk; adapters are left out, since they count as no load from the store. The caller holds the lock.
-func (d *DiskInventory) add(listed discovery.Replica, references map[string]bool) {
-	disk := diskOf(listed)
-	known := d.models[disk]
-	var next map[string]bool
+// withModels returns a set of models with those among some references; adapters are left out, since they count as no load
+// from the store. The set given is not changed.
+func withModels(models, references map[string]bool) map[string]bool {
+	next := models
+	copied := false
 	for reference := range references {
-		if known[reference] || placement.IsAdapter(reference) {
+		if models[reference] || placement.IsAdapter(reference) {
 			continue
 		}
-		if next == nil {
-			if next = maps.Clone(known); next == nil {
+		if !copied {
+			next, copied = maps.Clone(models), true
+			if next == nil {
 				next = map[string]bool{}
 			}
-			d.models[disk] = next
 		}
 		next[reference] = true
 	}
+	return next
 }
--- a/internal/controlplane/replicatracker/replica.go
+++ b/internal/controlplane/replicatracker/replica.go
@@ -15,8 +15,9 @@
 	state  *replicastate.Replica
 	// action is the planner's action behind the order that is under way, if there is one.
 	action *placement.Action
-	// startedAt is when that order was decided or, once it is accepted, when its acceptance was received.
-	startedAt time.Time
+	// decidedAt is when that order was decided, so it began no earlier; startedAt is the same or, once it is accepted, when
+	// its acceptance was received, so it began no later.
+	decidedAt, startedAt time.Time
 	// reportedAt is when the replica's last report was adopted.
 	reportedAt time.Time
 	// confirmedByList is set once the platform's list was seen to show what the replica reported; contradictedSince is
@@ -58,6 +59,9 @@
 // StartedAt is when the order under way was decided or, once it is accepted, when its acceptance was received.
 func (r *Replica) StartedAt() time.Time { return r.startedAt }
 
+// DecidedAt is when the order under way was decided.
+func (r *Replica) DecidedAt() time.Time { return r.decidedAt }
+
 // Intent is the planner's note of its last run.
 func (r *Replica) Intent() string { return r.intent }
 
@@ -84,7 +88,7 @@
 }
 
 // server is the replica as the planner sees it.
-func (r *Replica) server(suspected bool, onDisk map[string]bool, now time.Time) *placement.Server {
+func (r *Replica) server(suspected bool, known disk, now time.Time) *placement.Server {
 	return &placement.Server{
 		ID:          r.listed.ID,
 		Backend:     r.listed.Backend,
@@ -93,7 +97,8 @@
 		Lost:        suspected,
 		Loaded:      r.state.CertainlyLoaded(),
 		MaybeLoaded: r.state.PossiblyLoaded(),
-		OnDisk:      onDisk,
+		OnDisk:      known.certain,
+		MayBeOnDisk: known.possible,
 		Intent:      r.intent,
 		Ready:       r.state.IsReady(now),
 	}
@@ -143,15 +148,20 @@
 	}
 }
 
-// RunningDiskLoad returns how long a load that was taken for one from the replica's own disk has run at least, if a report
-// requested at a moment shows that it still runs.
+// RunningDiskLoad returns how long a load that was expected to come from the replica's own disk has run at least, if a
+// report requested at a moment shows that it still runs.
 func (r *Replica) RunningDiskLoad(report replicastate.Report, polledAt time.Time) (elapsed time.Duration, running bool) {
-	if r.action == nil || !r.action.Load || r.action.FromStore || placement.IsAdapter(r.action.Model) {
+	if !r.ExpectsDiskLoad() {
 		return 0, false
 	}
 	return polledAt.Add(-ReportLag).Sub(r.startedAt), r.state.IsCarryingOut(report)
 }
 
+// ExpectsDiskLoad tells whether the load under way is one of a model that is taken to come from the replica's own disk.
+func (r *Replica) ExpectsDiskLoad() bool {
+	return r.action != nil && r.action.Load && !placement.IsAdapter(r.action.Model) && (!r.action.FromStore || r.action.MayBeDisk)
+}
+
 // PossibleModels returns the models that the replica may have loaded in any state that is still possible.
 func (r *Replica) PossibleModels() []string {
 	var models []string
--- a/internal/controlplane/replicatracker/tracker.go
+++ b/internal/controlplane/replicatracker/tracker.go
@@ -74,8 +74,8 @@
 		replica.confirmedByList = replica.confirmedByList && discovery.SameModels(replica.listed.Models, listed.Models)
 		replica.listed = *listed
 		replica.recheckContradicted(t.listLag, asOf, now)
-		t.disks.RecordListed(*listed)
 	}
+	t.disks.RecordList(list, now)
 	slices.SortFunc(t.listed, func(left, right *Replica) int { return strings.Compare(left.ID(), right.ID()) })
 	for _, replica := range t.byID {
 		t.recordPresence(replica, present[replica.ID()], now)
@@ -133,10 +133,10 @@
 // replicas that data planes suspect.
 func (t *Tracker) Servers(isTarget func(backend string) bool, suspected map[string]bool, now time.Time) []*placement.Server {
 	servers := make([]*placement.Server, 0, len(t.listed))
-	onDisk := t.disks.modelsOf(t.listed)
+	disks := t.disks.disksOf(t.listed)
 	for index, replica := range t.listed {
 		if isTarget(replica.Backend()) {
-			servers = append(servers, replica.server(suspected[replica.ID()], onDisk[index], now))
+			servers = append(servers, replica.server(suspected[replica.ID()], disks[index], now))
 		}
 	}
 	return servers
@@ -151,6 +151,7 @@
 		return replicastate.Order{}, false
 	}
 	replica.action = &action
+	replica.decidedAt = now
 	replica.startedAt = now
 	if !action.Load {
 		replica.cordon(action.Model)
@@ -186,10 +187,17 @@
 }
 
 // ReclassifyDiskLoad marks the load under way as one from the store: it has run for too long to come from the replica's
-// disk. What else the disk was taken to hold is forgotten, so that further loads are counted before they start.
-func (t *Tracker) ReclassifyDiskLoad(replica *Replica) {
-	replica.action.FromStore = true
-	t.disks.reset(replica.listed, replica.action.Model, replica.state.Loaded())
+// disk. It tells whether the load was counted as one from the store before it began. What else the disk was taken to hold is
+// forgotten.
+func (t *Tracker) ReclassifyDiskLoad(replica *Replica) (wasCounted bool) {
+	wasCounted = replica.action.FromStore
+	replica.action.FromStore, replica.action.MayBeDisk = true, false
+	if wasCounted {
+		t.disks.forgetPossible(replica.listed)
+	} else {
+		t.disks.reset(replica.listed, replica.action.Model, replica.state.Loaded())
+	}
+	return wasCounted
 }
 
 func (t *Tracker) refreshCordons(replica *Replica) {
--- a/internal/controlplane/replicatracker/tracker_test.go
+++ b/internal/controlplane/replicatracker/tracker_test.go
@@ -70,14 +70,42 @@
 	assert.Assert(t, !tracker.AdoptList(list, testStart, testStart), "the very same list changes nothing")
 }
 
-func TestDiskInventory_DiskBelongsToBackendAndAddress(t *testing.T) {
+func TestDiskInventory_AddressAloneProvesNothing(t *testing.T) {
 	disks := NewDiskInventory()
-	disks.RecordListed(discovery.Replica{
-		ID:      "old",
-		Backend: "s",
-		Address: "here",
-		Models:  []discovery.LoadedModel{{Name: "m"}, {Name: "n"}},
+	old := discovery.Replica{ID: "old", Backend: "s", Address: "here", Models: []discovery.LoadedModel{{Name: "m"}, {Name: "n"}}}
+	returned := discovery.Replica{ID: "new", Backend: "s", Address: "here"}
+	disks.RecordList([]discovery.Replica{old, returned}, testStart)
+	t.Run("the incarnation that had the models loaded", func(t *testing.T) {
+		assert.Equal(t, len(disks.Certain(old)), 2)
+		assert.Equal(t, len(disks.Possible(old)), 2)
+	})
+	t.Run("the next one at its address", func(t *testing.T) {
+		assert.Equal(t, len(disks.Certain(returned)), 0)
+		assert.Equal(t, len(disks.Possible(returned)), 2)
+	})
+	t.Run("one of another backend at that address", func(t *testing.T) {
+		assert.Equal(t, len(disks.Possible(discovery.Replica{ID: "other", Backend: "t", Address: "here"})), 0)
+	})
+	t.Run("once it has one of the models loaded", func(t *testing.T) {
+		disks.recordLoaded(returned, map[string]bool{"m": true, "m/a1": true})
+		assert.DeepEqual(t, disks.Certain(returned), map[string]bool{"m": true})
 	})
-	assert.Equal(t, len(disks.Models(discovery.Replica{ID: "new", Backend: "s", Address: "here"})), 2)
-	assert.Equal(t, len(disks.Models(discovery.Replica{ID: "other", Backend: "t", Address: "here"})), 0)
+	t.Run("once a load there has come from the store", func(t *testing.T) {
+		disks.forgetPossible(returned)
+		assert.DeepEqual(t, disks.Possible(returned), map[string]bool{"m": true})
+	})
+}
+
+func TestDiskInventory_ForgetsDisksThatNoListShows(t *testing.T) {
+	disks := NewDiskInventory()
+	gone := discovery.Replica{ID: "gone", Backend: "s", Address: "there", Models: []discovery.LoadedModel{{Name: "m"}}}
+	kept := discovery.Replica{ID: "kept", Backend: "s", Address: "here", Models: []discovery.LoadedModel{{Name: "m"}}}
+	disks.RecordList([]discovery.Replica{gone, kept}, testStart)
+	for elapsed := time.Minute; elapsed <= diskRetention; elapsed += time.Minute {
+		assert.Equal(t, len(disks.Possible(gone)), 1)
+		disks.RecordList([]discovery.Replica{kept}, testStart.Add(elapsed))
+	}
+	assert.Equal(t, len(disks.Possible(gone)), 0)
+	assert.Equal(t, len(disks.Certain(gone)), 0)
+	assert.Equal(t, len(disks.Certain(kept)), 1)
 }
--- a/internal/controlplane/roster_host.go
+++ b/internal/controlplane/roster_host.go
@@ -73,9 +73,7 @@
 
 // RecordListed implements roster.Placement.
 func (h rosterHost) RecordListed(replicas []discovery.Replica) {
-	for _, replica := range replicas {
-		h.node.scheduler.Disks().RecordListed(replica)
-	}
+	h.node.scheduler.Disks().RecordList(replicas, h.node.clock())
 }
 
 // PublishRoster implements roster.Publisher.
--- a/internal/controlplane/scheduler/diskloads_test.go
+++ b/internal/controlplane/scheduler/diskloads_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"ferryspar/internal/configuration"
@@ -12,6 +14,7 @@
 	"ferryspar/internal/lease"
 	"ferryspar/internal/loadbudget"
 	"ferryspar/internal/placement"
+	"ferryspar/internal/replica"
 	"ferryspar/internal/replicastate"
 )
 
@@ -27,12 +30,12 @@
 		Record:    lease.Record{Fence: 1, Reserved: &full},
 		GrantedAt: now.Add(-time.Hour),
 	})
-	scheduler.disks.RecordListed(discovery.Replica{
+	scheduler.disks.RecordList([]discovery.Replica{{
 		ID:      "old",
 		Backend: "s",
 		Address: "here",
 		Models:  []discovery.LoadedModel{{Name: "m"}, {Name: "n"}},
-	})
+	}}, *now)
 	scheduler.tracker.AdoptList([]discovery.Replica{
 		{ID: "new", Backend: "s", Address: "here"},
 		{ID: "other", Backend: "t", Address: "here"},
@@ -46,7 +49,7 @@
 	return scheduler.budget.budget.Count(now, scheduler.budget.bounds)
 }
 
-// startDiskLoad has a replica accept the load of a model that its disk is taken to hold.
+// startDiskLoad has a replica accept the load of a model that its disk certainly holds.
 func startDiskLoad(t *testing.T, scheduler *Scheduler, tracked *replicatracker.Replica, now time.Time) {
 	t.Helper()
 	assert.Assert(t, tracked.State().HandleReport(replicastate.Report{}, now))
@@ -69,7 +72,7 @@
 			counted = 1
 		}
 		assert.Equal(t, countedLoads(scheduler, now), counted, "polled %s after its start", elapsed)
-		onDisk := scheduler.disks.Models(tracked.Listed())
+		onDisk := scheduler.disks.Possible(tracked.Listed())
 		assert.Equal(t, onDisk["n"], counted == 0)
 		assert.Assert(t, onDisk["m"], "it has what it loads now")
 	}
@@ -85,5 +88,60 @@
 	scheduler.poller.verifyDiskLoad(tracked, done, now)
 	scheduler.poller.verifyDiskLoad(tracked, replicastate.Report{Busy: true, Sequence: 1}, startedAt.Add(time.Second))
 	assert.Equal(t, countedLoads(scheduler, now), 0)
-	assert.Assert(t, scheduler.disks.Models(tracked.Listed())["n"])
+	assert.Assert(t, scheduler.disks.Possible(tracked.Listed())["n"])
+}
+
+// startPossibleDiskLoad has a replica accept the load of a model that an earlier incarnation at its address had loaded.
+func startPossibleDiskLoad(t *testing.T, scheduler *Scheduler, tracked *replicatracker.Replica, now time.Time) {
+	t.Helper()
+	assert.Assert(t, tracked.State().HandleReport(replicastate.Report{}, now))
+	action := placement.Action{Server: "new", Model: "m", Load: true, FromStore: true, MayBeDisk: true}
+	order, decided := scheduler.tracker.Decide(action, now)
+	assert.Assert(t, decided)
+	scheduler.budget.recordOrdered(action, now)
+	scheduler.orders.handleResponse(tracked, order, http.StatusAccepted, nil)
+}
+
+func TestScheduler_CountsLoadThatMayComeFromDisk(t *testing.T) {
+	t.Run("from before it begins until it has proven to come from the disk", func(t *testing.T) {
+		now := testStart
+		scheduler, tracked := newDiskScheduler(&now)
+		assert.Equal(t, countedLoads(scheduler, now), 0)
+		startPossibleDiskLoad(t, scheduler, tracked, now)
+		assert.Equal(t, countedLoads(scheduler, now), 1)
+		now = now.Add(1900 * time.Millisecond)
+		done := replica.Report{Sequence: 1, Models: []discovery.LoadedModel{{Name: "m"}}}
+		scheduler.poller.handlePoll(tracked, done, now, nil)
+		assert.Equal(t, countedLoads(scheduler, now), 0)
+		assert.Assert(t, scheduler.disks.Certain(tracked.Listed())["m"])
+		assert.Assert(t, !scheduler.disks.Certain(tracked.Listed())["n"], "one load proves nothing of another model")
+	})
+	t.Run("as long as any load if it ends too late for one from the disk", func(t *testing.T) {
+		now := testStart
+		scheduler, tracked := newDiskScheduler(&now)
+		startPossibleDiskLoad(t, scheduler, tracked, now)
+		now = now.Add(2100 * time.Millisecond)
+		scheduler.poller.handlePoll(tracked, replica.Report{Sequence: 1, Models: []discovery.LoadedModel{{Name: "m"}}}, now, nil)
+		assert.Equal(t, countedLoads(scheduler, now), 1)
+	})
+	t.Run("once if it still runs when one from the disk is long done", func(t *testing.T) {
+		now := testStart
+		scheduler, tracked := newDiskScheduler(&now)
+		startPossibleDiskLoad(t, scheduler, tracked, now)
+		now = now.Add(2500 * time.Millisecond)
+		scheduler.poller.handlePoll(tracked, replica.Report{Sequence: 1, Busy: true}, now, nil)
+		assert.Equal(t, countedLoads(scheduler, now), 1)
+		assert.Assert(t, !scheduler.disks.Possible(tracked.Listed())["n"], "the disk is no longer taken to be the old one")
+		assert.Assert(t, !tracked.State().PollDue(testStart.Add(4*time.Second)), "polled when one from the store is done")
+		assert.Assert(t, tracked.State().PollDue(testStart.Add(4200*time.Millisecond)))
+	})
+}
+
+func TestScheduler_FailedReportSaysNothingOfDiskLoad(t *testing.T) {
+	now := testStart
+	scheduler, tracked := newDiskScheduler(&now)
+	startDiskLoad(t, scheduler, tracked, now)
+	now = now.Add(3 * time.Second)
+	scheduler.poller.handlePoll(tracked, replica.Report{Sequence: 1, Busy: true}, now, errors.New("no report"))
+	assert.Equal(t, countedLoads(scheduler, now), 0)
 }
--- a/internal/controlplane/scheduler/loadbudget.go
+++ b/internal/controlplane/scheduler/loadbudget.go
@@ -157,6 +157,21 @@
 	b.budget.MarkStarted(id, now)
 }
 
+// spare is how many loads from the store may start now that no request waits for. It is asked after available.
+func (b *loadBudget) spare(now time.Time) float64 {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return float64(b.budget.SpareLoads(now, b.bounds))
+}
+
+// recordFromDisk takes back a load, counted as started at a moment, that has proven to come from the replica's disk.
+func (b *loadBudget) recordFromDisk(startedAt time.Time) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.budget.Withdraw(startedAt)
+	b.propose(b.lease.Grant(), b.clock())
+}
+
 // addStarted counts a load, started at a moment or before it, that was not known to come from the store when it was ordered.
 func (b *loadBudget) addStarted(at time.Time) {
 	b.lock.Lock()
--- a/internal/controlplane/scheduler/orders.go
+++ b/internal/controlplane/scheduler/orders.go
@@ -147,7 +147,7 @@
 		return replicatracker.ReportLag
 	}
 	expected := nodesettings.Seconds(model.LoadTimeS)
-	if !action.FromStore {
+	if tracked.ExpectsDiskLoad() {
 		expected = time.Duration(float64(expected) * diskLoadTimeShare)
 	}
 	return max(expected+loadTimeMargin, replicatracker.ReportLag)
--- a/internal/controlplane/scheduler/polls.go
+++ b/internal/controlplane/scheduler/polls.go
@@ -9,6 +9,8 @@
 
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/controlplane/replicatracker"
+	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/placement"
 	"ferryspar/internal/replica"
 	"ferryspar/internal/replicastate"
 )
@@ -71,7 +73,7 @@
 func (p *reportPoller) sortByWaiting(replicas []*replicatracker.Replica) {
 	waiting := make(map[string]int, len(replicas))
 	for _, tracked := range replicas {
-		waiting[tracked.ID()] = p.demand.waiting(tracked.Backend(), p.disks.Models(tracked.Listed()))
+		waiting[tracked.ID()] = p.demand.waiting(tracked.Backend(), p.disks.Possible(tracked.Listed()))
 	}
 	slices.SortStableFunc(replicas, func(left, right *replicatracker.Replica) int {
 		return waiting[right.ID()] - waiting[left.ID()]
@@ -92,40 +94,68 @@
 func (p *reportPoller) handlePoll(tracked *replicatracker.Replica, report replica.Report, polledAt time.Time, err error) {
 	p.pacer.markDirty()
 	now := p.clock()
+	if err != nil {
+		tracked.State().PollFailed(now)
+		return
+	}
 	reported := replicastate.Report{
 		Sequence: report.Sequence,
 		Busy:     report.Busy,
 		Loaded:   replicatracker.References(report.Models),
 	}
-	p.verifyDiskLoad(tracked, reported, polledAt)
-	if err != nil {
-		tracked.State().PollFailed(now)
+	doneAt := p.verifyDiskLoad(tracked, reported, polledAt)
+	action, decidedAt, startedAt := tracked.Action(), tracked.DecidedAt(), tracked.StartedAt()
+	if !p.tracker.HandleReport(tracked, reported, now) {
+		tracked.State().ExpectDone(doneAt)
 		return
 	}
-	if p.tracker.HandleReport(tracked, reported, now) && p.publisher.intervalOver(now) {
+	if action != nil && reported.Loaded[action.Model] {
+		p.creditDiskLoad(tracked, *action, now.Sub(decidedAt), startedAt)
+	}
+	if p.publisher.intervalOver(now) {
 		p.publisher.publish()
 	}
 }
 
-// verifyDiskLoad checks whether a load that was taken for one from the replica's own disk comes from the store after all, as
-// at a replica that took the place of another at its address: then it still runs when one from a disk is long done. It
-// counts from its start, and what the disk was taken to hold is forgotten, so that further loads are counted before they
-// start.
-func (p *reportPoller) verifyDiskLoad(tracked *replicatracker.Replica, report replicastate.Report, polledAt time.Time) {
+// verifyDiskLoad checks whether a load that was expected to come from the replica's own disk comes from the store after all:
+// then it still runs when one from a disk is long done. It returns when one from the store should be done, the zero time if
+// nothing new was found. If the load was not counted before it began, it counts from its start, and what the disk was taken to hold is forgotten, so that further
+// loads are counted before they start.
+func (p *reportPoller) verifyDiskLoad(
+	tracked *replicatracker.Replica, report replicastate.Report, polledAt time.Time,
+) (doneAt time.Time) {
 	elapsed, running := tracked.RunningDiskLoad(report, polledAt)
 	if !running {
-		return
+		return time.Time{}
 	}
 	name := tracked.Action().Model
 	model, known := p.configuration.findModel(tracked.Backend(), name)
 	if !known || elapsed.Seconds() < storeLoadTimeShare*model.LoadTimeS {
-		return
+		return time.Time{}
+	}
+	wasCounted := p.tracker.ReclassifyDiskLoad(tracked)
+	if !wasCounted {
+		p.budget.addStarted(tracked.StartedAt())
 	}
-	p.tracker.ReclassifyDiskLoad(tracked)
-	p.budget.addStarted(tracked.StartedAt())
 	logrus.WithFields(logrus.Fields{
 		"replica":     tracked.ID(),
 		"model":       name,
 		"duration_ms": elapsed.Milliseconds(),
+		"counted":     wasCounted,
 	}).Info("model load comes from the store, not from the replica's disk")
+	return tracked.StartedAt().Add(nodesettings.Seconds(model.LoadTimeS) + loadTimeMargin)
+}
+
+// creditDiskLoad gives the token of a load back that has ended so soon after it was decided that it cannot have come from
+// the store. A load that was not accepted by a clear answer keeps its token, since nothing tells when it was counted.
+func (p *reportPoller) creditDiskLoad(
+	tracked *replicatracker.Replica, action placement.Action, longest time.Duration, countedAt time.Time,
+) {
+	if !loadsFromStore(action) || !action.MayBeDisk {
+		return
+	}
+	model, known := p.configuration.findModel(tracked.Backend(), action.Model)
+	if known && longest.Seconds() < storeLoadTimeShare*model.LoadTimeS {
+		p.budget.recordFromDisk(countedAt)
+	}
 }
--- a/internal/controlplane/scheduler/sync.go
+++ b/internal/controlplane/scheduler/sync.go
@@ -64,6 +64,7 @@
 		DemandKnown:  s.demand.isLearned(now),
 		Servers:      s.tracker.Servers(isTarget, s.demand.suspectedAmong(s.tracker.Listed()), now),
 	}
+	view.SpareStoreTokens = s.budget.spare(now)
 	for zone, zoneState := range state.Zones {
 		view.DrainedZones[zone] = zoneState.Drained
 	}
--- a/internal/loadbudget/budget.go
+++ b/internal/loadbudget/budget.go
@@ -92,6 +92,16 @@
 	b.used++
 }
 
+// Withdraw uncounts a load that was counted as started by exactly the moment given, once it has proven not to come
+// from the weight store. The part of the allowance that it used is not given back: a successor may have counted it.
+func (b *Budget) Withdraw(startedBy time.Time) { b.log.Withdraw(startedBy) }
+
+// SpareLoads returns how many loads may start now that no request waits for: half of the bounds stays free for those
+// that one does.
+func (b *Budget) SpareLoads(now time.Time, bounds Bounds) int {
+	return min(bounds.Loads/2-b.log.Count(now, bounds.Window), b.allowance-b.used)
+}
+
 // Propose returns the reservation to write now, if one is due; the caller must report the outcome to
 // CompleteWrite. Until then only loads that both the previous reservation and this one cover may start,
 // because a successor may find either.
--- a/internal/loadbudget/faults_test.go
+++ b/internal/loadbudget/faults_test.go
@@ -63,7 +63,9 @@
 		s.unorderedLoads++
 		return
 	}
-	s.startTimes = append(s.startTimes, sent.startsAt)
+	if !sent.fromDisk {
+		s.startTimes = append(s.startTimes, sent.startsAt)
+	}
 }
 
 // resolveWrite decides the outcome of a write that may never have been answered.
--- a/internal/loadbudget/loadlog.go
+++ b/internal/loadbudget/loadlog.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// Withdraw uncounts one load that was counted as started by exactly the moment given: it has proven not to come from
+// the weight store. A load that has left the log is not withdrawn.
+func (l *LoadLog) Withdraw(startedBy time.Time) {
+	for index := range l.started {
+		entry := &l.started[index]
+		if !entry.startedBy.Equal(startedBy) {
+			continue
+		}
+		if entry.loads--; entry.loads == 0 {
+			l.started = slices.Delete(l.started, index, index+1)
+		}
+		return
+	}
+}
+
 // ResolvePending records that no pending load will start after now.
 func (l *LoadLog) ResolvePending(now time.Time) {
 	for _, name := range l.Pending() {
--- a/internal/loadbudget/simulation_test.go
+++ b/internal/loadbudget/simulation_test.go
@@ -26,6 +26,8 @@
 	maxWriteTime      = 300 * time.Millisecond
 	maxTakeoverDelay  = 3 * time.Second
 	agesOverstatement = 2 * time.Second
+	diskLoadTime      = 300 * time.Millisecond
+	storeLoadTime     = 1200 * time.Millisecond
 )
 
 // seedCount is how many histories are played.
@@ -51,6 +53,10 @@
 	unseenGrantContinued
 	// agesOverstated: loads count as older than they are.
 	agesOverstated
+	// diskBelieved: a load counts only once it has run for too long to come from a disk that may have been replaced.
+	diskBelieved
+	// withdrawnUnproven: every load that may have come from a disk is taken back.
+	withdrawnUnproven
 )
 
 // order is a load that was ordered: it starts at startsAt, and its answer or report comes at answeredAt.
@@ -59,6 +65,16 @@
 	answeredAt time.Time
 	startsAt   time.Time
 	rejected   bool
+	// mayBeDisk is set for a load of a model that the replica before at the address had loaded. Whether that replica's
+	// disk is still there decides fromDisk.
+	mayBeDisk, fromDisk bool
+}
+
+// runningLoad is a load that may come from a disk, counted as started at countedAt. At endsAt it tells by its
+// duration where it came from.
+type runningLoad struct {
+	countedAt, endsAt time.Time
+	fromDisk          bool
 }
 
 // reservationWrite is a reservation on its way to the record.
@@ -74,6 +90,7 @@
 type process struct {
 	budget loadbudget.Budget
 	orders []order
+	loads  []runningLoad
 	write  *reservationWrite
 	fence  uint64
 	index  int
@@ -85,7 +102,10 @@
 // simulation plays a history of lease holders that order loads while faults befall them. It is determined by its
 // seed.
 type simulation struct {
-	random    *rand.Rand
+	random *rand.Rand
+	// disks draws which loads come from a disk, apart from random, so that the histories without any stay as they are;
+	// nil in those.
+	disks     *rand.Rand
 	fault     plantedFault
 	now       time.Time
 	faultsEnd time.Time
@@ -118,6 +138,9 @@
 		holder:         noHolder,
 		unorderedLoads: 10 + random.IntN(120),
 	}
+	if seed%2 == 1 {
+		s.disks = rand.New(rand.NewPCG(seed, 32))
+	}
 	s.rates = []rateChange{{startTime, 0.5 + float64(random.IntN(4))}}
 	for index := range s.processes {
 		s.processes[index] = &process{index: index}
@@ -168,6 +191,13 @@
 			s.handleAnswer(process, sent)
 			return true
 		})
+		process.loads = slices.DeleteFunc(process.loads, func(load runningLoad) bool {
+			if load.endsAt.After(s.now) {
+				return false
+			}
+			s.handleLoadEnd(process, load)
+			return true
+		})
 		if written := process.write; written != nil && !written.completesAt.After(s.now) {
 			s.resolveWrite(process)
 			certain := written.certain && written.fence == s.fence || s.fault == uncertainWriteTrusted
@@ -183,8 +213,27 @@
 	}
 	if sent.rejected {
 		process.budget.MarkRejected(sent.name)
-	} else {
-		process.budget.MarkStarted(sent.name, s.now)
+		return
+	}
+	process.budget.MarkStarted(sent.name, s.now)
+	if !sent.mayBeDisk {
+		return
+	}
+	duration := storeLoadTime
+	if sent.fromDisk {
+		duration = diskLoadTime
+	}
+	process.loads = append(process.loads, runningLoad{s.now, s.now.Add(duration), sent.fromDisk})
+}
+
+// handleLoadEnd takes back a load that has proven to come from a disk.
+func (s *simulation) handleLoadEnd(process *process, load runningLoad) {
+	switch {
+	case s.fault == diskBelieved && !load.fromDisk:
+		process.budget.AddStarted(load.countedAt)
+	case s.fault == diskBelieved:
+	case load.fromDisk || s.fault == withdrawnUnproven:
+		process.budget.Withdraw(load.countedAt)
 	}
 }
 
@@ -288,7 +337,12 @@
 	}
 	sent.startsAt = s.now.Add(s.randomDuration(sent.answeredAt.Sub(s.now) + 1))
 	sent.rejected = s.chance(5)
-	if s.fault != countedWhenAnswered {
+	if s.disks != nil {
+		sent.mayBeDisk = s.disks.IntN(3) == 0
+		sent.fromDisk = sent.mayBeDisk && s.disks.IntN(2) == 0
+	}
+	believed := s.fault == diskBelieved && sent.mayBeDisk
+	if s.fault != countedWhenAnswered && !believed {
 		holder.budget.MarkOrdered(sent.name)
 	}
 	holder.orders = append(holder.orders, sent)
@@ -308,6 +362,8 @@
 		"loads count once they are answered":         countedWhenAnswered,
 		"a grant that was never acted under is lost": unseenGrantContinued,
 		"loads count as older than they are":         agesOverstated,
+		"a disk that may be replaced is believed":    diskBelieved,
+		"a load is taken back without a proof":       withdrawnUnproven,
 	}
 	for name, planted := range faults {
 		t.Run(name, func(t *testing.T) {
--- a/internal/placement/addcopy.go
+++ b/internal/placement/addcopy.go
@@ -3,6 +3,8 @@
 const (
 	// diskLoadFactor is the time of a load from a server's own disk relative to one from the store.
 	diskLoadFactor = 0.25
+	// possibleDiskLoadFactor is that of a load that may come from the disk or not, with equal odds.
+	possibleDiskLoadFactor = (1 + diskLoadFactor) / 2
 	// prefillDisruptionCost is the cost of a server's disruption, in seconds of load time.
 	prefillDisruptionCost = 1.5
 )
@@ -43,20 +45,22 @@
 }
 
 // cheapestServerFor returns the position of the cheapest server for one more copy, or -1: any server that
-// has the model on its disk, and any other one while the store's rate allows a load.
+// surely has the model on its disk, and any other one while the store's rate allows a load.
 func (p *planner) cheapestServerFor(model int) int {
 	best := cheapestChoice{server: -1}
 	size, loadTime := p.items.at(model).size, p.items.loadTimeS(model)
+	mayReserveStoreLoad := p.decisions.mayReserveStoreLoad()
 	for next := p.firstDiskCopy(model); next > 0; next = p.searches.diskCopies[next].next {
-		state := &p.servers[p.searches.diskCopies[next].server]
-		if !p.acceptsCopy(state, model) {
+		onDisk := p.searches.diskCopies[next]
+		state := &p.servers[onDisk.server]
+		if !onDisk.certain && !mayReserveStoreLoad || !p.acceptsCopy(state, model) {
 			continue
 		}
 		if cost, possible := p.evictionCost(state, size); possible {
-			best.consider(state.position, cost+loadTime*diskLoadFactor)
+			best.consider(state.position, cost+loadTime*onDisk.loadFactor())
 		}
 	}
-	if p.decisions.mayReserveStoreLoad() {
+	if mayReserveStoreLoad {
 		if ranked, found := p.cheapestStoreServer(model, size); found {
 			best.consider(ranked.server, ranked.cost+loadTime)
 		}
@@ -64,6 +68,14 @@
 	return best.server
 }
 
+// loadFactor is the expected time of the load relative to one from the store.
+func (d diskCopy) loadFactor() float64 {
+	if d.certain {
+		return diskLoadFactor
+	}
+	return possibleDiskLoadFactor
+}
+
 // acceptsCopy reports whether a copy of a model may be added at a server.
 func (p *planner) acceptsCopy(state *serverState, model int) bool {
 	return state.isFree() && !state.exhausted && !state.hasLoaded(model) && !p.reservedForAdapters(state)
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -100,6 +100,7 @@
 		return false
 	}
 	item := p.items.at(number)
+	onDisk := state.server.OnDisk[item.name]
 	p.view.Loading[item.key]++
 	if !item.adapter {
 		p.setIntent(state, "")
@@ -107,7 +108,8 @@
 	p.recordAction(state, Action{
 		Load:      true,
 		Model:     item.name,
-		FromStore: !item.adapter && !state.server.OnDisk[item.name],
+		FromStore: !item.adapter && !onDisk,
+		MayBeDisk: !item.adapter && !onDisk && state.server.MayBeOnDisk[item.name],
 		Reason:    reason,
 	})
 	return true
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -16,6 +16,7 @@
 		p.plan()
 		actions = append(actions, p.decisions.actions...)
 		view.StoreTokens = p.decisions.storeTokens
+		view.SpareStoreTokens = p.decisions.spareStoreTokens
 	}
 	return actions
 }
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -108,6 +108,35 @@
 	assert.Assert(t, !loads[0].FromStore)
 }
 
+func TestPlan_CountsModelPossiblyOnDiskAsStoreLoad(t *testing.T) {
+	returnedView := func(tokens, spare float64) *View {
+		fresh, returned := newServer("a"), newServer("b")
+		returned.MayBeOnDisk = map[string]bool{"rare": true}
+		view := smallView(fresh, returned)
+		view.StoreTokens, view.SpareStoreTokens = tokens, spare
+		return view
+	}
+	waiting := &Demand{Waiting: 1, OldestWaitMs: 50, LastSeen: now}
+	t.Run("not loaded without a token, though requests wait", func(t *testing.T) {
+		view := returnedView(0, 0)
+		view.Demand[ModelKey("s", "rare")] = waiting
+		assert.Equal(t, len(Plan(view)), 0)
+	})
+	t.Run("preferred to a server that never had it, at the price of a token", func(t *testing.T) {
+		view := returnedView(1, 0)
+		view.Demand[ModelKey("s", "rare")] = waiting
+		want := Action{
+			Server: "b", Load: true, Model: "rare", FromStore: true, MayBeDisk: true, Reason: "asked for and nowhere loaded",
+		}
+		assert.DeepEqual(t, Plan(view), []Action{want})
+		assert.Equal(t, view.StoreTokens, 0.0)
+	})
+	t.Run("restored unasked by a spare token only", func(t *testing.T) {
+		assert.Equal(t, len(Plan(returnedView(5, 0))), 0)
+		assert.Equal(t, len(actionsFor(Plan(returnedView(5, 1)), true, "rare")), 1)
+	})
+}
+
 // subset returns the elements whose bits are set in the mask.
 func subset(elements []string, mask int) []string {
 	var chosen []string
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -30,14 +30,20 @@
 
 // decisions are the actions of a plan and what is left of the model store's rate.
 type decisions struct {
-	actions        []Action
-	storeTokens    float64 // loads from the store that are left
-	reservedTokens float64 // of those, reserved for servers that free memory for a load from the store
+	actions          []Action
+	storeTokens      float64 // loads from the store that are left
+	spareStoreTokens float64 // of those, loads that no request needs to wait for
+	reservedTokens   float64 // of those, reserved for servers that free memory for a load from the store
 }
 
 // mayLoadFromStore reports whether the store allows a load now.
 func (d *decisions) mayLoadFromStore() bool { return d.storeTokens >= 1 }
 
+// mayLoadUnasked reports whether the store allows one more load that no request waits for.
+func (d *decisions) mayLoadUnasked() bool {
+	return d.mayReserveStoreLoad() && d.spareStoreTokens-d.reservedTokens >= 1
+}
+
 // mayReserveStoreLoad reports whether the store allows one more load beside the reserved ones.
 func (d *decisions) mayReserveStoreLoad() bool { return d.storeTokens-d.reservedTokens >= 1 }
 
@@ -50,7 +56,7 @@
 		items:     newItemTable(catalog),
 		demand:    newDemandIndex(len(catalog.items)),
 		counts:    newCopyCounts(len(catalog.items), len(catalog.adapters)),
-		decisions: decisions{storeTokens: view.StoreTokens},
+		decisions: decisions{storeTokens: view.StoreTokens, spareStoreTokens: view.SpareStoreTokens},
 		searches:  newServerSearches(),
 	}
 	p.indexDemand()
@@ -104,6 +110,7 @@
 	p.updateFreeHosts(state, wasFree)
 	if action.Load && action.FromStore {
 		p.decisions.storeTokens--
+		p.decisions.spareStoreTokens--
 	}
 	if !action.Load {
 		p.countUnload(state, p.itemNumber(action.Model))
--- a/internal/placement/reference_addcopy_test.go
+++ b/internal/placement/reference_addcopy_test.go
@@ -54,10 +54,13 @@
 
 func (p *referencePlanner) evictionCost(server *Server, model string) (float64, bool) {
 	cost := prefillDisruptionCost * p.disruption(server)
-	if !server.OnDisk[model] {
-		cost += p.sizes[model].LoadTimeS
-	} else {
+	switch {
+	case server.OnDisk[model]:
 		cost += p.sizes[model].LoadTimeS * 0.25
+	case server.MayBeOnDisk[model]:
+		cost += p.sizes[model].LoadTimeS * 0.625
+	default:
+		cost += p.sizes[model].LoadTimeS
 	}
 	need := p.memoryUsed(server) + roundUpUnits(p.sizes[model].WeightSizeMb) - p.capacity()
 	for _, victim := range p.victims(server, model) {
--- a/internal/placement/reference_copies_test.go
+++ b/internal/placement/reference_copies_test.go
@@ -31,10 +31,25 @@
 }
 
 func (p *referencePlanner) restoreServer(server *Server) {
+	best := p.bestRestore(server, server.OnDisk)
+	if best == "" && p.tokens-p.reservedTokens >= 1 && p.spareTokens-p.reservedTokens >= 1 {
+		lacking := map[string]bool{}
+		for model := range server.MayBeOnDisk {
+			copies := len(p.view.copies(p.backend.Name, model)) + p.loadsPending(model)
+			lacking[model] = float64(copies) < p.targetCopies(model)
+		}
+		best = p.bestRestore(server, lacking)
+	}
+	if best != "" {
+		p.load(server, best, "it held this before")
+	}
+}
+
+func (p *referencePlanner) bestRestore(server *Server, disk map[string]bool) string {
 	best, bestRank := "", 0.0
 	for _, model := range p.runtime.Models {
 		name := model.Name
-		if server.Loaded[name] || !server.OnDisk[name] || server.Intent != "" || !p.fits(server, name) {
+		if server.Loaded[name] || !disk[name] || server.Intent != "" || !p.fits(server, name) {
 			continue
 		}
 		demand := p.view.totalDemand(p.backend.Name, name)
@@ -44,9 +59,7 @@
 			best, bestRank = name, rank
 		}
 	}
-	if best != "" {
-		p.load(server, best, "it held this before")
-	}
+	return best
 }
 
 func (p *referencePlanner) addAdapters(handled priority) {
--- a/internal/placement/reference_equal_test.go
+++ b/internal/placement/reference_equal_test.go
@@ -47,9 +47,29 @@
 	view.Demand[ModelKey("s", "gone")] = &Demand{Rate: 2, Waiting: 1, LastSeen: now}
 	view.Demand[ModelKey("other", "m0000")] = &Demand{Rate: 9, Waiting: 9, LastSeen: now}
 	addUncertainty(view, random)
+	addPossibleDisks(view, seed)
 	return view
 }
 
+// addPossibleDisks has some servers come back at addresses where other incarnations had models loaded.
+func addPossibleDisks(view *View, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	models := view.Table.Configuration.Backends[0].Runtime.Models
+	view.SpareStoreTokens = view.StoreTokens - float64(random.IntN(4))
+	for _, server := range view.Servers {
+		if random.IntN(3) > 0 {
+			continue
+		}
+		server.MayBeOnDisk = map[string]bool{}
+		for range 1 + random.IntN(4) {
+			server.MayBeOnDisk[models[random.IntN(len(models))].Name] = true
+		}
+		if random.IntN(2) == 0 {
+			server.OnDisk = map[string]bool{}
+		}
+	}
+}
+
 // addUncertainty gives the view a size history, a configuration that removes and resizes models and changes
 // the capacity, and orders of unknown outcome.
 func addUncertainty(view *View, random *rand.Rand) {
@@ -97,6 +117,7 @@
 			assert.Equal(t, indexed.Servers[index].Intent, reference.Servers[index].Intent, note)
 		}
 		assert.Equal(t, indexed.StoreTokens, reference.StoreTokens, note)
+		assert.Equal(t, indexed.SpareStoreTokens, reference.SpareStoreTokens, note)
 		assert.Equal(t, indexed.ContextEvictionInProgress, reference.ContextEvictionInProgress, note)
 		assert.Assert(t, cmp.DeepEqual(Plan(randomView(seed)), got), note)
 	}
--- a/internal/placement/reference_plan_test.go
+++ b/internal/placement/reference_plan_test.go
@@ -15,7 +15,7 @@
 	sizes                             map[string]configuration.Model
 	hasAction                         map[string]bool
 	actions                           []Action
-	tokens                            float64
+	tokens, spareTokens               float64
 	targetUtilization, reservedTokens float64
 	plannedUnloads                    map[string]int
 	exhausted                         map[string]bool
@@ -42,6 +42,7 @@
 			plannedUnloads: map[string]int{},
 			exhausted:      map[string]bool{},
 			tokens:         view.StoreTokens,
+			spareTokens:    view.SpareStoreTokens,
 		}
 		for _, model := range backend.Runtime.Models {
 			p.sizes[model.Name] = model
@@ -60,7 +61,7 @@
 		p.evictContexts()
 		p.restoreFromDisk()
 		actions = append(actions, p.actions...)
-		view.StoreTokens = p.tokens
+		view.StoreTokens, view.SpareStoreTokens = p.tokens, p.spareTokens
 	}
 	return actions
 }
@@ -70,6 +71,7 @@
 	p.hasAction[server.ID] = true
 	if action.Load && action.FromStore {
 		p.tokens--
+		p.spareTokens--
 	}
 	p.actions = append(p.actions, action)
 	if action.Load {
@@ -103,7 +105,13 @@
 func (p *referencePlanner) load(server *Server, model, reason string) {
 	p.view.Loading[ModelKey(p.backend.Name, model)]++
 	server.Intent = ""
-	p.recordAction(server, Action{Load: true, Model: model, FromStore: !server.OnDisk[model], Reason: reason})
+	p.recordAction(server, Action{
+		Load:      true,
+		Model:     model,
+		FromStore: !server.OnDisk[model],
+		MayBeDisk: !server.OnDisk[model] && server.MayBeOnDisk[model],
+		Reason:    reason,
+	})
 }
 
 func (p *referencePlanner) fulfilIntents() {
--- a/internal/placement/searches.go
+++ b/internal/placement/searches.go
@@ -21,10 +21,11 @@
 	cost   float64
 }
 
-// diskCopy is one element of the list of servers that have a model on their disk.
+// diskCopy is one element of the list of servers that have or may have a model on their disk.
 type diskCopy struct {
-	server int // position
-	next   int // position in serverSearches.diskCopies, 0 for none
+	server  int // position
+	next    int // position in serverSearches.diskCopies, 0 for none
+	certain bool
 }
 
 func newServerSearches() serverSearches {
@@ -35,7 +36,7 @@
 	}
 }
 
-// firstDiskCopy is the head of the list of servers that have a model on their disk, 0 for none. The
+// firstDiskCopy is the head of the list of servers that have or may have a model on their disk, 0 for none. The
 // lists of all models are made at the first call, of the servers that are free then.
 func (p *planner) firstDiskCopy(model int) int {
 	if p.searches.diskCopies == nil {
@@ -55,9 +56,16 @@
 		if !p.servers[position].isFree() {
 			continue
 		}
-		for reference := range p.servers[position].server.OnDisk {
+		server := p.servers[position].server
+		for reference := range server.OnDisk {
 			if number, known := catalog.names[reference]; known {
-				copies = append(copies, diskCopy{position, first[number]})
+				copies = append(copies, diskCopy{server: position, next: first[number], certain: true})
+				first[number] = len(copies) - 1
+			}
+		}
+		for reference := range server.MayBeOnDisk {
+			if number, known := catalog.names[reference]; known && !server.OnDisk[reference] {
+				copies = append(copies, diskCopy{server: position, next: first[number]})
 				first[number] = len(copies) - 1
 			}
 		}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -24,6 +24,10 @@
 // an adapter is only loaded beside a model in it. Loaded and MaybeLoaded together are the upper bound:
 // memory and adapter slots are judged by them, so that no load can exceed the replica's memory whatever
 // became of the orders whose outcome is unknown.
+//
+// OnDisk is what this incarnation of the replica was itself seen to have loaded. What an earlier incarnation at the
+// same address had loaded may be there or not, so a load of it counts as one from the model store until it has proven
+// otherwise: were it believed, many replicas replaced at once would exceed the rate of the store.
 type Server struct {
 	ID          string
 	Backend     string
@@ -33,11 +37,12 @@
 	Ready       bool            // its state is known and no load or unload is in progress
 	Loaded      map[string]bool // references certainly loaded
 	MaybeLoaded map[string]bool // further references that may be loaded: orders in progress or of unknown outcome
-	OnDisk      map[string]bool // references on its own disk, loaded without the model store
+	OnDisk      map[string]bool // references surely on its own disk, loaded without the model store
+	MayBeOnDisk map[string]bool // further references that an earlier incarnation at its address had loaded
 	Intent      string          // the model for which memory is being freed, or empty
 }
 
-// View is the input of a plan. Plan takes from StoreTokens, adds to Loading, updates SizeHistory and
+// View is the input of a plan. Plan takes from StoreTokens and SpareStoreTokens, adds to Loading, updates SizeHistory and
 // sets Catalog, ContextEvictionInProgress and the servers' intents; it changes nothing else. Demand and
 // Loading are indexed by ModelKey.
 type View struct {
@@ -49,6 +54,7 @@
 	Demand                    map[string]*Demand
 	Loading                   map[string]int  // loads in progress, those in MaybeLoaded included
 	StoreTokens               float64         // loads that the model store allows now
+	SpareStoreTokens          float64         // of those, loads that no request needs to wait for
 	DrainedZones              map[string]bool // evacuated zones
 	ContextEvictions          []ServerModel   // copies whose cached context must be evicted, in order
 	DemandKnown               bool            // the demand has been observed long enough to unload by it
@@ -66,7 +72,8 @@
 	Server    string // id
 	Load      bool   // false for an unload
 	Model     string // reference of the model or adapter
-	FromStore bool   // the load comes from the model store, not from the server's disk
+	FromStore bool   // the load takes a token of the model store: it is not surely from the server's disk
+	MayBeDisk bool   // a load that takes a token may come from the server's disk after all
 	Intent    string // the model that an unload makes room for
 	Reason    string // for logs and forecasts
 }
--- a/internal/sim/emulator/controlplane.go
+++ b/internal/sim/emulator/controlplane.go
@@ -14,8 +14,11 @@
 	models map[string]bool
 	// known is set once the replica has reported what it has loaded.
 	known bool
-	// pending is the load or unload under way, or nil.
-	pending *placement.Action
+	// pending is the load or unload under way, or nil; pendingSince is when it was ordered.
+	pending      *placement.Action
+	pendingSince time.Time
+	// loadedOnce holds the models that this incarnation has had loaded, so that its disk has them.
+	loadedOnce map[string]bool
 	// cordoned holds "replica reference" pairs that edges must no longer use.
 	cordoned map[string]bool
 	// intent is the planner's own note for its next run.
@@ -30,7 +33,7 @@
 	alive   bool
 	demand  *demand
 	tracked map[string]*trackedReplica
-	// loadedBefore holds the references that each address has once loaded, so that its disk may have them.
+	// loadedBefore holds the references that any incarnation at each address has had loaded, so that its disk may have them.
 	loadedBefore map[string]map[string]bool
 	// loads are the moments of the last loads from the store, for the store's rate.
 	loads []time.Time
@@ -39,6 +42,8 @@
 const (
 	// planEvery is how often the planner runs.
 	planEvery = 100 * time.Millisecond
+	// storeLoadTimeShare is the share of a model's load time within which one from the store never ends.
+	storeLoadTimeShare = 0.5
 	// reportLag is how long after a change a replica is asked for its report.
 	reportLag = 250 * time.Millisecond
 	// cordonTime is how long edges are given to hear of an unload before the replica does.
@@ -112,7 +117,7 @@
 	for index, listed := range listing {
 		present[listed.ID] = true
 		if c.tracked[listed.ID] == nil {
-			c.tracked[listed.ID] = &trackedReplica{cordoned: map[string]bool{}}
+			c.tracked[listed.ID] = &trackedReplica{cordoned: map[string]bool{}, loadedOnce: map[string]bool{}}
 			c.requestReport(listed.ID)
 		}
 		replica := c.tracked[listed.ID]
@@ -174,6 +179,7 @@
 	if replica == nil || !c.alive {
 		return
 	}
+	c.creditDiskLoad(replica, models)
 	replica.models = models
 	replica.known = true
 	replica.pending = nil
@@ -184,5 +190,6 @@
 	}
 	for reference := range models {
 		c.loadedBefore[address][reference] = true
+		replica.loadedOnce[reference] = true
 	}
 }
--- a/internal/sim/emulator/planning.go
+++ b/internal/sim/emulator/planning.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -33,6 +34,7 @@
 		StoreTokens:  c.loadTokens(now),
 		DemandKnown:  c.demand.learned(now),
 	}
+	view.SpareStoreTokens = view.StoreTokens - math.Ceil(c.maxLoads()/2)
 	ids := make([]string, 0, len(c.tracked))
 	for id := range c.tracked {
 		ids = append(ids, id)
@@ -49,9 +51,11 @@
 			Zone:    replica.listed.Zone,
 			Lost:    c.demand.isSuspect(id, now),
 			Loaded:  cloneSet(replica.models),
-			OnDisk:  c.loadedBefore[replica.listed.Address],
 			Intent:  replica.intent,
 			Ready:   replica.known && replica.pending == nil,
+
+			OnDisk:      replica.loadedOnce,
+			MayBeOnDisk: c.loadedBefore[replica.listed.Address],
 		})
 	}
 	return view
@@ -69,13 +73,32 @@
 // loadTokens is how many loads from the store the rate still allows.
 func (c *controlPlane) loadTokens(now time.Time) float64 {
 	c.loads = slices.DeleteFunc(c.loads, func(at time.Time) bool { return now.Sub(at) >= originPeriod+time.Second })
-	return c.world.scenario.Models.LoadsPerS*originPeriod.Seconds() + 1 - float64(len(c.loads))
+	return c.maxLoads() - float64(len(c.loads))
+}
+
+// maxLoads is how many loads from the store may begin within its period.
+func (c *controlPlane) maxLoads() float64 {
+	return c.world.scenario.Models.LoadsPerS*originPeriod.Seconds() + 1
+}
+
+// creditDiskLoad gives the token of a load back that has ended too soon to come from the store.
+func (c *controlPlane) creditDiskLoad(replica *trackedReplica, models map[string]bool) {
+	load := replica.pending
+	if load == nil || !load.MayBeDisk || !models[load.Model] {
+		return
+	}
+	if c.world.now().Sub(replica.pendingSince).Seconds() >= storeLoadTimeShare*c.world.scenario.Models.LoadTimeS {
+		return
+	}
+	if index := slices.IndexFunc(c.loads, replica.pendingSince.Equal); index >= 0 {
+		c.loads = slices.Delete(c.loads, index, index+1)
+	}
 }
 
 // startAction sends a load or unload to a replica; an unload is cordoned at the edges first.
 func (c *controlPlane) startAction(action placement.Action, now time.Time) {
 	replica := c.tracked[action.Server]
-	replica.pending = &action
+	replica.pending, replica.pendingSince = &action, now
 	if action.Load && action.FromStore && !strings.Contains(action.Model, "/") {
 		c.loads = append(c.loads, now)
 	}
--- a/internal/test/integration/standin_orders_test.go
+++ b/internal/test/integration/standin_orders_test.go
@@ -130,10 +130,8 @@
 		return http.StatusOK
 	}
 	s.overCapacity = s.overCapacity || overCapacity
-	if instruction.isLoad() && instruction.Adapter == "" {
-		s.countStoreLoad(instruction.Model)
-	}
-	s.startOrder(instruction)
+	fromDisk := instruction.isLoad() && instruction.Adapter == "" && !s.countStoreLoad(instruction.Model)
+	s.startOrder(instruction, fromDisk)
 	return http.StatusAccepted
 }
 
@@ -153,8 +151,11 @@
 }
 
 // startOrder executes an accepted order. The caller holds the lock.
-func (s *standInReplica) startOrder(instruction receivedOrder) {
+func (s *standInReplica) startOrder(instruction receivedOrder, fromDisk bool) {
 	duration := s.loadTime
+	if fromDisk && s.diskLoadTime > 0 {
+		duration = s.diskLoadTime
+	}
 	if instruction.Adapter != "" {
 		duration = s.orderState.adapterTime
 	}
--- a/internal/test/integration/standin_replica_test.go
+++ b/internal/test/integration/standin_replica_test.go
@@ -32,6 +32,7 @@
 	full             bool
 	events           int
 	loadTime         time.Duration
+	diskLoadTime     time.Duration // of a model that is on the disk; 0 for loadTime
 	overCapacity     bool
 	firstTokenDelay  time.Duration
 	failureMode      string
@@ -124,15 +125,17 @@
 	s.handleRequest(writer, request)
 }
 
-// countStoreLoad records a load of a model that is not on the disk. The caller holds the lock.
-func (s *standInReplica) countStoreLoad(model string) {
+// countStoreLoad records a load of a model that is not on the disk, and tells whether it is one. The caller holds the lock.
+func (s *standInReplica) countStoreLoad(model string) (fromStore bool) {
 	if s.modelsOnDisk == nil {
 		s.modelsOnDisk = map[string]bool{}
 	}
-	if !s.modelsOnDisk[model] && !s.models[model] {
+	fromStore = !s.modelsOnDisk[model] && !s.models[model]
+	if fromStore {
 		s.storeLoads = append(s.storeLoads, time.Now())
 	}
 	s.modelsOnDisk[model] = true
+	return fromStore
 }
 
 func (s *standInReplica) handleRequest(writer http.ResponseWriter, request *http.Request) {
