Load budget: the bound is the store's own limit less one, with its overage

The overage and two loads were left to loads taken for ones from a disk. Since these are counted before they begin, nothing uses that part any more; originOverage was read and unused.

NewBounds takes the store's limit (rate, period, overage): floor(rate x period x overage) + 2 within the period + 1 s; the rule allows + 3 within the period. At a rate of 1: 7 in 6 s, was 6; at 28: 156, was 141. The scheduler test sets the overage that it judges by.

--- a/internal/controlplane/scheduler/config.go
+++ b/internal/controlplane/scheduler/config.go
@@ -6,6 +6,7 @@
 
 	"ferryspar/internal/discovery"
 	"ferryspar/internal/lease"
+	"ferryspar/internal/loadbudget"
 	"ferryspar/internal/peer"
 	"ferryspar/internal/replica"
 	"ferryspar/internal/retention"
@@ -59,8 +60,8 @@
 type Settings struct {
 	// ListLag is how far the platform's list may lag behind the replicas.
 	ListLag time.Duration
-	// OriginPeriod is the period over which the store of weights bounds the loads that start.
-	OriginPeriod time.Duration
+	// StoreLimit is the limit of the store of weights. Its rate comes from the configuration.
+	StoreLimit loadbudget.StoreLimit
 	// Zones holds the region of each zone by name.
 	Zones map[string]string
 }
--- a/internal/controlplane/scheduler/loadbudget.go
+++ b/internal/controlplane/scheduler/loadbudget.go
@@ -33,7 +33,8 @@
 	lease     *LeaseKeeper
 	clock     func() time.Time
 	startedAt time.Time
-	period    time.Duration
+	// limit is the store's, without its rate, which the configuration has.
+	limit loadbudget.StoreLimit
 	// onWritten is called after each write of a reservation, since loads may wait for it.
 	onWritten func()
 	// pending has room for the one reservation that is proposed at a time.
@@ -45,12 +46,14 @@
 	bounds loadbudget.Bounds
 }
 
-func newLoadBudget(keeper *LeaseKeeper, clock func() time.Time, startedAt time.Time, period time.Duration, onWritten func()) *loadBudget {
+func newLoadBudget(
+	keeper *LeaseKeeper, clock func() time.Time, startedAt time.Time, limit loadbudget.StoreLimit, onWritten func(),
+) *loadBudget {
 	return &loadBudget{
 		lease:     keeper,
 		clock:     clock,
 		startedAt: startedAt,
-		period:    period,
+		limit:     limit,
 		onWritten: onWritten,
 		pending:   make(chan pendingReservation, 1),
 	}
@@ -61,15 +64,15 @@
 	return action.Load && action.FromStore && !placement.IsAdapter(action.Model)
 }
 
-// loadBounds are the bounds of loads from the store over a period, by the configuration.
-func loadBounds(table *configuration.Table, period time.Duration) loadbudget.Bounds {
-	rate := 0.0
+// loadBounds are the bounds of loads from the store: its limit with the rate that the configuration has.
+func loadBounds(table *configuration.Table, limit loadbudget.StoreLimit) loadbudget.Bounds {
+	limit.Rate = 0
 	for _, backend := range table.Configuration.Backends {
 		if backend.Runtime != nil {
-			rate = max(rate, backend.Runtime.LoadsPerS)
+			limit.Rate = max(limit.Rate, backend.Runtime.LoadsPerS)
 		}
 	}
-	return loadbudget.NewBounds(rate, period, maxLoadStartDelay)
+	return loadbudget.NewBounds(limit, maxLoadStartDelay)
 }
 
 // available is how many loads from the store may start now under the grant held; it may be below 0. mayStart tells whether
@@ -81,7 +84,7 @@
 	}
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.bounds = loadBounds(table, b.period)
+	b.bounds = loadBounds(table, b.limit)
 	b.adoptGrant(grant)
 	for _, id := range b.budget.Pending() {
 		if !mayStart(id) {
--- a/internal/controlplane/scheduler/loadbudget_test.go
+++ b/internal/controlplane/scheduler/loadbudget_test.go
@@ -21,6 +21,7 @@
 		now := testStart
 		scheduler, _ := newTestScheduler(&now)
 		budget := scheduler.budget
+		budget.limit.Overage = overage
 		scheduler.lease.current.Store(&lease.Grant{Record: lease.Record{Fence: 1, Reserved: new(loadbudget.Reservation)}})
 		neverPending := func(string) bool { return false }
 		var startedAt []time.Time
--- a/internal/controlplane/scheduler/polls.go
+++ b/internal/controlplane/scheduler/polls.go
@@ -119,8 +119,8 @@
 
 // verifyDiskLoad checks whether a load that was expected to come from the replica's own disk comes from the store after all:
 // then it still runs when one from a disk is long done. It returns when one from the store should be done, the zero time if
-// nothing new was found. If the load was not counted before it began, it counts from its start, and what the disk was taken to hold is forgotten, so that further
-// loads are counted before they start.
+// nothing new was found. If the load was not counted before it began, it counts from its start, and what the disk was taken
+// to hold is forgotten, so that further loads are counted before they start.
 func (p *reportPoller) verifyDiskLoad(
 	tracked *replicatracker.Replica, report replicastate.Report, polledAt time.Time,
 ) (doneAt time.Time) {
--- a/internal/controlplane/scheduler/scheduler.go
+++ b/internal/controlplane/scheduler/scheduler.go
@@ -68,7 +68,7 @@
 		sizes:         placement.NewSizeHistory(),
 	}
 	s.demand = newDemandView(config.Clock, s.wakeUp)
-	s.budget = newLoadBudget(s.lease, config.Clock, config.StartedAt, config.Settings.OriginPeriod, s.wakeUp)
+	s.budget = newLoadBudget(s.lease, config.Clock, config.StartedAt, config.Settings.StoreLimit, s.wakeUp)
 	s.tracker = replicatracker.New(config.Settings.ListLag, s.disks, s.observations)
 	s.publisher = &observationPublisher{tracker: s.tracker, roster: config.Roster, clock: config.Clock}
 	s.orders = &orderSender{
--- a/internal/controlplane/scheduler_host.go
+++ b/internal/controlplane/scheduler_host.go
@@ -11,6 +11,7 @@
 	"ferryspar/internal/drill"
 	"ferryspar/internal/eventbus"
 	"ferryspar/internal/lease"
+	"ferryspar/internal/loadbudget"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/replica"
 	"ferryspar/internal/retention"
@@ -24,9 +25,12 @@
 	host := schedulerHost{node: n}
 	return scheduler.New(scheduler.Config{
 		Settings: scheduler.Settings{
-			ListLag:      nodesettings.Milliseconds(n.settings.CloudAPI.MaxLagMs),
-			OriginPeriod: nodesettings.Seconds(n.settings.TimingBounds.OriginPeriodS),
-			Zones:        n.settings.Zones,
+			ListLag: nodesettings.Milliseconds(n.settings.CloudAPI.MaxLagMs),
+			StoreLimit: loadbudget.StoreLimit{
+				Period:  nodesettings.Seconds(n.settings.TimingBounds.OriginPeriodS),
+				Overage: n.settings.TimingBounds.OriginOverage,
+			},
+			Zones: n.settings.Zones,
 		},
 		Clock:     n.clock,
 		StartedAt: n.startedAt,
--- a/internal/loadbudget/bounds.go
+++ b/internal/loadbudget/bounds.go
@@ -2,24 +2,33 @@
 
 import "time"
 
-// Slack is how many loads are allowed beyond the weight store's rate.
-const Slack = 1
+// Slack is how many loads are allowed beyond the weight store's rate with its overage. The store takes one more,
+// which is left to a load that was certain to come from a disk and does not.
+const Slack = 2
 
 // headroomDivisor is the inverse of the part of all loads, and of the window, that is reserved ahead.
 const headroomDivisor = 3
 
+// StoreLimit is the limit that the weight store sets: within any Period, at most Rate loads a second times Overage
+// may start, and three more.
+type StoreLimit struct {
+	Rate    float64
+	Period  time.Duration
+	Overage float64 // less than 1 counts as 1
+}
+
 // Bounds is how many loads may start within any Window.
 type Bounds struct {
 	Loads  int
 	Window time.Duration
 }
 
-// NewBounds returns the bounds for a store that takes rate loads a second over any period. A load counts for
-// maxStartDelay longer than the period, since it may start that much later than it was ordered.
-func NewBounds(rate float64, period, maxStartDelay time.Duration) Bounds {
+// NewBounds returns the bounds for a store's limit. A load counts for maxStartDelay longer than the period, since it
+// may start that much later than it was ordered.
+func NewBounds(limit StoreLimit, maxStartDelay time.Duration) Bounds {
 	return Bounds{
-		Loads:  int(rate*period.Seconds()) + Slack,
-		Window: period + maxStartDelay,
+		Loads:  int(limit.Rate*limit.Period.Seconds()*max(limit.Overage, 1)) + Slack,
+		Window: limit.Period + maxStartDelay,
 	}
 }
 
--- a/internal/nodesettings/settings.go
+++ b/internal/nodesettings/settings.go
@@ -183,8 +183,8 @@
 	// Informational.
 	ThawSlackMs float64 `koanf:"thawSlackMs"`
 	// Within any OriginPeriodS, loads from the model store are at most loadsPerS times OriginPeriodS times
-	// OriginOverage plus 3 (docs/design/load-budget.md). OriginPeriodS is 5 by default. OriginOverage is
-	// informational: the control plane stays below the limit without it; its default is 1.
+	// OriginOverage plus 3 (docs/design/load-budget.md). The control plane stays one below that. OriginPeriodS is
+	// 5 by default, OriginOverage 1; less counts as 1.
 	OriginPeriodS float64 `koanf:"originPeriodS"`
 	OriginOverage float64 `koanf:"originOverage"`
 }
