Loads of the fleet packed, brought with subscriptions; fewer bytes a message

A report names the digest of the replicas that its data plane is sent; where the control plane takes it to know the same ones, the answer is three varints a replica. Only replicas that the data plane is sent are in it. Summaries between control planes use the same form; the older lists are still read.

Tests of the aggregator and the exchange take ids as a list now, their assertions are the same.

--- a/internal/controlplane/demand/exchange.go
+++ b/internal/controlplane/demand/exchange.go
@@ -27,8 +27,8 @@
 	LeaseHolder() string
 	// Roster returns the list of replicas. The slice is never changed in place.
 	Roster() []discovery.Replica
-	// SubscribedReplicas returns the ids of the replicas that a data plane may use.
-	SubscribedReplicas(dataPlane string) map[string]bool
+	// SubscribedReplicas returns the replicas that a data plane is sent, ordered by id.
+	SubscribedReplicas(dataPlane string) peer.ReplicaIDs
 }
 
 // Caller calls other nodes, as a peer.Client does.
@@ -146,10 +146,19 @@
 	})
 }
 
-// HandleLoadReport takes in a data plane's load and answers with the load of all others on the replicas that it may use.
+// HandleLoadReport takes in a data plane's load and answers with the load of all others on the replicas that it may use,
+// packed if the data plane knows the same replicas.
 func (e *Exchange) HandleLoadReport(_ context.Context, report peer.LoadReport) peer.FleetLoad {
 	e.loads.AddReport(report, e.clock())
-	return e.loads.FleetLoadFor(report.DataPlane, e.host.SubscribedReplicas(report.DataPlane))
+	subscribed := e.host.SubscribedReplicas(report.DataPlane)
+	fleet := e.loads.FleetLoadFor(report.DataPlane, subscribed.IDs)
+	if report.Endpoints == 0 || report.Endpoints != subscribed.Digest {
+		return fleet
+	}
+	if packed, complete := peer.PackLoads(subscribed, fleet.Replicas); complete {
+		fleet.Replicas, fleet.Packed = peer.OutcomesOnly(fleet.Replicas), packed
+	}
+	return fleet
 }
 
 // HandleLoadSummary takes in another control plane's summary. If its loads are packed by a roster that isn't the one
@@ -161,11 +170,7 @@
 		if !known {
 			return peer.LoadSummaryReply{UnknownVersion: true}
 		}
-		for id, load := range summary.Replicas {
-			unpacked := loads[id]
-			unpacked.Outcomes = load.Outcomes
-			loads[id] = unpacked
-		}
+		peer.MergeOutcomes(loads, summary.Replicas)
 		summary.Replicas = loads
 	}
 	if summary.Replicas != nil {
--- a/internal/controlplane/demand/exchange_test.go
+++ b/internal/controlplane/demand/exchange_test.go
@@ -32,7 +32,9 @@
 
 func (h *testHost) Roster() []discovery.Replica { return h.roster }
 
-func (h *testHost) SubscribedReplicas(string) map[string]bool { return map[string]bool{"i-1": true} }
+func (h *testHost) SubscribedReplicas(string) peer.ReplicaIDs {
+	return peer.NewReplicaIDs([]string{"i-1"})
+}
 
 // testCaller passes calls to another exchange, and keeps the summaries.
 type testCaller struct {
@@ -88,6 +90,32 @@
 	exchange.Run(ctx)
 }
 
+func TestExchange_PacksLoadForDataPlaneThatKnowsTheSameReplicas(t *testing.T) {
+	host := &testHost{self: "a", roster: []discovery.Replica{{ID: "i-1"}}}
+	exchange := NewExchange(Sender{Member: "a"}, host, &testCaller{}, NewLoadAggregator(), nil, time.Now)
+	other := peer.ReplicaLoad{Running: 3, Tokens: 250, PrefillTokens: 100, Outcomes: peer.Outcomes{Served: 4, Failed: 1}}
+	exchange.HandleLoadReport(t.Context(), peer.LoadReport{DataPlane: "other", Replicas: map[string]peer.ReplicaLoad{"i-1": other}})
+	known := peer.NewReplicaIDs([]string{"i-1"})
+	plain := exchange.HandleLoadReport(t.Context(), peer.LoadReport{DataPlane: "edge"})
+	t.Run("the same replicas", func(t *testing.T) {
+		reply := exchange.HandleLoadReport(t.Context(), peer.LoadReport{DataPlane: "edge", Endpoints: known.Digest})
+		assert.Assert(t, reply.Packed != nil)
+		unpacked, ok := reply.Unpacked(known)
+		assert.Assert(t, ok)
+		want := plain.Replicas["i-1"]
+		want.Tokens = 300 // rounded up to hundreds
+		assert.DeepEqual(t, unpacked, peer.FleetLoad{Total: plain.Total, Replicas: map[string]peer.ReplicaLoad{"i-1": want}})
+	})
+	t.Run("others", func(t *testing.T) {
+		elsewhere := peer.NewReplicaIDs([]string{"i-1", "i-2"})
+		reply := exchange.HandleLoadReport(t.Context(), peer.LoadReport{DataPlane: "edge", Endpoints: elsewhere.Digest})
+		assert.Assert(t, reply.Packed == nil)
+		unpacked, ok := reply.Unpacked(elsewhere)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, unpacked, plain)
+	})
+}
+
 func TestExchange_LoadReachesDataPlanesOfOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var demands []peer.LoadSummary
--- a/internal/controlplane/demand/load_aggregator.go
+++ b/internal/controlplane/demand/load_aggregator.go
@@ -138,7 +138,7 @@
 }
 
 // FleetLoadFor returns the load that all data planes but the named one put on the replicas, rounded.
-func (a *LoadAggregator) FleetLoadFor(dataPlane string, replicas map[string]bool) peer.FleetLoad {
+func (a *LoadAggregator) FleetLoadFor(dataPlane string, replicas []string) peer.FleetLoad {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	own := a.reports[dataPlane].report
@@ -153,7 +153,7 @@
 		Total:    roundedOutcomes(total),
 		Replicas: make(map[string]peer.ReplicaLoad, len(replicas)),
 	}
-	for id := range replicas {
+	for _, id := range replicas {
 		if load := a.loadOfOthers(id, own); load != (peer.ReplicaLoad{}) {
 			fleet.Replicas[id] = load
 		}
--- a/internal/controlplane/demand/load_aggregator_test.go
+++ b/internal/controlplane/demand/load_aggregator_test.go
@@ -24,7 +24,7 @@
 }
 
 func TestLoadAggregator_SumsLoadOfOtherDataPlanes(t *testing.T) {
-	subscribed := map[string]bool{"i-1": true, "i-2": true}
+	subscribed := []string{"i-1", "i-2"}
 	one := reportOutcomes("one", "north", 1, 5, 1)
 	two := reportOutcomes("two", "north", 2, 0.4, 2)
 	three := reportOutcomes("three", "south", 4, 0.5, 3)
@@ -53,7 +53,7 @@
 	fleet = near.FleetLoadFor("two", subscribed)
 	assert.DeepEqual(t, fleet.Replicas, expected)
 	assert.Equal(t, fleet.Total, peer.Outcomes{Served: 9, Failed: 2.5})
-	assert.DeepEqual(t, near.FleetLoadFor("two", map[string]bool{"i-2": true}).Replicas, map[string]peer.ReplicaLoad{})
+	assert.DeepEqual(t, near.FleetLoadFor("two", []string{"i-2"}).Replicas, map[string]peer.ReplicaLoad{})
 
 	for _, dataPlane := range []string{"one", "two", "three"} {
 		all.RemoveReport(dataPlane)
@@ -68,7 +68,7 @@
 		Member:   "far",
 		Replicas: map[string]peer.ReplicaLoad{"i-1": {Running: 5}},
 	}, testStart)
-	subscribed := map[string]bool{"i-1": true}
+	subscribed := []string{"i-1"}
 	assert.Equal(t, aggregator.FleetLoadFor("two", subscribed).Replicas["i-1"].Running, 8)
 	aggregator.Summary("near", testStart.Add(reportTTL+time.Millisecond))
 	assert.Equal(t, aggregator.FleetLoadFor("two", subscribed).Replicas["i-1"].Running, 0)
--- a/internal/controlplane/demand/packer_test.go
+++ b/internal/controlplane/demand/packer_test.go
@@ -11,6 +11,9 @@
 	"ferryspar/internal/peer"
 )
 
+// tokenUnit is the unit of packed tokens.
+const tokenUnit = 100
+
 func TestPacker_UnpacksOnlyWithSameReplicas(t *testing.T) {
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, 7))
--- a/internal/controlplane/demand_host.go
+++ b/internal/controlplane/demand_host.go
@@ -3,6 +3,7 @@
 import (
 	"ferryspar/internal/controlplane/demand"
 	"ferryspar/internal/discovery"
+	"ferryspar/internal/peer"
 )
 
 // demandHost is a node as its demand.Exchange sees it.
@@ -24,7 +25,7 @@
 // Roster returns the list of replicas as this node has it.
 func (h demandHost) Roster() []discovery.Replica { return h.node.roster.Replicas() }
 
-// SubscribedReplicas returns the replicas that a data plane is sent.
-func (h demandHost) SubscribedReplicas(dataPlane string) map[string]bool {
+// SubscribedReplicas returns the replicas that a data plane is sent, ordered by id.
+func (h demandHost) SubscribedReplicas(dataPlane string) peer.ReplicaIDs {
 	return h.node.endpoints.SubscribedReplicas(dataPlane)
 }
--- a/internal/controlplane/members_host.go
+++ b/internal/controlplane/members_host.go
@@ -7,6 +7,7 @@
 	"ferryspar/internal/controlplane/members"
 	"ferryspar/internal/controlplane/watch"
 	"ferryspar/internal/keystore"
+	"ferryspar/internal/peer"
 )
 
 const (
@@ -59,6 +60,7 @@
 		next.DataPlaneCount = count
 		next.EarlyDataPlaneCount = early
 		next.ControlPlanes = controlPlanes
+		next.ControlPlanesVersion = peer.Digest(controlPlanes)
 		next.Neighbours = neighbours
 	}
 	isFirstCount := early > 0 && n.publisher.Current().EarlyDataPlaneCount == 0
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -77,7 +77,9 @@
 	cluster   Cluster
 
 	merger discovery.Merger // used by the reading loop only
-	list   list
+	// periodicUpdates counts the periodic updates since the start; used by the reading loop only.
+	periodicUpdates int
+	list            list
 	// publishLock is held from reading the list until it is published, so that the newest stays.
 	publishLock sync.Mutex
 	deliveries  deliveries
@@ -156,10 +158,19 @@
 	if !holdsLease {
 		return sharedListInterval(rate, r.lister.PageCount(), r.cluster.OtherCount())
 	}
-	r.sendAll(ctx, withRates)
+	r.sendAll(ctx, r.nextContent())
 	return listInterval(rate, r.lister.PageCount())
 }
 
+// nextContent is what the periodic update carries that is due now: one in so many carries the rates of demand.
+func (r *Roster) nextContent() content {
+	r.periodicUpdates++
+	if r.periodicUpdates%ratesPeriod == 1 {
+		return withRates
+	}
+	return listOnly
+}
+
 // read reads the platform's list and publishes it. An update that another node sends meanwhile may be
 // newer than startedAt; the list that was read is dropped in that case.
 func (r *Roster) read(ctx context.Context, startedAt time.Time) {
--- a/internal/controlplane/watch/endpoints.go
+++ b/internal/controlplane/watch/endpoints.go
@@ -35,6 +35,14 @@
 	sample map[string]*endpointSource
 }
 
+// sent returns the replicas that subscribers are sent, by id.
+func (s *endpointSet) sent() map[string]*endpointSource {
+	if s.sample != nil {
+		return s.sample
+	}
+	return s.endpoints
+}
+
 // cordons holds what of a replica must get no new requests, as "model" or "model/adapter".
 type cordons map[string]bool
 
@@ -188,11 +196,7 @@
 		return composed
 	}
 	composed.Version = set.version
-	endpoints := set.endpoints
-	if set.sample != nil {
-		endpoints = set.sample
-	}
-	for _, replica := range endpoints {
+	for _, replica := range set.sent() {
 		composed.Endpoints = append(composed.Endpoints, replica.endpoint(key.Model, now))
 	}
 	slices.SortFunc(composed.Endpoints, func(left, right peer.Endpoint) int { return cmp.Compare(left.ID, right.ID) })
--- a/internal/controlplane/watch/server.go
+++ b/internal/controlplane/watch/server.go
@@ -24,6 +24,8 @@
 	CountReliable(now time.Time) bool
 	// RequestConfirmation has the state confirmed by a majority in a round that begins after the call.
 	RequestConfirmation()
+	// LoadsOn returns the load of all data planes but the named one on replicas, by id.
+	LoadsOn(dataPlane string, replicas []string) map[string]peer.ReplicaLoad
 	// IsLeaving says whether the node shuts down.
 	IsLeaving() bool
 }
@@ -133,16 +135,19 @@
 // and addresses are sent in any case, the rest only while the state is confirmed.
 func (s *Server) compose(snapshot *Snapshot, request peer.WatchRequest, now time.Time) peer.WatchResponse {
 	response := peer.WatchResponse{
-		Member:        s.identity.Member,
-		Zone:          s.identity.Zone,
-		Incarnation:   s.identity.Incarnation,
-		FreshMs:       snapshot.freshFor(now).Milliseconds(),
-		Version:       snapshot.Version,
-		Revision:      snapshot.Revision,
-		ZoneVersion:   snapshot.ZoneVersion,
-		RosterAgeMs:   now.Sub(snapshot.RosterAsOf).Milliseconds(),
-		LeaseHolder:   snapshot.LeaseHolder,
-		ControlPlanes: snapshot.ControlPlanes,
+		Member:      s.identity.Member,
+		Zone:        s.identity.Zone,
+		Incarnation: s.identity.Incarnation,
+		FreshMs:     snapshot.freshFor(now).Milliseconds(),
+		Version:     snapshot.Version,
+		Revision:    snapshot.Revision,
+		ZoneVersion: snapshot.ZoneVersion,
+		RosterAgeMs: now.Sub(snapshot.RosterAsOf).Milliseconds(),
+		LeaseHolder: snapshot.LeaseHolder,
+	}
+	response.ControlPlanesVersion = snapshot.ControlPlanesVersion
+	if request.ControlPlanesVersion != snapshot.ControlPlanesVersion {
+		response.ControlPlanes = snapshot.ControlPlanes
 	}
 	if response.FreshMs == 0 {
 		return response
@@ -187,9 +192,27 @@
 		return peer.SubscribeResponse{Incarnation: s.identity.Incarnation}
 	}
 	response := s.endpoints.Subscribe(request, s.clock())
+	if replicas := replicasIn(response.EndpointSets); len(replicas) > 0 {
+		response.Loads = s.host.LoadsOn(request.DataPlane, replicas)
+	}
 	now := s.clock()
 	response.Incarnation = s.identity.Incarnation
 	response.FreshMs = snapshot.freshFor(now).Milliseconds()
 	response.RosterAgeMs = now.Sub(snapshot.RosterAsOf).Milliseconds()
 	return response
 }
+
+// replicasIn returns the ids of the replicas in endpoint sets, in no order.
+func replicasIn(sets []peer.EndpointSet) []string {
+	seen := map[string]bool{}
+	var ids []string
+	for _, set := range sets {
+		for _, endpoint := range set.Endpoints {
+			if !seen[endpoint.ID] {
+				seen[endpoint.ID] = true
+				ids = append(ids, endpoint.ID)
+			}
+		}
+	}
+	return ids
+}
--- a/internal/controlplane/watch/server_test.go
+++ b/internal/controlplane/watch/server_test.go
@@ -29,6 +29,14 @@
 
 func (h *fakeHost) RequestConfirmation() { h.requestedConfirmations++ }
 
+func (h *fakeHost) LoadsOn(_ string, replicas []string) map[string]peer.ReplicaLoad {
+	loads := map[string]peer.ReplicaLoad{}
+	for _, id := range replicas {
+		loads[id] = peer.ReplicaLoad{Running: 3}
+	}
+	return loads
+}
+
 func (h *fakeHost) IsLeaving() bool { return h.isLeaving }
 
 // testServer is a server of incarnation "a" and what it publishes.
@@ -201,7 +209,28 @@
 		assert.Equal(t, response.FreshMs, int64(0))
 		subscribed := server.HandleSubscribe(t.Context(), subscribeTo(1, modelKey("one")))
 		assert.DeepEqual(t, subscribed, peer.SubscribeResponse{Incarnation: "a"})
-		assert.Assert(t, server.endpoints.SubscribedReplicas("edge") == nil)
+		assert.Assert(t, server.endpoints.SubscribedReplicas("edge").IDs == nil)
+	})
+}
+
+func TestServer_SubscribeBringsLoadOfNewReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newTestServer()
+		listed := []discovery.Replica{
+			{ID: "i-1", Backend: "s", Models: []discovery.LoadedModel{{Name: "one"}}},
+			{ID: "i-2", Backend: "s", Models: []discovery.LoadedModel{{Name: "two"}}},
+		}
+		server.endpoints.Publish(listed, nil, time.Now())
+		request := subscribeTo(1, modelKey("one"))
+		request.Reset = true
+		response := server.HandleSubscribe(t.Context(), request)
+		assert.DeepEqual(t, response.Loads, map[string]peer.ReplicaLoad{"i-1": {Running: 3}})
+		known := server.endpoints.SubscribedReplicas("edge")
+		assert.DeepEqual(t, known.IDs, []string{"i-1"})
+		listed[1].Models = append(listed[1].Models, discovery.LoadedModel{Name: "one"})
+		server.endpoints.Publish(append([]discovery.Replica{}, listed...), nil, time.Now())
+		assert.DeepEqual(t, server.endpoints.SubscribedReplicas("edge").IDs, []string{"i-1", "i-2"})
+		assert.Assert(t, server.endpoints.SubscribedReplicas("edge").Digest != known.Digest)
 	})
 }
 
--- a/internal/controlplane/watch/snapshot.go
+++ b/internal/controlplane/watch/snapshot.go
@@ -37,6 +37,8 @@
 	// LeaseHolder is the address of the placement lease's holder, ControlPlanes those of all control planes known.
 	LeaseHolder   string
 	ControlPlanes []string
+	// ControlPlanesVersion is a digest of ControlPlanes, zero before the first.
+	ControlPlanesVersion uint64
 	// DataPlaneCount and EarlyDataPlaneCount are how many data planes are live, zero while that isn't known; see
 	// peer.WatchResponse.
 	DataPlaneCount      int
--- a/internal/controlplane/watch/subscriptions.go
+++ b/internal/controlplane/watch/subscriptions.go
@@ -21,6 +21,10 @@
 	lastSeen time.Time
 	// wake holds a value while a change of a set waits to be sent.
 	wake chan struct{}
+	// replicas are those in the sets, as of the publisher's version replicasVersion and the request replicasSequence.
+	replicas         peer.ReplicaIDs
+	replicasVersion  uint64
+	replicasSequence uint64
 }
 
 // notify wakes the data plane's watch request, now or when it comes.
@@ -143,22 +147,31 @@
 	return nil
 }
 
-// SubscribedReplicas returns the ids of the replicas in the sets that a data plane has subscribed to, or nil if it has
-// no subscriptions.
-func (p *EndpointPublisher) SubscribedReplicas(dataPlane string) map[string]bool {
+// SubscribedReplicas returns the replicas in the sets that a data plane has subscribed to, as it is sent them, ordered by
+// id. There are none if it has no subscriptions.
+func (p *EndpointPublisher) SubscribedReplicas(dataPlane string) peer.ReplicaIDs {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	subscriber := p.subscriptions[dataPlane]
 	if subscriber == nil {
-		return nil
+		return peer.ReplicaIDs{}
 	}
+	if subscriber.replicasSequence != subscriber.sequence || subscriber.replicasVersion != p.version {
+		subscriber.replicas = p.replicasOf(subscriber)
+		subscriber.replicasSequence, subscriber.replicasVersion = subscriber.sequence, p.version
+	}
+	return subscriber.replicas
+}
+
+// replicasOf returns the replicas in a data plane's sets. The caller holds the lock.
+func (p *EndpointPublisher) replicasOf(subscriber *subscription) peer.ReplicaIDs {
 	replicas := map[string]bool{}
 	for key := range subscriber.keys {
 		if set := p.sets[key]; set != nil {
-			for id := range set.endpoints {
+			for id := range set.sent() {
 				replicas[id] = true
 			}
 		}
 	}
-	return replicas
+	return peer.SortedReplicaIDs(replicas)
 }
--- a/internal/controlplane/watch_host.go
+++ b/internal/controlplane/watch_host.go
@@ -43,5 +43,10 @@
 // RequestConfirmation has the state confirmed in a round that begins after the call.
 func (h watchHost) RequestConfirmation() { h.node.applier.RequestConfirmation() }
 
+// LoadsOn returns the load of all data planes but the named one on replicas, by id.
+func (h watchHost) LoadsOn(dataPlane string, replicas []string) map[string]peer.ReplicaLoad {
+	return h.node.loads.FleetLoadFor(dataPlane, replicas).Replicas
+}
+
 // IsLeaving says whether the node shuts down.
 func (h watchHost) IsLeaving() bool { return h.node.members.IsLeaving() }
--- a/internal/dataplane/endpoints.go
+++ b/internal/dataplane/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"ferryspar/internal/discovery"
@@ -9,7 +10,8 @@
 	"ferryspar/internal/routing"
 )
 
-// endpointTable is the list of replicas in use and where it is from. It belongs to the goroutine of FleetState.Run.
+// endpointTable is the list of replicas in use and where it is from. It belongs to the goroutine of FleetState.Run, but for
+// ids.
 type endpointTable struct {
 	// regions are the regions of the zones.
 	regions map[string]string
@@ -21,6 +23,8 @@
 	fetchedAt time.Time
 	listed    []discovery.Replica
 	replicas  []*routing.Replica
+	// ids are those of the replicas listed, in their order.
+	ids atomic.Pointer[peer.ReplicaIDs]
 }
 
 // use makes a node's endpoints those in use, and reports whether the snapshot changes by it; changed says whether the node's own
@@ -49,10 +53,14 @@
 	t.listed = control.listReplicas()
 	now := t.clock()
 	t.replicas = make([]*routing.Replica, len(t.listed))
+	ids := make([]string, len(t.listed))
 	for index, listed := range t.listed {
+		ids[index] = listed.ID
 		t.replicas[index] = routing.NewReplica(index, listed, now, nil)
 		t.replicas[index].Region = t.regions[listed.Zone]
 	}
+	known := peer.NewReplicaIDs(ids)
+	t.ids.Store(&known)
 }
 
 // resetOnRestart forgets a node's endpoints if they are from another incarnation.
--- a/internal/dataplane/fleetstate.go
+++ b/internal/dataplane/fleetstate.go
@@ -61,14 +61,6 @@
 	zones map[string]peer.ZoneState
 }
 
-// othersLoad is the summed load of the other data planes. It belongs to the goroutine of FleetState.Run, but for reports.
-type othersLoad struct {
-	// reports are those on their way to Run.
-	reports    chan peer.FleetLoad
-	latest     peer.FleetLoad
-	receivedAt time.Time
-}
-
 // FleetStateOptions are what a FleetState works with. Settings, Clock and Snapshot are needed; a nil function or part is
 // left out.
 type FleetStateOptions struct {
@@ -107,7 +99,7 @@
 		},
 		subscriptions: subscriptions{results: make(chan subscribeResult, pendingResults)},
 		endpoints:     endpointTable{regions: options.Settings.Zones, clock: options.Clock},
-		others:        othersLoad{reports: make(chan peer.FleetLoad, pendingResults)},
+		others:        othersLoad{reports: make(chan reportedLoad, pendingResults)},
 	}
 	state.position.init()
 	options.Snapshot.Store(&routing.Snapshot{})
@@ -127,14 +119,23 @@
 // Drain has polls say from now on that this node is shutting down. Any goroutine may call it.
 func (s *FleetState) Drain() { s.position.draining.Store(true) }
 
-// AdoptFleetLoad hands the load of the other data planes to Run, or gives up when the context ends.
-func (s *FleetState) AdoptFleetLoad(ctx context.Context, load peer.FleetLoad) {
+// adoptFleetLoad hands the load of the other data planes, the answer to a report that was sent at a moment, to Run, or gives
+// up when the context ends.
+func (s *FleetState) adoptFleetLoad(ctx context.Context, load peer.FleetLoad, sentAt time.Time) {
 	select {
-	case s.others.reports <- load:
+	case s.others.reports <- reportedLoad{load: load, sentAt: sentAt}:
 	case <-ctx.Done():
 	}
 }
 
+// endpointIDs returns the replicas that are known here, ordered by id. Any goroutine may call it.
+func (s *FleetState) endpointIDs() peer.ReplicaIDs {
+	if known := s.endpoints.ids.Load(); known != nil {
+		return *known
+	}
+	return peer.ReplicaIDs{}
+}
+
 // Run merges results until the context ends, and returns once the calls that it has started are over.
 func (s *FleetState) Run(ctx context.Context, watcher *Watcher, peers *peer.Client) {
 	defer s.calls.Wait()
@@ -158,8 +159,8 @@
 			if s.completeFrom(result.address) {
 				s.subscribe(ctx, peers)
 			}
-		case load := <-s.others.reports:
-			s.others.latest, s.others.receivedAt = load, s.clock()
+		case reported := <-s.others.reports:
+			s.others.adoptReport(reported, s.clock())
 			s.publish()
 		case <-ticker.C:
 			s.choosePrimary()
--- a/internal/dataplane/loadreport.go
+++ b/internal/dataplane/loadreport.go
@@ -29,14 +29,20 @@
 		}
 		report := n.matcher.LoadReport(ctx)
 		report.DataPlane = n.settings.NodeName
+		endpoints := n.state.endpointIDs()
 		empty := len(report.Models) == 0 && len(report.Replicas) == 0
 		if empty && reportedEmpty {
 			continue
 		}
 		reportedEmpty = empty
-		var fleetLoad peer.FleetLoad
-		if n.peers.Call(ctx, peer.MethodReportLoad, primary, report, &fleetLoad) == nil {
-			n.state.AdoptFleetLoad(ctx, fleetLoad)
+		report.Endpoints = endpoints.Digest
+		sentAt := n.state.clock()
+		var reply peer.FleetLoad
+		if n.peers.Call(ctx, peer.MethodReportLoad, primary, report, &reply) != nil {
+			continue
+		}
+		if fleetLoad, known := reply.Unpacked(endpoints); known {
+			n.state.adoptFleetLoad(ctx, fleetLoad, sentAt)
 		}
 	}
 }
--- a/internal/dataplane/subscribe.go
+++ b/internal/dataplane/subscribe.go
@@ -91,6 +91,7 @@
 		s.endpoints.rebuild(control)
 	}
 	control.fetchedAt = fetchedAt(result.receivedAt, response.RosterAgeMs)
+	s.others.adoptSubscribed(response.Loads, result.receivedAt)
 	return s.endpoints.use(result.address, control, control.merge(response.EndpointSets))
 }
 
--- a/internal/dataplane/watcher.go
+++ b/internal/dataplane/watcher.go
@@ -173,4 +173,5 @@
 	}
 	request.Incarnation, request.Version = response.Incarnation, response.Version
 	request.RosterVersion = max(request.RosterVersion, response.RosterVersion)
+	request.ControlPlanesVersion = response.ControlPlanesVersion
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -89,7 +89,8 @@
 	return errors.Wrapf(json.Unmarshal(content, reply), "decode reply of %s at %s", method, address)
 }
 
-// newRequest returns the HTTP request of a call. Its body can't be read a second time: with GetBody set, net/http would
+// newRequest returns the HTTP request of a call, without headers that the receiver does not read: messages are small and
+// frequent, and always JSON. Its body can't be read a second time: with GetBody set, net/http would
 // send the request again on another connection if a reused one breaks, and the receiver could carry it out twice.
 func newRequest(ctx context.Context, method Method, address string, content []byte) (*http.Request, error) {
 	url := "http://" + address + method.Path()
@@ -98,6 +99,6 @@
 		return nil, err
 	}
 	request.GetBody = nil
-	request.Header.Set("Content-Type", contentType)
+	request.Header.Set("User-Agent", "") // leaves the header out
 	return request, nil
 }
--- a/internal/peer/load.go
+++ b/internal/peer/load.go
@@ -7,6 +7,9 @@
 	Models    []ModelLoad `json:"models,omitempty"`
 	// Replicas holds the data plane's own load on replicas by their id.
 	Replicas map[string]ReplicaLoad `json:"replicas,omitempty"`
+	// Endpoints is the digest of the ids of the replicas that the data plane knows, ordered by id, see ReplicaIDs. The reply
+	// is packed if the receiver takes the data plane to know the same ones.
+	Endpoints uint64 `json:"endpoints,omitempty"`
 }
 
 // ModelLoad is the demand for one model.
@@ -50,6 +53,8 @@
 	Total Outcomes `json:"total,omitzero"`
 	// Replicas holds the replicas that the data plane has subscribed to, by id.
 	Replicas map[string]ReplicaLoad `json:"replicas,omitempty"`
+	// Packed, if set, holds the numbers of Replicas in a shorter form; Replicas holds just outcomes then.
+	Packed *PackedLoads `json:"dense,omitempty"`
 }
 
 // LoadSummary is what a control plane sends the others about the data planes that report to it: the load on replicas, or,
@@ -81,16 +86,6 @@
 // ZoneOutcomes holds the outcomes of one zone's data planes by replica id.
 type ZoneOutcomes map[string]Outcomes
 
-// PackedLoads holds loads as lists in the order of the roster's replica ids. Zeros at the end are left out. Tokens and
-// PrefillTokens are in hundreds of tokens.
-type PackedLoads struct {
-	// Version is a digest of the replica ids in their order.
-	Version       uint64 `json:"m"`
-	Running       []int  `json:"r,omitempty"`
-	Tokens        []int  `json:"k,omitempty"`
-	PrefillTokens []int  `json:"p,omitempty"`
-}
-
 // LoadSummaryReply answers a LoadSummary.
 type LoadSummaryReply struct {
 	// UnknownVersion says that the receiver has no roster of the version in PackedLoads and took nothing in; it asks
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,6 +23,7 @@
 			apierror.Write(writer, err)
 			return
 		}
+		writer.Header()["Date"] = nil // leaves the header out
 		writer.Header().Set("Content-Type", contentType)
 		writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
 		_, _ = writer.Write(content)
--- a/internal/peer/subscribe.go
+++ b/internal/peer/subscribe.go
@@ -53,6 +53,9 @@
 	RosterVersion uint64        `json:"roster"`
 	RosterAgeMs   int64         `json:"rosterAge"`
 	EndpointSets  []EndpointSet `json:"parts,omitempty"`
+	// Loads holds the load of the other data planes on the replicas of EndpointSets by id: until its next load report is
+	// answered, the data plane would take them for idle.
+	Loads map[string]ReplicaLoad `json:"loads,omitempty"`
 }
 
 // IsFresh says whether the endpoint sets still count as confirmed by a majority, see WatchResponse.IsFresh.
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -16,13 +16,13 @@
 	DataPlane string `json:"daemon"`
 	Zone      string `json:"area"`
 	// Revision is that of the configuration that the data plane applies, ZoneVersion the one of the zones' state.
-	Revision    int64  `json:"revision"`
-	ZoneVersion uint64 `json:"areaNumber"`
+	Revision    int64  `json:"revision,omitempty"`
+	ZoneVersion uint64 `json:"areaNumber,omitempty"`
 	// RosterVersion is that of the newest endpoint sets received from this incarnation of the control plane.
-	RosterVersion uint64 `json:"roster"`
+	RosterVersion uint64 `json:"roster,omitempty"`
 	// Primary says that the data plane takes the configuration and endpoint sets from this control plane. From the
 	// others it only takes versions and the state of zones.
-	Primary bool `json:"wants"`
+	Primary bool `json:"wants,omitempty"`
 	// MaxWaitMs is how long, in milliseconds, the control plane may keep the request pending.
 	MaxWaitMs int64  `json:"holdMs"`
 	Version   uint64 `json:"version"`
@@ -42,6 +42,8 @@
 	// Linearizable asks for a response whose state a majority confirmed after the request arrived. A data plane without
 	// a configuration asks for that: an earlier confirmation could be of a state that was replaced before it started.
 	Linearizable bool `json:"proof,omitempty"`
+	// ControlPlanesVersion is that of the ControlPlanes received last from this control plane.
+	ControlPlanesVersion uint64 `json:"controlNumber,omitempty"`
 }
 
 // WatchResponse answers a WatchRequest. A data plane may rely on it only while it is fresh, see IsFresh.
@@ -74,9 +76,10 @@
 	Resubscribe bool `json:"refollow,omitempty"`
 	// DataPlaneCount is how many data planes are live, by which limits that bind the fleet are divided.
 	DataPlaneCount int `json:"edges"`
-	// LeaseHolder is the address of the placement lease's holder, ControlPlanes those of all control planes known.
+	// LeaseHolder is the address of the placement lease's holder, ControlPlanes those of all control planes known; they are
+	// sent to a data plane that has another ControlPlanesVersion of them.
 	LeaseHolder   string                 `json:"holder"`
-	ControlPlanes []string               `json:"control"`
+	ControlPlanes []string               `json:"control,omitempty"`
 	Context       *ContextUpdate         `json:"context,omitempty"`
 	Forecast      *drill.ForecastRequest `json:"question,omitempty"`
 	Drill         *drill.Notice          `json:"drill,omitempty"`
@@ -90,6 +93,8 @@
 	EarlyDataPlaneCount int `json:"present,omitempty"`
 	// Neighbours is sent to a data plane that has another version of it.
 	Neighbours *Neighbours `json:"neighbours,omitempty"`
+	// ControlPlanesVersion tells lists of control planes apart.
+	ControlPlanesVersion uint64 `json:"controlNumber,omitempty"`
 }
 
 // ZoneState is whether a zone is drained, and the version of the change that said so.
