--- a/internal/controlplane/scheduler/loadbudget.go
+++ b/internal/controlplane/scheduler/loadbudget.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxLoadStartDelay is how much longer than the period a load counts, since it may start late.
-	maxLoadStartDelay = time.Second
+	// maxLoadStartDelay is how much longer than the period a load counts: how long after its acceptance it may start.
+	maxLoadStartDelay = 250 * time.Millisecond
+	// maxUncertainDelay is how long after a lease holder has stopped a load without a clear answer may still start.
+	maxUncertainDelay = time.Second
 	// reservationTimeout bounds one write of a reservation, so that renewals of the lease do not wait long.
 	reservationTimeout = 500 * time.Millisecond
 )
@@ -72,7 +74,7 @@
 			limit.Rate = max(limit.Rate, backend.Runtime.LoadsPerS)
 		}
 	}
-	return loadbudget.NewBounds(limit, maxLoadStartDelay)
+	return loadbudget.NewBounds(limit, loadbudget.StartDelays{Accepted: maxLoadStartDelay, Uncertain: maxUncertainDelay})
 }
 
 // available is how many loads from the store may start now under the grant held; it may be below 0. mayStart tells whether
--- a/internal/loadbudget/bounds.go
+++ b/internal/loadbudget/bounds.go
@@ -17,18 +17,29 @@
 	Overage float64 // less than 1 counts as 1
 }
 
+// StartDelays are how much later than they are counted loads may start.
+type StartDelays struct {
+	// Accepted is that of a load whose order was accepted.
+	Accepted time.Duration
+	// Uncertain is that of a load whose order was sent by a holder that has stopped since, and has no clear answer.
+	Uncertain time.Duration
+}
+
 // Bounds is how many loads may start within any Window.
 type Bounds struct {
 	Loads  int
 	Window time.Duration
+	// UncertainDelay is how long after its holder has stopped a load without a clear answer may still start.
+	UncertainDelay time.Duration
 }
 
-// NewBounds returns the bounds for a store's limit. A load counts for maxStartDelay longer than the period, since it
-// may start that much later than it was ordered.
-func NewBounds(limit StoreLimit, maxStartDelay time.Duration) Bounds {
+// NewBounds returns the bounds for a store's limit. A load counts for longer than the period by as much as it may
+// start later than its order was accepted.
+func NewBounds(limit StoreLimit, delays StartDelays) Bounds {
 	return Bounds{
-		Loads:  int(limit.Rate*limit.Period.Seconds()*max(limit.Overage, 1)) + Slack,
-		Window: limit.Period + maxStartDelay,
+		Loads:          int(limit.Rate*limit.Period.Seconds()*max(limit.Overage, 1)) + Slack,
+		Window:         limit.Period + delays.Accepted,
+		UncertainDelay: delays.Uncertain,
 	}
 }
 
--- a/internal/loadbudget/budget.go
+++ b/internal/loadbudget/budget.go
@@ -41,23 +41,25 @@
 	if continues {
 		return
 	}
-	b.log.ResolvePending(grant.PredecessorStoppedAt)
+	lastStart := grant.PredecessorStoppedAt.Add(bounds.UncertainDelay)
+	b.log.ResolvePending(lastStart)
 	if grant.Reserved == nil {
-		b.log.AddStarted(bounds.Loads, grant.PredecessorStoppedAt)
+		b.log.AddStarted(bounds.Loads, lastStart)
 		return
 	}
-	b.inherit(*grant.Reserved, grant.PredecessorStoppedAt)
+	b.inherit(*grant.Reserved, grant.PredecessorStoppedAt, lastStart)
 }
 
-// inherit counts the loads of a reservation that was decided at a moment or before it.
-func (b *Budget) inherit(reserved Reservation, decidedBy time.Time) {
+// inherit counts the loads of a reservation that was decided at a moment or before it. Those without an age start at
+// lastStart at the latest.
+func (b *Budget) inherit(reserved Reservation, decidedBy, lastStart time.Time) {
 	rest := reserved.Loads
 	for _, aged := range reserved.Aged {
 		age := time.Duration(aged.AgeMs) * time.Millisecond
 		b.log.AddStarted(aged.Loads, decidedBy.Add(-age))
 		rest -= aged.Loads
 	}
-	b.log.AddStarted(rest, decidedBy)
+	b.log.AddStarted(rest, lastStart)
 }
 
 // Available returns how many loads may start now: within the bounds, and within what is surely reserved. It
--- a/internal/loadbudget/reservation.go
+++ b/internal/loadbudget/reservation.go
@@ -21,8 +21,9 @@
 type Takeover struct {
 	// Fence is the fencing token of the new grant.
 	Fence uint64
-	// PredecessorStoppedAt is a moment after which no earlier holder starts a load. If it were too early,
-	// loads of the predecessor would leave the window too early, and more would start than allowed.
+	// PredecessorStoppedAt is a moment after which no earlier holder orders a load; one in flight then may start for
+	// Bounds.UncertainDelay. If it were too early, loads of the predecessor would leave the window too early, and more
+	// would start than allowed.
 	PredecessorStoppedAt time.Time
 	// Reserved is the reservation in the record of this grant, carried over from the grant before. It is
 	// nil if that record has none: then its holder may have started as many loads as are allowed.
