--- a/internal/dataplane/watcher.go
+++ b/internal/dataplane/watcher.go
@@ -124,10 +124,20 @@
 		}
 		backoff = minPollBackoff
 		acknowledge(&request, &result.response)
-		if !result.fresh() || result.response.Resubscribe {
-			nodesettings.Sleep(ctx, minPollBackoff)
-		}
+		nodesettings.Sleep(ctx, pauseAfter(&result))
+	}
+}
+
+// pauseAfter is the pause before the next poll of a node that has answered. Without a configuration each confirmation answers
+// a poll at once, see peer.WatchRequest.Linearizable; the first configuration may take as long as the operator likes.
+func pauseAfter(result *watchResult) time.Duration {
+	switch {
+	case !result.fresh() || result.response.Resubscribe:
+		return minPollBackoff
+	case result.response.Revision == 0:
+		return maxPollBackoff
 	}
+	return 0
 }
 
 // poll sends one poll and waits for its response. repolled says that Repoll ended it, so that there is no result.
