Evictions: as few unloads as do, and no wait where nobody asks

Room for one model was often made by two unloads, the cheaper one needless, each 0.4 to 0.6 s; each unload waited 0.22 s for data planes to stop using a model that nobody had asked for.

Change. chooseVictims: the cheapest that free enough, without those that later ones make needless; an unload counts 0.5 s of load time. An unload of a model that is not asked for is ordered at once; a request that still arrives gets the replica's proof that it was not run. The reference planner of the tests follows the same policy. Prefetching was tried and not taken (docs/design/placement.md).

--- a/internal/controlplane/scheduler/demand.go
+++ b/internal/controlplane/scheduler/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -239,5 +240,23 @@
 	return waiting
 }
 
+// isAskedFor tells whether requests wait or run for a model or adapter, or for an adapter of the model, or have arrived lately.
+// While the demand is not known yet everything counts as asked for. The planning loop alone calls it.
+func (d *DemandView) isAskedFor(backend, reference string) bool {
+	if !d.isLearned(d.clock()) {
+		return true
+	}
+	key := placement.ModelKey(backend, reference)
+	for other, modelDemand := range d.byModel {
+		if other != key && !strings.HasPrefix(other, key+"/") {
+			continue
+		}
+		if modelDemand.Waiting > 0 || modelDemand.Running > 0 || modelDemand.Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // planned returns the demand for a plan. The planning loop alone calls it; the map goes on changing by Update.
 func (d *DemandView) planned() map[string]*placement.Demand { return d.byModel }
--- a/internal/controlplane/scheduler/demand_test.go
+++ b/internal/controlplane/scheduler/demand_test.go
@@ -51,3 +51,24 @@
 	holder.HandleSummary(restarted)
 	assert.Equal(t, counted(), 25.0, "numbers begin anew with an incarnation")
 }
+
+func TestDemandView_IsAskedFor(t *testing.T) {
+	now := testStart
+	view := newDemandView(func() time.Time { return now }, func() {})
+	report := func(models ...peer.ModelLoad) {
+		view.HandleSummary(peer.LoadSummary{Member: "a", IsDemand: true, Incarnation: "x", Batch: uint64(now.UnixMilli()), Models: models})
+		now = now.Add(averagingSpan * time.Second)
+		view.Update()
+	}
+	t.Run("everything, before the demand is known", func(t *testing.T) {
+		assert.Assert(t, view.isAskedFor("s", "idle"))
+	})
+	report(peer.ModelLoad{Backend: "s", Model: "m", Arrivals: 3}, peer.ModelLoad{Backend: "s", Model: "base/a1", Arrivals: 1})
+	t.Run("what was asked for lately", func(t *testing.T) { assert.Assert(t, view.isAskedFor("s", "m")) })
+	t.Run("a model by its adapter", func(t *testing.T) { assert.Assert(t, view.isAskedFor("s", "base")) })
+	t.Run("not one that nobody asks for", func(t *testing.T) { assert.Assert(t, !view.isAskedFor("s", "idle")) })
+	t.Run("not one of another backend", func(t *testing.T) { assert.Assert(t, !view.isAskedFor("t", "m")) })
+	t.Run("not one whose name only begins alike", func(t *testing.T) { assert.Assert(t, !view.isAskedFor("s", "bas")) })
+	report()
+	t.Run("not what was asked for long ago", func(t *testing.T) { assert.Assert(t, !view.isAskedFor("s", "m")) })
+}
--- a/internal/controlplane/scheduler/orders.go
+++ b/internal/controlplane/scheduler/orders.go
@@ -33,25 +33,27 @@
 	lease         *LeaseKeeper
 	client        ReplicaClient
 	tracker       *replicatracker.Tracker
+	demand        *DemandView
 	budget        *loadBudget
 	configuration *currentConfiguration
 	pacer         *planPacer
 	background    *background
 }
 
-// start ties a planner's action to what is known of its replica and sends the order, an unload only after the data planes
-// had time to stop using the model.
+// start ties a planner's action to what is known of its replica and sends the order, an unload of a model in demand only after
+// the data planes had time to stop using it. A request that still arrives for one that nobody has asked for lately gets a
+// proof that it was not run.
 func (s *orderSender) start(ctx context.Context, action placement.Action, now time.Time) {
 	order, possible := s.tracker.Decide(action, now)
 	if !possible {
 		return
 	}
 	s.budget.recordOrdered(action, now)
+	tracked := s.tracker.Replica(action.Server)
 	delay := time.Duration(0)
-	if !action.Load {
+	if !action.Load && s.demand.isAskedFor(tracked.Backend(), action.Model) {
 		delay = cordonLeadTime
 	}
-	tracked := s.tracker.Replica(action.Server)
 	id, address := tracked.ID(), tracked.Address()
 	s.background.run(func() func() {
 		nodesettings.Sleep(ctx, delay)
--- a/internal/controlplane/scheduler/scheduler.go
+++ b/internal/controlplane/scheduler/scheduler.go
@@ -76,6 +76,7 @@
 		lease:         s.lease,
 		client:        config.Replicas,
 		tracker:       s.tracker,
+		demand:        s.demand,
 		budget:        s.budget,
 		configuration: s.configuration,
 		pacer:         s.pacer,
--- a/internal/placement/addcopy.go
+++ b/internal/placement/addcopy.go
@@ -99,14 +99,6 @@
 // all. The size counts in full even if the model itself may be loaded there, though it then needs less.
 func (p *planner) evictionCost(state *serverState, size memoryUnits) (cost float64, possible bool) {
 	p.rankVictims(state)
-	cost = prefillDisruptionCost * state.disruption
-	need := state.memoryUsed + size - p.capacity
-	for _, next := range state.victims {
-		if need <= 0 {
-			break
-		}
-		need -= next.freedMemory
-		cost += next.cost
-	}
-	return cost, need <= 0
+	_, cost, possible = chooseVictims(state.victims, state.memoryUsed+size-p.capacity)
+	return cost + prefillDisruptionCost*state.disruption, possible
 }
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -118,25 +119,22 @@
 	return false
 }
 
-// evict unloads the first victim for a model that is to be loaded at the server. It reports false, and
-// drops the intent, if unloading all that may still go would not free enough memory.
+// evict unloads the first of the victims for a model that is to be loaded at the server. It reports false,
+// and drops the intent, if unloading all that may still go would not free enough memory.
 func (p *planner) evict(state *serverState, model int) bool {
 	p.rankVictims(state)
-	need := p.excess(state, model)
-	first := -1
+	remaining := make([]victim, 0, len(state.victims))
 	for _, next := range state.victims {
-		if !p.canEvict(state, next.model, p.counts.remaining) {
-			continue
-		}
-		need -= next.freedMemory
-		if first < 0 {
-			first = next.model
+		if p.canEvict(state, next.model, p.counts.remaining) {
+			remaining = append(remaining, next)
 		}
 	}
-	if first < 0 || need > 0 {
+	chosen, _, possible := chooseVictims(remaining, p.excess(state, model))
+	if !possible || chosen == 0 {
 		p.setIntent(state, "")
 		return false
 	}
+	first := remaining[bits.TrailingZeros64(uint64(chosen))].model
 	name := p.items.at(model).name
 	p.recordAction(state, Action{
 		Model:  p.items.at(first).name,
--- a/internal/placement/reference_addcopy_test.go
+++ b/internal/placement/reference_addcopy_test.go
@@ -63,12 +63,31 @@
 		cost += p.sizes[model].LoadTimeS
 	}
 	need := p.memoryUsed(server) + roundUpUnits(p.sizes[model].WeightSizeMb) - p.capacity()
-	for _, victim := range p.victims(server, model) {
+	chosen, possible := p.chosenVictims(server, p.victims(server, model), need)
+	for _, victim := range chosen {
+		cost += p.unloadCost(victim) + 0.5
+	}
+	return cost, possible
+}
+
+// chosenVictims frees memory from the cheapest victim on, and then spares what was not needed.
+func (p *referencePlanner) chosenVictims(server *Server, victims []string, need int64) ([]string, bool) {
+	var chosen []string
+	for _, victim := range victims {
 		if need <= 0 {
 			break
 		}
 		need -= p.freedMemory(server, victim)
-		cost += p.unloadCost(victim)
+		chosen = append(chosen, victim)
+	}
+	if need > 0 {
+		return nil, false
+	}
+	for index := len(chosen) - 1; index >= 0; index-- {
+		if freed := p.freedMemory(server, chosen[index]); need+freed <= 0 {
+			need += freed
+			chosen = append(chosen[:index:index], chosen[index+1:]...)
+		}
 	}
-	return cost, need <= 0
+	return chosen, true
 }
--- a/internal/placement/reference_evict_test.go
+++ b/internal/placement/reference_evict_test.go
@@ -121,20 +121,18 @@
 
 func (p *referencePlanner) evict(server *Server, model string) bool {
 	need := p.memoryUsed(server) + p.addedSize(server, model) - p.capacity()
-	first := ""
+	var remaining []string
 	for _, victim := range p.victims(server, model) {
 		if p.canEvict(server, victim, p.copiesRemaining) {
-			need -= p.freedMemory(server, victim)
-			if first == "" {
-				first = victim
-			}
+			remaining = append(remaining, victim)
 		}
 	}
-	if first == "" || need > 0 {
+	chosen, possible := p.chosenVictims(server, remaining, need)
+	if !possible || len(chosen) == 0 {
 		server.Intent = ""
 		return false
 	}
-	p.recordAction(server, Action{Model: first, Intent: model, Reason: "makes way for " + model})
+	p.recordAction(server, Action{Model: chosen[0], Intent: model, Reason: "makes way for " + model})
 	return true
 }
 
--- a/internal/placement/serverstate.go
+++ b/internal/placement/serverstate.go
@@ -26,13 +26,6 @@
 	victims       []victim
 }
 
-// victim is a model that could be unloaded.
-type victim struct {
-	model       int
-	cost        float64
-	freedMemory memoryUnits
-}
-
 // hasLoaded reports whether the server certainly has an item loaded.
 func (s *serverState) hasLoaded(number int) bool {
 	return slices.Contains(s.models, number) || slices.Contains(s.adapters, number)
