Lease: a record that cannot be read is refused, not taken for none

A record without a fence counts as unreadable, too.

Test: TestManager_RefusesRecordThatCannotBeRead (four damaged records; before, each gave a grant).

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -18,6 +18,10 @@
 // ErrSuperseded is returned by Manager.Reserve for a grant that is no longer the last one.
 var ErrSuperseded = errors.New("superseded by a later grant")
 
+// ErrUnreadableRecord is returned by Manager.Acquire where the lease has a record that this release cannot read. Were it
+// taken for a lease that nobody has held, fences would start at 1 again, and replicas would follow an older holder.
+var ErrUnreadableRecord = errors.New("the lease's record cannot be read")
+
 // errExpired is logged as the cause if a lease ran out between two renewals.
 var errExpired = errors.New("the lease expired before it was renewed")
 
@@ -65,29 +69,61 @@
 }
 
 // Acquire acquires the lease with the next fence. The caller must act only as far as the returned Grant
-// allows. An error means that no majority is known to have granted the lease.
+// allows. An error means that no majority is known to have granted the lease; it wraps ErrUnreadableRecord where the
+// record that was found cannot be read, which stays as it is.
 func (m *Manager) Acquire(ctx context.Context) (*Grant, error) {
 	requestedAt := m.Clock()
 	var record Record
+	var unreadable error
 	_, err := m.Store.Acquire(ctx, m.Key, func(current keystore.Register) json.RawMessage {
-		record = m.propose(current)
+		var last Record
+		if last, unreadable = decodeRecord(current.Value); unreadable != nil {
+			return current.Value
+		}
+		record = m.propose(last)
 		value, _ := json.Marshal(record)
 		return value
 	})
 	if err != nil {
 		return nil, err
 	}
+	if unreadable != nil {
+		return nil, m.refuse(ctx, unreadable)
+	}
 	grant := m.adopt(record, requestedAt, m.Clock())
 	logrus.WithFields(logrus.Fields{logKeyLease: m.Key, "fence": record.Fence}).Info("lease taken")
 	return grant, nil
 }
 
+// refuse gives the ownership of a lease up whose record cannot be read.
+func (m *Manager) refuse(ctx context.Context, cause error) error {
+	err := errors.WithMessagef(ErrUnreadableRecord, "lease %q: %s", m.Key, cause)
+	logrus.WithError(err).WithField(logKeyLease, m.Key).Error("lease not taken, its record cannot be read")
+	if releaseErr := m.Store.Release(ctx, m.Key); releaseErr != nil {
+		logrus.WithError(releaseErr).WithField(logKeyLease, m.Key).Debug("unreadable lease not released")
+	}
+	return err
+}
+
+// decodeRecord decodes the value of a lease's key. One that was never written is a lease that nobody has held; any
+// other has a fence.
+func decodeRecord(value json.RawMessage) (Record, error) {
+	var record Record
+	if len(value) == 0 {
+		return record, nil
+	}
+	if err := json.Unmarshal(value, &record); err != nil {
+		return record, errors.Wrap(err, "decode")
+	}
+	if record.Fence == 0 {
+		return record, errors.New("no fence")
+	}
+	return record, nil
+}
+
 // propose returns the record to write over the one found. The store may call it several times for one
 // Acquire, each time with what it found then.
-func (m *Manager) propose(current keystore.Register) Record {
-	var last Record
-	// A key that was never written has no value, which reads as a lease that nobody has held.
-	_ = json.Unmarshal(current.Value, &last)
+func (m *Manager) propose(last Record) Record {
 	record := m.nextRecord(last)
 	if !record.sameHolder(last) || last.Fence < m.lastFence || last.Fence > m.highestProposedFence {
 		m.interrupted = true
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -14,7 +14,10 @@
 )
 
 // memoryStore is a store of one key without faults.
-type memoryStore struct{ value json.RawMessage }
+type memoryStore struct {
+	value    json.RawMessage
+	releases int
+}
 
 func (s *memoryStore) Acquire(_ context.Context, _ string, decide func(keystore.Register) json.RawMessage) (keystore.Register, error) {
 	s.value = decide(keystore.Register{Value: s.value})
@@ -29,8 +32,12 @@
 	return err
 }
 
-func (s *memoryStore) Renew(context.Context, string) error   { return nil }
-func (s *memoryStore) Release(context.Context, string) error { return nil }
+func (s *memoryStore) Renew(context.Context, string) error { return nil }
+
+func (s *memoryStore) Release(context.Context, string) error {
+	s.releases++
+	return nil
+}
 
 // testDaemons makes managers that share a store and a clock.
 type testDaemons struct {
@@ -114,3 +121,21 @@
 	assert.ErrorIs(t, err, lease.ErrSuperseded)
 	assert.Error(t, err, `lease "k", fence 1: superseded by a later grant`)
 }
+
+func TestManager_RefusesRecordThatCannotBeRead(t *testing.T) {
+	for name, damaged := range map[string]string{
+		"no JSON":         `{"holder":"a","fence":7`,
+		"another type":    `{"fence":"seven"}`,
+		"without a fence": `{"holder":"a","address":"here"}`,
+		"null":            `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			daemons := newTestDaemons()
+			daemons.store.value = json.RawMessage(damaged)
+			_, err := daemons.start("b", "there").Acquire(t.Context())
+			assert.ErrorIs(t, err, lease.ErrUnreadableRecord)
+			assert.Equal(t, string(daemons.store.value), damaged, "what a holder used must not be lost")
+			assert.Equal(t, daemons.store.releases, 1, "another release that can read it may take the lease")
+		})
+	}
+}
