--- a/internal/dataplane/fleetstate.go
+++ b/internal/dataplane/fleetstate.go
@@ -178,7 +178,13 @@
 	if result.err == nil {
 		s.freshness.observe(&result.response, result.sentAt, s.position.revision.Load(), result.fresh())
 	}
-	result.markHandled()
+	rejected := result.err == nil && result.fresh() && s.isConfigurationRejected(&result.response)
+	result.markHandled(resultUse{configurationRejected: rejected})
+}
+
+// isConfigurationRejected reports whether a response that was handled has a configuration that could not be adopted.
+func (s *FleetState) isConfigurationRejected(response *peer.WatchResponse) bool {
+	return len(response.PackedConfiguration) > 0 && s.acceptable(response) && response.Revision > s.position.revision.Load()
 }
 
 // handleWatchResult adopts a result and reports whether the snapshot changes by it.
@@ -212,12 +218,12 @@
 	return response.Linearizable || s.position.revision.Load() > 0
 }
 
-// adopt adopts what is newer in a response and reports whether the snapshot changes by it.
+// adopt adopts what is newer in a response and reports whether the snapshot changes by it. Where its configuration can't be
+// decoded, zones are evacuated and context is forgotten all the same.
 func (s *FleetState) adopt(response *peer.WatchResponse) bool {
 	changed, err := s.adoptConfiguration(response)
 	if err != nil {
 		logrus.WithError(err).Error("configuration from control plane rejected")
-		return false
 	}
 	if response.Context != nil {
 		s.contextRules.adopt(*response.Context, &s.position)
--- a/internal/dataplane/watcher.go
+++ b/internal/dataplane/watcher.go
@@ -37,13 +37,19 @@
 	err error
 	// secondary says that the poll went to a node that endpoints are not followed at. Such polls are held for longer.
 	secondary bool
-	// handled, if any, is closed once the result has been used, so that the next poll acknowledges it.
-	handled chan struct{}
+	// handled, if any, receives how the result was used, so that the next poll acknowledges it.
+	handled chan resultUse
 }
 
-func (r *watchResult) markHandled() {
+// resultUse is how a result was used.
+type resultUse struct {
+	// configurationRejected says that the response had a configuration that can't be decoded. The next poll asks for it again.
+	configurationRejected bool
+}
+
+func (r *watchResult) markHandled(use resultUse) {
 	if r.handled != nil {
-		close(r.handled)
+		r.handled <- use
 	}
 }
 
@@ -114,7 +120,8 @@
 		if repolled {
 			continue
 		}
-		if !w.deliver(ctx, result) {
+		use, delivered := w.deliver(ctx, result)
+		if !delivered {
 			return
 		}
 		if result.err != nil {
@@ -124,14 +131,17 @@
 		}
 		backoff = minPollBackoff
 		acknowledge(&request, &result.response)
-		nodesettings.Sleep(ctx, pauseAfter(&result))
+		nodesettings.Sleep(ctx, pauseAfter(&result, use))
 	}
 }
 
 // pauseAfter is the pause before the next poll of a node that has answered. Without a configuration each confirmation answers
-// a poll at once, see peer.WatchRequest.Linearizable; the first configuration may take as long as the operator likes.
-func pauseAfter(result *watchResult) time.Duration {
+// a poll at once, see peer.WatchRequest.Linearizable; the first configuration may take as long as the operator likes. One that
+// can't be decoded answers each poll at once, too.
+func pauseAfter(result *watchResult, use resultUse) time.Duration {
 	switch {
+	case use.configurationRejected:
+		return maxPollBackoff
 	case !result.fresh() || result.response.Resubscribe:
 		return minPollBackoff
 	case result.response.Revision == 0:
@@ -161,18 +171,18 @@
 }
 
 // deliver hands a result to the state and waits until it has been used; false says that the context has ended.
-func (w *Watcher) deliver(ctx context.Context, result watchResult) bool {
-	result.handled = make(chan struct{})
+func (w *Watcher) deliver(ctx context.Context, result watchResult) (use resultUse, delivered bool) {
+	result.handled = make(chan resultUse, 1)
 	select {
 	case w.results <- result:
 	case <-ctx.Done():
-		return false
+		return use, false
 	}
 	select {
-	case <-result.handled:
-		return true
+	case use = <-result.handled:
+		return use, true
 	case <-ctx.Done():
-		return false
+		return use, false
 	}
 }
 
