--- /dev/null
+++ b/internal/proxy/departure_test.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/replica"
+)
+
+// maxWorkAfterDeparture is how long a replica may still be at work once its client has left.
+const maxWorkAfterDeparture = 500 * time.Millisecond
+
+func TestHandler_ClientThatLeavesEndsItsRequestAtTheReplica(t *testing.T) {
+	beginnings := map[string]func(connection net.Conn, request *http.Request){
+		"before the answer": func(net.Conn, *http.Request) {},
+		"in the middle of a stream": func(connection net.Conn, request *http.Request) {
+			_, _ = io.WriteString(connection, responseHead("200 OK", request, "seal", "Transfer-Encoding: chunked"))
+			_, _ = io.WriteString(connection, chunk("id: 1\ndata: a\n\n"))
+		},
+	}
+	for name, begin := range beginnings {
+		t.Run(name, func(t *testing.T) {
+			started, ended := make(chan struct{}), make(chan time.Time, 1)
+			upstream := startReplica(t, "r-1", func(connection net.Conn, request *http.Request) bool {
+				begin(connection, request)
+				close(started)
+				_, _ = connection.Read(make([]byte, 1)) // returns once the data plane ends the connection
+				ended <- time.Now()
+				return false
+			})
+			server := startServer(t, upstream)
+			client := server.connect(t)
+			_, _ = io.WriteString(client, post("/again/x", "gone", replica.HeaderRemaining+": 9000"))
+			<-started
+			leftAt := time.Now()
+			assert.NilError(t, client.Close())
+			select {
+			case at := <-ended:
+				assert.Assert(t, at.Sub(leftAt) < maxWorkAfterDeparture, "at work for %s", at.Sub(leftAt))
+			case <-time.After(2 * time.Second):
+				t.Fatal("the replica goes on working")
+			}
+			time.Sleep(50 * time.Millisecond)
+			assert.Equal(t, upstream.requestCount(), 1, "nothing is sent for a client that has left")
+		})
+	}
+}
+
+func TestHandler_NeverHandsAReplicaMoreTimeThanIsLeft(t *testing.T) {
+	const clientsTimeMs = 250
+	second := startReplica(t, "r-2", respondWith("200 OK", "seal", "done"))
+	first := startReplica(t, "r-1", func(connection net.Conn, request *http.Request) bool {
+		time.Sleep(80 * time.Millisecond)
+		fmt.Fprint(connection, responseHead("503 Service Unavailable", request, "seal", replica.HeaderNotExecuted+": 1", "Content-Length: 0"))
+		return true
+	})
+	for name, replicas := range map[string][]*scriptedReplica{"one replica": {second}, "two replicas": {first, second}} {
+		t.Run(name, func(t *testing.T) {
+			server := startServer(t, replicas...)
+			remaining := fmt.Sprintf("%s: %d", replica.HeaderRemaining, clientsTimeMs)
+			for attempt := range 6 {
+				sentAt := time.Now()
+				response := server.send(t, post("/again/x", fmt.Sprint("time-", attempt), remaining))
+				elapsed := time.Since(sentAt).Milliseconds()
+				assert.Assert(t, response.status == http.StatusOK || response.status == http.StatusServiceUnavailable)
+				for _, upstream := range replicas {
+					assertTimeHanded(t, upstream, clientsTimeMs, elapsed)
+				}
+			}
+		})
+	}
+}
+
+// assertTimeHanded asserts that the last request at a replica came with a time no longer than the client's.
+func assertTimeHanded(t *testing.T, upstream *scriptedReplica, clientsTimeMs, elapsedMs int64) {
+	t.Helper()
+	upstream.lock.Lock()
+	defer upstream.lock.Unlock()
+	if len(upstream.requests) == 0 {
+		return
+	}
+	stated := upstream.requests[len(upstream.requests)-1].Header.Get(replica.HeaderRemaining)
+	handedMs, err := strconv.ParseInt(stated, 10, 64)
+	assert.NilError(t, err)
+	assert.Assert(t, handedMs > 0 && handedMs <= clientsTimeMs, "%d of %d ms, after %d", handedMs, clientsTimeMs, elapsedMs)
+}
+
+func TestHandler_AnswersEveryRequestOfAKeptConnection(t *testing.T) {
+	upstream := startReplica(t, "r-1", respondWith("200 OK", "seal", "done"))
+	server := startServer(t, upstream)
+	client := server.connect(t)
+	for attempt := range 20 {
+		response := client.exchange(http.MethodPost, post("/once/x", fmt.Sprint("kept-", attempt)))
+		assert.Assert(t, !response.broken, "request %d of the connection got no answer", attempt)
+		assert.Equal(t, response.status, http.StatusOK)
+	}
+	assert.Equal(t, upstream.requestCount(), 20)
+}
