--- a/internal/placement/simulation_bench_test.go
+++ b/internal/placement/simulation_bench_test.go
@@ -16,6 +16,10 @@
 		{fleetShape{replicas: 9, models: 28, adapters: 28}, 8, 1, 10, 4, 1},
 		{fleetShape{replicas: 140, models: 450, adapters: 440}, 120, 1, 10, 4, 16},
 		{fleetShape{replicas: 40, models: 200}, 20, 0.8, 10, 4, 4},
+		// The same load on fleets of 1, 3 and 9 parts: what is stored for each request may not grow with the size.
+		{fleetShape{replicas: 28, models: 84, adapters: 84}, 36, 0.6, 8, 4.5, 3},
+		{fleetShape{replicas: 85, models: 255, adapters: 251}, 108, 0.6, 8, 4.5, 9},
+		{fleetShape{replicas: 256, models: 764, adapters: 752}, 324, 0.6, 8, 4.5, 27},
 	} {
 		b.Run(fmt.Sprintf("%dx%dx%d/%g/%g", server.replicas, server.models, server.adapters, server.perS, server.zipf), func(b *testing.B) {
 			var total outcome
