Quotas: home shards that came and went are forgotten

A lender forgets, as it plans, data planes that are no candidates, do not reply and may be asked again; a borrower what has run out of its backoffs.

--- a/internal/dataplane/quotalending.go
+++ b/internal/dataplane/quotalending.go
@@ -54,7 +54,7 @@
 	q.lock.Lock()
 	defer q.lock.Unlock()
 	now := q.clock()
-	q.borrower.DropIdleAccounts(now)
+	q.borrower.DropIdle(now)
 	if !q.limited {
 		return nil
 	}
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -153,11 +154,16 @@
 	b.unresponsiveUntil[homeShard] = now.Add(failureBackoff)
 }
 
-// DropIdleAccounts drops the accounts of tenants that sent nothing lately.
-func (b *Borrower) DropIdleAccounts(now time.Time) {
+// DropIdle drops the accounts of tenants that sent nothing lately, and what is remembered of home shards that may be asked
+// again.
+func (b *Borrower) DropIdle(now time.Time) {
+	isOver := func(_ string, until time.Time) bool { return !now.Before(until) }
+	maps.DeleteFunc(b.unresponsiveUntil, isOver)
 	for tenant, account := range b.accounts {
 		if now.Sub(account.countingSince) > accountTTL {
 			delete(b.accounts, tenant)
+			continue
 		}
+		maps.DeleteFunc(account.rejectedUntil, isOver)
 	}
 }
--- a/internal/quota/lendplan.go
+++ b/internal/quota/lendplan.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Offer is a request to be sent to a home shard.
 type Offer struct {
@@ -49,9 +53,18 @@
 	for group := range l.groups {
 		l.planGroup(plan, group, Rank(group, candidates), now)
 	}
+	l.forgetHomeShards(candidates, now)
 	return plan.offers()
 }
 
+// forgetHomeShards forgets data planes that are home shards no more, once nothing that is remembered of them matters: they
+// don't reply, and may be asked again. Machines come and go under ever new names.
+func (l *Lender) forgetHomeShards(candidates []string, now time.Time) {
+	maps.DeleteFunc(l.homeShards, func(name string, shard *homeShard) bool {
+		return !l.isResponsive(shard, now) && !now.Before(shard.skipUntil) && !slices.Contains(candidates, name)
+	})
+}
+
 // planGroup chooses the home shards of a group, lends to them, and probes those that may reply again.
 func (l *Lender) planGroup(plan *lendPlan, group int, ranked []string, now time.Time) {
 	chosen, probed := l.chooseHomeShards(ranked, now)
