--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -58,7 +58,8 @@
 	second := startReplica(t, "r-2", respondWith("200 OK", "seal", "done"))
 	first := startReplica(t, "r-1", func(connection net.Conn, request *http.Request) bool {
 		time.Sleep(80 * time.Millisecond)
-		fmt.Fprint(connection, responseHead("503 Service Unavailable", request, "seal", replica.HeaderNotExecuted+": 1", "Content-Length: 0"))
+		notExecuted := replica.HeaderNotExecuted + ": 1"
+		fmt.Fprint(connection, responseHead("503 Service Unavailable", request, "seal", notExecuted, "Content-Length: 0"))
 		return true
 	})
 	for name, replicas := range map[string][]*scriptedReplica{"one replica": {second}, "two replicas": {first, second}} {
