Packed loads: nothing is returned for a list that lacks a replica, as the comment says

Both callers look at the flag only, so nothing changes for them. The test of cut encodings let almost any cut pass (its condition was by a length that no replica has); now a cut is accepted exactly after a whole replica.

--- a/internal/peer/packedloads.go
+++ b/internal/peer/packedloads.go
@@ -77,8 +77,11 @@
 			used = len(packed.Encoded)
 		}
 	}
+	if found < len(loads) {
+		return nil, false
+	}
 	packed.Encoded = packed.Encoded[:used]
-	return packed, found == len(loads)
+	return packed, true
 }
 
 // packTokens converts tokens to packed units, rounding up.
--- a/internal/peer/packedloads_test.go
+++ b/internal/peer/packedloads_test.go
@@ -51,9 +51,11 @@
 func TestPackedLoads_RejectsDamagedEncoding(t *testing.T) {
 	ids := NewReplicaIDs([]string{"i-1", "i-2"})
 	packed, _ := PackLoads(ids, map[string]ReplicaLoad{"i-1": {Running: 300}, "i-2": {Running: 2, Tokens: 100}})
+	const firstReplica = 4 // bytes: 300 takes two, each 0 one
+	assert.Equal(t, len(packed.Encoded), firstReplica+3)
 	for length := 1; length < len(packed.Encoded); length++ {
 		_, known := (&PackedLoads{Version: ids.Digest, Encoded: packed.Encoded[:length]}).Unpack(ids)
-		assert.Assert(t, !known || length%3 != 0, "cut after %d bytes", length)
+		assert.Equal(t, known, length == firstReplica, "cut after %d bytes: only whole replicas may be left out", length)
 	}
 	_, known := (&PackedLoads{Version: ids.Digest, Encoded: append(packed.Encoded, 1, 1, 1)}).Unpack(ids)
 	assert.Assert(t, !known, "more replicas than the list has")
