Keystore: a round sends a message again to members that have not replied

An operator's patience is a second, so an attempt of three rounds at each of three members was used up.

Change: while a round is undecided each member without a reply gets the message again after 250 and 500 ms; a round that is decided sends nothing more, so slow members are not asked more the less they keep up. For that a prepare that comes again is promised again (it was rejected, as though another had the promise); it is written once more, so its reply waits for the disk like the first.

--- a/internal/keystore/acceptor_state_test.go
+++ b/internal/keystore/acceptor_state_test.go
@@ -125,6 +125,23 @@
 	assert.Equal(t, reply.Rejection, RejectedStateChanged, "no vote")
 }
 
+func TestAcceptorState_PrepareThatComesAgainIsPromisedAgain(t *testing.T) {
+	member := votingAcceptor()
+	member.Apply([]Register{acceptedRegister("x", 1, "old")})
+	prepare := Message{Operation: OperationPrepare, Key: "x", Proposal: proposalNumber(2), Membership: testMembership}
+	assert.Assert(t, member.stepAndApply(prepare, testNow).Granted)
+	reply, changes := member.Step(prepare, testNow, member.Registers)
+	assert.Assert(t, reply.Granted, "its first reply may be lost")
+	assert.Equal(t, string(reply.Register.Value), `"old"`)
+	assert.Equal(t, len(changes), 1, "the reply waits for the disk, which may not have the first promise yet")
+	assert.Assert(t, member.stepAndApply(Message{
+		Operation: OperationPrepare,
+		Key:       "x",
+		Proposal:  proposalNumber(3),
+	}, testNow).Granted)
+	assert.Equal(t, member.stepAndApply(prepare, testNow).Rejection, RejectedPromised, "another has the promise")
+}
+
 func TestAcceptorState_LeaseBlocksOthersUntilEndOrRelease(t *testing.T) {
 	member := votingAcceptor()
 	key := LeasePrefix + "duty"
--- a/internal/keystore/acceptor_steps.go
+++ b/internal/keystore/acceptor_steps.go
@@ -21,12 +21,15 @@
 // prepare promises to accept no proposal below the message's number, and replies with what was accepted so far. A member
 // that broke the promise would let an earlier owner finish a write that the new one has not seen.
 //
+// A message that comes again is promised again: its number is of one attempt of one proposer, and nothing below it was accepted
+// since. The register is written once more, so that the second reply waits for the disk as the first one does.
+//
 // The reply names, with or without a promise, the disk incarnations of others that this member knows, so that nobody counts
 // the promise of a member that has lost its disk since.
 func (s *AcceptorState) prepare(message Message, reply Reply, environment stepEnvironment) (Reply, []Register) {
 	register := s.register(message.Key)
 	reply.Register, reply.KnownDiskIncarnations = register, knownDiskIncarnations(s.Registers)
-	if !register.Promised.Less(message.Proposal) {
+	if message.Proposal.Less(register.Promised) {
 		reply.Rejection = RejectedPromised
 		return reply, nil
 	}
--- a/internal/keystore/round.go
+++ b/internal/keystore/round.go
@@ -10,6 +10,11 @@
 	roundTimeout = 900 * time.Millisecond
 	// lingerTimeout is how long a round that could end waits for further replies.
 	lingerTimeout = 120 * time.Millisecond
+	// resendInterval is how long a member's reply is awaited before the message is sent to it once more: a message that the
+	// network has lost or delays would otherwise hold up a round for all of roundTimeout.
+	resendInterval = 250 * time.Millisecond
+	// maxSends is how often a message is sent to one member within a round.
+	maxSends = 3
 )
 
 // Transport carries a message to a member and brings its reply back. A message may arrive twice or late; no step of an
@@ -82,10 +87,14 @@
 	addresses := membership.All()
 	replies := make(chan memberReply, len(addresses))
 	roundContext, cancel := context.WithTimeout(ctx, roundTimeout)
+	decided := make(chan struct{})
 	for _, address := range addresses {
-		go func() { replies <- memberReply{address: address, reply: s.send(roundContext, address, message)} }()
+		go func() {
+			replies <- memberReply{address: address, reply: s.sendRepeatedly(roundContext, decided, address, message)}
+		}()
 	}
 	result.collect(replies, len(addresses), assess)
+	close(decided)
 	result.lateReplies = replies
 	if message.Operation == OperationAccept || message.Operation == OperationPrepare {
 		time.AfterFunc(roundTimeout, cancel)
@@ -118,6 +127,38 @@
 	}
 }
 
+// sendRepeatedly sends a message again each resendInterval, until the first reply comes in or the round is decided, and returns
+// that reply. Steps of an acceptor are idempotent. Once a round is decided nothing more is sent: members that reply slowly are
+// not asked more the less they keep up.
+func (s *Store) sendRepeatedly(ctx context.Context, decided <-chan struct{}, address string, message Message) Reply {
+	received := make(chan Reply, maxSends)
+	pending := 0
+	sendOnce := func() {
+		pending++
+		go func() { received <- s.send(ctx, address, message) }()
+	}
+	sendOnce()
+	timer := time.NewTicker(resendInterval)
+	defer timer.Stop()
+	for sent := 1; ; {
+		select {
+		case reply := <-received:
+			pending--
+			if reply.Rejection != RejectedUnreachable || pending == 0 {
+				return reply
+			}
+		case <-timer.C:
+			if sent < maxSends {
+				sendOnce()
+				sent++
+			}
+		case <-decided:
+			timer.Stop()
+			decided = nil
+		}
+	}
+}
+
 // send returns a member's reply, and learns the membership and the proposal number in it.
 func (s *Store) send(ctx context.Context, address string, message Message) Reply {
 	reply, err := s.transport.Send(ctx, address, message)
--- /dev/null
+++ b/internal/keystore/round_test.go
@@ -0,0 +1,74 @@
+package keystore_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/keystore"
+)
+
+var errMessageLost = errors.New("lost")
+
+// lossyTransport loses the first messages to each member, and has the others granted.
+type lossyTransport struct {
+	lock sync.Mutex
+	// lost is how many messages to each member are lost.
+	lost int
+	sent map[string]int
+}
+
+// Send answers as a member that has promised nothing to others.
+func (l *lossyTransport) Send(ctx context.Context, address string, message keystore.Message) (keystore.Reply, error) {
+	l.lock.Lock()
+	l.sent[address]++
+	isLost := l.sent[address] <= l.lost
+	l.lock.Unlock()
+	if isLost {
+		<-ctx.Done()
+		return keystore.Reply{}, errMessageLost
+	}
+	return keystore.Reply{Granted: true, DiskIncarnation: 1, Membership: message.Membership}, nil
+}
+
+func newLossyStore(lost int) (*keystore.Store, *lossyTransport) {
+	transport := &lossyTransport{lost: lost, sent: map[string]int{}}
+	membership := keystore.Membership{Version: 1, Current: []string{"a", "b", "c"}}
+	return keystore.NewStore("a", 7, transport, membership), transport
+}
+
+func changeToOne(keystore.Register) (json.RawMessage, error) { return json.RawMessage(`1`), nil }
+
+func TestStore_LostMessageIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, transport := newLossyStore(1)
+		began := time.Now()
+		_, err := store.Change(t.Context(), "k", changeToOne)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(began) < 300*time.Millisecond, "took %s", time.Since(began))
+		time.Sleep(5 * time.Second)
+		for address, sent := range transport.sent {
+			assert.Assert(t, sent <= 4, "%s got %d messages for three rounds and a loss", address, sent)
+		}
+	})
+}
+
+func TestStore_MessageIsSentSeldomToSilentMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, transport := newLossyStore(1000)
+		ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
+		defer cancel()
+		_, err := store.Change(ctx, "k", changeToOne)
+		assert.Assert(t, errors.Is(err, keystore.ErrNoMajority), "%v", err)
+		time.Sleep(5 * time.Second)
+		for address, sent := range transport.sent {
+			assert.Assert(t, sent <= 6, "%s got %d messages of two rounds", address, sent)
+		}
+	})
+}
