--- a/internal/keystore/acceptor_state_test.go
+++ b/internal/keystore/acceptor_state_test.go
@@ -142,6 +142,17 @@
 	assert.Equal(t, member.stepAndApply(prepare, testNow).Rejection, RejectedPromised, "another has the promise")
 }
 
+func TestAcceptorState_DigestLeavesOutWhatApplicationsShare(t *testing.T) {
+	member := votingAcceptor()
+	shared := acceptedRegister(CoordinationPrefix+"lock/l", 1, "held")
+	member.Apply([]Register{acceptedRegister("x", 1, "old"), shared})
+	reply := member.stepAndApply(Message{Operation: OperationDigest}, testNow)
+	assert.Equal(t, len(reply.Registers), 1)
+	assert.Equal(t, reply.Registers[0].Key, "x")
+	reply = member.stepAndApply(Message{Operation: OperationCatchUp, Sender: "b", DiskIncarnation: 5}, testNow)
+	assert.Equal(t, len(reply.Registers), 2, "a member that lost its disk reads it")
+}
+
 func TestAcceptorState_LeaseBlocksOthersUntilEndOrRelease(t *testing.T) {
 	member := votingAcceptor()
 	key := LeasePrefix + "duty"
--- a/internal/keystore/acceptor_steps.go
+++ b/internal/keystore/acceptor_steps.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 )
 
 // stepFunc answers one operation. reply is filled in with what every reply holds.
@@ -107,11 +108,10 @@
 	return reply
 }
 
-// digest lists what is accepted and on the disk.
+// digest lists what is accepted and on the disk, but for the keys that applications share.
 func (s *AcceptorState) digest(_ Message, reply Reply, environment stepEnvironment) (Reply, []Register) {
-	for _, key := range slices.Sorted(maps.Keys(environment.durable)) {
-		register := environment.durable[key]
-		if isReserved(key) || !register.IsAccepted() {
+	for key, register := range environment.durable {
+		if isReserved(key) || isCoordination(key) || !register.IsAccepted() {
 			continue
 		}
 		reply.Registers = append(reply.Registers, Register{
@@ -120,6 +120,7 @@
 			Sequence: register.Sequence,
 		})
 	}
+	slices.SortFunc(reply.Registers, func(a, b Register) int { return strings.Compare(a.Key, b.Key) })
 	reply.Granted, reply.KnownDiskIncarnations = true, knownDiskIncarnations(s.Registers)
 	return reply, nil
 }
--- a/internal/keystore/names.go
+++ b/internal/keystore/names.go
@@ -31,6 +31,9 @@
 	DrillKey = "drill"
 	// FleetSizeKey holds how many data planes there are, and which may be homes of tenants' limits.
 	FleetSizeKey = "fleet/size"
+	// CoordinationPrefix begins the keys of the locks, counters and groups of keys that applications share. Digests leave them
+	// out: nobody follows them but their owners, and there may be many.
+	CoordinationPrefix = "coordination/"
 )
 
 // The keys under which an acceptor stores what it knows of itself and of others. No proposer reads or writes them.
--- a/internal/keystore/ownership.go
+++ b/internal/keystore/ownership.go
@@ -11,6 +11,8 @@
 	proposal ProposalNumber
 	// register holds the value in force.
 	register Register
+	// adoptedFrom is the number under which the adopted value had been accepted, zero if there was none.
+	adoptedFrom ProposalNumber
 	// diskIncarnations are those of the members that promised, by address.
 	diskIncarnations map[string]uint64
 	// uncertainSequence is that of the last proposal with an unknown outcome.
@@ -48,7 +50,12 @@
 	if !newest.IsAccepted() {
 		adopted.Accepted = ProposalNumber{}
 	}
-	return Ownership{proposal: proposal, register: adopted, diskIncarnations: diskIncarnations}
+	return Ownership{
+		proposal:         proposal,
+		register:         adopted,
+		adoptedFrom:      newest.Accepted,
+		diskIncarnations: diskIncarnations,
+	}
 }
 
 // NeedsRecommit says whether there is an adopted value, which must be committed under this owner's number before anything
--- a/internal/keystore/pinned_messages_test.go
+++ b/internal/keystore/pinned_messages_test.go
@@ -93,6 +93,7 @@
 			RetentionKey,
 			ForgetKey,
 			DrillKey,
+			CoordinationPrefix,
 			reservedPrefix,
 			localStateKey,
 			localMembershipKey,
--- a/internal/keystore/register.go
+++ b/internal/keystore/register.go
@@ -61,3 +61,6 @@
 
 // isLease says whether the key is that of a lease, which acceptors grant for a time.
 func isLease(key string) bool { return strings.HasPrefix(key, LeasePrefix) }
+
+// isCoordination says whether the key is one that applications share.
+func isCoordination(key string) bool { return strings.HasPrefix(key, CoordinationPrefix) }
