--- /dev/null
+++ b/internal/coordination/counter_test.go
@@ -0,0 +1,33 @@
+package coordination
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCounter_NumbersRiseOverOwners(t *testing.T) {
+	last := uint64(0)
+	counter, err := openCounter(nil)
+	assert.NilError(t, err)
+	for range 5 {
+		for range 100 {
+			stored := counter.record.Reserved
+			result, changed := counter.Step(Call{Operation: OperationNext}, testNow)
+			assert.Assert(t, result.Number > last)
+			assert.Equal(t, changed, result.Number > stored, "a number that is not reserved on disk must not be given out")
+			last = result.Number
+		}
+		counter, err = openCounter(counter.Value())
+		assert.NilError(t, err)
+	}
+}
+
+func TestCounter_StoredValueThatCannotBeReadIsAnError(t *testing.T) {
+	for _, kind := range []Kind{KindLock, KindCounter, KindGroup} {
+		_, err := Open(kind, []byte(`"what is this"`), testNow, Config{}, Memory{})
+		assert.Assert(t, err != nil, "%s would begin anew", kind)
+	}
+	_, err := Open("later", nil, testNow, Config{}, Memory{})
+	assert.ErrorIs(t, err, ErrWrongKind)
+}
--- /dev/null
+++ b/internal/coordination/group_test.go
@@ -0,0 +1,155 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testHistory = 30 * time.Second
+
+func newTestGroup(t *testing.T) *Group {
+	t.Helper()
+	return (&Group{}).reopen(t, testNow)
+}
+
+// reopen is the group at its next owner.
+func (g *Group) reopen(t *testing.T, now time.Time) *Group {
+	t.Helper()
+	reopened, err := openGroup(g.Value(), now, Config{History: testHistory})
+	assert.NilError(t, err)
+	return reopened
+}
+
+func (g *Group) putValue(name, value string, expected *uint64, after time.Duration) Result {
+	result, _ := g.Step(Call{Operation: OperationPut, Name: name, Value: value, Expected: expected}, testNow.Add(after))
+	return result
+}
+
+func (g *Group) read(name string) Result {
+	result, _ := g.Step(Call{Operation: OperationGet, Name: name}, testNow)
+	return result
+}
+
+func (g *Group) eventsAfter(after uint64) Result {
+	result, _ := g.Step(Call{Operation: OperationEvents, After: after}, testNow)
+	return result
+}
+
+func revision(number uint64) *uint64 { return &number }
+
+func TestGroup_RevisionsAreOfTheGroupAndConditionsOfTheKey(t *testing.T) {
+	group := newTestGroup(t)
+	assert.Equal(t, group.read("g.a").Outcome, OutcomeMissing)
+	assert.Equal(t, group.putValue("g.a", "1", revision(0), 0).Revision, uint64(1))
+	assert.Equal(t, group.putValue("g.b", "2", revision(0), 0).Revision, uint64(2))
+	assert.DeepEqual(t, group.putValue("g.a", "3", revision(2), 0), Result{Outcome: OutcomeConflict, Revision: 1})
+	assert.DeepEqual(t, group.putValue("g.c", "3", revision(2), 0), Result{Outcome: OutcomeConflict})
+	assert.Equal(t, group.putValue("g.a", "3", revision(1), 0).Revision, uint64(3))
+	assert.Equal(t, group.putValue("g.b", "4", nil, 0).Revision, uint64(4), "without a condition")
+	assert.DeepEqual(t, group.read("g.a"), Result{Outcome: OutcomeDone, Value: "3", Revision: 3})
+}
+
+func TestGroup_PutThatComesAgainGetsItsFirstRevision(t *testing.T) {
+	group := newTestGroup(t)
+	group.putValue("g.a", "1", revision(0), 0)
+	group.putValue("g.a", "2", revision(1), 0)
+	for _, owner := range []*Group{group, group.reopen(t, testNow)} {
+		assert.DeepEqual(t, owner.putValue("g.a", "1", revision(0), time.Second), Result{Outcome: OutcomeDone, Revision: 1})
+		assert.DeepEqual(t, owner.putValue("g.a", "2", nil, time.Second), Result{Outcome: OutcomeDone, Revision: 2})
+		assert.Equal(t, owner.read("g.a").Value, "2")
+	}
+	assert.Equal(t, group.putValue("g.a", "1", revision(2), 0).Revision, uint64(3), "an older value put anew")
+	assert.Equal(t, group.read("g.a").Value, "1")
+}
+
+func TestGroup_EventsAreKeptForTheHistory(t *testing.T) {
+	group := newTestGroup(t)
+	group.putValue("g.a", "1", nil, 0)
+	group.putValue("g.b", "2", nil, 10*time.Second)
+	group.putValue("g.a", "3", nil, testHistory)
+	assert.Equal(t, group.eventsAfter(0).Outcome, OutcomeExpired)
+	assert.Equal(t, len(group.eventsAfter(1).Events), 2)
+	assert.DeepEqual(t, group.eventsAfter(3), Result{Outcome: OutcomeDone, Revision: 3})
+	assert.Equal(t, group.read("g.b").Value, "2")
+	group.putValue("g.a", "4", nil, 10*testHistory)
+	assert.Equal(t, group.eventsAfter(2).Outcome, OutcomeExpired)
+	assert.Equal(t, group.eventsAfter(3).Events[0].Revision, uint64(4))
+	assert.Equal(t, group.read("g.b").Value, "2", "a key outlives its event")
+	assert.Equal(t, group.putValue("g.b", "2", revision(0), 10*testHistory).Revision, uint64(2), "the present value is recognised")
+}
+
+func TestGroup_NextOwnerKeepsEventsFromItsOwnStart(t *testing.T) {
+	group := newTestGroup(t)
+	group.putValue("g.a", "1", nil, 0)
+	start := time.Hour
+	group = group.reopen(t, testNow.Add(start))
+	group.putValue("g.a", "2", nil, start+testHistory-time.Second)
+	assert.Equal(t, len(group.eventsAfter(0).Events), 2, "it does not know how old the first is")
+	group.putValue("g.a", "3", nil, start+testHistory)
+	assert.Equal(t, group.eventsAfter(0).Outcome, OutcomeExpired)
+	assert.Equal(t, len(group.eventsAfter(1).Events), 2)
+}
+
+func TestGroup_SizeIsBoundedAndFreedAgain(t *testing.T) {
+	group := newTestGroup(t)
+	large := strings.Repeat("x", MaxValueBytes-10)
+	puts := 0
+	for ; group.putValue("g.a", fmt.Sprint(puts, large), nil, 0).Outcome == OutcomeDone; puts++ {
+		assert.Assert(t, puts < 100)
+	}
+	assert.Assert(t, puts > 10)
+	full := group.putValue("g.a", "one more "+large, nil, 0)
+	assert.DeepEqual(t, full, Result{Outcome: OutcomeFull})
+	assert.Equal(t, group.read("g.a").Revision, uint64(puts), "nothing was done")
+	assert.Equal(t, group.putValue("g.a", "later "+large, nil, testHistory).Revision, uint64(puts+1))
+	status, _ := group.Step(Call{Operation: OperationInspect}, testNow)
+	assert.Assert(t, status.Group.Bytes < 3*MaxValueBytes, "%d bytes", status.Group.Bytes)
+}
+
+func TestGroup_EventsAreListedInParts(t *testing.T) {
+	group := newTestGroup(t)
+	const puts = 2*maxEventsReturned + 5
+	for number := range puts {
+		group.putValue("g.a", fmt.Sprint(number), nil, 0)
+	}
+	after, listed := uint64(0), 0
+	for {
+		result := group.eventsAfter(after)
+		if len(result.Events) == 0 {
+			break
+		}
+		assert.Equal(t, result.Events[0].Revision, after+1)
+		assert.Equal(t, result.Events[len(result.Events)-1].Revision, result.Revision)
+		after, listed = result.Revision, listed+len(result.Events)
+	}
+	assert.Equal(t, listed, puts)
+}
+
+func TestCall_CheckNamesWhatIsWrong(t *testing.T) {
+	for _, example := range []struct {
+		call     Call
+		expected error
+	}{
+		{Call{Operation: OperationNext, Name: "n"}, nil},
+		{Call{Operation: OperationNext}, ErrBadName},
+		{Call{Operation: OperationNext, Name: "a b"}, ErrBadName},
+		{Call{Operation: OperationNext, Name: "a/b"}, ErrBadName},
+		{Call{Operation: OperationNext, Name: strings.Repeat("n", MaxNameBytes+1)}, ErrBadName},
+		{acquire("a", time.Second), nil},
+		{acquire("", time.Second), ErrBadHolder},
+		{acquire("a", 0), ErrBadHold},
+		{acquire("a", MaxHold+time.Millisecond), ErrBadHold},
+		{renew("a", 0, time.Second), ErrBadFence},
+		{release("a", 0), ErrBadFence},
+		{Call{Operation: OperationPut, Name: "k", Value: strings.Repeat("v", MaxValueBytes+1)}, ErrBadValue},
+	} {
+		example.call.Kind = KindLock
+		assert.Equal(t, example.call.Check(), example.expected)
+	}
+	assert.Equal(t, GroupOf("g1.2d.x"), "g1.")
+	assert.Equal(t, GroupOf("g1"), "g1")
+}
--- /dev/null
+++ b/internal/coordination/names.go
@@ -0,0 +1,84 @@
+package coordination
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxNameBytes is the longest name of a lock, a counter, a key or a holder.
+	MaxNameBytes = 200
+	// MaxValueBytes is the longest value of a key.
+	MaxValueBytes = 16 << 10
+	// MaxHold is the longest time that a lock is held without a renewal.
+	MaxHold = 10 * time.Minute
+	// groupSeparator ends the name of a group within the names of its keys.
+	groupSeparator = "."
+)
+
+// Errors of Call.Check.
+var (
+	ErrBadName   = errors.New("name must have 1 to 200 bytes, without spaces, control characters and slashes")
+	ErrBadHolder = errors.New("leaseHolder must have 1 to 200 bytes")
+	ErrBadHold   = errors.New("queueHoldMs must be a whole number from 1 to 600000")
+	ErrBadFence  = errors.New("fenceToken must be a whole number above 0")
+	ErrBadValue  = errors.New("value must be a text of at most 16384 bytes")
+)
+
+// GroupOf is the group that a key belongs to: its name up to the first dot, with the dot. A key without a dot is a group of its own.
+func GroupOf(key string) string {
+	prefix, _, found := strings.Cut(key, groupSeparator)
+	if !found {
+		return key
+	}
+	return prefix + groupSeparator
+}
+
+// ItemName names the item that a call is about, among those of its kind.
+func (c Call) ItemName() string {
+	if c.Kind == KindGroup {
+		return GroupOf(c.Name)
+	}
+	return c.Name
+}
+
+// Check returns an error that says what is wrong with a call, or nil.
+func (c Call) Check() error {
+	if !isName(c.Name) {
+		return ErrBadName
+	}
+	switch c.Operation {
+	case OperationAcquire, OperationRenew:
+		if c.HoldMs < 1 || c.hold() > MaxHold {
+			return ErrBadHold
+		}
+		return c.checkHolder()
+	case OperationRelease:
+		return c.checkHolder()
+	case OperationPut:
+		if len(c.Value) > MaxValueBytes {
+			return ErrBadValue
+		}
+	}
+	return nil
+}
+
+func (c Call) checkHolder() error {
+	if c.Holder == "" || len(c.Holder) > MaxNameBytes {
+		return ErrBadHolder
+	}
+	if c.Operation != OperationAcquire && c.Fence == 0 {
+		return ErrBadFence
+	}
+	return nil
+}
+
+func isName(name string) bool {
+	if name == "" || len(name) > MaxNameBytes {
+		return false
+	}
+	isForbidden := func(character rune) bool { return character <= ' ' || character == '/' || character == 0x7f }
+	return !strings.ContainsFunc(name, isForbidden)
+}
