--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -19,38 +19,45 @@
 
 // The kinds of errors. Those with status 503 promise that a request was not executed and never will be.
 const (
-	Internal              Kind = iota // a fault of this program
-	MalformedRequest                  // the request cannot be parsed
-	InvalidAttemptID                  // Ferryspar-Attempt-Id is missing or malformed
-	UnknownRoute                      // no route matches host and path
-	UnknownPath                       // the API has no such path
-	MethodNotAllowed                  // the API has the path, but not with this method
-	RequestTooSlow                    // the request did not arrive within its limit
-	BodyTooLarge                      // the body exceeds the limit
-	HeaderTooLarge                    // the header exceeds the limit
-	InvalidConfiguration              // the configuration sent cannot be used
-	VersionConflict                   // If-Match names a version that is not the committed one
-	UncertainWrite                    // a write may or may not take effect
-	NoMajority                        // too few members of the keystore answer
-	UnknownZone                       // the configuration names no such zone
-	CallTooOld                        // whether the call was accepted before is no longer known
-	CallExpired                       // the call arrived after its deadline
-	Overloaded                        // no replica is free in time
-	ModelNotLoaded                    // no replica loads the model in time
-	NotExecuted                       // the replica proved that it did not execute the request
-	ReplicaFailed                     // the replica ended its response early
-	ReplicaTimeout                    // the replica did not answer in time
-	ShuttingDown                      // the process is draining
-	NoConfiguration                   // no configuration has arrived yet
-	InvalidRetention                  // a retention request cannot be used
-	InvalidDrill                      // a drill request cannot be used
-	UnknownRegion                     // the configuration names no such region
-	DrillInProgress                   // only one drill may run at a time
-	UnknownKey                        // the API key is missing or belongs to no tenant
-	TenantRateLimited                 // the tenant is above its rate limit
-	OutdatedConfiguration             // a newer configuration may allow what this one does not
-	OutdatedKeys                      // keys may have been revoked since the last contact
-	QuotaUnknown                      // the node does not know the tenant's remaining quota
+	Internal               Kind = iota // a fault of this program
+	MalformedRequest                   // the request cannot be parsed
+	InvalidAttemptID                   // Ferryspar-Attempt-Id is missing or malformed
+	UnknownRoute                       // no route matches host and path
+	UnknownPath                        // the API has no such path
+	MethodNotAllowed                   // the API has the path, but not with this method
+	RequestTooSlow                     // the request did not arrive within its limit
+	BodyTooLarge                       // the body exceeds the limit
+	HeaderTooLarge                     // the header exceeds the limit
+	InvalidConfiguration               // the configuration sent cannot be used
+	VersionConflict                    // If-Match names a version that is not the committed one
+	UncertainWrite                     // a write may or may not take effect
+	NoMajority                         // too few members of the keystore answer
+	UnknownZone                        // the configuration names no such zone
+	CallTooOld                         // whether the call was accepted before is no longer known
+	CallExpired                        // the call arrived after its deadline
+	Overloaded                         // no replica is free in time
+	ModelNotLoaded                     // no replica loads the model in time
+	NotExecuted                        // the replica proved that it did not execute the request
+	ReplicaFailed                      // the replica ended its response early
+	ReplicaTimeout                     // the replica did not answer in time
+	ShuttingDown                       // the process is draining
+	NoConfiguration                    // no configuration has arrived yet
+	InvalidRetention                   // a retention request cannot be used
+	InvalidDrill                       // a drill request cannot be used
+	UnknownRegion                      // the configuration names no such region
+	DrillInProgress                    // only one drill may run at a time
+	UnknownKey                         // the API key is missing or belongs to no tenant
+	TenantRateLimited                  // the tenant is above its rate limit
+	OutdatedConfiguration              // a newer configuration may allow what this one does not
+	OutdatedKeys                       // keys may have been revoked since the last contact
+	QuotaUnknown                       // the node does not know the tenant's remaining quota
+	LockHeld                           // another holds the lock, or may
+	LockLost                           // the caller does not hold the lock
+	UnknownCell                        // no such key was put
+	HistoryExpired                     // the puts after that revision are no longer all kept
+	CoordinationFull                   // there is no room for the item or the value
+	CoordinationOverloaded             // too many calls wait for the item
+	OutcomeUnknown                     // the call may or may not have taken effect
 
 	kindCount // of the kinds above
 )
@@ -94,6 +101,14 @@
 	OutdatedConfiguration: {http.StatusServiceUnavailable, "a newer configuration may allow this"},
 	OutdatedKeys:          {http.StatusServiceUnavailable, "keys may have been taken away since last heard of"},
 	QuotaUnknown:          {http.StatusServiceUnavailable, "what the tenant may still send is not known here"},
+	LockHeld:              {http.StatusConflict, "another holds the lock"},
+	LockLost:              {http.StatusConflict, "the lock is not held by this caller"},
+	UnknownCell:           {http.StatusNotFound, "no such key"},
+	HistoryExpired:        {http.StatusGone, "the changes after that revision are no longer kept"},
+	// 429 promises what 503 does.
+	CoordinationFull:       {http.StatusTooManyRequests, "no room"},
+	CoordinationOverloaded: {http.StatusTooManyRequests, "too many calls wait"},
+	OutcomeUnknown:         {http.StatusGatewayTimeout, "outcome of the call not known"},
 }
 
 // Status is the HTTP status that the kind is answered with.
@@ -106,7 +121,7 @@
 // executed and never will be. Answering with such a kind after a request was sent would make clients
 // execute it twice.
 func (k Kind) GuaranteesNotExecuted() bool {
-	return k == UnknownKey || k == TenantRateLimited || k.Status() == http.StatusServiceUnavailable
+	return k == UnknownKey || k.Status() == http.StatusTooManyRequests || k.Status() == http.StatusServiceUnavailable
 }
 
 // Error is an error with what its caller is to know.
--- a/internal/apierror/pinned_test.go
+++ b/internal/apierror/pinned_test.go
@@ -49,6 +49,13 @@
 	{"dated configuration", OutdatedConfiguration},
 	{"dated keys", OutdatedKeys},
 	{"quota unknown", QuotaUnknown},
+	{"lock held", LockHeld},
+	{"lock lost", LockLost},
+	{"unknown cell", UnknownCell},
+	{"history expired", HistoryExpired},
+	{"coordination full", CoordinationFull},
+	{"coordination overloaded", CoordinationOverloaded},
+	{"outcome unknown", OutcomeUnknown},
 }
 
 // written is an answer as it goes out.
--- /dev/null
+++ b/internal/controlplane/coordinator/applications_test.go
@@ -0,0 +1,355 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/coordination"
+)
+
+const (
+	// patience is how long an application waits for an answer before it turns to another node.
+	patience = time.Second
+	// resendFor is how long a put without a clear answer is sent again.
+	resendFor = 6 * time.Second
+	// watchWait is how long a watch waits.
+	watchWait = 800 * time.Millisecond
+
+	lockCount    = 3
+	counterCount = 2
+	keyCount     = 4
+	group        = "g."
+)
+
+// reply is what an application got for one attempt.
+type reply struct {
+	result coordination.Result
+	// isClear says that the call was answered with a result, isTurnedAway that it promised to have done nothing.
+	isClear      bool
+	isTurnedAway bool
+	// err is that of a watch that was answered with one.
+	err error
+}
+
+// ask makes one attempt at a node. An application that is out of patience closes its connection, which a machine that stands still
+// may notice too late.
+func (s *simulation) ask(name string, random *rand.Rand, do func(ctx context.Context, node *simulatedNode) (
+	coordination.Result, error,
+)) reply {
+	ctx, cancel := context.WithCancel(context.Background())
+	isNoticed := random.IntN(2) == 0
+	answered := make(chan reply, 1)
+	go func() {
+		defer cancel()
+		s.cluster.AwaitThaw(name)
+		node := s.node(name)
+		if node == nil {
+			answered <- reply{}
+			return
+		}
+		result, err := do(ctx, node)
+		s.cluster.AwaitThaw(name)
+		if s.node(name) != node {
+			err = ErrUncertain
+		}
+		answered <- reply{
+			result:       result,
+			isClear:      err == nil,
+			isTurnedAway: errors.Is(err, ErrNotExecuted) || errors.Is(err, ErrOverloaded),
+			err:          err,
+		}
+	}()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case received := <-answered:
+		return received
+	case <-timer.C:
+		if isNoticed {
+			cancel()
+		}
+		return reply{}
+	}
+}
+
+func (s *simulation) call(name string, random *rand.Rand, call coordination.Call) reply {
+	return s.ask(name, random, func(ctx context.Context, node *simulatedNode) (coordination.Result, error) {
+		return node.router.Do(ctx, call)
+	})
+}
+
+// hold is a time during which a caller counted itself holder of a lock.
+type hold struct {
+	lock, caller string
+	fence        uint64
+	// sent is when the call was sent that took the lock, from and until bound the hold.
+	sent, from, until time.Time
+}
+
+// draw is a number that was given out.
+type draw struct {
+	counter        string
+	value          uint64
+	sent, received time.Time
+}
+
+// access is a get or a put of a key.
+type access struct {
+	key            string
+	isPut          bool
+	expected       *uint64
+	value          string
+	revision       uint64
+	outcome        coordination.Outcome
+	sent, received time.Time
+	// isOpen says that a put got no clear answer, isTurnedAway that each attempt was rejected.
+	isOpen       bool
+	isTurnedAway bool
+}
+
+// records is all that applications saw.
+type records struct {
+	lock     sync.Mutex
+	holds    []hold
+	draws    []draw
+	accesses []access
+	// watched holds the events that each watcher saw.
+	watched map[int][]coordination.Event
+	failure error
+}
+
+func newRecords() *records { return &records{watched: map[int][]coordination.Event{}} }
+
+func (r *records) fail(format string, arguments ...any) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.failure == nil {
+		r.failure = errors.Errorf(format, arguments...)
+	}
+}
+
+// application is one caller.
+type application struct {
+	simulation *simulation
+	number     int
+	random     *rand.Rand
+	records    *records
+	until      time.Time
+}
+
+func (a *application) name() string { return fmt.Sprint("a", a.number) }
+
+func (a *application) node() string {
+	names := a.simulation.cluster.MemberNames()
+	return names[a.random.IntN(len(names))]
+}
+
+func (a *application) pause(limit time.Duration) {
+	time.Sleep(time.Duration(a.random.Int64N(int64(limit))) + time.Millisecond)
+}
+
+// run makes calls until the time is over.
+func (a *application) run() {
+	for turn := 0; time.Now().Before(a.until); turn++ {
+		a.pause(60 * time.Millisecond)
+		switch a.random.IntN(6) {
+		case 0, 1:
+			a.holdLock()
+		case 2:
+			a.drawNumber()
+		case 3:
+			a.get(a.key())
+		default:
+			a.put(fmt.Sprintf("v%d-%d", a.number, turn))
+		}
+	}
+}
+
+func (a *application) key() string { return fmt.Sprint(group, a.random.IntN(keyCount)) }
+
+// holdLock takes a lock, extends it a few times, and gives it back, dies or sleeps past its time.
+func (a *application) holdLock() {
+	lock := fmt.Sprint("l", a.random.IntN(lockCount))
+	holdFor := time.Duration(300+a.random.IntN(900)) * time.Millisecond
+	call := coordination.Call{
+		Operation: coordination.OperationAcquire,
+		Kind:      coordination.KindLock,
+		Name:      lock,
+		Holder:    a.name(),
+		HoldMs:    holdFor.Milliseconds(),
+	}
+	sent := time.Now()
+	taken := a.simulation.call(a.node(), a.random, call)
+	if !taken.isClear || taken.result.Outcome != coordination.OutcomeDone {
+		return
+	}
+	held := hold{lock: lock, caller: a.name(), fence: taken.result.Fence, sent: sent, from: time.Now(), until: sent.Add(holdFor)}
+	call.Fence = taken.result.Fence
+	for a.random.IntN(3) > 0 && a.extend(&held, call, holdFor) {
+		a.pause(holdFor / 2)
+	}
+	switch a.random.IntN(3) {
+	case 0:
+		// It dies: from then on nobody counts on the hold, though the lock stays taken.
+		held.until = earlier(held.until, time.Now())
+	case 1:
+		// It sleeps past its time, and does not give the lock back.
+		time.Sleep(time.Until(held.until))
+	default:
+		held.until = earlier(held.until, time.Now())
+		call.Operation = coordination.OperationRelease
+		defer a.simulation.call(a.node(), a.random, call)
+	}
+	a.records.lock.Lock()
+	defer a.records.lock.Unlock()
+	a.records.holds = append(a.records.holds, held)
+}
+
+func earlier(left, right time.Time) time.Time {
+	if left.Before(right) {
+		return left
+	}
+	return right
+}
+
+// extend renews a hold, and says whether it still stands. An answer that comes once the time is over counts for nothing.
+func (a *application) extend(held *hold, call coordination.Call, holdFor time.Duration) bool {
+	call.Operation = coordination.OperationRenew
+	sent := time.Now()
+	if !sent.Before(held.until) {
+		return false
+	}
+	renewed := a.simulation.call(a.node(), a.random, call)
+	if !time.Now().Before(held.until) {
+		return false
+	}
+	if renewed.isClear && renewed.result.Outcome == coordination.OutcomeLost {
+		held.until = time.Now()
+		return false
+	}
+	if renewed.isClear {
+		held.until = sent.Add(holdFor)
+	}
+	return true
+}
+
+func (a *application) drawNumber() {
+	counter := fmt.Sprint("n", a.random.IntN(counterCount))
+	sent := time.Now()
+	drawn := a.simulation.call(a.node(), a.random, coordination.Call{
+		Operation: coordination.OperationNext,
+		Kind:      coordination.KindCounter,
+		Name:      counter,
+	})
+	if !drawn.isClear {
+		return
+	}
+	a.records.lock.Lock()
+	defer a.records.lock.Unlock()
+	a.records.draws = append(a.records.draws, draw{counter, drawn.result.Number, sent, time.Now()})
+}
+
+func (a *application) get(key string) (revision uint64, isClear bool) {
+	done := access{key: key, sent: time.Now()}
+	read := a.simulation.call(a.node(), a.random, coordination.Call{
+		Operation: coordination.OperationGet,
+		Kind:      coordination.KindGroup,
+		Name:      key,
+	})
+	if !read.isClear {
+		return 0, false
+	}
+	done.value, done.revision, done.outcome = read.result.Value, read.result.Revision, read.result.Outcome
+	done.received = time.Now()
+	a.record(done)
+	return done.revision, true
+}
+
+func (a *application) record(done access) {
+	a.records.lock.Lock()
+	defer a.records.lock.Unlock()
+	a.records.accesses = append(a.records.accesses, done)
+}
+
+// put writes a key, mostly over the revision that it has read, and sends that again until it has a clear answer.
+func (a *application) put(value string) {
+	done := access{key: a.key(), isPut: true, value: value}
+	if a.random.IntN(4) > 0 {
+		revision, isClear := a.get(done.key)
+		if !isClear {
+			return
+		}
+		done.expected = &revision
+	}
+	call := coordination.Call{
+		Operation: coordination.OperationPut,
+		Kind:      coordination.KindGroup,
+		Name:      done.key,
+		Value:     value,
+		Expected:  done.expected,
+	}
+	done.sent, done.isTurnedAway = time.Now(), true
+	for time.Since(done.sent) < resendFor {
+		answer := a.simulation.call(a.node(), a.random, call)
+		if answer.isClear {
+			done.outcome, done.revision = answer.result.Outcome, answer.result.Revision
+			break
+		}
+		done.isTurnedAway = done.isTurnedAway && answer.isTurnedAway
+		if done.isTurnedAway && a.random.IntN(2) == 0 {
+			break // it relies on the promise that nothing was done
+		}
+		a.pause(100 * time.Millisecond)
+	}
+	done.received = time.Now()
+	done.isTurnedAway = done.isTurnedAway && done.outcome == ""
+	done.isOpen = done.outcome == "" && !done.isTurnedAway
+	a.record(done)
+}
+
+// watch follows the group until the time is over and everything has been seen.
+func (a *application) watch(isOver func(revision uint64) bool) {
+	revision := uint64(0)
+	for !isOver(revision) {
+		after := revision
+		answer := a.simulation.ask(a.node(), a.random, func(ctx context.Context, node *simulatedNode) (coordination.Result, error) {
+			if after == 0 {
+				// From the very first put on: after 0 would ask for the present revision only.
+				return node.watches.ask(ctx, group, 0)
+			}
+			return node.watches.Watch(ctx, group, after, watchWait)
+		})
+		if errors.Is(answer.err, ErrExpired) {
+			a.records.fail("watch %d got 410 after %d", a.number, after)
+			return
+		}
+		if !answer.isClear {
+			a.pause(50 * time.Millisecond)
+			continue
+		}
+		a.addEvents(after, answer.result)
+		revision = answer.result.Revision
+		a.pause(20 * time.Millisecond)
+	}
+}
+
+func (a *application) addEvents(after uint64, result coordination.Result) {
+	last := after
+	for _, event := range result.Events {
+		if event.Revision <= last || event.Revision > result.Revision {
+			a.records.fail("watch %d after %d: event %d follows %d, up to %d", a.number, after, event.Revision, last, result.Revision)
+		}
+		last = event.Revision
+	}
+	if result.Revision < after {
+		a.records.fail("watch %d after %d was answered with revision %d", a.number, after, result.Revision)
+	}
+	a.records.lock.Lock()
+	defer a.records.lock.Unlock()
+	a.records.watched[a.number] = append(a.records.watched[a.number], result.Events...)
+}
--- /dev/null
+++ b/internal/controlplane/coordinator/coordinator_test.go
@@ -0,0 +1,274 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/coordination"
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/test/keystoresim"
+)
+
+const (
+	applicationCount = 4
+	watchCount       = 2
+	// faultTime is how long faults strike.
+	faultTime = 14 * time.Second
+	// recoveryLimit is how long after the last fault a call may take to be answered.
+	recoveryLimit = 5 * time.Second
+)
+
+// schedule is one play of applications under faults.
+type schedule struct {
+	seed   uint64
+	faults []keystoresim.Fault
+	// breakSimulation plants a broken variant, and may be nil.
+	breakSimulation func(simulation *simulation)
+}
+
+func (p schedule) run() error {
+	simulated := newSimulation(p.seed)
+	if p.breakSimulation != nil {
+		p.breakSimulation(simulated)
+	}
+	simulated.start()
+	defer simulated.end()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go simulated.runHeartbeats(ctx)
+	seen := newRecords()
+	if err := p.play(simulated, seen); err != nil {
+		return err
+	}
+	return seen.check()
+}
+
+// play has applications call until some time after the last fault, and reads everything back then.
+func (p schedule) play(simulated *simulation, seen *records) error {
+	until := time.Now().Add(faultTime)
+	newApplication := func(number int) *application {
+		return &application{
+			simulation: simulated,
+			number:     number,
+			random:     rand.New(rand.NewPCG(p.seed, uint64(100+number))),
+			records:    seen,
+			until:      until.Add(time.Second),
+		}
+	}
+	var calling, watching sync.WaitGroup
+	for number := range applicationCount {
+		calling.Go(newApplication(number).run)
+	}
+	var final atomic.Uint64
+	for number := range watchCount {
+		watcher := newApplication(number)
+		watcher.random = rand.New(rand.NewPCG(p.seed, uint64(200+number)))
+		watching.Go(func() {
+			watcher.watch(func(revision uint64) bool {
+				end := final.Load()
+				return end > 0 && revision >= end
+			})
+		})
+	}
+	err := simulated.strike(rand.New(rand.NewPCG(p.seed, 7)), p.faults, until)
+	calling.Wait()
+	if err == nil {
+		err = readBack(newApplication(applicationCount), &final)
+	}
+	final.CompareAndSwap(0, 1)
+	watching.Wait()
+	return err
+}
+
+// readBack draws each number, takes each lock and reads the revision of the group, which must be answered in time.
+func readBack(reader *application, final *atomic.Uint64) error {
+	time.Sleep(time.Second)
+	began := time.Now()
+	var open []string
+	for {
+		unanswered := reader.readAll(final)
+		if len(unanswered) == 0 {
+			return nil
+		}
+		open = append(open, unanswered...)
+		if time.Since(began) > recoveryLimit {
+			return errors.Wrapf(errUnanswered, "%s after the last fault, by attempts %v", recoveryLimit, open)
+		}
+		reader.pause(50 * time.Millisecond)
+	}
+}
+
+// errUnanswered is a failure of liveness; all others are of safety.
+var errUnanswered = errors.New("not everything answers in time")
+
+// readAll returns the calls that were not answered, or as though a lock were held.
+func (a *application) readAll(final *atomic.Uint64) (unanswered []string) {
+	for position := range counterCount {
+		call := coordination.Call{Operation: coordination.OperationNext, Kind: coordination.KindCounter, Name: "n" + digit(position)}
+		sent := time.Now()
+		drawn := a.simulation.call(a.node(), a.random, call)
+		if !drawn.isClear {
+			unanswered = append(unanswered, call.Name)
+			continue
+		}
+		a.records.lock.Lock()
+		a.records.draws = append(a.records.draws, draw{call.Name, drawn.result.Number, sent, time.Now()})
+		a.records.lock.Unlock()
+	}
+	for position := range lockCount {
+		call := coordination.Call{
+			Operation: coordination.OperationAcquire,
+			Kind:      coordination.KindLock,
+			Name:      "l" + digit(position),
+			Holder:    a.name(),
+			HoldMs:    100,
+		}
+		if taken := a.simulation.call(a.node(), a.random, call); taken.result.Outcome != coordination.OutcomeDone {
+			unanswered = append(unanswered, call.Name+string(taken.result.Outcome))
+		}
+	}
+	call := coordination.Call{Operation: coordination.OperationRevision, Kind: coordination.KindGroup, Name: group}
+	read := a.simulation.call(a.node(), a.random, call)
+	if !read.isClear {
+		return append(unanswered, group)
+	}
+	final.Store(max(read.result.Revision, 1))
+	return unanswered
+}
+
+func digit(position int) string { return string(rune('0' + position)) }
+
+// mixes are those that the schedules draw from.
+var mixes = [][]keystoresim.Fault{
+	{keystoresim.RestartFaults},
+	{keystoresim.LinkFaults},
+	{keystoresim.DiskFaults},
+	{keystoresim.Freeze, keystoresim.Freeze},
+	{keystoresim.RestartFaults, keystoresim.LinkFaults},
+	{keystoresim.LinkFaults, keystoresim.DiskFaults},
+	{killAll},
+	{keystoresim.Freeze, keystoresim.RestartFaults},
+}
+
+func TestRouter_KeepsPromisesToApplicationsUnderFaults(t *testing.T) {
+	from, to := keystoresim.SeedRange(48)
+	for seed := from; seed < to; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			err := schedule{seed: uint64(seed), faults: mixes[seed%len(mixes)]}.run()
+			assert.NilError(t, err, "%s=%d replays this schedule", keystoresim.SeedVariable, seed)
+		})
+	}
+}
+
+// staleStore has a Store that takes any proof of ownership for fresh.
+type staleStore struct{ Store }
+
+func (s staleStore) Operate(ctx context.Context, name string, step keystore.Step) (keystore.Register, error) {
+	return s.Store.Operate(ctx, name, func(current keystore.Register, adoptedFrom keystore.ProposalNumber) keystore.Decision {
+		decided := step(current, adoptedFrom)
+		decided.MaxAge = time.Hour
+		return decided
+	})
+}
+
+// openedEarlier returns an openFunc that takes items of one kind for opened a while ago.
+func openedEarlier(kind coordination.Kind, by time.Duration) openFunc {
+	return func(
+		opened coordination.Kind, value json.RawMessage, now time.Time, config coordination.Config, known coordination.Memory,
+	) (coordination.Item, error) {
+		if opened == kind {
+			now = now.Add(-by)
+		}
+		return coordination.Open(opened, value, now, config, known)
+	}
+}
+
+func openWithShortHistory(
+	kind coordination.Kind, value json.RawMessage, now time.Time, config coordination.Config, known coordination.Memory,
+) (coordination.Item, error) {
+	config.History = 100 * time.Millisecond
+	return coordination.Open(kind, value, now, config, known)
+}
+
+func reuseNumbers(record map[string]any) { record["reserved"] = max(record["reserved"].(float64)-8, 0) }
+
+func forgetFence(record map[string]any) {
+	if record["holder"] == nil {
+		record["fence"] = 0
+	}
+}
+
+func forgetFirstEvent(record map[string]any) {
+	if events, hasEvents := record["events"].([]any); hasEvents && len(events) > 1 {
+		record["events"] = events[1:]
+	}
+}
+
+// brokenVariant is a fault of the coordinator itself that a schedule must show.
+type brokenVariant struct {
+	plant  func(simulation *simulation)
+	faults []keystoresim.Fault
+}
+
+// takeoverFaults have items change their owners.
+var takeoverFaults = []keystoresim.Fault{
+	keystoresim.Freeze, keystoresim.OneOf(keystoresim.Restart, keystoresim.Isolate),
+}
+
+func opensBy(open openFunc) brokenVariant {
+	return brokenVariant{plant: func(simulation *simulation) { simulation.open = open }, faults: takeoverFaults}
+}
+
+var brokenVariants = map[string]brokenVariant{
+	"a takeover that does not wait for the holder before it": opensBy(openedEarlier(coordination.KindLock, time.Hour)),
+	"a block of numbers used again":                          opensBy(rewrite(coordination.KindCounter, reuseNumbers)),
+	"fences that begin anew":                                 opensBy(rewrite(coordination.KindLock, forgetFence)),
+	"puts forgotten at a takeover":                           opensBy(rewrite(coordination.KindGroup, forgetFirstEvent)),
+	"a history that is too short":                            opensBy(openWithShortHistory),
+	"renewals, numbers and reads from memory": {
+		plant: func(simulation *simulation) {
+			simulation.wrapStore = func(store Store) Store { return staleStore{store} }
+		},
+		faults: takeoverFaults,
+	},
+	"a wiped member that votes at once": {
+		plant: func(simulation *simulation) { simulation.cluster.VotesWithoutCatchUp = true },
+		faults: []keystoresim.Fault{
+			keystoresim.OneOf(keystoresim.WipeTwoDisks, keystoresim.LoseZone), keystoresim.LinkFaults,
+		},
+	},
+}
+
+func TestRouter_BrokenVariantsAreCaught(t *testing.T) {
+	for name, variant := range brokenVariants {
+		t.Run(name, func(t *testing.T) {
+			failure := findFailure(t, variant.faults, variant.plant)
+			assert.Assert(t, failure != nil, "no schedule shows what is wrong")
+		})
+	}
+}
+
+// findFailure returns the failure of the first schedule that has one, or nil.
+func findFailure(t *testing.T, faults []keystoresim.Fault, breakSimulation func(simulation *simulation)) error {
+	t.Helper()
+	for seed := uint64(1); seed <= 40; seed++ {
+		var failure error
+		synctest.Test(t, func(*testing.T) {
+			failure = schedule{seed: seed, faults: faults, breakSimulation: breakSimulation}.run()
+		})
+		if failure != nil && !errors.Is(failure, errUnanswered) {
+			t.Log(seed, failure)
+			return failure
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlplane/coordinator/executor_test.go
@@ -0,0 +1,223 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/coordination"
+	"ferryspar/internal/keystore"
+)
+
+func newTestExecutor(store Store) *Executor {
+	return NewExecutor(store, coordination.Config{History: time.Minute}, time.Now)
+}
+
+var testNext = coordination.Call{
+	Operation: coordination.OperationNext,
+	Kind:      coordination.KindCounter,
+	Name:      "n",
+}
+
+func TestExecutor_CallsThatWaitShareOneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		store.takes = 10 * time.Millisecond
+		executor := newTestExecutor(store)
+		const callers = 50
+		numbers := make(chan uint64, callers)
+		for range callers {
+			go func() {
+				result, err := executor.Do(t.Context(), testNext)
+				assert.Check(t, err)
+				numbers <- result.Number
+			}()
+		}
+		seen := map[uint64]bool{}
+		for range callers {
+			seen[<-numbers] = true
+		}
+		assert.Equal(t, len(seen), callers, "each number once")
+		assert.Assert(t, store.operations <= 3, "%d operations", store.operations)
+	})
+}
+
+func TestExecutor_CallOfCallerThatHasGoneIsNotCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		store.takes = 100 * time.Millisecond
+		executor := newTestExecutor(store)
+		go func() { _, _ = executor.Do(t.Context(), testNext) }()
+		time.Sleep(10 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		_, err := executor.Do(ctx, coordination.Call{
+			Operation: coordination.OperationNext,
+			Kind:      coordination.KindCounter,
+			Name:      "n",
+		})
+		assert.Assert(t, errors.Is(err, ErrUncertain), "%v", err)
+		time.Sleep(time.Second)
+		result, err := executor.Do(t.Context(), testNext)
+		assert.NilError(t, err)
+		assert.Equal(t, result.Number, uint64(2), "the call in between drew none")
+	})
+}
+
+func TestExecutor_ErrorSaysWhetherTheCallMayTakeEffect(t *testing.T) {
+	for failure, expected := range map[error]error{
+		keystore.ErrUncertain:  ErrUncertain,
+		keystore.ErrNoMajority: ErrNotExecuted,
+		keystore.ErrContended:  ErrNotExecuted,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newMemoryStore()
+			store.err = failure
+			_, err := newTestExecutor(store).Do(t.Context(), testNext)
+			assert.Assert(t, errors.Is(err, expected), "%v: %v", failure, err)
+		})
+	}
+}
+
+func TestExecutor_StateIsReadAgainAfterAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		executor := newTestExecutor(store)
+		_, err := executor.Do(t.Context(), testPut)
+		assert.NilError(t, err)
+		store.err = keystore.ErrUncertain
+		other := testPut
+		other.Value = "other"
+		_, err = executor.Do(t.Context(), other)
+		assert.Assert(t, errors.Is(err, ErrUncertain), "%v", err)
+		store.err = nil
+		read := coordination.Call{Operation: coordination.OperationGet, Kind: coordination.KindGroup, Name: "g.k"}
+		result, err := executor.Do(t.Context(), read)
+		assert.NilError(t, err)
+		assert.Equal(t, result.Value, "v", "what was not confirmed is not shown")
+	})
+}
+
+func TestExecutor_UnreadableValueIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		key := storeKey(testNext)
+		store.registers[key] = keystore.Register{Key: key, Sequence: 4, Value: []byte(`"no counter"`)}
+		_, err := newTestExecutor(store).Do(t.Context(), testNext)
+		assert.Assert(t, errors.Is(err, ErrNotExecuted), "%v", err)
+		assert.Equal(t, string(store.registers[key].Value), `"no counter"`)
+	})
+}
+
+func TestExecutor_WaitingCallsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		store.takes = time.Second
+		executor := newTestExecutor(store)
+		overloaded := make(chan bool, 2*maxPendingCalls)
+		for range 2 * maxPendingCalls {
+			go func() {
+				_, err := executor.Do(t.Context(), testNext)
+				overloaded <- errors.Is(err, ErrOverloaded)
+			}()
+		}
+		count := 0
+		for range 2 * maxPendingCalls {
+			if <-overloaded {
+				count++
+			}
+		}
+		assert.Assert(t, count > 0 && count <= maxPendingCalls, "%d turned away", count)
+	})
+}
+
+func TestExecutor_EventsAreGivenAsSoonAsThereAreSome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		executor := newTestExecutor(newMemoryStore())
+		_, err := executor.Do(t.Context(), testPut)
+		assert.NilError(t, err)
+		began := time.Now()
+		result, err := executor.AwaitEvents(t.Context(), eventsCall(group, 1, time.Second))
+		assert.NilError(t, err)
+		assert.Equal(t, len(result.Events), 0)
+		assert.Equal(t, time.Since(began), time.Second)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			other := testPut
+			other.Value = "other"
+			_, err := executor.Do(t.Context(), other)
+			assert.Check(t, err)
+		}()
+		began = time.Now()
+		result, err = executor.AwaitEvents(t.Context(), eventsCall(group, 1, time.Second))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, result.Events, []coordination.Event{{Name: "g.k", Value: "other", Revision: 2}})
+		assert.Equal(t, time.Since(began), 300*time.Millisecond)
+	})
+}
+
+// sharedStore is one process of several that own keys in turn: each takes a key that another owns.
+type sharedStore struct {
+	*memoryStore
+	name string
+	// losesKeys has the next operation begin a new ownership though nobody else owned the key.
+	losesKeys bool
+}
+
+// Operate implements Store.
+func (s *sharedStore) Operate(_ context.Context, name string, step keystore.Step) (keystore.Register, error) {
+	register := s.registers[name]
+	adoptedFrom := register.Accepted
+	if register.Promised.Proposer != s.name || s.losesKeys {
+		s.losesKeys = false
+		register.Promised = keystore.ProposalNumber{Round: register.Promised.Round + 1, Proposer: s.name}
+		register.Accepted = register.Promised
+	}
+	if decided := step(register, adoptedFrom); decided.Value != nil {
+		register.Sequence++
+		register.Value = decided.Value
+	}
+	s.registers[name] = register
+	return register, nil
+}
+
+func TestExecutor_TimeOfAHoldIsKeptUnlessAnotherOwnedTheLock(t *testing.T) {
+	const holdFor = time.Second
+	acquireFor := func(holder string) coordination.Call {
+		return coordination.Call{
+			Operation: coordination.OperationAcquire,
+			Kind:      coordination.KindLock,
+			Name:      "l",
+			Holder:    holder,
+			HoldMs:    holdFor.Milliseconds(),
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		registers := newMemoryStore()
+		first := &sharedStore{memoryStore: registers, name: "first"}
+		owner, other := newTestExecutor(first), newTestExecutor(&sharedStore{memoryStore: registers, name: "other"})
+		do := func(executor *Executor, call coordination.Call) coordination.Result {
+			result, err := executor.Do(t.Context(), call)
+			assert.NilError(t, err)
+			return result
+		}
+		taken := do(owner, acquireFor("a"))
+		time.Sleep(holdFor - time.Millisecond)
+		first.losesKeys = true
+		assert.Equal(t, do(owner, acquireFor("b")).Outcome, coordination.OutcomeHeld)
+		time.Sleep(10 * time.Millisecond)
+		first.losesKeys = true
+		taken = do(owner, acquireFor("b"))
+		assert.Equal(t, taken.Outcome, coordination.OutcomeDone, "the time goes on where it was")
+		time.Sleep(holdFor * 9 / 10)
+		renewal := acquireFor("b")
+		renewal.Operation, renewal.Fence = coordination.OperationRenew, taken.Fence
+		assert.Equal(t, do(other, renewal).Outcome, coordination.OutcomeDone)
+		time.Sleep(holdFor / 2)
+		assert.Equal(t, do(owner, acquireFor("a")).Outcome, coordination.OutcomeHeld, "b was granted more by the other")
+	})
+}
--- /dev/null
+++ b/internal/controlplane/coordinator/router.go
@@ -0,0 +1,279 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/coordination"
+	"ferryspar/internal/peer"
+)
+
+const (
+	// callTimeout is how long a call may take in all: callers turn to another control plane after a second.
+	callTimeout = 950 * time.Millisecond
+	// unconfirmedTimeout is the same while this node has no contact with a majority: another one is the better choice.
+	unconfirmedTimeout = 450 * time.Millisecond
+	// forwardTimeout is how long the owner of an item may take before another control plane becomes its owner. After
+	// resendAfter the call is sent to it once more: the network may have lost the first message.
+	forwardTimeout = 400 * time.Millisecond
+	resendAfter    = 150 * time.Millisecond
+	// avoidFor is how long a control plane that did not answer in time gets no further calls, refusedFor one that no process
+	// listens at.
+	avoidFor   = 2 * time.Second
+	refusedFor = 400 * time.Millisecond
+	// retryPause lies between attempts that were not carried out.
+	retryPause = 30 * time.Millisecond
+	// maxHops is how often a call is passed on.
+	maxHops = 2
+	// learningPeriod is how long after its start a node takes members that it has not heard of for reachable.
+	learningPeriod = 1500 * time.Millisecond
+)
+
+// Fleet is what a Router needs to know of the control plane.
+type Fleet interface {
+	// Members are the addresses of the present members, this node's among them if it is one.
+	Members() []string
+	// IsReachable tells whether another node, which is not leaving, was heard just now.
+	IsReachable(address string) bool
+	// MayOwn tells whether this node may take items: it votes, so it knows who owns what, and is not about to end.
+	MayOwn() bool
+	// IsConfirmed tells whether this node was in contact with a majority lately.
+	IsConfirmed() bool
+	// LastOwner is the node that has the promise of this node's member for a key, or "".
+	LastOwner(key string) string
+}
+
+// Caller calls a method of another node (peer.Client).
+type Caller interface {
+	Call(ctx context.Context, method peer.Method, address string, message, reply any) error
+}
+
+// Router has calls carried out by the owner of their item. That is the node which has the promises of the members, as the member here
+// knows it; if that one is not reachable, or nobody has owned the item yet, it is the first reachable member in an order of the item's
+// own, so that items are spread over the members and all nodes agree. If the owner does not answer, the next in that order takes the
+// item over. An item stays where it is when a member returns: a takeover has the holder of a lock wait longer.
+//
+// Every operation may be carried out again after an attempt without an answer. A Router is safe for concurrent use.
+type Router struct {
+	self      string
+	fleet     Fleet
+	caller    Caller
+	executor  *Executor
+	clock     func() time.Time
+	startedAt time.Time
+
+	lock sync.Mutex
+	// avoided holds until when a control plane gets no calls.
+	avoided map[string]time.Time
+}
+
+// NewRouter returns a router of the node at address self. clock is its steady clock.
+func NewRouter(self string, fleet Fleet, caller Caller, executor *Executor, clock func() time.Time) *Router {
+	return &Router{
+		self:      self,
+		fleet:     fleet,
+		caller:    caller,
+		executor:  executor,
+		clock:     clock,
+		startedAt: clock(),
+		avoided:   map[string]time.Time{},
+	}
+}
+
+// Do carries out a call of an application. The error is ErrNotExecuted, ErrOverloaded or ErrUncertain.
+func (r *Router) Do(ctx context.Context, call coordination.Call) (coordination.Result, error) {
+	timeout := callTimeout
+	if !r.fleet.IsConfirmed() {
+		timeout = unconfirmedTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	call.ID = rand.Text()
+	return r.route(bounded, peer.CoordinationRequest{Call: call})
+}
+
+// HandleForwarded carries out a call that another node forwards, or passes it on if another one is its owner by what this node
+// knows: the sender may be cut off from that one.
+func (r *Router) HandleForwarded(ctx context.Context, request peer.CoordinationRequest) peer.CoordinationReply {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(request.Call.WaitMs)*time.Millisecond)
+	defer cancel()
+	var result coordination.Result
+	var err error
+	if request.TakeOver || request.Hops >= maxHops {
+		result, err = r.execute(bounded, request.Call)
+	} else {
+		result, err = r.route(bounded, request)
+	}
+	return peer.CoordinationReply{Result: result, Status: statusOf(err)}
+}
+
+// route makes attempts until one is answered.
+func (r *Router) route(ctx context.Context, request peer.CoordinationRequest) (coordination.Result, error) {
+	failure := ErrNotExecuted
+	for ctx.Err() == nil {
+		result, err := r.attempt(ctx, request)
+		isUncertain := failure == ErrUncertain
+		switch {
+		case err == nil && result.Outcome == coordination.OutcomeFull && isUncertain:
+			// An earlier attempt may yet find room.
+		case err == nil, errors.Is(err, ErrOverloaded) && !isUncertain:
+			return result, err
+		case errors.Is(err, ErrUncertain):
+			failure = ErrUncertain
+		}
+		pause(ctx, retryPause)
+	}
+	return coordination.Result{}, failure
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// attempt has a call carried out once by the node that is to own its item now.
+func (r *Router) attempt(ctx context.Context, request peer.CoordinationRequest) (coordination.Result, error) {
+	owner, isFirst := r.owner(storeKey(request.Call))
+	if owner == r.self {
+		return r.execute(ctx, request.Call)
+	}
+	request.Hops++
+	request.TakeOver = !isFirst
+	return r.forward(ctx, owner, request)
+}
+
+// execute carries out a call here.
+func (r *Router) execute(ctx context.Context, call coordination.Call) (coordination.Result, error) {
+	if call.Operation == coordination.OperationEvents && call.WaitMs > 0 {
+		return r.executor.AwaitEvents(ctx, call)
+	}
+	return r.executor.Do(ctx, call)
+}
+
+// forward has another node carry out a call.
+func (r *Router) forward(
+	ctx context.Context, owner string, request peer.CoordinationRequest,
+) (coordination.Result, error) {
+	wait := time.Duration(request.Call.WaitMs) * time.Millisecond
+	bounded, cancel := context.WithTimeout(ctx, forwardTimeout+wait)
+	defer cancel()
+	reply, err := r.send(bounded, owner, request, resendAfter+wait)
+	if err == nil {
+		return reply.Result, errorOf(reply.Status)
+	}
+	if ctx.Err() != nil {
+		return coordination.Result{}, ErrUncertain // the caller's time is up, which says nothing of the owner
+	}
+	if isRefused(err) {
+		r.avoid(owner, refusedFor, err)
+		return coordination.Result{}, ErrNotExecuted
+	}
+	r.avoid(owner, avoidFor, err)
+	return coordination.Result{}, ErrUncertain
+}
+
+// forwardedReply is what came of one message.
+type forwardedReply struct {
+	reply peer.CoordinationReply
+	err   error
+}
+
+// send sends a call, and once more if there is no reply after a while, and returns the first reply. The error is of the last message
+// that failed, unless that was refused and another one was not.
+func (r *Router) send(
+	ctx context.Context, owner string, request peer.CoordinationRequest, after time.Duration,
+) (peer.CoordinationReply, error) {
+	const maxMessages = 2
+	received := make(chan forwardedReply, maxMessages)
+	sendOnce := func() {
+		var reply peer.CoordinationReply
+		err := r.caller.Call(ctx, peer.MethodCoordinate, owner, request, &reply)
+		received <- forwardedReply{reply: reply, err: err}
+	}
+	go sendOnce()
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	var failure error
+	for pending := 1; pending > 0; {
+		select {
+		case <-timer.C:
+			go sendOnce()
+			pending++
+		case answered := <-received:
+			if answered.err == nil {
+				return answered.reply, nil
+			}
+			pending--
+			if failure == nil || isRefused(failure) {
+				failure = answered.err
+			}
+		}
+	}
+	return peer.CoordinationReply{}, failure
+}
+
+// isRefused says that a call failed before it was sent: no connection was established.
+func isRefused(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
+// owner is the node that is to own an item now. isFirst says that no node was passed over that all others agree on.
+func (r *Router) owner(key string) (address string, isFirst bool) {
+	candidates := r.candidates()
+	if len(candidates) == 0 {
+		return r.self, true
+	}
+	slices.SortFunc(candidates, func(left, right string) int { return compareByRank(key, left, right) })
+	if last := r.fleet.LastOwner(key); slices.Contains(candidates, last) {
+		candidates = append([]string{last}, candidates...)
+	}
+	now := r.clock()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, candidate := range candidates {
+		if !now.Before(r.avoided[candidate]) {
+			return candidate, candidate == candidates[0]
+		}
+	}
+	return candidates[0], true
+}
+
+// candidates are the members that may own items, by what this node knows.
+func (r *Router) candidates() []string {
+	var reachable []string
+	isLearning := r.clock().Sub(r.startedAt) < learningPeriod
+	for _, member := range r.fleet.Members() {
+		if member == r.self {
+			if r.fleet.MayOwn() {
+				reachable = append(reachable, member)
+			}
+			continue
+		}
+		if isLearning || r.fleet.IsReachable(member) {
+			reachable = append(reachable, member)
+		}
+	}
+	return reachable
+}
+
+func (r *Router) avoid(address string, duration time.Duration, cause error) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	now := r.clock()
+	if !now.Before(r.avoided[address]) {
+		logrus.WithError(cause).WithField("peer", address).Info("owner of coordination items does not answer")
+	}
+	r.avoided[address] = now.Add(duration)
+}
--- /dev/null
+++ b/internal/controlplane/coordinator/simulation_test.go
@@ -0,0 +1,255 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"ferryspar/internal/coordination"
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/peer"
+	"ferryspar/internal/test/keystoresim"
+)
+
+const (
+	// simulatedHistory is how long events are kept: longer than a schedule, so that no watch may miss one.
+	simulatedHistory = time.Minute
+	// heartbeatInterval and suspectAfter are those of the control plane.
+	heartbeatInterval = 400 * time.Millisecond
+	suspectAfter      = 1600 * time.Millisecond
+	// voteTimeout is how long the members may take to vote again after a fault.
+	voteTimeout = time.Minute
+	// settleTime lets everything that still sleeps come to its end in fake time.
+	settleTime = time.Minute
+)
+
+var errUnreachable = errors.New("no answer")
+
+func TestMain(m *testing.M) {
+	logrus.SetLevel(logrus.WarnLevel)
+	keystoresim.Main(m.Run)
+}
+
+// simulation is a cluster of members with the coordinator's parts on each.
+type simulation struct {
+	cluster *keystoresim.Cluster
+	// open and wrapStore plant broken variants; both may be nil.
+	open      openFunc
+	wrapStore func(store Store) Store
+
+	lock  sync.Mutex
+	nodes map[string]*simulatedNode
+	heard map[heardKey]time.Time
+	calls uint64
+}
+
+type heardKey struct{ by, of string }
+
+// simulatedNode is the coordinator of one process.
+type simulatedNode struct {
+	simulation *simulation
+	name       string
+	store      *keystore.Store
+	router     *Router
+	watches    *Watches
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{
+		cluster: keystoresim.New(seed, 5),
+		nodes:   map[string]*simulatedNode{},
+		heard:   map[heardKey]time.Time{},
+	}
+	s.cluster.AssignZones([][]int{{2, 2, 1}, {2, 1, 1, 1}, {3, 2}}[seed%3]...)
+	s.cluster.Lossy, s.cluster.Retransmits = seed%2 == 0, true
+	return s
+}
+
+func (s *simulation) start() {
+	for _, name := range s.cluster.Names {
+		s.cluster.Start(name, true)
+	}
+}
+
+// end kills all processes and waits until everything has ended.
+func (s *simulation) end() {
+	for _, name := range s.cluster.MemberNames() {
+		s.cluster.Kill(name)
+	}
+	s.lock.Lock()
+	for _, node := range s.nodes {
+		node.watches.cancel()
+	}
+	s.lock.Unlock()
+	time.Sleep(settleTime)
+}
+
+// runHeartbeats notes who hears whom until the context ends.
+func (s *simulation) runHeartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		names := s.cluster.MemberNames()
+		for _, by := range names {
+			for _, of := range names {
+				if by != of && s.cluster.CanReach(of, by) {
+					s.lock.Lock()
+					s.heard[heardKey{by, of}] = now
+					s.lock.Unlock()
+				}
+			}
+		}
+		pause(ctx, heartbeatInterval)
+	}
+}
+
+// node is the coordinator of the process that runs on a machine, or nil.
+func (s *simulation) node(name string) *simulatedNode {
+	store := s.cluster.StoreOf(name)
+	if store == nil {
+		return nil
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if known := s.nodes[name]; known != nil && known.store == store {
+		return known
+	} else if known != nil {
+		known.watches.cancel()
+	}
+	started := &simulatedNode{simulation: s, name: name, store: store}
+	var operated Store = store
+	if s.wrapStore != nil {
+		operated = s.wrapStore(store)
+	}
+	clock := s.cluster.Clock(name)
+	executor := NewExecutor(operated, coordination.Config{History: simulatedHistory}, clock)
+	if s.open != nil {
+		executor.open = s.open
+	}
+	started.router = NewRouter(name, started, started, executor, clock)
+	started.watches = NewWatches(started.router, nil, clock)
+	s.nodes[name] = started
+	return started
+}
+
+// Members implements Fleet.
+func (n *simulatedNode) Members() []string { return n.store.Membership().Current }
+
+// IsReachable implements Fleet.
+func (n *simulatedNode) IsReachable(address string) bool {
+	n.simulation.lock.Lock()
+	defer n.simulation.lock.Unlock()
+	return time.Since(n.simulation.heard[heardKey{n.name, address}]) < suspectAfter
+}
+
+// MayOwn implements Fleet.
+func (n *simulatedNode) MayOwn() bool {
+	acceptor := n.simulation.cluster.AcceptorOf(n.name)
+	return acceptor != nil && acceptor.LocalState().Voting
+}
+
+// IsConfirmed implements Fleet.
+func (*simulatedNode) IsConfirmed() bool { return true }
+
+// LastOwner implements Fleet.
+func (n *simulatedNode) LastOwner(key string) string {
+	acceptor := n.simulation.cluster.AcceptorOf(n.name)
+	if acceptor == nil {
+		return ""
+	}
+	return acceptor.Durable()[key].Promised.Proposer
+}
+
+// Call implements Caller over the simulated network.
+func (n *simulatedNode) Call(ctx context.Context, _ peer.Method, address string, message, reply any) error {
+	request := message.(peer.CoordinationRequest)
+	content := n.simulation.nextCall()
+	answered := make(chan peer.CoordinationReply, 1)
+	go func() {
+		if !n.simulation.cluster.Carry(n.name, address, content) {
+			return
+		}
+		receiver := n.simulation.node(address)
+		if receiver == nil {
+			return
+		}
+		answer := receiver.router.HandleForwarded(context.WithoutCancel(ctx), request)
+		if n.simulation.node(address) == receiver && n.simulation.cluster.Carry(address, n.name, content) {
+			answered <- answer
+		}
+	}()
+	select {
+	case answer := <-answered:
+		*reply.(*peer.CoordinationReply) = answer
+		return nil
+	case <-ctx.Done():
+		return errUnreachable
+	}
+}
+
+// nextCall names one message.
+func (s *simulation) nextCall() string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.calls++
+	return fmt.Sprint("call-", s.calls)
+}
+
+// strike has faults strike until a time, each once all members vote again.
+func (s *simulation) strike(random *rand.Rand, faults []keystoresim.Fault, until time.Time) error {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(random.Int64N(int64(900*time.Millisecond))) + 50*time.Millisecond)
+		var together sync.WaitGroup
+		for _, fault := range faults {
+			names := s.cluster.MemberNames()
+			name := names[random.IntN(len(names))]
+			duration := time.Duration(random.Int64N(int64(3*time.Second))) + 20*time.Millisecond
+			source := rand.New(rand.NewPCG(random.Uint64(), 29))
+			together.Go(func() { fault(s.cluster, name, source, duration) })
+		}
+		together.Wait()
+		if !s.cluster.WaitUntilAllVote(voteTimeout) {
+			return errors.New("a member never voted again")
+		}
+	}
+	return nil
+}
+
+// killAll kills all processes, or has all machines lose power, and starts them again.
+func killAll(cluster *keystoresim.Cluster, _ string, random *rand.Rand, duration time.Duration) {
+	losesPower := random.IntN(2) == 0
+	names := cluster.MemberNames()
+	for _, name := range names {
+		cluster.Kill(name)
+		if losesPower {
+			cluster.LosePower(name, random)
+		}
+	}
+	time.Sleep(duration / 3)
+	for _, name := range names {
+		cluster.Start(name, false)
+	}
+}
+
+// rewrite returns an openFunc that changes a stored value of one kind before it is opened.
+func rewrite(kind coordination.Kind, change func(record map[string]any)) openFunc {
+	return func(
+		opened coordination.Kind, value json.RawMessage, now time.Time, config coordination.Config, known coordination.Memory,
+	) (coordination.Item, error) {
+		if opened == kind && len(value) > 0 {
+			record := map[string]any{}
+			if err := json.Unmarshal(value, &record); err != nil {
+				return nil, err
+			}
+			change(record)
+			value, _ = json.Marshal(record)
+		}
+		return coordination.Open(opened, value, now, config, known)
+	}
+}
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -10,6 +10,7 @@
 
 	"ferryspar/internal/controlplane/applier"
 	"ferryspar/internal/controlplane/configchange"
+	"ferryspar/internal/controlplane/coordinator"
 	"ferryspar/internal/controlplane/dataplanes"
 	"ferryspar/internal/controlplane/demand"
 	"ferryspar/internal/controlplane/drillcontrol"
@@ -52,6 +53,10 @@
 	// configChanges has operators' changes of the configuration carried out at the owner of its key.
 	configChanges *configchange.Forwarder
 
+	// Calls by which applications coordinate.
+	coordination *coordinator.Router
+	watches      *coordinator.Watches
+
 	// The rest of the control plane and the data planes, and what they are sent and report.
 	members      *members.Manager
 	dataPlanes   *dataplanes.Registry
@@ -109,6 +114,7 @@
 	node.applier = applier.New(node.store, node.acceptor, node.publisher, node.clock)
 	node.members = node.newMembers()
 	node.configChanges = node.newConfigChanges()
+	node.openCoordination()
 	node.fleetSize = node.newFleetSizeRecorder()
 	node.watchServer = node.newWatchServer()
 	node.roster = node.newRoster()
--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -7,6 +7,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ferryspar/internal/adminapi"
+	"ferryspar/internal/coordinationapi"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/peer"
 )
@@ -22,6 +23,7 @@
 	router.Post(peer.MethodShareRoster.Path(), peer.Handler(n.roster.HandleUpdate))
 	router.Post(peer.MethodFetchRoster.Path(), peer.Handler(n.roster.HandleFetch))
 	router.Post(peer.MethodChange.Path(), peer.Handler(n.configChanges.HandleChange))
+	router.Post(peer.MethodCoordinate.Path(), peer.Handler(n.coordination.HandleForwarded))
 	router.Post(peer.MethodHeartbeat.Path(), peer.Handler(n.members.HandleHeartbeat))
 	router.Post(peer.MethodForecast.Path(), peer.Handler(n.forecaster.HandleResponse))
 	router.Post(peer.MethodForecastPlan.Path(), peer.Handler(n.handlePlanRequest))
@@ -41,6 +43,10 @@
 	return struct{}{}
 }
 
+// adminRoutes serves what operators and applications call at the node's control-plane address.
 func (n *Node) adminRoutes() http.Handler {
-	return adminapi.NewHandler(n, adminapi.NewReplayGuard(n.settings.BindAddresses.ControlPlane, n.clock))
+	router := chi.NewRouter()
+	router.Mount("/", adminapi.NewHandler(n, adminapi.NewReplayGuard(n.settings.BindAddresses.ControlPlane, n.clock)))
+	coordinationapi.Register(router, coordinationService{n})
+	return router
 }
--- /dev/null
+++ b/internal/coordinationapi/handler.go
@@ -0,0 +1,263 @@
+package coordinationapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"ferryspar/internal/apierror"
+	"ferryspar/internal/coordination"
+)
+
+// Paths of the API. The name of a lock, counter, key or group follows.
+const (
+	PathLocks   = "/ferryspar/locks/"
+	PathNumbers = "/ferryspar/numbers/"
+	PathCells   = "/ferryspar/cells/"
+	PathWatch   = "/ferryspar/watch/"
+)
+
+const (
+	// maxBodyBytes is the size of the largest body that is read: the longest value, escaped, with what surrounds it.
+	maxBodyBytes = 8*coordination.MaxValueBytes + 4096
+	// maxWait is the longest time that a watch waits; one that asks for more is answered then.
+	maxWait = 30 * time.Second
+)
+
+// Service carries out calls. Its methods may be called from any goroutine; their errors are of package apierror.
+type Service interface {
+	Do(ctx context.Context, call coordination.Call) (coordination.Result, error)
+	// Watch returns the puts of a group after a revision, see coordinator.Watches.
+	Watch(ctx context.Context, group string, after uint64, wait time.Duration) (coordination.Result, error)
+}
+
+// api is the handler of the calls.
+type api struct {
+	service Service
+}
+
+// Register adds the calls to a router.
+func Register(router chi.Router, service Service) {
+	a := &api{service: service}
+	router.Post(PathLocks+"{name}", a.lockCall(coordination.OperationAcquire))
+	router.Put(PathLocks+"{name}", a.lockCall(coordination.OperationRenew))
+	router.Delete(PathLocks+"{name}", a.lockCall(coordination.OperationRelease))
+	router.Post(PathNumbers+"{name}", a.next)
+	router.Put(PathCells+"{name}", a.put)
+	router.Get(PathCells+"{name}", a.get)
+	router.Get(PathWatch+"{name}", a.watch)
+}
+
+// lockRequest is the body of the calls on locks.
+type lockRequest struct {
+	LeaseHolder string `json:"leaseHolder"`
+	FenceToken  uint64 `json:"fenceToken"`
+	QueueHoldMs int64  `json:"queueHoldMs"`
+}
+
+// lockReply is the body of a lock that was taken.
+type lockReply struct {
+	FenceToken uint64 `json:"fenceToken"`
+}
+
+func (a *api) lockCall(operation coordination.Operation) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		var body lockRequest
+		if err := readBody(writer, request, &body); err != nil {
+			apierror.Write(writer, err)
+			return
+		}
+		result, err := a.do(request, coordination.Call{
+			Operation: operation,
+			Kind:      coordination.KindLock,
+			Holder:    body.LeaseHolder,
+			Fence:     body.FenceToken,
+			HoldMs:    body.QueueHoldMs,
+		})
+		if err != nil {
+			apierror.Write(writer, err)
+			return
+		}
+		if operation == coordination.OperationAcquire {
+			writeJSON(writer, http.StatusOK, lockReply{FenceToken: result.Fence})
+			return
+		}
+		writeJSON(writer, http.StatusOK, struct{}{})
+	}
+}
+
+// numberReply is the body of a number that was drawn.
+type numberReply struct {
+	Value uint64 `json:"value"`
+}
+
+func (a *api) next(writer http.ResponseWriter, request *http.Request) {
+	result, err := a.do(request, coordination.Call{Operation: coordination.OperationNext, Kind: coordination.KindCounter})
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	writeJSON(writer, http.StatusOK, numberReply{Value: result.Number})
+}
+
+// putRequest is the body of a put. A missing ExpectedCount accepts any revision.
+type putRequest struct {
+	Value         *string `json:"value"`
+	ExpectedCount *uint64 `json:"expectedCount"`
+}
+
+// revisionReply names the revision of a key.
+type revisionReply struct {
+	EntityTag uint64 `json:"entityTag"`
+}
+
+func (a *api) put(writer http.ResponseWriter, request *http.Request) {
+	var body putRequest
+	err := readBody(writer, request, &body)
+	if err == nil && body.Value == nil {
+		err = apierror.New(apierror.MalformedRequest, "value is missing")
+	}
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	result, err := a.do(request, coordination.Call{
+		Operation: coordination.OperationPut,
+		Kind:      coordination.KindGroup,
+		Value:     *body.Value,
+		Expected:  body.ExpectedCount,
+	})
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	status := http.StatusOK
+	if result.Outcome == coordination.OutcomeConflict {
+		status = http.StatusPreconditionFailed
+	}
+	writeJSON(writer, status, revisionReply{EntityTag: result.Revision})
+}
+
+// valueReply is the body of a key that was read.
+type valueReply struct {
+	Value     string `json:"value"`
+	EntityTag uint64 `json:"entityTag"`
+}
+
+func (a *api) get(writer http.ResponseWriter, request *http.Request) {
+	result, err := a.do(request, coordination.Call{Operation: coordination.OperationGet, Kind: coordination.KindGroup})
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	writeJSON(writer, http.StatusOK, valueReply{Value: result.Value, EntityTag: result.Revision})
+}
+
+// do carries out a call on the item that the path names, and returns the outcomes that have no body of their own as errors.
+func (a *api) do(request *http.Request, call coordination.Call) (coordination.Result, error) {
+	name, err := pathName(request)
+	if err != nil {
+		return coordination.Result{}, err
+	}
+	call.Name = name
+	if err := call.Check(); err != nil {
+		return coordination.Result{}, apierror.New(apierror.MalformedRequest, "%s", err.Error())
+	}
+	result, err := a.service.Do(request.Context(), call)
+	if err != nil {
+		return result, err
+	}
+	if kind, isError := outcomeErrors[result.Outcome]; isError {
+		return result, apierror.New(kind, "%s", name)
+	}
+	return result, nil
+}
+
+// outcomeErrors are the outcomes that are answered with an error.
+var outcomeErrors = map[coordination.Outcome]apierror.Kind{
+	coordination.OutcomeHeld:    apierror.LockHeld,
+	coordination.OutcomeLost:    apierror.LockLost,
+	coordination.OutcomeMissing: apierror.UnknownCell,
+	coordination.OutcomeFull:    apierror.CoordinationFull,
+}
+
+// watchReply is the body of a watch that was answered.
+type watchReply struct {
+	Events    []watchEvent `json:"events"`
+	EntityTag uint64       `json:"entityTag"`
+}
+
+type watchEvent struct {
+	Name      string `json:"name"`
+	Value     string `json:"value"`
+	EntityTag uint64 `json:"entityTag"`
+}
+
+func (a *api) watch(writer http.ResponseWriter, request *http.Request) {
+	group, err := pathName(request)
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	after, wait, err := watchQuery(request)
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	if coordination.GroupOf(group) != group {
+		apierror.Write(writer, apierror.New(apierror.MalformedRequest, "%q is no group: a group ends with its first dot", group))
+		return
+	}
+	result, err := a.service.Watch(request.Context(), group, after, wait)
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	reply := watchReply{Events: []watchEvent{}, EntityTag: result.Revision}
+	for _, event := range result.Events {
+		reply.Events = append(reply.Events, watchEvent{Name: event.Name, Value: event.Value, EntityTag: event.Revision})
+	}
+	writeJSON(writer, http.StatusOK, reply)
+}
+
+// watchQuery reads after and waitMs, which are 0 if they are missing.
+func watchQuery(request *http.Request) (after uint64, wait time.Duration, err error) {
+	query := request.URL.Query()
+	if text := query.Get("after"); text != "" {
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, 0, apierror.New(apierror.MalformedRequest, "after must be a whole number")
+		}
+	}
+	if text := query.Get("waitMs"); text != "" {
+		waitMs, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(waitMs >= 0) {
+			return 0, 0, apierror.New(apierror.MalformedRequest, "waitMs must be a number, 0 or more")
+		}
+		wait = time.Duration(min(waitMs, float64(maxWait.Milliseconds())) * float64(time.Millisecond))
+	}
+	return after, wait, nil
+}
+
+func readBody(writer http.ResponseWriter, request *http.Request, body any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
+	if err := decoder.Decode(body); err != nil {
+		return apierror.New(apierror.MalformedRequest, "body: %s", err.Error())
+	}
+	return nil
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		apierror.Write(writer, err)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write(content)
+}
--- a/internal/nodesettings/check.go
+++ b/internal/nodesettings/check.go
@@ -64,6 +64,7 @@
 		{bounds.RevocationClosed && bounds.RevokeMs <= 0, "timingBounds.revokeMs must be above 0"},
 		{bounds.QuotaWindowS <= 0, "timingBounds.quotaWindowS must be above 0"},
 		{isQuotaNegative, "timingBounds.quotaOverage and quotaSlack must not be below 0"},
+		{bounds.HistoryS < 0, "timingBounds.historyS must not be below 0"},
 		{s.HeartbeatMs <= 0, "heartbeatMs must be above 0"},
 	}
 }
--- a/internal/nodesettings/settings.go
+++ b/internal/nodesettings/settings.go
@@ -171,6 +171,12 @@
 	// RecoveryS is the time after the return of all machines within which requests must be served
 	// again. Informational.
 	RecoveryS float64 `koanf:"recoveryS"`
+	// HistoryS is how long, in s, applications may go on with a watch from a revision that they were given
+	// (docs/design/coordination.md). Default 20.
+	HistoryS float64 `koanf:"historyS"`
+	// IdleUnloadMs is how long, in ms, after its time, or after the control plane has settled, a lock may stay refused.
+	// Informational.
+	IdleUnloadMs float64 `koanf:"idleUnloadMs"`
 	// StepTimeMs is the delay that forwarding may add to an event of a stream. Informational.
 	StepTimeMs float64 `koanf:"stepTimeMs"`
 	// Fencing tells whether replicas check the fencing token of orders. Informational: orders always
@@ -252,6 +258,7 @@
 			QuotaWindowS:  5,
 			ColdOverage:   1,
 			EvacuateMs:    5000,
+			HistoryS:      20,
 			LeaseMs:       3000,
 			OriginPeriodS: 5,
 			OriginOverage: 1,
--- a/internal/peer/method.go
+++ b/internal/peer/method.go
@@ -27,6 +27,9 @@
 	// MethodChange forwards an operator's change of the configuration to the control plane that owns its key: ChangeRequest,
 	// ChangeReply.
 	MethodChange Method = "change"
+	// MethodCoordinate forwards a call of an application to the control plane that owns its lock, counter or group of keys:
+	// CoordinationRequest, CoordinationReply.
+	MethodCoordinate Method = "coordinate"
 	// MethodHeartbeat is the heartbeat between control planes: Heartbeat.
 	MethodHeartbeat Method = "greet"
 	// MethodForecast is a data plane's answer to a control plane's forecast question.
@@ -54,7 +57,10 @@
 	MethodShareRoster: 600 * time.Millisecond,
 	MethodFetchRoster: 600 * time.Millisecond,
 	// MethodChange is longer than an operator waits: who takes the key from an owner that is slow undoes its work.
-	MethodChange:       1200 * time.Millisecond,
+	MethodChange: 1200 * time.Millisecond,
+	// MethodCoordinate includes the time for which an owner may keep the request pending, see coordination.Call.WaitMs; its
+	// caller bounds it further.
+	MethodCoordinate:   2 * time.Second,
 	MethodHeartbeat:    600 * time.Millisecond,
 	MethodForecast:     900 * time.Millisecond,
 	MethodForecastPlan: 900 * time.Millisecond,
--- a/internal/peer/pinned_test.go
+++ b/internal/peer/pinned_test.go
@@ -33,6 +33,8 @@
 		"part":                     new(EndpointSet),
 		"question to follow parts": new(SubscribeRequest),
 		"answer on followed parts": new(SubscribeResponse),
+		"call of an application":   new(CoordinationRequest),
+		"answer to such a call":    new(CoordinationReply),
 	})
 }
 
--- a/internal/test/keystoresim/transport.go
+++ b/internal/test/keystoresim/transport.go
@@ -188,3 +188,12 @@
 	defer c.lock.Unlock()
 	c.members[name].frozen += amount
 }
+
+// Carry takes a message of another protocol from one machine to another, late, lost or after a thaw like the keystore's own, and
+// says whether it arrives. A lost one takes its time.
+func (c *Cluster) Carry(from, to, content string) bool {
+	return from == to || c.deliver(link{from, to}, content)
+}
+
+// AwaitThaw returns once a machine does not stand still.
+func (c *Cluster) AwaitThaw(name string) { c.waitWhileFrozen(name) }
