Coordination: bounds on names, and commands for operators

ferryspar-operator locks, numbers, keys, watchers and release-lock, over GET and DELETE /ferryspar/coordination: who owns an item, who holds a lock, since when, with which fence and for how long. A lock is freed with a higher fence only, and that is logged.

--- /dev/null
+++ b/cmd/ferryspar-operator/coordination.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"net/http"
+	"net/url"
+	"slices"
+
+	"ferryspar/internal/coordination"
+	"ferryspar/internal/coordinationapi"
+)
+
+// itemsCommand lists the items of one kind, or shows one of them.
+type itemsCommand struct {
+	app  *application
+	kind coordination.Kind
+	Args struct {
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the list, or the state of the item that was named.
+func (i *itemsCommand) Execute([]string) error {
+	if i.Args.Name == "" {
+		return i.list()
+	}
+	content, err := i.app.get(itemPath(i.kind, i.Args.Name))
+	if err != nil {
+		return err
+	}
+	if i.app.options.JSON {
+		i.app.printRaw(content)
+		return nil
+	}
+	var status coordinationapi.ItemStatus
+	if err := decode("the item", content, &status); err != nil {
+		return err
+	}
+	i.app.printItem(status)
+	return nil
+}
+
+func itemPath(kind coordination.Kind, name string) string {
+	return coordinationapi.PathItems + "/" + string(kind) + "/" + url.PathEscape(name)
+}
+
+func (i *itemsCommand) list() error {
+	list, err := i.app.fetchItems()
+	if err != nil {
+		return err
+	}
+	isOther := func(item coordination.ItemSummary) bool { return item.Kind != i.kind }
+	list.Items = slices.DeleteFunc(list.Items, isOther)
+	if i.app.options.JSON {
+		return i.app.printJSON(list.Items)
+	}
+	listed := newTable(string(i.kind)+"s", "name", "owner", "bytes")
+	for _, item := range list.Items {
+		listed.addRow(item.Name, item.Owner, item.Bytes)
+	}
+	listed.write(i.app.stdout)
+	return nil
+}
+
+// fetchItems reads the list of items from the first control plane that answers.
+func (a *application) fetchItems() (coordinationapi.ItemList, error) {
+	var list coordinationapi.ItemList
+	content, err := a.get(coordinationapi.PathItems)
+	if err != nil {
+		return list, err
+	}
+	return list, decode("the items", content, &list)
+}
+
+// printItem prints one item, a line for each of its properties.
+func (a *application) printItem(status coordinationapi.ItemStatus) {
+	switch {
+	case status.Lock != nil && status.Lock.Holder == "":
+		a.printf("%s: free, last fence %d\n", status.Name, status.Lock.Fence)
+	case status.Lock != nil:
+		a.printf("%s: held by %s with fence %d, for %d ms as far as its owner knows, free in %d ms unless it is renewed\n",
+			status.Name, status.Lock.Holder, status.Lock.Fence, status.Lock.HeldMs, status.Lock.RemainingMs)
+	case status.Number != nil:
+		a.printf("%s: last number %d\n", status.Name, *status.Number)
+	case status.Group != nil:
+		a.printf("%s: revision %d, %d keys, %d puts kept since revision %d, %d bytes\n", status.Name, status.Group.Revision,
+			status.Group.Keys, status.Group.Events, status.Group.Floor, status.Group.Bytes)
+	}
+}
+
+// releaseLockCommand takes a lock from its holder.
+type releaseLockCommand struct {
+	app  *application
+	Args struct {
+		Name string `positional-arg-name:"LOCK" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute takes the lock, and prints the fence from which on its former holder is rejected.
+func (r *releaseLockCommand) Execute([]string) error {
+	content, err := r.app.call(apiRequest{method: http.MethodDelete, path: itemPath(coordination.KindLock, r.Args.Name)})
+	if err != nil {
+		return err
+	}
+	if r.app.options.JSON {
+		r.app.printRaw(content)
+		return nil
+	}
+	var released struct {
+		FenceToken uint64 `json:"fenceToken"`
+	}
+	if err := decode("the answer", content, &released); err != nil {
+		return err
+	}
+	r.app.printf("%s is free; its fence is %d now\n", r.Args.Name, released.FenceToken)
+	return nil
+}
+
+// watchersCommand prints how many watches wait at each control plane.
+type watchersCommand struct{ app *application }
+
+// Execute asks each control plane that was named.
+func (w *watchersCommand) Execute([]string) error {
+	if len(w.app.options.Control) == 0 {
+		return errNoControl
+	}
+	counts := map[string]map[string]int{}
+	waiting := newTable("watches", "control plane", "group", "waiting")
+	for _, address := range w.app.options.Control {
+		single := &application{options: w.app.options, stdout: w.app.stdout, stderr: w.app.stderr}
+		single.options.Control = []string{address}
+		list, err := single.fetchItems()
+		if err != nil {
+			return err
+		}
+		counts[address] = list.Watches
+		groups := make([]string, 0, len(list.Watches))
+		for group := range list.Watches {
+			groups = append(groups, group)
+		}
+		slices.Sort(groups)
+		for _, group := range groups {
+			waiting.addRow(address, group, list.Watches[group])
+		}
+	}
+	if w.app.options.JSON {
+		return w.app.printJSON(counts)
+	}
+	waiting.write(w.app.stdout)
+	return nil
+}
--- a/cmd/ferryspar-operator/parser.go
+++ b/cmd/ferryspar-operator/parser.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"ferryspar/internal/cli"
+	"ferryspar/internal/coordination"
 )
 
 // globalOptions are the options of every command.
@@ -102,6 +103,38 @@
 				"drill, 6 that the control plane rejected the call.",
 			handler: &rehearseCommand{app: app},
 		},
+		{
+			name:  "locks",
+			short: "list the applications' locks, or show who holds one",
+			long: "Lists the locks of applications with their owners, the control planes that decide on them. With NAME, shows who " +
+				"holds that lock, since when, with which fence and for how long.",
+			handler: &itemsCommand{app: app, kind: coordination.KindLock},
+		},
+		{
+			name:    "numbers",
+			short:   "list the applications' counters, or show one",
+			long:    "Lists the counters of applications with their owners. With NAME, shows the last number of that counter.",
+			handler: &itemsCommand{app: app, kind: coordination.KindCounter},
+		},
+		{
+			name:    "keys",
+			short:   "list the applications' groups of keys, or show one",
+			long:    "Lists the groups of keys with their owners. With NAME, a group with its dot, shows its revision and what is kept.",
+			handler: &itemsCommand{app: app, kind: coordination.KindGroup},
+		},
+		{
+			name:    "watchers",
+			short:   "count the watches that wait at each control daemon named",
+			long:    "Prints for each control daemon named how many watches wait there, by group.",
+			handler: &watchersCommand{app: app},
+		},
+		{
+			name:  "release-lock",
+			short: "take a lock from its holder",
+			long: "Frees LOCK and raises its fence. The holder may count on the lock until its time is over: only what checks fences " +
+				"rejects it. Use it when the holder is known to be gone.",
+			handler: &releaseLockCommand{app: app},
+		},
 		{
 			name:  "query",
 			short: "answer a SQL query about the fleet (docs/operating.md lists the tables)",
--- a/internal/controlplane/coordination_host.go
+++ b/internal/controlplane/coordination_host.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/apierror"
 	"ferryspar/internal/controlplane/coordinator"
@@ -17,6 +18,9 @@
 // was behind, and a caller may send a put again for some seconds.
 const historyMargin = 15 * time.Second
 
+// itemsDivisor: the values of all items together take this part of a segment of the write-ahead log, which must hold everything.
+const itemsDivisor = 4
+
 // coordinationFleet is a node as its coordinator.Router sees it.
 type coordinationFleet struct {
 	node *Node
@@ -52,6 +56,8 @@
 	caller := peer.NewClient(n.network)
 	n.coordination = coordinator.NewRouter(n.self, coordinationFleet{n}, caller, executor, n.clock)
 	n.watches = coordinator.NewWatches(n.coordination, n.members.Leaving(), n.clock)
+	maxBytes := int(segmentBytes(n.settings.Limits.DiskMb)) / itemsDivisor
+	n.itemCapacity = coordinator.NewCapacity(n.acceptor.Durable, maxBytes, n.clock)
 }
 
 // coordinationService is a node as coordinationapi sees it.
@@ -61,14 +67,31 @@
 
 // Do implements coordinationapi.Service.
 func (s coordinationService) Do(ctx context.Context, call coordination.Call) (coordination.Result, error) {
+	if !s.node.itemCapacity.Admits(call) {
+		return coordination.Result{}, apierror.New(apierror.CoordinationFull, "no room for further names")
+	}
 	result, err := s.node.coordination.Do(ctx, call)
+	if err == nil && call.Operation == coordination.OperationForceRelease {
+		logrus.WithFields(logrus.Fields{"lock": call.Name, "fence": result.Fence}).Warn("lock taken from its holder by an operator")
+	}
 	return result, coordinationError(err)
 }
 
+// Items implements coordinationapi.Service.
+func (s coordinationService) Items() []coordination.ItemSummary {
+	return coordinator.Summaries(s.node.acceptor.Durable())
+}
+
+// WatchCounts implements coordinationapi.Service.
+func (s coordinationService) WatchCounts() map[string]int { return s.node.watches.Counts() }
+
 // Watch implements coordinationapi.Service.
 func (s coordinationService) Watch(
 	ctx context.Context, group string, after uint64, wait time.Duration,
 ) (coordination.Result, error) {
+	if !s.node.itemCapacity.Admits(coordination.Call{Kind: coordination.KindGroup, Name: group}) {
+		return coordination.Result{}, apierror.New(apierror.CoordinationFull, "no room for further names")
+	}
 	result, err := s.node.watches.Watch(ctx, group, after, wait)
 	return result, coordinationError(err)
 }
--- a/internal/controlplane/coordinator/follower.go
+++ b/internal/controlplane/coordinator/follower.go
@@ -148,6 +148,21 @@
 	return found
 }
 
+// Counts counts the watches that wait, by group.
+func (w *Watches) Counts() map[string]int {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	counts := map[string]int{}
+	for group, followed := range w.followers {
+		followed.lock.Lock()
+		if followed.watches > 0 {
+			counts[group] = followed.watches
+		}
+		followed.lock.Unlock()
+	}
+	return counts
+}
+
 func (f *follower) endWatch(clock func() time.Time) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
--- a/internal/coordination/item.go
+++ b/internal/coordination/item.go
@@ -46,6 +46,16 @@
 	lock lockMemory
 }
 
+// ItemSummary is one item as a member's disk has it.
+type ItemSummary struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Owner is the address of the node that has the member's promise.
+	Owner string `json:"owner"`
+	// Bytes is the size of the stored value.
+	Bytes int `json:"bytes"`
+}
+
 // Open returns the item that has a stored value, or none yet, for an owner that took it over before now. known is what the owner
 // knows of the item from before, the zero Memory if another may have owned it since.
 func Open(kind Kind, value json.RawMessage, now time.Time, config Config, known Memory) (Item, error) {
--- a/internal/coordinationapi/handler.go
+++ b/internal/coordinationapi/handler.go
@@ -33,6 +33,10 @@
 	Do(ctx context.Context, call coordination.Call) (coordination.Result, error)
 	// Watch returns the puts of a group after a revision, see coordinator.Watches.
 	Watch(ctx context.Context, group string, after uint64, wait time.Duration) (coordination.Result, error)
+	// Items lists the items as this node's disk has them.
+	Items() []coordination.ItemSummary
+	// WatchCounts counts the watches that wait here, by group.
+	WatchCounts() map[string]int
 }
 
 // api is the handler of the calls.
@@ -50,6 +54,7 @@
 	router.Put(PathCells+"{name}", a.put)
 	router.Get(PathCells+"{name}", a.get)
 	router.Get(PathWatch+"{name}", a.watch)
+	a.registerOperators(router)
 }
 
 // lockRequest is the body of the calls on locks.
--- a/internal/test/integration/coordination_test.go
+++ b/internal/test/integration/coordination_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -254,3 +255,29 @@
 		}
 	})
 }
+
+func TestCoordination_OperatorsSeeItemsAndFreeLocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 0)
+		before := f.useCoordination(1)
+		for core := 1; core <= 3; core++ {
+			list := f.call(http.MethodGet, coreHost(core)+":8166", "/ferryspar/coordination", "", nil)
+			assert.Equal(t, list.status, http.StatusOK)
+			for _, name := range []string{`"kind":"lock","name":"l"`, `"kind":"number","name":"n"`, `"kind":"group","name":"g."`} {
+				assert.Assert(t, strings.Contains(list.body, name), list.body)
+			}
+			held := f.call(http.MethodGet, coreHost(core)+":8166", "/ferryspar/coordination/lock/l", "", nil)
+			assert.Assert(t, strings.Contains(held.body, `"holder":"a"`), held.body)
+		}
+		unknown := f.call(http.MethodGet, coreHost(1)+":8166", "/ferryspar/coordination/thing/l", "", nil)
+		assert.Equal(t, unknown.status, http.StatusNotFound)
+		got, freed := f.coordinate(2, http.MethodDelete, "coordination/lock/l", "")
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, freed.FenceToken > before.fence)
+		got, next := f.coordinate(3, http.MethodPost, "locks/l", lockBody("b", 0, 2000))
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, next.FenceToken > freed.FenceToken)
+		got, _ = f.coordinate(1, http.MethodPut, "locks/l", lockBody("a", before.fence, 2000))
+		assert.Equal(t, got.status, http.StatusConflict)
+	})
+}
