Coordination: a group is stored by column, without its prefix

Each batch of puts writes its group whole. Columns of different lengths, or revisions that do not rise, are refused as damage instead of read as something else.

--- a/internal/controlplane/coordinator/coordinator_test.go
+++ b/internal/controlplane/coordinator/coordinator_test.go
@@ -208,8 +208,11 @@
 }
 
 func forgetFirstEvent(record map[string]any) {
-	if events, hasEvents := record["events"].([]any); hasEvents && len(events) > 1 {
-		record["events"] = events[1:]
+	events := record["events"].(map[string]any)
+	for name, column := range events {
+		if list := column.([]any); len(list) > 1 {
+			events[name] = list[1:]
+		}
 	}
 }
 
--- a/internal/coordination/group.go
+++ b/internal/coordination/group.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -15,25 +18,10 @@
 	maxEventsReturned = 1000
 )
 
-// settledKey is a key whose last put is older than the events that are kept.
-type settledKey struct {
-	Value    string `json:"v"`
-	Revision uint64 `json:"r"`
-}
-
-// storedEvent is an event that is kept.
-type storedEvent struct {
-	Name     string `json:"k"`
-	Value    string `json:"v"`
-	Revision uint64 `json:"r"`
-}
-
-// groupRecord is what is stored of a group: the keys as they were at a revision, and the puts since.
-type groupRecord struct {
-	// Floor is the revision of Keys, and the first one from which a watch may go on.
-	Floor  uint64                `json:"floor,omitempty"`
-	Keys   map[string]settledKey `json:"keys,omitempty"`
-	Events []storedEvent         `json:"events,omitempty"`
+// version is the value of a key at a revision.
+type version struct {
+	value    string
+	revision uint64
 }
 
 // Group is a group of keys that share one rising count of revisions.
@@ -43,16 +31,20 @@
 // which no earlier put did. A new owner counts the age of all events from
 // its own start, since it does not know when they were put.
 type Group struct {
-	record  groupRecord
 	history time.Duration
+	// floor is the revision of the settled keys, and the first one from which a watch may go on.
+	floor   uint64
+	settled map[string]version
+	// kept are the puts since, putAt when each was put, or this owner's start if that was later.
+	kept  []Event
+	putAt []time.Time
 	// revision is that of the last put.
 	revision uint64
 	// latest holds the present value of each key.
-	latest map[string]settledKey
+	latest map[string]version
 	// revisions holds those of the puts that are still recognised, by key and value.
 	revisions map[putIdentity]uint64
-	// putAt is when each of the record's events was put, or this owner's start if that was later.
-	putAt []time.Time
+	// bytes is the size of the settled keys and of the puts that are kept.
 	bytes int
 }
 
@@ -70,38 +62,43 @@
 }
 
 func openGroup(value json.RawMessage, now time.Time, config Config) (*Group, error) {
+	var record groupRecord
+	if err := decodeValue(value, &record); err != nil {
+		return nil, err
+	}
+	if !record.isConsistent() {
+		return nil, errors.Wrap(ErrDamagedValue, "group")
+	}
 	group := &Group{
 		history:   config.History,
-		latest:    map[string]settledKey{},
+		floor:     record.Floor,
+		revision:  record.Floor,
+		settled:   map[string]version{},
+		latest:    map[string]version{},
 		revisions: map[putIdentity]uint64{},
 	}
-	if err := decodeValue(value, &group.record); err != nil {
-		return nil, err
-	}
-	if group.record.Keys == nil {
-		group.record.Keys = map[string]settledKey{}
+	for _, key := range record.Settled.events(record.Prefix) {
+		group.settled[key.Name] = version{value: key.Value, revision: key.Revision}
+		group.add(key)
 	}
-	group.revision = group.record.Floor
-	for name, key := range group.record.Keys {
-		group.index(name, key)
-		group.bytes += putBytes(name, key.Value)
-	}
-	for _, event := range group.record.Events {
-		group.index(event.Name, settledKey{Value: event.Value, Revision: event.Revision})
-		group.bytes += putBytes(event.Name, event.Value)
+	group.kept = record.Kept.events(record.Prefix)
+	for _, event := range group.kept {
+		group.add(event)
 		group.putAt = append(group.putAt, now)
 		group.revision = event.Revision
 	}
 	return group, nil
 }
 
-func putBytes(name, value string) int { return len(name) + len(value) + eventOverhead }
-
-func (g *Group) index(name string, key settledKey) {
-	g.latest[name] = key
-	g.revisions[putIdentity{name, key.Value}] = key.Revision
+// add makes a put the present value of its key.
+func (g *Group) add(event Event) {
+	g.latest[event.Name] = version{value: event.Value, revision: event.Revision}
+	g.revisions[putIdentity{event.Name, event.Value}] = event.Revision
+	g.bytes += putBytes(event.Name, event.Value)
 }
 
+func putBytes(name, value string) int { return len(name) + len(value) + eventOverhead }
+
 // Step implements Item.
 func (g *Group) Step(call Call, now time.Time) (Result, bool) {
 	switch call.Operation {
@@ -118,13 +115,13 @@
 }
 
 // Value implements Item.
-func (g *Group) Value() json.RawMessage { return encodeValue(g.record) }
+func (g *Group) Value() json.RawMessage { return encodeValue(g.record()) }
 
 // Memory implements Item. Events are kept for longer under another ownership.
 func (*Group) Memory() Memory { return Memory{} }
 
 func (g *Group) put(call Call, now time.Time) (Result, bool) {
-	current := g.latest[call.Name].Revision
+	current := g.latest[call.Name].revision
 	isExpected := call.Expected != nil && *call.Expected == current
 	if first, isKnown := g.revisions[putIdentity{call.Name, call.Value}]; isKnown && !isExpected {
 		return Result{Outcome: OutcomeDone, Revision: first}, false
@@ -133,38 +130,37 @@
 		return Result{Outcome: OutcomeConflict, Revision: current}, false
 	}
 	g.settle(now)
-	size := putBytes(call.Name, call.Value)
-	if g.bytes+size > maxGroupBytes {
+	if g.bytes+putBytes(call.Name, call.Value) > maxGroupBytes {
 		return Result{Outcome: OutcomeFull}, false
 	}
 	g.revision++
-	g.bytes += size
-	g.record.Events = append(g.record.Events, storedEvent{Name: call.Name, Value: call.Value, Revision: g.revision})
+	event := Event{Name: call.Name, Value: call.Value, Revision: g.revision}
+	g.kept = append(g.kept, event)
 	g.putAt = append(g.putAt, now)
-	g.index(call.Name, settledKey{Value: call.Value, Revision: g.revision})
+	g.add(event)
 	return Result{Outcome: OutcomeDone, Revision: g.revision}, true
 }
 
-// settle drops the events that are older than the history, after it has applied them to the keys.
+// settle drops the events that are older than the history, after it has applied them to the settled keys.
 func (g *Group) settle(now time.Time) {
 	expired := sort.Search(len(g.putAt), func(position int) bool { return now.Sub(g.putAt[position]) < g.history })
-	for _, event := range g.record.Events[:expired] {
+	for _, event := range g.kept[:expired] {
 		g.settleEvent(event)
 	}
-	g.record.Events = g.record.Events[expired:]
+	g.kept = g.kept[expired:]
 	g.putAt = g.putAt[expired:]
 }
 
 // settleEvent makes an event the settled value of its key, in place of the one before it, which is no longer recognised.
-func (g *Group) settleEvent(event storedEvent) {
-	if previous, isSettled := g.record.Keys[event.Name]; isSettled {
-		g.bytes -= putBytes(event.Name, previous.Value)
-		if identity := (putIdentity{event.Name, previous.Value}); g.revisions[identity] == previous.Revision {
+func (g *Group) settleEvent(event Event) {
+	if previous, isSettled := g.settled[event.Name]; isSettled {
+		g.bytes -= putBytes(event.Name, previous.value)
+		if identity := (putIdentity{event.Name, previous.value}); g.revisions[identity] == previous.revision {
 			delete(g.revisions, identity)
 		}
 	}
-	g.record.Keys[event.Name] = settledKey{Value: event.Value, Revision: event.Revision}
-	g.record.Floor = event.Revision
+	g.settled[event.Name] = version{value: event.Value, revision: event.Revision}
+	g.floor = event.Revision
 }
 
 func (g *Group) get(call Call) Result {
@@ -172,36 +168,31 @@
 	if !exists {
 		return Result{Outcome: OutcomeMissing}
 	}
-	return Result{Outcome: OutcomeDone, Value: key.Value, Revision: key.Revision}
+	return Result{Outcome: OutcomeDone, Value: key.value, Revision: key.revision}
 }
 
 // events lists all puts after a revision. Revision is that of the last one listed, or of the group.
 func (g *Group) events(call Call) Result {
-	if call.After < g.record.Floor {
+	if call.After < g.floor {
 		return Result{Outcome: OutcomeExpired, Revision: g.revision}
 	}
-	kept := g.record.Events
-	first := sort.Search(len(kept), func(position int) bool { return kept[position].Revision > call.After })
-	result := Result{Outcome: OutcomeDone, Revision: g.revision}
-	for _, event := range kept[first:] {
-		if len(result.Events) == maxEventsReturned {
-			break
-		}
-		result.Events = append(result.Events, Event(event))
-		result.Revision = event.Revision
-	}
-	if len(result.Events) < maxEventsReturned {
-		result.Revision = max(g.revision, call.After)
+	first := sort.Search(len(g.kept), func(position int) bool { return g.kept[position].Revision > call.After })
+	listed := g.kept[first:]
+	if len(listed) > maxEventsReturned {
+		listed = listed[:maxEventsReturned]
+		return Result{Outcome: OutcomeDone, Events: slices.Clone(listed), Revision: listed[len(listed)-1].Revision}
 	}
+	result := Result{Outcome: OutcomeDone, Revision: max(g.revision, call.After)}
+	result.Events = append(result.Events, listed...)
 	return result
 }
 
 func (g *Group) status() *GroupStatus {
 	return &GroupStatus{
 		Revision: g.revision,
-		Floor:    g.record.Floor,
+		Floor:    g.floor,
 		Keys:     len(g.latest),
-		Events:   len(g.record.Events),
+		Events:   len(g.kept),
 		Bytes:    g.bytes,
 	}
 }
--- a/internal/coordination/group_test.go
+++ b/internal/coordination/group_test.go
@@ -94,6 +94,32 @@
 	assert.Equal(t, len(group.eventsAfter(1).Events), 2)
 }
 
+func TestGroup_StoredValueIsSmallAndChecked(t *testing.T) {
+	group := newTestGroup(t)
+	const puts = 100
+	for number := range puts {
+		group.putValue(fmt.Sprintf("group.%d", number%30), fmt.Sprintf("%016d", number), nil, time.Duration(number)*time.Second)
+	}
+	stored := group.Value()
+	assert.Assert(t, len(stored) < 60*30+100, "%d bytes for 30 keys and 30 puts", len(stored))
+	reopened := group.reopen(t, testNow)
+	assert.DeepEqual(t, reopened.eventsAfter(puts-5), group.eventsAfter(puts-5))
+	for number := range 30 {
+		name := fmt.Sprintf("group.%d", number)
+		assert.DeepEqual(t, reopened.read(name), group.read(name))
+	}
+	for _, damaged := range []string{
+		`{"g":"g.","keys":{"k":["a"]},"events":{}}`,
+		`{"g":"g.","floor":7,"keys":{},"events":{"k":["a"],"v":["1"],"r":[7]}}`,
+	} {
+		_, err := openGroup([]byte(damaged), testNow, Config{})
+		assert.ErrorIs(t, err, ErrDamagedValue)
+	}
+	single := newTestGroup(t)
+	single.putValue("alone", "1", nil, 0)
+	assert.Equal(t, single.reopen(t, testNow).read("alone").Value, "1")
+}
+
 func TestGroup_SizeIsBoundedAndFreedAgain(t *testing.T) {
 	group := newTestGroup(t)
 	large := strings.Repeat("x", MaxValueBytes-10)
