--- a/internal/controlplane/coordinator/follower.go
+++ b/internal/controlplane/coordinator/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,8 @@
 	followIdle = 5 * time.Second
 	// maxFollowedEvents is how many puts of a group are kept here. A watch that lags further is answered by the owner.
 	maxFollowedEvents = 512
+	// maxWatches is how many watches may wait at a node.
+	maxWatches = 5000
 )
 
 // ErrExpired says that the puts after a revision are no longer all kept.
@@ -32,6 +35,8 @@
 	clock  func() time.Time
 	// leaving is closed when the node is about to end.
 	leaving <-chan struct{}
+	// waiting counts the watches that wait.
+	waiting atomic.Int64
 	// ctx is that of the followers, which cancel ends.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -85,6 +90,10 @@
 			Name:      group,
 		})
 	}
+	defer w.waiting.Add(-1)
+	if w.waiting.Add(1) > maxWatches {
+		return coordination.Result{}, ErrOverloaded
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	followed := w.follow(group)
--- a/internal/controlplane/coordinator/router.go
+++ b/internal/controlplane/coordinator/router.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,8 @@
 	refusedFor = 400 * time.Millisecond
 	// retryPause lies between attempts that were not carried out.
 	retryPause = 30 * time.Millisecond
+	// maxCalls is how many calls of applications a node carries out at a time.
+	maxCalls = 2000
 	// maxHops is how often a call is passed on.
 	maxHops = 2
 	// learningPeriod is how long after its start a node takes members that it has not heard of for reachable.
@@ -69,6 +72,9 @@
 	clock     func() time.Time
 	startedAt time.Time
 
+	// calls counts the calls of applications under way.
+	calls atomic.Int64
+
 	lock sync.Mutex
 	// avoided holds until when a control plane gets no calls.
 	avoided map[string]time.Time
@@ -89,6 +95,10 @@
 
 // Do carries out a call of an application. The error is ErrNotExecuted, ErrOverloaded or ErrUncertain.
 func (r *Router) Do(ctx context.Context, call coordination.Call) (coordination.Result, error) {
+	defer r.calls.Add(-1)
+	if r.calls.Add(1) > maxCalls {
+		return coordination.Result{}, ErrOverloaded
+	}
 	timeout := callTimeout
 	if !r.fleet.IsConfirmed() {
 		timeout = unconfirmedTimeout
