--- a/internal/coordinationapi/handler.go
+++ b/internal/coordinationapi/handler.go
@@ -57,21 +57,21 @@
 	a.registerOperators(router)
 }
 
-// lockRequest is the body of the calls on locks.
-type lockRequest struct {
+// LockRequest is the body of the calls on locks.
+type LockRequest struct {
 	LeaseHolder string `json:"leaseHolder"`
 	FenceToken  uint64 `json:"fenceToken"`
 	QueueHoldMs int64  `json:"queueHoldMs"`
 }
 
-// lockReply is the body of a lock that was taken.
-type lockReply struct {
+// LockReply is the body of a lock that was taken.
+type LockReply struct {
 	FenceToken uint64 `json:"fenceToken"`
 }
 
 func (a *api) lockCall(operation coordination.Operation) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
-		var body lockRequest
+		var body LockRequest
 		if err := readBody(writer, request, &body); err != nil {
 			apierror.Write(writer, err)
 			return
@@ -88,15 +88,15 @@
 			return
 		}
 		if operation == coordination.OperationAcquire {
-			writeJSON(writer, http.StatusOK, lockReply{FenceToken: result.Fence})
+			writeJSON(writer, http.StatusOK, LockReply{FenceToken: result.Fence})
 			return
 		}
 		writeJSON(writer, http.StatusOK, struct{}{})
 	}
 }
 
-// numberReply is the body of a number that was drawn.
-type numberReply struct {
+// NumberReply is the body of a number that was drawn.
+type NumberReply struct {
 	Value uint64 `json:"value"`
 }
 
@@ -106,22 +106,22 @@
 		apierror.Write(writer, err)
 		return
 	}
-	writeJSON(writer, http.StatusOK, numberReply{Value: result.Number})
+	writeJSON(writer, http.StatusOK, NumberReply{Value: result.Number})
 }
 
-// putRequest is the body of a put. A missing ExpectedCount accepts any revision.
-type putRequest struct {
+// PutRequest is the body of a put. A missing ExpectedCount accepts any revision.
+type PutRequest struct {
 	Value         *string `json:"value"`
 	ExpectedCount *uint64 `json:"expectedCount"`
 }
 
-// revisionReply names the revision of a key.
-type revisionReply struct {
+// RevisionReply names the revision of a key.
+type RevisionReply struct {
 	EntityTag uint64 `json:"entityTag"`
 }
 
 func (a *api) put(writer http.ResponseWriter, request *http.Request) {
-	var body putRequest
+	var body PutRequest
 	err := readBody(writer, request, &body)
 	if err == nil && body.Value == nil {
 		err = apierror.New(apierror.MalformedRequest, "value is missing")
@@ -144,11 +144,11 @@
 	if result.Outcome == coordination.OutcomeConflict {
 		status = http.StatusPreconditionFailed
 	}
-	writeJSON(writer, status, revisionReply{EntityTag: result.Revision})
+	writeJSON(writer, status, RevisionReply{EntityTag: result.Revision})
 }
 
-// valueReply is the body of a key that was read.
-type valueReply struct {
+// ValueReply is the body of a key that was read.
+type ValueReply struct {
 	Value     string `json:"value"`
 	EntityTag uint64 `json:"entityTag"`
 }
@@ -159,7 +159,7 @@
 		apierror.Write(writer, err)
 		return
 	}
-	writeJSON(writer, http.StatusOK, valueReply{Value: result.Value, EntityTag: result.Revision})
+	writeJSON(writer, http.StatusOK, ValueReply{Value: result.Value, EntityTag: result.Revision})
 }
 
 // do carries out a call on the item that the path names, and returns the outcomes that have no body of their own as errors.
@@ -190,13 +190,14 @@
 	coordination.OutcomeFull:    apierror.CoordinationFull,
 }
 
-// watchReply is the body of a watch that was answered.
-type watchReply struct {
-	Events    []watchEvent `json:"events"`
+// WatchReply is the body of a watch that was answered.
+type WatchReply struct {
+	Events    []WatchEvent `json:"events"`
 	EntityTag uint64       `json:"entityTag"`
 }
 
-type watchEvent struct {
+// WatchEvent is one put of a key.
+type WatchEvent struct {
 	Name      string `json:"name"`
 	Value     string `json:"value"`
 	EntityTag uint64 `json:"entityTag"`
@@ -222,9 +223,9 @@
 		apierror.Write(writer, err)
 		return
 	}
-	reply := watchReply{Events: []watchEvent{}, EntityTag: result.Revision}
+	reply := WatchReply{Events: []WatchEvent{}, EntityTag: result.Revision}
 	for _, event := range result.Events {
-		reply.Events = append(reply.Events, watchEvent{Name: event.Name, Value: event.Value, EntityTag: event.Revision})
+		reply.Events = append(reply.Events, WatchEvent{Name: event.Name, Value: event.Value, EntityTag: event.Revision})
 	}
 	writeJSON(writer, http.StatusOK, reply)
 }
