Emulator: plays applications that coordinate, and checks the answers

ferryspar-emulator applications: locks, numbers, keys and watches at a steady rate against control planes, with times by operation; it fails if a lock has two holders, a fence or number falls, or a watch misses a put. A whole-fleet test plays it while control planes are killed, frozen and cut off in turn.

--- a/cmd/ferryspar-emulator/main.go
+++ b/cmd/ferryspar-emulator/main.go
@@ -25,6 +25,7 @@
 	{"demo", "start both programs with a small fleet of stand-ins on loopback, send streams, show how each was served", &demoCommand{}},
 	{"experiment", "emulate a fleet in made-up time: variants, seeds, a table and plots", &experimentCommand{}},
 	{"forecast", "compare forecasts of a loss with the emulated loss, over seeds and fleet sizes", &forecastCommand{}},
+	{"applications", "play applications that coordinate through control planes, and check the answers", &applicationsCommand{}},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- /dev/null
+++ b/internal/sim/applications/applications.go
@@ -0,0 +1,189 @@
+package applications
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/coordinationclient"
+)
+
+// Options say what is played.
+type Options struct {
+	// Addresses are those of control planes (host:port).
+	Addresses []string
+	// Callers is how many applications call, PerSecond how many calls they make together in a second.
+	Callers   int
+	PerSecond float64
+	// Duration is how long they call.
+	Duration time.Duration
+	// Locks, Counters, Keys and Watches are how many there are of each. Keys belong to one group.
+	Locks, Counters, Keys, Watches int
+	// Hold is how long a lock is held without a renewal.
+	Hold time.Duration
+	// Name begins the names of locks, counters and keys, so that runs do not meet.
+	Name string
+	// Seed draws what is called when.
+	Seed uint64
+}
+
+// callTimeout is how long a call may take with all its attempts.
+const callTimeout = 5 * time.Second
+
+// run is one play under way.
+type run struct {
+	options Options
+	client  *coordinationclient.Client
+	checks  *checks
+	results *results
+}
+
+// Run plays applications until the duration is over, and returns what they saw.
+func Run(ctx context.Context, options Options, transport http.RoundTripper) (Report, error) {
+	if options.Callers < 1 || options.PerSecond <= 0 || min(options.Locks, options.Counters, options.Keys) < 1 {
+		return Report{}, errors.New("callers, rate, locks, counters and keys must be above 0")
+	}
+	r := &run{
+		options: options,
+		client:  &coordinationclient.Client{Addresses: options.Addresses, HTTP: &http.Client{Transport: transport}},
+		checks:  newChecks(),
+		results: newResults(),
+	}
+	first, err := r.putFirst(ctx)
+	if err != nil {
+		return Report{}, errors.Wrap(err, "first put")
+	}
+	watching, stopWatching := context.WithCancel(ctx)
+	var watches, callers sync.WaitGroup
+	for number := range options.Watches {
+		watches.Go(func() { r.watch(watching, number, first) })
+	}
+	calling, cancel := context.WithTimeout(ctx, options.Duration)
+	defer cancel()
+	for number := range options.Callers {
+		callers.Go(func() { r.runCaller(calling, number) })
+	}
+	callers.Wait()
+	r.checks.awaitWatches(ctx, options.Watches)
+	stopWatching()
+	watches.Wait()
+	return r.results.report(options, r.checks), nil
+}
+
+func (r *run) group() string { return r.options.Name + "-keys." }
+
+// putFirst writes the first key of the group, and returns the revision from which watches begin.
+func (r *run) putFirst(ctx context.Context) (uint64, error) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := r.client.Put(bounded, r.group()+"first", fmt.Sprint(r.options.Seed), 0)
+	var conflict coordinationclient.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		return 0, err
+	}
+	return r.client.Revision(bounded, r.group())
+}
+
+// watch notes the puts that one watch sees.
+func (r *run) watch(ctx context.Context, number int, after uint64) {
+	for ctx.Err() == nil {
+		next, err := r.client.Watch(ctx, r.group(), after, func(event coordinationclient.Event) error {
+			r.checks.seen(number, event)
+			return nil
+		})
+		after = next
+		if err != nil && ctx.Err() == nil {
+			r.results.fail("watch", err)
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+// runCaller makes calls at the caller's part of the rate.
+func (r *run) runCaller(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(r.options.Seed, uint64(number)))
+	interval := time.Duration(float64(r.options.Callers) / r.options.PerSecond * float64(time.Second))
+	for turn := 0; ctx.Err() == nil; turn++ {
+		began := time.Now()
+		calls := r.makeCalls(ctx, random, number, turn)
+		rest := time.Duration(calls)*interval - time.Since(began)
+		select {
+		case <-time.After(rest):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// makeCalls plays one scene and returns how many calls it took.
+func (r *run) makeCalls(ctx context.Context, random *rand.Rand, number, turn int) int {
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	switch random.IntN(3) {
+	case 0:
+		return r.holdLock(bounded, random, number)
+	case 1:
+		r.drawNumber(bounded, random)
+		return 1
+	default:
+		return r.changeKey(bounded, random, fmt.Sprintf("%d-%d-%d", r.options.Seed, number, turn))
+	}
+}
+
+// holdLock takes a lock, renews it once and gives it back.
+func (r *run) holdLock(ctx context.Context, random *rand.Rand, number int) int {
+	lock := fmt.Sprintf("%s-lock-%d", r.options.Name, random.IntN(r.options.Locks))
+	var hold *coordinationclient.Hold
+	err := r.results.measure("acquire", func() (err error) {
+		hold, err = r.client.Acquire(ctx, lock, fmt.Sprintf("%s-%d", r.options.Name, number), r.options.Hold)
+		return err
+	})
+	if err != nil {
+		return 1
+	}
+	r.checks.acquired(lock, hold)
+	_ = r.results.measure("renew", func() error { return hold.Renew(ctx) })
+	r.checks.releasing(lock, hold)
+	_ = r.results.measure("release", func() error { return hold.Release(ctx) })
+	return 3
+}
+
+func (r *run) drawNumber(ctx context.Context, random *rand.Rand) {
+	counter := fmt.Sprintf("%s-number-%d", r.options.Name, random.IntN(r.options.Counters))
+	floor := r.checks.highest(counter)
+	_ = r.results.measure("next", func() error {
+		value, err := r.client.Next(ctx, counter)
+		if err == nil {
+			r.checks.drawn(counter, floor, value)
+		}
+		return err
+	})
+}
+
+// changeKey reads a key and writes it over what was read.
+func (r *run) changeKey(ctx context.Context, random *rand.Rand, value string) int {
+	key := fmt.Sprintf("%s%d", r.group(), random.IntN(r.options.Keys))
+	var revision uint64
+	err := r.results.measure("get", func() (err error) {
+		_, revision, err = r.client.Get(ctx, key)
+		if errors.Is(err, coordinationclient.ErrMissing) {
+			return nil
+		}
+		return err
+	})
+	if err != nil {
+		return 1
+	}
+	_ = r.results.measure("put", func() error {
+		next, err := r.client.Put(ctx, key, value, revision)
+		if err == nil {
+			r.checks.put(value, next)
+		}
+		return err
+	})
+	return 2
+}
--- /dev/null
+++ b/internal/sim/applications/report.go
@@ -0,0 +1,134 @@
+package applications
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/coordinationclient"
+)
+
+// Report is what a play measured.
+type Report struct {
+	// PerSecond is how many calls were answered in a second.
+	PerSecond  float64         `json:"perSecond"`
+	Operations []OperationStat `json:"operations"`
+	// Faults are promises that were broken.
+	Faults []string `json:"faults"`
+}
+
+// OperationStat is one operation's part.
+type OperationStat struct {
+	Name string `json:"name"`
+	// Answered counts clear answers, among them Refused: locks that another holds, keys that were changed meanwhile. Failed counts
+	// calls without a clear answer in time.
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	// HalfMs, MostMs and MaxMs are the times in ms within which half, 99 in 100 and all clear answers came.
+	HalfMs float64 `json:"halfMs"`
+	MostMs float64 `json:"mostMs"`
+	MaxMs  float64 `json:"maxMs"`
+	// LastError is the last failure.
+	LastError string `json:"lastError,omitempty"`
+}
+
+// results collects how long calls took.
+type results struct {
+	lock      sync.Mutex
+	stats     map[string]*OperationStat
+	durations map[string][]time.Duration
+}
+
+func newResults() *results {
+	return &results{stats: map[string]*OperationStat{}, durations: map[string][]time.Duration{}}
+}
+
+// stat is that of an operation. The caller holds the lock.
+func (r *results) stat(name string) *OperationStat {
+	if r.stats[name] == nil {
+		r.stats[name] = &OperationStat{Name: name}
+	}
+	return r.stats[name]
+}
+
+func (r *results) fail(name string, err error) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	stat := r.stat(name)
+	stat.Failed++
+	stat.LastError = err.Error()
+}
+
+// measure makes a call and notes how it went.
+func (r *results) measure(name string, call func() error) error {
+	began := time.Now()
+	err := call()
+	took := time.Since(began)
+	var conflict coordinationclient.ConflictError
+	isRefused := errors.Is(err, coordinationclient.ErrHeld) || errors.Is(err, coordinationclient.ErrLost) || errors.As(err, &conflict)
+	if err != nil && !isRefused {
+		r.fail(name, err)
+		return err
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	stat := r.stat(name)
+	stat.Answered++
+	if isRefused {
+		stat.Refused++
+	}
+	r.durations[name] = append(r.durations[name], took)
+	return err
+}
+
+func (r *results) report(options Options, checked *checks) Report {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	checked.lock.Lock()
+	defer checked.lock.Unlock()
+	report := Report{Faults: append([]string{}, checked.faults...)}
+	answered := 0
+	for name, stat := range r.stats {
+		durations := r.durations[name]
+		slices.Sort(durations)
+		stat.HalfMs, stat.MostMs, stat.MaxMs = quantileMs(durations, 0.5), quantileMs(durations, 0.99), quantileMs(durations, 1)
+		report.Operations = append(report.Operations, *stat)
+		answered += stat.Answered
+	}
+	slices.SortFunc(report.Operations, func(left, right OperationStat) int {
+		return int(right.Answered) - int(left.Answered)
+	})
+	report.PerSecond = float64(answered) / options.Duration.Seconds()
+	return report
+}
+
+func quantileMs(sorted []time.Duration, share float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return float64(sorted[int(share*float64(len(sorted)-1))].Microseconds()) / 1000
+}
+
+// Print writes the report as a table.
+func (r Report) Print(target io.Writer) error {
+	fmt.Fprintf(target, "%.1f calls a second\n", r.PerSecond)
+	writer := tabwriter.NewWriter(target, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, "operation\tanswered\trefused\tfailed\thalf ms\t99% ms\tmax ms\tlast error")
+	for _, stat := range r.Operations {
+		fmt.Fprintf(writer, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%s\n",
+			stat.Name, stat.Answered, stat.Refused, stat.Failed, stat.HalfMs, stat.MostMs, stat.MaxMs, stat.LastError)
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	for _, fault := range r.Faults {
+		fmt.Fprintln(target, "BROKEN:", fault)
+	}
+	return nil
+}
--- a/internal/test/integration/coordination_client_test.go
+++ b/internal/test/integration/coordination_client_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"ferryspar/internal/coordinationclient"
+	"ferryspar/internal/sim/applications"
 )
 
 func (f *fleet) coordinationClient() *coordinationclient.Client {
@@ -179,3 +180,36 @@
 		assert.NilError(t, other.Release(t.Context()))
 	})
 }
+
+func TestApplications_FindNoBrokenPromiseWhileControlPlanesFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 0)
+		options := applications.Options{
+			Callers:   6,
+			PerSecond: 60,
+			Duration:  50 * time.Second,
+			Locks:     4,
+			Counters:  2,
+			Keys:      10,
+			Watches:   3,
+			Hold:      1500 * time.Millisecond,
+			Name:      "played",
+			Seed:      7,
+		}
+		for core := 1; core <= 3; core++ {
+			options.Addresses = append(options.Addresses, coreHost(core)+":8166")
+		}
+		var played sync.WaitGroup
+		var report applications.Report
+		played.Go(func() {
+			var err error
+			report, err = applications.Run(t.Context(), options, f.client.Transport)
+			assert.Check(t, err)
+		})
+		f.strikeCores()
+		played.Wait()
+		assert.Equal(t, len(report.Faults), 0, "%v", report.Faults)
+		assert.Equal(t, len(report.Operations), 6)
+		assert.Assert(t, report.PerSecond > 30, "%f", report.PerSecond)
+	})
+}
