Operator: a zone whose name holds a slash can be drained

The command escapes the name, chi leaves it as it was sent where the path has an encoding of its own, and the control plane looked for a zone hall%2Fnorth: 404. internal/httppath reads names in paths for the operators' API and that of applications. The new test fails on the sources before.

--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -14,6 +14,7 @@
 
 	"ferryspar/internal/apierror"
 	"ferryspar/internal/drill"
+	"ferryspar/internal/httppath"
 	"ferryspar/internal/retention"
 )
 
@@ -145,6 +146,10 @@
 
 func drainZone(drained bool) handler {
 	return func(state State, request *http.Request) ([]byte, error) {
-		return nil, state.DrainZone(request.Context(), chi.URLParam(request, "zone"), drained, callDeadline(request.Context()))
+		zone, err := httppath.Parameter(request, "zone")
+		if err != nil {
+			return nil, err
+		}
+		return nil, state.DrainZone(request.Context(), zone, drained, callDeadline(request.Context()))
 	}
 }
--- a/internal/coordinationapi/handler.go
+++ b/internal/coordinationapi/handler.go
@@ -11,6 +11,7 @@
 
 	"ferryspar/internal/apierror"
 	"ferryspar/internal/coordination"
+	"ferryspar/internal/httppath"
 )
 
 // Paths of the API. The name of a lock, counter, key or group follows.
@@ -164,7 +165,7 @@
 
 // do carries out a call on the item that the path names, and returns the outcomes that have no body of their own as errors.
 func (a *api) do(request *http.Request, call coordination.Call) (coordination.Result, error) {
-	name, err := pathName(request)
+	name, err := httppath.Parameter(request, "name")
 	if err != nil {
 		return coordination.Result{}, err
 	}
@@ -204,7 +205,7 @@
 }
 
 func (a *api) watch(writer http.ResponseWriter, request *http.Request) {
-	group, err := pathName(request)
+	group, err := httppath.Parameter(request, "name")
 	if err != nil {
 		apierror.Write(writer, err)
 		return
--- a/internal/test/integration/configuration_test.go
+++ b/internal/test/integration/configuration_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/nodesettings"
 )
 
 func TestConfiguration_ConcurrentPutsOnOneVersionHaveOneWinner(t *testing.T) {
@@ -130,3 +133,22 @@
 		}
 	})
 }
+
+func TestConfiguration_ZoneWithASlashIsDrained(t *testing.T) {
+	const zone = "hall/north 1"
+	synctest.Test(t, func(t *testing.T) {
+		f := startSettledFleet(t, 1, newStandInReplica("i-1", "10.1.2.1", "north", "swift"))
+		f.kill(coreHost(1))
+		f.adjustSettings = func(settings *nodesettings.Settings) {
+			settings.Zones = map[string]string{zone: "land", "north": "land", "south": "land", "east": "land"}
+		}
+		f.startCore(coreHost(1), false, 1, 2, 3)
+		time.Sleep(4 * time.Second)
+		drained := f.call(http.MethodPost, coreHost(1)+":8166", "/ferryspar/drain-zone/"+url.PathEscape(zone), "", nil)
+		assert.Equal(t, drained.status, http.StatusOK, drained.body)
+		status := f.call(http.MethodGet, coreHost(1)+":8166", "/ferryspar/status", "", nil)
+		assert.Assert(t, strings.Contains(status.body, zone), status.body)
+		unknown := f.call(http.MethodPost, coreHost(1)+":8166", "/ferryspar/drain-zone/"+url.PathEscape("no/such"), "", nil)
+		assert.Equal(t, unknown.status, http.StatusNotFound)
+	})
+}
