--- a/internal/controlplane/coordinator/router.go
+++ b/internal/controlplane/coordinator/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,14 +20,6 @@
 	callTimeout = 950 * time.Millisecond
 	// unconfirmedTimeout is the same while this node has no contact with a majority: another one is the better choice.
 	unconfirmedTimeout = 450 * time.Millisecond
-	// forwardTimeout is how long the owner of an item may take before another control plane becomes its owner. After
-	// resendAfter the call is sent to it once more: the network may have lost the first message.
-	forwardTimeout = 400 * time.Millisecond
-	resendAfter    = 150 * time.Millisecond
-	// avoidFor is how long a control plane that did not answer in time gets no further calls, refusedFor one that no process
-	// listens at.
-	avoidFor   = 2 * time.Second
-	refusedFor = 400 * time.Millisecond
 	// retryPause lies between attempts that were not carried out.
 	retryPause = 30 * time.Millisecond
 	// maxCalls is how many calls of applications a node carries out at a time.
@@ -171,74 +162,6 @@
 	return r.executor.Do(ctx, call)
 }
 
-// forward has another node carry out a call.
-func (r *Router) forward(
-	ctx context.Context, owner string, request peer.CoordinationRequest,
-) (coordination.Result, error) {
-	wait := time.Duration(request.Call.WaitMs) * time.Millisecond
-	bounded, cancel := context.WithTimeout(ctx, forwardTimeout+wait)
-	defer cancel()
-	reply, err := r.send(bounded, owner, request, resendAfter+wait)
-	if err == nil {
-		return reply.Result, errorOf(reply.Status)
-	}
-	if ctx.Err() != nil {
-		return coordination.Result{}, ErrUncertain // the caller's time is up, which says nothing of the owner
-	}
-	if isRefused(err) {
-		r.avoid(owner, refusedFor, err)
-		return coordination.Result{}, ErrNotExecuted
-	}
-	r.avoid(owner, avoidFor, err)
-	return coordination.Result{}, ErrUncertain
-}
-
-// forwardedReply is what came of one message.
-type forwardedReply struct {
-	reply peer.CoordinationReply
-	err   error
-}
-
-// send sends a call, and once more if there is no reply after a while, and returns the first reply. The error is of the last message
-// that failed, unless that was refused and another one was not.
-func (r *Router) send(
-	ctx context.Context, owner string, request peer.CoordinationRequest, after time.Duration,
-) (peer.CoordinationReply, error) {
-	const maxMessages = 2
-	received := make(chan forwardedReply, maxMessages)
-	sendOnce := func() {
-		var reply peer.CoordinationReply
-		err := r.caller.Call(ctx, peer.MethodCoordinate, owner, request, &reply)
-		received <- forwardedReply{reply: reply, err: err}
-	}
-	go sendOnce()
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	var failure error
-	for pending := 1; pending > 0; {
-		select {
-		case <-timer.C:
-			go sendOnce()
-			pending++
-		case answered := <-received:
-			if answered.err == nil {
-				return answered.reply, nil
-			}
-			pending--
-			if failure == nil || isRefused(failure) {
-				failure = answered.err
-			}
-		}
-	}
-	return peer.CoordinationReply{}, failure
-}
-
-// isRefused says that a call failed before it was sent: no connection was established.
-func isRefused(err error) bool {
-	var failure *net.OpError
-	return errors.As(err, &failure) && failure.Op == "dial"
-}
-
 // owner is the node that is to own an item now. isFirst says that no node was passed over that all others agree on.
 func (r *Router) owner(key string) (address string, isFirst bool) {
 	candidates := r.candidates()
