--- a/internal/controlplane/coordinator/executor_test.go
+++ b/internal/controlplane/coordinator/executor_test.go
@@ -42,7 +42,7 @@
 			seen[<-numbers] = true
 		}
 		assert.Equal(t, len(seen), callers, "each number once")
-		assert.Assert(t, store.operations <= 3, "%d operations", store.operations)
+		assert.Assert(t, store.operations.Load() <= 3, "%d operations", store.operations.Load())
 	})
 }
 
--- a/internal/controlplane/coordinator/follower_test.go
+++ b/internal/controlplane/coordinator/follower_test.go
@@ -47,9 +47,9 @@
 		}
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, watches.Counts()[group], watchers)
-		before := store.operations
+		before := store.operations.Load()
 		time.Sleep(3 * time.Second)
-		assert.Assert(t, store.operations-before < 15, "%d operations in 3 s", store.operations-before)
+		assert.Assert(t, store.operations.Load()-before < 15, "%d operations in 3 s", store.operations.Load()-before)
 		watches.put(t, "second")
 		for range watchers {
 			result := <-results
@@ -58,9 +58,9 @@
 		}
 		assert.Equal(t, len(watches.Counts()), 0)
 		time.Sleep(2 * followIdle)
-		before = store.operations
+		before = store.operations.Load()
 		time.Sleep(time.Minute)
-		assert.Equal(t, store.operations, before, "a group without watches is not followed")
+		assert.Equal(t, store.operations.Load(), before, "a group without watches is not followed")
 	})
 }
 
--- a/internal/controlplane/coordinator/router_test.go
+++ b/internal/controlplane/coordinator/router_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,21 +27,24 @@
 
 // memoryStore keeps registers of one process, and fails as told.
 type memoryStore struct {
+	lock      sync.Mutex
 	registers map[string]keystore.Register
 	// err is returned in place of an outcome.
 	err error
 	// takes is how long an operation lasts.
 	takes time.Duration
 	// operations counts the calls of Operate.
-	operations int
+	operations atomic.Int64
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{registers: map[string]keystore.Register{}} }
 
 // Operate implements Store.
 func (m *memoryStore) Operate(_ context.Context, name string, step keystore.Step) (keystore.Register, error) {
-	m.operations++
+	m.operations.Add(1)
 	time.Sleep(m.takes)
+	m.lock.Lock()
+	defer m.lock.Unlock()
 	if m.err != nil {
 		return keystore.Register{}, m.err
 	}
@@ -91,6 +95,20 @@
 	return err
 }
 
+// calls returns the addresses that were called so far.
+func (f *testFleet) calls() []string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return append([]string(nil), f.called...)
+}
+
+// forget begins the list of calls anew.
+func (f *testFleet) forget() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.called = nil
+}
+
 func newTestRouter(fleet *testFleet, store Store) *Router {
 	executor := NewExecutor(store, coordination.Config{History: time.Minute}, time.Now)
 	return NewRouter("self", fleet, fleet, executor, time.Now)
@@ -118,20 +136,20 @@
 		result, err := router.Do(t.Context(), testPut)
 		assert.NilError(t, err)
 		assert.Equal(t, result.Revision, uint64(7))
-		assert.DeepEqual(t, fleet.called, []string{first, first, second})
+		assert.DeepEqual(t, fleet.calls(), []string{first, first, second})
 		assert.Assert(t, !fleet.requests[1].TakeOver)
 		assert.Assert(t, fleet.requests[2].TakeOver, "the second must not pass it back")
 		assert.Equal(t, fleet.requests[0].Call.ID, fleet.requests[2].Call.ID, "it is one call")
-		fleet.called = nil
+		fleet.forget()
 		_, err = router.Do(t.Context(), testPut)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, fleet.called, []string{second})
+		assert.DeepEqual(t, fleet.calls(), []string{second})
 		fleet.answers[first] = decided
 		time.Sleep(avoidFor)
-		fleet.called = nil
+		fleet.forget()
 		_, err = router.Do(t.Context(), testPut)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, fleet.called, []string{first}) // it is asked again after a while
+		assert.DeepEqual(t, fleet.calls(), []string{first}) // it is asked again after a while
 	})
 }
 
@@ -200,7 +218,7 @@
 		assert.Equal(t, reply.Result.Revision, uint64(1), "carried out here")
 		reply = router.HandleForwarded(t.Context(), peer.CoordinationRequest{Call: testPut, TakeOver: true})
 		assert.Equal(t, reply.Result.Revision, uint64(1), "the same put")
-		assert.Equal(t, len(fleet.called), 1)
+		assert.Equal(t, len(fleet.calls()), 1)
 	})
 }
 
@@ -231,10 +249,10 @@
 
 func TestRouter_LateReplyDoesNotMoveAnItem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		attempts := 0
+		var attempts atomic.Int64
 		fleet := &testFleet{members: []string{"b", "c"}, lastOwner: "b", answers: answers{
 			"b": func(request peer.CoordinationRequest) (peer.CoordinationReply, error) {
-				if attempts++; attempts == 1 {
+				if attempts.Add(1) == 1 {
 					time.Sleep(time.Minute)
 				}
 				return decided(request)
@@ -244,7 +262,7 @@
 		_, err := newTestRouter(fleet, newMemoryStore()).Do(t.Context(), testPut)
 		assert.NilError(t, err)
 		assert.Equal(t, time.Since(began), resendAfter)
-		assert.DeepEqual(t, fleet.called, []string{"b", "b"})
+		assert.DeepEqual(t, fleet.calls(), []string{"b", "b"})
 		time.Sleep(time.Minute)
 	})
 }
