--- a/internal/controlplane/coordinator/follower.go
+++ b/internal/controlplane/coordinator/follower.go
@@ -21,6 +21,9 @@
 	followIdle = 5 * time.Second
 	// maxFollowedEvents is how many puts of a group are kept here. A watch that lags further is answered by the owner.
 	maxFollowedEvents = 512
+	// learnTimeout is how long a watch waits for a follower that has just begun, before it asks the owner itself: many that begin
+	// together would otherwise all ask.
+	learnTimeout = 250 * time.Millisecond
 	// maxWatches is how many watches may wait at a node.
 	maxWatches = 5000
 )
@@ -98,6 +101,7 @@
 	defer timer.Stop()
 	followed := w.follow(group)
 	defer followed.endWatch(w.clock)
+	followed.awaitKnown(ctx)
 	for {
 		result, isCovered, changed := followed.since(after)
 		if !isCovered {
@@ -157,6 +161,23 @@
 	return found
 }
 
+// awaitKnown waits a little for the first answer of the owner.
+func (f *follower) awaitKnown(ctx context.Context) {
+	f.lock.Lock()
+	isKnown, changed := f.isKnown, f.changed
+	f.lock.Unlock()
+	if isKnown {
+		return
+	}
+	timer := time.NewTimer(learnTimeout)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Counts counts the watches that wait, by group.
 func (w *Watches) Counts() map[string]int {
 	w.lock.Lock()
--- a/internal/controlplane/coordinator/follower_test.go
+++ b/internal/controlplane/coordinator/follower_test.go
@@ -64,6 +64,22 @@
 	})
 }
 
+func TestWatches_WatchAsksItselfWhereTheFollowerGetsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		watches, store, _ := newTestWatches(t)
+		defer watches.cancel()
+		watches.put(t, "first")
+		watches.put(t, "second")
+		store.takes = 400 * time.Millisecond // longer than a watch waits for its follower
+		began := time.Now()
+		result, err := watches.Watch(t.Context(), group, 1, 2*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(result.Events), 1)
+		assert.Assert(t, time.Since(began) < patience, "%s", time.Since(began))
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestWatches_WatchThatLagsIsAnsweredByTheOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		watches, _, _ := newTestWatches(t)
--- a/internal/nodesettings/pinned_test.go
+++ b/internal/nodesettings/pinned_test.go
@@ -74,6 +74,7 @@
 			ColdSlack:        47.5,
 			EvacuateMs:       48.5,
 			RecoveryS:        49.5,
+			HistoryS:         20, // its default: the file is of a version that had no such key
 			StepTimeMs:       50.5,
 			Fencing:          true,
 			LeaseMs:          52.5,
