Keystore: a member that cannot be reached ends a round at the first failure

Cause: since a member without a reply gets the message again, and its part of the round ended only once all messages to it had failed: a connection to a machine without power fails after 0.5 s, the third after 0.9 s and more. Whoever wants the placement lease while its holder's machine is gone waits for that member, since one of the others may still count the lease as granted, so each attempt took nearly twice as long.

Change: the first result of any message to a member is its reply, as it was before.

--- a/internal/keystore/round.go
+++ b/internal/keystore/round.go
@@ -130,30 +130,26 @@
 // sendRepeatedly sends a message again each resendInterval, until the first reply comes in or the round is decided, and returns
 // that reply. Steps of an acceptor are idempotent. Once a round is decided nothing more is sent: members that reply slowly are
 // not asked more the less they keep up.
+//
+// A message that fails ends it too: a member that cannot be reached would otherwise hold up the round until the last message to it
+// has failed as well.
 func (s *Store) sendRepeatedly(ctx context.Context, decided <-chan struct{}, address string, message Message) Reply {
 	received := make(chan Reply, maxSends)
-	pending := 0
-	sendOnce := func() {
-		pending++
-		go func() { received <- s.send(ctx, address, message) }()
-	}
-	sendOnce()
-	timer := time.NewTicker(resendInterval)
-	defer timer.Stop()
+	sendOnce := func() { received <- s.send(ctx, address, message) }
+	go sendOnce()
+	ticker := time.NewTicker(resendInterval)
+	defer ticker.Stop()
 	for sent := 1; ; {
 		select {
 		case reply := <-received:
-			pending--
-			if reply.Rejection != RejectedUnreachable || pending == 0 {
-				return reply
-			}
-		case <-timer.C:
+			return reply
+		case <-ticker.C:
 			if sent < maxSends {
-				sendOnce()
+				go sendOnce()
 				sent++
 			}
 		case <-decided:
-			timer.Stop()
+			ticker.Stop()
 			decided = nil
 		}
 	}
--- a/internal/keystore/round_test.go
+++ b/internal/keystore/round_test.go
@@ -72,3 +72,26 @@
 		}
 	})
 }
+
+// unreachableTransport has members that cannot be reached, which takes a while to show, beside one that rejects.
+type unreachableTransport struct{ connectTimeout time.Duration }
+
+func (u unreachableTransport) Send(_ context.Context, address string, message keystore.Message) (keystore.Reply, error) {
+	if address != "a" {
+		time.Sleep(u.connectTimeout)
+		return keystore.Reply{}, errMessageLost
+	}
+	return keystore.Reply{Granted: true, DiskIncarnation: 1, Membership: message.Membership}, nil
+}
+
+func TestStore_MemberThatCannotBeReachedEndsTheRoundAtItsFirstFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		membership := keystore.Membership{Version: 1, Current: []string{"a", "b", "c"}}
+		store := keystore.NewStore("a", 7, unreachableTransport{connectTimeout: 500 * time.Millisecond}, membership)
+		began := time.Now()
+		_, err := store.Acquire(t.Context(), keystore.LeasePrefix+"duty", func(keystore.Register) json.RawMessage { return nil })
+		assert.Assert(t, errors.Is(err, keystore.ErrNoMajority), "%v", err)
+		assert.Equal(t, time.Since(began), 500*time.Millisecond)
+		time.Sleep(5 * time.Second)
+	})
+}
