--- a/internal/keystore/round.go
+++ b/internal/keystore/round.go
@@ -131,6 +131,8 @@
 // that reply. Steps of an acceptor are idempotent. Once a round is decided nothing more is sent: members that reply slowly are
 // not asked more the less they keep up.
 //
+// Messages about leases are sent once: who wants a lease makes further attempts by itself.
+//
 // A message that fails ends it too: a member that cannot be reached would otherwise hold up the round until the last message to it
 // has failed as well.
 func (s *Store) sendRepeatedly(ctx context.Context, decided <-chan struct{}, address string, message Message) Reply {
@@ -144,7 +146,7 @@
 		case reply := <-received:
 			return reply
 		case <-ticker.C:
-			if sent < maxSends {
+			if sent < maxSends && !isLease(message.Key) {
 				go sendOnce()
 				sent++
 			}
