Keystore: large values are not sent again

A round that is undecided after 0.25 s sends its message again. Where members are slow because a configuration of tens of kilobytes costs them processor time, they would get three of them.

--- a/internal/keystore/round.go
+++ b/internal/keystore/round.go
@@ -15,6 +15,9 @@
 	resendInterval = 250 * time.Millisecond
 	// maxSends is how often a message is sent to one member within a round.
 	maxSends = 3
+	// maxResendBytes is the largest value of a message that is sent again: members that are slow with a large one would get
+	// more of them the slower they are.
+	maxResendBytes = 4 << 10
 )
 
 // Transport carries a message to a member and brings its reply back. A message may arrive twice or late; no step of an
@@ -131,7 +134,7 @@
 // that reply. Steps of an acceptor are idempotent. Once a round is decided nothing more is sent: members that reply slowly are
 // not asked more the less they keep up.
 //
-// Messages about leases are sent once: who wants a lease makes further attempts by itself.
+// Messages about leases are sent once: who wants a lease makes further attempts by itself. So are those with a large value.
 //
 // A message that fails ends it too: a member that cannot be reached would otherwise hold up the round until the last message to it
 // has failed as well.
@@ -146,7 +149,7 @@
 		case reply := <-received:
 			return reply
 		case <-ticker.C:
-			if sent < maxSends && !isLease(message.Key) {
+			if sent < maxSends && message.mayBeResent() {
 				go sendOnce()
 				sent++
 			}
@@ -157,6 +160,9 @@
 	}
 }
 
+// mayBeResent says whether a message without a reply is worth another one.
+func (m Message) mayBeResent() bool { return !isLease(m.Key) && len(m.Value) <= maxResendBytes }
+
 // send returns a member's reply, and learns the membership and the proposal number in it.
 func (s *Store) send(ctx context.Context, address string, message Message) Reply {
 	reply, err := s.transport.Send(ctx, address, message)
--- a/internal/keystore/round_test.go
+++ b/internal/keystore/round_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -59,6 +60,25 @@
 	})
 }
 
+func TestStore_LargeValueIsSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, transport := newLossyStore(0)
+		large := json.RawMessage(`"` + strings.Repeat("x", 64<<10) + `"`)
+		write := func(keystore.Register) (json.RawMessage, error) { return large, nil }
+		_, err := store.Change(t.Context(), "k", write)
+		assert.NilError(t, err)
+		time.Sleep(5 * time.Second)
+		before := transport.sent["c"]
+		transport.lost = 1000
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		_, err = store.Change(ctx, "k", write)
+		assert.Assert(t, errors.Is(err, keystore.ErrUncertain), "%v", err)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, transport.sent["c"]-before, 1)
+	})
+}
+
 func TestStore_MessageIsSentSeldomToSilentMembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, transport := newLossyStore(1000)
