Coordinator: what the project had already, called instead of written again

- nodesettings.Sleep in place of a second one;
- an item whose last owner is reachable is routed without hashing and sorting the members at each call;
- a call's wait and a hold's length are computed in one place each, the check for room in one; Call.Changes, which nobody called, is gone;
- keystore: ReadCommitted and its private twin are one.

--- a/internal/controlplane/coordination_host.go
+++ b/internal/controlplane/coordination_host.go
@@ -67,8 +67,8 @@
 
 // Do implements coordinationapi.Service.
 func (s coordinationService) Do(ctx context.Context, call coordination.Call) (coordination.Result, error) {
-	if !s.node.itemCapacity.Admits(call) {
-		return coordination.Result{}, apierror.New(apierror.CoordinationFull, "no room for further names")
+	if err := s.admit(call); err != nil {
+		return coordination.Result{}, err
 	}
 	result, err := s.node.coordination.Do(ctx, call)
 	if err == nil && call.Operation == coordination.OperationForceRelease {
@@ -77,6 +77,14 @@
 	return result, coordinationError(err)
 }
 
+// admit returns an error if the item of a call is new and there is no room for it.
+func (s coordinationService) admit(call coordination.Call) error {
+	if s.node.itemCapacity.Admits(call) {
+		return nil
+	}
+	return apierror.New(apierror.CoordinationFull, "no room for further names")
+}
+
 // Items implements coordinationapi.Service.
 func (s coordinationService) Items() []coordination.ItemSummary {
 	return coordinator.Summaries(s.node.acceptor.Durable())
@@ -89,8 +97,8 @@
 func (s coordinationService) Watch(
 	ctx context.Context, group string, after uint64, wait time.Duration,
 ) (coordination.Result, error) {
-	if !s.node.itemCapacity.Admits(coordination.Call{Kind: coordination.KindGroup, Name: group}) {
-		return coordination.Result{}, apierror.New(apierror.CoordinationFull, "no room for further names")
+	if err := s.admit(coordination.Call{Kind: coordination.KindGroup, Name: group}); err != nil {
+		return coordination.Result{}, err
 	}
 	result, err := s.node.watches.Watch(ctx, group, after, wait)
 	return result, coordinationError(err)
--- a/internal/controlplane/coordinator/executor.go
+++ b/internal/controlplane/coordinator/executor.go
@@ -90,7 +90,7 @@
 
 // AwaitEvents carries out an OperationEvents, and waits for a first event for as long as the call says.
 func (e *Executor) AwaitEvents(ctx context.Context, call coordination.Call) (coordination.Result, error) {
-	timer := time.NewTimer(time.Duration(call.WaitMs) * time.Millisecond)
+	timer := time.NewTimer(call.Wait())
 	defer timer.Stop()
 	item := e.item(call)
 	for {
--- a/internal/controlplane/coordinator/follower.go
+++ b/internal/controlplane/coordinator/follower.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"ferryspar/internal/coordination"
+	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
 )
 
@@ -204,7 +205,7 @@
 func (w *Watches) run(followed *follower) {
 	for !w.dropIdle(followed) {
 		if err := w.poll(w.ctx, followed); err != nil {
-			pause(w.ctx, retryPause)
+			nodesettings.Sleep(w.ctx, retryPause)
 		}
 	}
 }
--- a/internal/controlplane/coordinator/forward.go
+++ b/internal/controlplane/coordinator/forward.go
@@ -28,7 +28,7 @@
 func (r *Router) forward(
 	ctx context.Context, owner string, request peer.CoordinationRequest,
 ) (coordination.Result, error) {
-	wait := time.Duration(request.Call.WaitMs) * time.Millisecond
+	wait := request.Call.Wait()
 	bounded, cancel := context.WithTimeout(ctx, forwardTimeout+wait)
 	defer cancel()
 	reply, err := r.send(bounded, owner, request, resendAfter+wait)
--- a/internal/controlplane/coordinator/router.go
+++ b/internal/controlplane/coordinator/router.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/coordination"
+	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
 )
 
@@ -103,7 +104,7 @@
 // HandleForwarded carries out a call that another node forwards, or passes it on if another one is its owner by what this node
 // knows: the sender may be cut off from that one.
 func (r *Router) HandleForwarded(ctx context.Context, request peer.CoordinationRequest) peer.CoordinationReply {
-	bounded, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(request.Call.WaitMs)*time.Millisecond)
+	bounded, cancel := context.WithTimeout(ctx, callTimeout+request.Call.Wait())
 	defer cancel()
 	var result coordination.Result
 	var err error
@@ -129,20 +130,11 @@
 		case errors.Is(err, ErrUncertain):
 			failure = ErrUncertain
 		}
-		pause(ctx, retryPause)
+		nodesettings.Sleep(ctx, retryPause)
 	}
 	return coordination.Result{}, failure
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // attempt has a call carried out once by the node that is to own its item now.
 func (r *Router) attempt(ctx context.Context, request peer.CoordinationRequest) (coordination.Result, error) {
 	owner, isFirst := r.owner(storeKey(request.Call))
@@ -168,19 +160,29 @@
 	if len(candidates) == 0 {
 		return r.self, true
 	}
+	last := r.fleet.LastOwner(key)
+	isKnown := slices.Contains(candidates, last)
+	if isKnown && !r.isAvoided(last) {
+		return last, true
+	}
 	slices.SortFunc(candidates, func(left, right string) int { return compareByRank(key, left, right) })
-	if last := r.fleet.LastOwner(key); slices.Contains(candidates, last) {
-		candidates = append([]string{last}, candidates...)
+	first := candidates[0]
+	if isKnown {
+		first = last
 	}
-	now := r.clock()
-	r.lock.Lock()
-	defer r.lock.Unlock()
 	for _, candidate := range candidates {
-		if !now.Before(r.avoided[candidate]) {
-			return candidate, candidate == candidates[0]
+		if !r.isAvoided(candidate) {
+			return candidate, candidate == first
 		}
 	}
-	return candidates[0], true
+	return first, true
+}
+
+func (r *Router) isAvoided(address string) bool {
+	now := r.clock()
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return now.Before(r.avoided[address])
 }
 
 // candidates are the members that may own items, by what this node knows.
--- a/internal/controlplane/coordinator/simulation_test.go
+++ b/internal/controlplane/coordinator/simulation_test.go
@@ -14,6 +14,7 @@
 
 	"ferryspar/internal/coordination"
 	"ferryspar/internal/keystore"
+	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
 	"ferryspar/internal/test/keystoresim"
 )
@@ -105,7 +106,7 @@
 				}
 			}
 		}
-		pause(ctx, heartbeatInterval)
+		nodesettings.Sleep(ctx, heartbeatInterval)
 	}
 }
 
--- a/internal/coordination/call.go
+++ b/internal/coordination/call.go
@@ -52,16 +52,12 @@
 	WaitMs int64 `json:"waitMs,omitempty"`
 }
 
-// Changes says whether the operation may change its item.
-func (c Call) Changes() bool {
-	switch c.Operation {
-	case OperationGet, OperationEvents, OperationRevision, OperationInspect:
-		return false
-	}
-	return true
-}
+// Wait is how long OperationEvents waits for a first event.
+func (c Call) Wait() time.Duration { return time.Duration(c.WaitMs) * time.Millisecond }
+
+func (c Call) hold() time.Duration { return holdDuration(c.HoldMs) }
 
-func (c Call) hold() time.Duration { return time.Duration(c.HoldMs) * time.Millisecond }
+func holdDuration(holdMs int64) time.Duration { return time.Duration(holdMs) * time.Millisecond }
 
 // Outcome is how an item answers a call. The words are sent between nodes of different versions.
 type Outcome string
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -55,7 +55,7 @@
 	if err := decodeValue(value, &lock.record); err != nil {
 		return nil, err
 	}
-	lock.freeAt = now.Add(withDrift(Call{HoldMs: lock.record.HoldMs}.hold()))
+	lock.freeAt = now.Add(withDrift(holdDuration(lock.record.HoldMs)))
 	if known.fence > 0 && known.fence == lock.record.Fence {
 		lock.freeAt, lock.acquiredAt = known.freeAt, known.acquiredAt
 	}
--- a/internal/keystore/proposer.go
+++ b/internal/keystore/proposer.go
@@ -32,7 +32,7 @@
 	defer s.beginEffort(key, began)()
 	if !key.owned || !key.IsCertain() {
 		// A change that is to be rejected need not take the key from its owner.
-		if committed, known := s.readCommitted(ctx, name); known {
+		if committed, known := s.ReadCommitted(ctx, name); known {
 			if _, rejected := decide(committed); rejected != nil {
 				return committed, rejected
 			}
--- a/internal/keystore/read.go
+++ b/internal/keystore/read.go
@@ -19,7 +19,7 @@
 	if key.owned && key.IsCertain() && s.confirmSince(ctx, key, began) {
 		return key.register, nil
 	}
-	if committed, known := s.readCommitted(ctx, name); known {
+	if committed, known := s.ReadCommitted(ctx, name); known {
 		return committed, nil
 	}
 	if err := s.becomeOwnerWithRetry(ctx, key); err != nil {
@@ -31,12 +31,6 @@
 // ReadCommitted returns a key's committed value, confirmed at a majority after the call began, without taking the key from its
 // owner. It finds none while the newest proposal is undecided.
 func (s *Store) ReadCommitted(ctx context.Context, name string) (Register, bool) {
-	return s.readCommitted(ctx, name)
-}
-
-// readCommitted looks for the key's value without taking the key from its owner. It finds none while the newest proposal
-// is undecided.
-func (s *Store) readCommitted(ctx context.Context, name string) (Register, bool) {
 	digest, err := s.Digest(ctx)
 	if err != nil {
 		return Register{}, false
