Keystore: a membership change that can't be completed is taken back by the current members

Cause: every step of a joint change, its end included, needed majorities of the present and the next members.

Change: a joint membership is taken back by a majority of its current members alone (Store.ChangeMembership, with the argument), also without a confirmed state, and after 1.5 s in which too few of the next members vote. A completion that may be in force is found by the prepare round and completed instead.

--- a/internal/controlplane/members/changes.go
+++ b/internal/controlplane/members/changes.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"ferryspar/internal/keystore"
@@ -21,9 +19,6 @@
 	changeTimeout = 2500 * time.Millisecond
 )
 
-// errSuperseded ends a change that another node's change has overtaken.
-var errSuperseded = errors.New("members: a newer membership is committed")
-
 // dueChange remembers since when a change has been due in this node's view.
 type dueChange struct {
 	change membership.Change
@@ -58,25 +53,24 @@
 // changeIfDue commits a change of the membership that has been due for long enough.
 func (m *Manager) changeIfDue(ctx context.Context, due *dueChange) {
 	now := m.config.Clock()
-	if !m.mayChange(now) {
-		*due = dueChange{}
-		return
-	}
 	view := m.View()
 	change, needed := membership.NextChange(view)
-	if !needed {
+	if !needed || !m.mayChange(now, view.Membership.IsTakenBackBy(change.Membership)) {
 		*due = dueChange{}
 		return
 	}
 	due.observe(change, now)
-	if now.Sub(due.since) >= membership.ProposalDelay(view) {
+	if now.Sub(due.since) >= membership.ProposalDelay(view)+change.Patience {
 		m.commitChange(ctx, view.Membership, change)
 	}
 }
 
-// mayChange tells whether this node knows enough to change the membership.
-func (m *Manager) mayChange(now time.Time) bool {
-	return now.Sub(m.config.StartedAt) >= startDelay && m.acceptor.LocalState().Voting && m.host.IsConfirmed(now)
+// mayChange tells whether this node knows enough to change the membership. To take back a change the state need not be
+// confirmed: nothing can be confirmed while the next members have no majority, and a member that acts on an old
+// membership is rejected.
+func (m *Manager) mayChange(now time.Time, isTakenBack bool) bool {
+	knowsEnough := now.Sub(m.config.StartedAt) >= startDelay && m.acceptor.LocalState().Voting
+	return knowsEnough && (isTakenBack || m.host.IsConfirmed(now))
 }
 
 // commitChange commits a change unless a newer membership than current was committed meanwhile.
@@ -84,14 +78,7 @@
 func (m *Manager) commitChange(ctx context.Context, current keystore.Membership, change membership.Change) {
 	bounded, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	register, err := m.store.Change(bounded, keystore.MembershipKey, func(register keystore.Register) (json.RawMessage, error) {
-		var committed keystore.Membership
-		_ = json.Unmarshal(register.Value, &committed)
-		if committed.Version > current.Version {
-			return nil, errSuperseded
-		}
-		return json.Marshal(change.Membership)
-	})
+	register, err := m.store.ChangeMembership(bounded, current, change.Membership)
 	if err != nil {
 		return
 	}
--- a/internal/keystore/membership.go
+++ b/internal/keystore/membership.go
@@ -38,3 +38,17 @@
 
 // IsJoint says whether a change of the list is under way.
 func (m Membership) IsJoint() bool { return len(m.Next) > 0 }
+
+// TakenBack is the membership that ends a joint one with its current members.
+func (m Membership) TakenBack() Membership {
+	return Membership{Version: m.Version + 1, Current: m.Current}
+}
+
+// IsTakenBackBy says whether the other membership ends this joint one with its current members.
+func (m Membership) IsTakenBackBy(other Membership) bool {
+	return m.IsJoint() && other.equal(m.TakenBack())
+}
+
+func (m Membership) equal(other Membership) bool {
+	return m.Version == other.Version && slices.Equal(m.Current, other.Current) && slices.Equal(m.Next, other.Next)
+}
--- /dev/null
+++ b/internal/keystore/membership_change.go
@@ -0,0 +1,90 @@
+package keystore
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// ChangeMembership commits the membership that follows another. ErrSuperseded says that a newer one than current is, or may
+// be, in force already.
+func (s *Store) ChangeMembership(ctx context.Context, current, next Membership) (Register, error) {
+	if current.IsTakenBackBy(next) {
+		register, err := s.takeBack(ctx, current)
+		if err != errCompletionFound {
+			return register, err
+		}
+		// A completion is on a disk and may be in force. Change commits it, by the joint quorum, before it decides.
+	}
+	return s.Change(ctx, MembershipKey, func(register Register) (json.RawMessage, error) {
+		if decodeMembership(register).Version > current.Version {
+			return nil, ErrSuperseded
+		}
+		return json.Marshal(next)
+	})
+}
+
+// takeBack ends a joint membership with its current members, by a majority of these alone: it works as well where the next
+// members have no majority, and a change that could be neither completed nor taken back would stop all writes for ever.
+//
+// The joint membership can't be completed beside it. A completion is a value of the same key, and its quorum, like every quorum
+// of the joint membership, holds a majority of the current members. So either the prepare round here finds the completion, or
+// the completion finds this proposal or is rejected by a member that has promised this number. The same holds for all other
+// keys: whatever was decided under the joint membership stands on a majority of the current members, which are the members of
+// the next version. A majority of the next members alone would not do: it need not share a member with a quorum of the
+// current ones, as which the fleet goes on.
+func (s *Store) takeBack(ctx context.Context, joint Membership) (Register, error) {
+	key := s.keyState(MembershipKey)
+	if err := key.lock(ctx); err != nil {
+		return Register{}, err
+	}
+	defer key.unlock()
+	key.owned = false
+	electorate := TakeBackElectorate(joint)
+	proposal := s.nextProposalNumber()
+	countsPromise := func(replies *replySet) VoteFunc { return replies.countsPromise }
+	prepared, agreed := s.queryElectorate(ctx, joint, electorate, PrepareMessage(MembershipKey, proposal), countsPromise)
+	if !agreed {
+		return Register{}, prepared.prepareError()
+	}
+	ownership := NewOwnership(MembershipKey, proposal, prepared.replies)
+	next, err := ownership.ProposeTakeBack(joint)
+	if err != nil {
+		return Register{}, err
+	}
+	accepts := func(*replySet) VoteFunc { return ownership.CountsAcceptance }
+	if _, agreed := s.queryElectorate(ctx, joint, electorate, ownership.AcceptMessage(next), accepts); !agreed {
+		return Register{}, ErrUncertain
+	}
+	return next, nil
+}
+
+// TakeBackElectorate is the membership under which votes on taking back a joint one are counted.
+func TakeBackElectorate(joint Membership) Membership {
+	return Membership{Version: joint.Version, Current: joint.Current}
+}
+
+// errCompletionFound ends an attempt to take back a joint membership that may be completed already.
+var errCompletionFound = errors.New("a completion of the membership change may be in force")
+
+// ProposeTakeBack is the proposal that takes back a joint membership, by what the promises of a majority of its current members
+// showed. An error says that it may be completed, or taken back, already.
+func (o Ownership) ProposeTakeBack(joint Membership) (Register, error) {
+	found := decodeMembership(o.Current())
+	switch {
+	case found.equal(joint) || joint.IsTakenBackBy(found):
+		value, err := json.Marshal(joint.TakenBack())
+		return o.NextProposal(value), err
+	case found.Version > joint.Version+1:
+		return Register{}, ErrSuperseded
+	default:
+		return Register{}, errCompletionFound
+	}
+}
+
+func decodeMembership(register Register) Membership {
+	var membership Membership
+	_ = json.Unmarshal(register.Value, &membership)
+	return membership
+}
--- a/internal/keystore/round.go
+++ b/internal/keystore/round.go
@@ -60,7 +60,16 @@
 func (s *Store) queryQuorumWith(
 	ctx context.Context, message Message, agrees func(replies *replySet) VoteFunc,
 ) (*round, bool) {
-	result := s.query(ctx, message, func(replies *replySet) progress {
+	membership := s.Membership()
+	return s.queryElectorate(ctx, membership, membership, message, agrees)
+}
+
+// queryElectorate is queryQuorumWith under a given membership, where the votes of the electorate are counted.
+func (s *Store) queryElectorate(
+	ctx context.Context, membership, electorate Membership, message Message, agrees func(replies *replySet) VoteFunc,
+) (*round, bool) {
+	message.Membership = membership
+	result := s.queryMembers(ctx, electorate, message, func(replies *replySet) progress {
 		agreed, possible := replies.countVotes(agrees(replies))
 		if agreed || !possible {
 			return progressFinished
--- a/internal/keystore/store.go
+++ b/internal/keystore/store.go
@@ -18,6 +18,8 @@
 	ErrContended = errors.New("another daemon holds the key")
 	// ErrUncertain says that a write may or may not have taken effect.
 	ErrUncertain = errors.New("outcome of the write not known")
+	// ErrSuperseded rejects a change of the membership: a newer one is, or may be, in force.
+	ErrSuperseded = errors.New("a newer membership is committed")
 )
 
 // Store reads and changes keys on behalf of one process: it is a proposer for each key that it writes. Any goroutine may
--- a/internal/membership/change.go
+++ b/internal/membership/change.go
@@ -11,10 +11,16 @@
 // proposalDelayPerRank is how long a member waits for the one before it to commit a change.
 const proposalDelayPerRank = time.Second
 
+// takeBackPatience is how long the next members may be without a majority before the change is taken back: a newcomer that
+// is heard gains its vote within a fraction of it, and the change is completed instead.
+const takeBackPatience = 1500 * time.Millisecond
+
 // Change is a membership to commit, and why.
 type Change struct {
 	Membership keystore.Membership
 	Reason     string
+	// Patience is how long the change must have been due before anybody proposes it.
+	Patience time.Duration
 }
 
 // NextChange returns the change of the membership that is due in this view, and whether there is one. Members
@@ -57,26 +63,39 @@
 		Current: v.Membership.Current,
 		Next:    next,
 	}
-	return Change{joint, reason}
+	return Change{Membership: joint, Reason: reason}
 }
 
 // finishJointChange ends a change that is under way: with the new members once the newcomer votes under the joint
-// membership, with the old ones if the newcomer is lost.
+// membership, with the old ones if the newcomer is lost, or if those of the new members that vote are no majority. In that
+// case nothing else can be committed until the change is taken back.
 func (v View) finishJointChange() (Change, bool) {
 	for _, member := range v.Membership.Next {
 		if v.Membership.IsCurrent(member) {
 			continue
 		}
 		if v.hasCaughtUp(member) {
-			return v.completeChange(v.Membership.Next, "newcomer has caught up"), true
+			return v.completeChange(), true
 		}
 		if v.isLeaving(member) || v.isLost(member) {
-			return v.completeChange(v.Membership.Current, "newcomer was lost"), true
+			return v.takeBackChange("newcomer was lost", 0), true
 		}
 	}
+	if !v.nextMembersHaveMajority() {
+		return v.takeBackChange("too few of the next members vote", takeBackPatience), true
+	}
 	return Change{}, false
 }
 
+// nextMembersHaveMajority reports whether those of the next members that vote and are not lost are a majority of them.
+func (v View) nextMembersHaveMajority() bool {
+	voting := map[string]bool{}
+	for _, member := range v.Membership.Next {
+		voting[member] = !v.isLost(member) && !v.Peers[member].Joining
+	}
+	return keystore.Membership{Current: v.Membership.Next}.HasQuorum(voting)
+}
+
 // hasCaughtUp reports whether a newcomer votes under this very membership. If it had only caught up under an earlier
 // one, it may lack values that were committed since.
 func (v View) hasCaughtUp(newcomer string) bool {
@@ -85,8 +104,13 @@
 	return votes && peer.MembershipVersion == v.Membership.Version
 }
 
-func (v View) completeChange(members []string, reason string) Change {
-	return Change{keystore.Membership{Version: v.Membership.Version + 1, Current: members}, reason}
+func (v View) completeChange() Change {
+	completed := keystore.Membership{Version: v.Membership.Version + 1, Current: v.Membership.Next}
+	return Change{Membership: completed, Reason: "newcomer has caught up"}
+}
+
+func (v View) takeBackChange(reason string, patience time.Duration) Change {
+	return Change{Membership: v.Membership.TakenBack(), Reason: reason, Patience: patience}
 }
 
 // memberToReplace returns the member to replace, and why: a lost one before one that is leaving, because the latter
--- a/internal/test/linearizability/faults_test.go
+++ b/internal/test/linearizability/faults_test.go
@@ -1,6 +1,7 @@
 package linearizability_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -102,14 +103,13 @@
 	}
 }
 
-// tolerateDiskLoss takes a disk from the number that may be lost at once, in the newest membership and, during a change, in
-// the next one. It says whether the loss may happen.
+// tolerateDiskLoss takes a disk from the number that may be lost at once. It says whether the loss may happen.
 func (s *simulation) tolerateDiskLoss(name string) bool {
-	newest := s.newestMembership()
+	groups := s.groupsInForce()
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.diskLost[name] = true
-	for _, group := range [][]string{newest.Current, newest.Next} {
+	for _, group := range groups {
 		lost := 0
 		for _, member := range group {
 			acceptor := s.cluster.AcceptorOf(member)
@@ -125,6 +125,28 @@
 	return true
 }
 
+// groupsInForce lists the groups of members of which a majority of disks must be kept: those of the newest membership and,
+// during a change, of the next one. A schedule that interrupts replacements may lose the next members, as long as no
+// completion that makes them the current ones is on a disk; and since a member that is replaced counts as lost until all know
+// of its successor, it keeps a majority of each membership that a running machine goes by.
+func (s *simulation) groupsInForce() [][]string {
+	if !s.schedule.interruptsReplacements {
+		newest := s.newestMembership()
+		return [][]string{newest.Current, newest.Next}
+	}
+	var groups [][]string
+	for _, name := range s.cluster.MemberNames() {
+		store, acceptor := s.cluster.StoreOf(name), s.cluster.AcceptorOf(name)
+		if store == nil || acceptor == nil {
+			continue
+		}
+		var accepted keystore.Membership
+		_ = json.Unmarshal(acceptor.Durable()[keystore.MembershipKey].Value, &accepted)
+		groups = append(groups, store.Membership().Current, acceptor.Membership().Current, accepted.Current)
+	}
+	return groups
+}
+
 // newestMembership is the newest that a running machine knows.
 func (s *simulation) newestMembership() keystore.Membership {
 	var newest keystore.Membership
@@ -150,6 +172,9 @@
 	newcomer := fmt.Sprintf("newcomer-%d", s.standbyCount)
 	s.diskLost[newcomer] = true
 	s.lock.Unlock()
+	// No fault ends the process before it runs: the start would bring up a second one beside that of the fault.
+	s.reserveMachines([]string{newcomer})
+	defer s.releaseMachines([]string{newcomer})
 	s.cluster.Join(newcomer, like)
 	s.startMachine(newcomer)
 }
--- a/internal/test/linearizability/membership_test.go
+++ b/internal/test/linearizability/membership_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"reflect"
 	"time"
@@ -14,6 +13,8 @@
 const (
 	heartbeatInterval  = 150 * time.Millisecond
 	membershipInterval = 300 * time.Millisecond
+	// notificationDelay is how long the notification of a committed membership is under way.
+	notificationDelay = 3 * time.Millisecond
 	// membershipStartDelay is how long a machine listens after its start before it changes members.
 	membershipStartDelay = 2500 * time.Millisecond
 )
@@ -102,20 +103,20 @@
 		listening := time.Since(s.startedAtByMachine[name]) < membershipStartDelay
 		follower := s.followers[name]
 		s.lock.Unlock()
-		if listening || !acceptor.LocalState().Voting || !follower.isConfirmed() {
+		if listening || !acceptor.LocalState().Voting {
 			due = membership.Change{}
 			continue
 		}
 		view := s.membershipViewWithPeers(name, store)
 		change, desired := membership.NextChange(view)
-		if !desired {
+		if !desired || !view.Membership.IsTakenBackBy(change.Membership) && !follower.isConfirmed() {
 			due = membership.Change{}
 			continue
 		}
 		if due.Membership.Version != change.Membership.Version || due.Reason != change.Reason {
 			due, since = change, time.Now()
 		}
-		if time.Since(since) >= membership.ProposalDelay(view) {
+		if time.Since(since) >= membership.ProposalDelay(view)+change.Patience {
 			s.changeMembership(name, store, view.Membership, change)
 		}
 	}
@@ -137,14 +138,7 @@
 ) {
 	ctx, cancel := withTimeout(changeTimeout)
 	defer cancel()
-	register, err := store.Change(ctx, keystore.MembershipKey, func(register keystore.Register) (json.RawMessage, error) {
-		var committed keystore.Membership
-		_ = json.Unmarshal(register.Value, &committed)
-		if committed.Version > current.Version {
-			return nil, errors.New("the membership has changed")
-		}
-		return json.Marshal(change.Membership)
-	})
+	register, err := store.ChangeMembership(ctx, current, change.Membership)
 	s.waitWhileFrozen(name)
 	if err != nil {
 		return
@@ -153,6 +147,17 @@
 	if json.Unmarshal(register.Value, &committed) == nil {
 		s.recordMembership(committed)
 		store.AdoptMembership(committed)
+		s.notifyMembership(name)
+	}
+}
+
+// notifyMembership tells all machines that can be reached at once, as a control plane does of each change it commits.
+func (s *simulation) notifyMembership(from string) {
+	time.Sleep(notificationDelay)
+	for _, to := range s.cluster.MemberNames() {
+		if to != from && s.cluster.CanReach(from, to) {
+			s.deliverHeartbeat(from, to)
+		}
 	}
 }
 
--- a/internal/test/linearizability/schedule_test.go
+++ b/internal/test/linearizability/schedule_test.go
@@ -83,8 +83,10 @@
 	lossy bool
 	// standby has an empty machine ready, so that a member that is silent for a while is replaced.
 	standby bool
-	faults  []plannedFault
-	calls   []operatorCall
+	// interruptsReplacements lets disks of the next members be lost in any number, see simulation.groupsInForce.
+	interruptsReplacements bool
+	faults                 []plannedFault
+	calls                  []operatorCall
 }
 
 const (
--- a/internal/test/modelcheck/planted_faults_test.go
+++ b/internal/test/modelcheck/planted_faults_test.go
@@ -1,6 +1,7 @@
 package modelcheck_test
 
 import (
+	"encoding/json"
 	"maps"
 	"testing"
 	"time"
@@ -178,6 +179,31 @@
 	}
 }
 
+// takesBackByNextMembers counts the votes of the next members where those of the current ones decide.
+func takesBackByNextMembers(rules *modelcheck.Rules) {
+	rules.TakeBackElectorate = func(joint keystore.Membership) keystore.Membership {
+		return keystore.Membership{Version: joint.Version, Current: joint.Next}
+	}
+}
+
+// takesBackOverCompletion takes back a joint membership although a completion was found.
+func takesBackOverCompletion(rules *modelcheck.Rules) {
+	rules.ProposeTakeBack = func(owner keystore.Ownership, joint keystore.Membership) (keystore.Register, error) {
+		value, err := json.Marshal(joint.TakenBack())
+		return owner.NextProposal(value), err
+	}
+}
+
+// completesByNextMembers counts the votes of the next members alone under a joint membership, also after it was taken back.
+func completesByNextMembers(rules *modelcheck.Rules) {
+	rules.CountVotes = func(membership keystore.Membership, replies map[string]keystore.Reply, agrees keystore.VoteFunc) (bool, bool) {
+		if membership.IsJoint() {
+			membership.Current, membership.Next = membership.Next, nil
+		}
+		return keystore.CountVotes(membership, replies, agrees)
+	}
+}
+
 var plantedFaults = []plantedFault{
 	{"silent founder counted as one that never voted", modelcheck.BootstrapWithoutOne(), bootstrapsWithoutUnanswered},
 	{"second founding after the first was completed", modelcheck.BootstrapLongAgo(), bootstrapsAfterCompletion},
@@ -186,6 +212,9 @@
 	{"vote after a wipe at once", modelcheck.WipeSeen(), votesRightAfterWipe},
 	{"answer before the sync", modelcheck.CrashBetweenWrites(), answersBeforeSync},
 	{"one majority in a joint change", modelcheck.JointMajorities(), countsOnlyCurrentMajority},
+	{"taken back by the next members", modelcheck.ChangeAfterTakeBack(), takesBackByNextMembers},
+	{"taken back over a completion", modelcheck.TakeBackBesideCompletion(), takesBackOverCompletion},
+	{"votes of the next members counted beside a take-back", modelcheck.TakeBackBesideCompletion(), completesByNextMembers},
 	{"silence as agreement", modelcheck.TwoProposers(), countsSilenceAsAgreement},
 	{"stale member list installed at catch-up", modelcheck.MembershipDuringCatchUp(), installsStaleMembership},
 	{"ballot reused by the next life", modelcheck.Restart(), reusesProposalNumbers},
--- a/internal/test/modelcheck/rounds.go
+++ b/internal/test/modelcheck/rounds.go
@@ -24,6 +24,10 @@
 		}
 		return next.startAsOwner(at)
 	}
+	if task.Kind == taskTakeBack && !next.Membership.IsJoint() {
+		next.finishTask()
+		return next, outcome{}, true
+	}
 	if owned && task.Kind != taskAcquire {
 		return next, next.propose(at, outcome{}), true
 	}
@@ -75,10 +79,18 @@
 	p.OwnedKey = ""
 	return outcome{
 		proposal: proposal,
-		packets:  p.startRound(phasePreparing, keystore.PrepareMessage(p.task().Key, proposal)),
+		packets:  p.startRoundWith(p.electorate(at), phasePreparing, keystore.PrepareMessage(p.task().Key, proposal)),
 	}
 }
 
+// electorate is the membership under which the votes on the task are counted.
+func (p *proposer) electorate(at view) keystore.Membership {
+	if p.task().Kind == taskTakeBack {
+		return at.rules.TakeBackElectorate(p.Membership)
+	}
+	return p.Membership
+}
+
 // receive takes a reply; one to an earlier round only counts for its proposal number and membership.
 func (p *proposer) receive(at view, message packet) (*proposer, outcome) {
 	next := p.clone()
@@ -148,6 +160,9 @@
 	case phasePreparing:
 		proposal := p.Proposals[len(p.Proposals)-1]
 		p.Ownership = keystore.NewOwnership(p.task().Key, proposal, p.Replies)
+		if p.task().Kind == taskTakeBack {
+			return p.proposeTakeBack(at)
+		}
 		if at.rules.NeedsRecommit(p.Ownership) {
 			return outcome{packets: p.startRound(phaseRecommitting, p.Ownership.AcceptMessage(p.Ownership.Current()))}
 		}
@@ -163,6 +178,17 @@
 	}
 }
 
+// proposeTakeBack writes the membership that ends the joint one, unless that may be completed.
+func (p *proposer) proposeTakeBack(at view) outcome {
+	proposed, err := at.rules.ProposeTakeBack(p.Ownership, p.Membership)
+	if err != nil {
+		p.finishTask()
+		return outcome{}
+	}
+	p.Proposed = proposed
+	return outcome{packets: p.startRoundWith(p.electorate(at), phaseWriting, p.Ownership.AcceptMessage(proposed))}
+}
+
 // committedValues is the value in force as something to be compared with all others. That there is none is not compared: a
 // value of a lower proposal number may still become certain before this owner writes, in which case the write fails.
 func (p *proposer) committedValues(proposal keystore.ProposalNumber) []committedValue {
@@ -199,8 +225,8 @@
 	switch task.Kind {
 	case taskChange:
 		result.acknowledged = task.Label
-	case taskMembership:
-		p.adopt(task.Membership)
+	case taskMembership, taskTakeBack:
+		p.adopt(decodeMembership(p.Ownership.Current().Value))
 	case taskAcquire:
 		result.acknowledged = task.Label
 		p.Lease = &validity{
--- a/internal/test/modelcheck/rules.go
+++ b/internal/test/modelcheck/rules.go
@@ -30,6 +30,10 @@
 	// NeedsRecommit and CountsAcceptance are a proposer's, see keystore.Ownership.
 	NeedsRecommit    func(owner keystore.Ownership) bool
 	CountsAcceptance func(owner keystore.Ownership, address string, reply keystore.Reply) bool
+	// TakeBackElectorate and ProposeTakeBack are those of a proposer that takes back a joint membership, see
+	// keystore.Store.ChangeMembership.
+	TakeBackElectorate func(joint keystore.Membership) keystore.Membership
+	ProposeTakeBack    func(owner keystore.Ownership, joint keystore.Membership) (keystore.Register, error)
 	// ProposalNumber numbers an attempt of an incarnation of a proposer.
 	ProposalNumber func(round uint64, proposer string, incarnation uint64) keystore.ProposalNumber
 	// IsFresh says whether a digest may still be answered from.
@@ -49,10 +53,12 @@
 		Wiped: func(diskIncarnation uint64, _ keystore.Membership) []keystore.Register {
 			return keystore.WipedRegisters(diskIncarnation)
 		},
-		WaitsForSync:     func(changes []keystore.Register) bool { return len(changes) > 0 },
-		CountVotes:       keystore.CountVotes,
-		NeedsRecommit:    keystore.Ownership.NeedsRecommit,
-		CountsAcceptance: keystore.Ownership.CountsAcceptance,
+		WaitsForSync:       func(changes []keystore.Register) bool { return len(changes) > 0 },
+		CountVotes:         keystore.CountVotes,
+		NeedsRecommit:      keystore.Ownership.NeedsRecommit,
+		CountsAcceptance:   keystore.Ownership.CountsAcceptance,
+		TakeBackElectorate: keystore.TakeBackElectorate,
+		ProposeTakeBack:    keystore.Ownership.ProposeTakeBack,
 		ProposalNumber: func(round uint64, proposer string, incarnation uint64) keystore.ProposalNumber {
 			return keystore.ProposalNumber{Round: round, Proposer: proposer, Incarnation: incarnation}
 		},
--- a/internal/test/modelcheck/scenarios.go
+++ b/internal/test/modelcheck/scenarios.go
@@ -23,7 +23,7 @@
 func Scenarios() []Scenario {
 	return append(ShortScenarios(),
 		TwoProposersTwice(), OneCrash(), WipeDuringWrite(), WipeThreeWriters(),
-		JointWrites(), MemberReplaced(), LeaseTaken(), LeaseDuringReplacement(),
+		JointWrites(), MemberReplaced(), TakeBackThenWrites(), TakeBackWithWipe(), LeaseTaken(), LeaseDuringReplacement(),
 		BootstrapHalfWritten(),
 	)
 }
@@ -41,6 +41,8 @@
 		WipeHalfWritten(),
 		JointMajorities(),
 		MembershipDuringCatchUp(),
+		TakeBackBesideCompletion(),
+		ChangeAfterTakeBack(),
 		LeaseReleased(),
 		LeaseWiped(),
 		DigestDuringWrites(),
--- a/internal/test/modelcheck/scenarios_membership.go
+++ b/internal/test/modelcheck/scenarios_membership.go
@@ -1,5 +1,11 @@
 package modelcheck
 
+import (
+	"encoding/json"
+
+	"ferryspar/internal/keystore"
+)
+
 // MemberReplaced is c replaced by d while a proposer that knows only the old membership writes.
 func MemberReplaced() Scenario {
 	return Scenario{
@@ -61,6 +67,84 @@
 	return scenario
 }
 
+// TakeBackBesideCompletion is a joint membership that one proposer takes back while another one completes it.
+func TakeBackBesideCompletion() Scenario {
+	scenario := TakeBackThenWrites()
+	scenario.Name, scenario.Summary = "take-back", "a joint list is taken back while another proposer completes it"
+	for index := range scenario.Clients {
+		scenario.Clients[index].Tasks = scenario.Clients[index].Tasks[:1]
+	}
+	return scenario
+}
+
+// TakeBackThenWrites is the same where each of them then writes under what it believes to be in force.
+func TakeBackThenWrites() Scenario {
+	return Scenario{
+		Name:             "take-back-then-writes",
+		Summary:          "a joint list is taken back while it is completed; both proposers then write",
+		Membership:       joint,
+		Newcomers:        []string{"d"},
+		InitialRegisters: jointOnCurrentMembers(),
+		Clients: []Client{
+			{
+				Machine:   "a",
+				Reachable: []string{"a", "b", "d"},
+				Tasks:     []Task{ChangeMembership(replaced, "d", 1), Change(configurationKey, "x", 1)},
+			},
+			{
+				Machine:           "b",
+				StartsImmediately: true,
+				Reachable:         []string{"b", "c"},
+				Tasks:             []Task{TakeBack(1), Change(configurationKey, "y", 1)},
+			},
+			{Machine: "d", Reachable: []string{"a", "b"}, Tasks: []Task{CatchUp(1)}},
+		},
+	}
+}
+
+// ChangeAfterTakeBack is a joint membership that is taken back, and the next change of the membership by the same proposer.
+func ChangeAfterTakeBack() Scenario {
+	again := keystore.Membership{Version: 4, Current: joint.Current, Next: joint.Next}
+	return Scenario{
+		Name:             "change-after-take-back",
+		Summary:          "a joint list is taken back, then the next change begins",
+		Membership:       joint,
+		Newcomers:        []string{"d"},
+		InitialRegisters: jointOnCurrentMembers(),
+		Clients: []Client{
+			{Machine: "a", Tasks: []Task{TakeBack(1).AfterVoteOf("d"), ChangeMembership(again, "", 1)}},
+			{Machine: "d", Reachable: []string{"a", "b"}, Tasks: []Task{CatchUp(1)}},
+		},
+	}
+}
+
+// TakeBackWithWipe is TakeBackBesideCompletion while c, whose promises may be counted, loses its disk.
+func TakeBackWithWipe() Scenario {
+	scenario := TakeBackBesideCompletion()
+	scenario.Name, scenario.Summary = "take-back-with-wipe", "a joint list is taken back while it is completed, and c loses its disk"
+	scenario.Clients = append(scenario.Clients, Client{Machine: "c", Reachable: []string{"a", "b"}, Tasks: []Task{CatchUp(1)}})
+	scenario.Faults, scenario.FaultyMachines = Faults{Wipes: 1}, []string{"c"}
+	return scenario
+}
+
+// jointOnCurrentMembers has the current members hold the joint membership as a committed value, as they do once a proposer
+// knows of it.
+func jointOnCurrentMembers() map[string][]keystore.Register {
+	value, _ := json.Marshal(joint)
+	proposal := keystore.ProposalNumber{Round: 1, Incarnation: 1}
+	registers := map[string][]keystore.Register{}
+	for _, address := range joint.Current {
+		registers[address] = []keystore.Register{{
+			Key:      keystore.MembershipKey,
+			Promised: proposal,
+			Accepted: proposal,
+			Sequence: 1,
+			Value:    value,
+		}}
+	}
+	return registers
+}
+
 // MembershipDuringCatchUp is a new membership while a member that lost its disk reads under the old one.
 func MembershipDuringCatchUp() Scenario {
 	return Scenario{
--- a/internal/test/modelcheck/task.go
+++ b/internal/test/modelcheck/task.go
@@ -16,6 +16,8 @@
 	taskChange taskKind = "change"
 	// taskMembership commits a membership.
 	taskMembership taskKind = "members"
+	// taskTakeBack ends a joint membership with its current members.
+	taskTakeBack taskKind = "take back"
 	// taskDigest asks a majority what is committed.
 	taskDigest taskKind = "look"
 	// taskRead confirms an owned value at a majority.
@@ -60,6 +62,11 @@
 	}
 }
 
+// TakeBack ends the joint membership that the proposer knows with its current members, in at most so many attempts.
+func TakeBack(attempts int) Task {
+	return Task{Kind: taskTakeBack, Key: keystore.MembershipKey, Attempts: attempts}
+}
+
 // Digest asks a majority what it holds, without owning any key.
 func Digest() Task { return Task{Kind: taskDigest, Attempts: 1} }
 
@@ -86,6 +93,12 @@
 	return t
 }
 
+// AfterVoteOf is the task, begun only once a member votes under the proposer's membership.
+func (t Task) AfterVoteOf(member string) Task {
+	t.AfterVote = member
+	return t
+}
+
 // nextValue is what the task makes of the value in force: the next one, or done if it has taken effect already, or
 // rejected.
 func (t Task) nextValue(current json.RawMessage) (next json.RawMessage, done, rejected bool) {
