Roster: a long list is read within the platform's rate, and its length handed on

Cause: the pages of a list of 3,000 replicas (60) were read as fast as they came, over the rate of the platform (44 a second), and a control plane that had never read the list itself took it for one page long, found the holder's list stale after 1.3 s and read it beside the holder. All were rejected.

Change: pages after the first four are paced (holder 0.65 of the rate, a node that reads alone 0.9); updates and answers tell how many pages the list had, and ages are judged by it; a node whose turn it is not stops at eight pages; a replica that a page shows as draining is published at once; models are placed by lists of up to 6 s.

Checks changed: listInterval kept below a third of the rate, which for long lists let them grow old: now below 0.65 for the holder and, holder and all others together, below the whole rate; an interval above a third must be 1.2 s or more.

--- a/internal/controlplane/roster/intervals.go
+++ b/internal/controlplane/roster/intervals.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"time"
+
+	"ferryspar/internal/discovery"
+)
 
 const (
 	// minListInterval is the shortest interval between two reads of the list.
@@ -9,26 +13,53 @@
 	minReadPause = minListInterval / 4
 	// staleListAge is how old a list may be before a node without the lease reads it itself.
 	staleListAge = 1300 * time.Millisecond
-	// listRateDivisor: one reader takes the platform's rate divided by this at most.
+	// listRateDivisor: one reader takes the platform's rate divided by this at most, unless the list would then be read less
+	// often than each maxListInterval.
 	listRateDivisor = 3
+	// maxListInterval is the longest interval between two reads of a list, as far as a reader alone may read so often. A
+	// replica that is listed as draining must get no requests some seconds later.
+	maxListInterval = 1200 * time.Millisecond
+	// holderRateShare is the share of the platform's rate that the lease holder takes at most: with that of the nodes that read
+	// the list without the lease it stays below the whole.
+	holderRateShare = 0.65
+	// loneRateShare is the share that a node takes whose turn it is where no node has a list: nobody else reads then.
+	loneRateShare = 0.9
 	// minCallsPerSecond is the least rate that intervals are computed for.
 	minCallsPerSecond = 0.1
 )
 
-// listInterval is the interval between two reads of a list of that many pages.
+// listInterval is the interval between two reads of a list of that many pages by the lease holder.
 func listInterval(callsPerSecond float64, pages int) time.Duration {
-	perPage := float64(listRateDivisor*time.Second) / max(callsPerSecond, minCallsPerSecond)
-	return max(minListInterval, time.Duration(perPage*float64(pages)))
+	rate := max(callsPerSecond, minCallsPerSecond)
+	thrifty := interval(rate/listRateDivisor, pages)
+	fastest := interval(rate*holderRateShare, pages)
+	return max(minListInterval, min(thrifty, max(maxListInterval, fastest)))
 }
 
 // sharedListInterval is the interval of each of the nodes that read the list without the lease: together
-// they take no more of the platform's rate than the lease holder does.
+// they take no more than a part of the platform's rate.
 func sharedListInterval(callsPerSecond float64, pages, readers int) time.Duration {
-	return listInterval(callsPerSecond, pages*max(readers, 1))
+	rate := max(callsPerSecond, minCallsPerSecond)
+	return max(minListInterval, interval(rate/listRateDivisor, pages*max(readers, 1)))
+}
+
+// interval is the time that so many pages take at a rate.
+func interval(pagesPerSecond float64, pages int) time.Duration {
+	return time.Duration(float64(pages) / pagesPerSecond * float64(time.Second))
+}
+
+// readDuration is how long the reading of so many pages takes at least.
+func readDuration(callsPerSecond float64, pages int) time.Duration {
+	return discovery.ReadDuration(max(callsPerSecond, minCallsPerSecond)*holderRateShare, pages)
+}
+
+// recentAge is how old a list of that many pages may be to be handed on: it is as old as its reading took when it is complete.
+func recentAge(callsPerSecond float64, pages int) time.Duration {
+	return staleListAge + readDuration(callsPerSecond, pages)
 }
 
-// staleAge is how old a list of that many pages may be before it is read without the lease: staleListAge,
-// or as much later as the lease holder's interval is longer than the shortest.
+// staleAge is how old a list of that many pages may be before it is read without the lease: recentAge, or as much later as the
+// lease holder's interval is longer than the shortest.
 func staleAge(callsPerSecond float64, pages int) time.Duration {
-	return staleListAge + listInterval(callsPerSecond, pages) - minListInterval
+	return recentAge(callsPerSecond, pages) + listInterval(callsPerSecond, pages) - minListInterval
 }
--- a/internal/controlplane/roster/list.go
+++ b/internal/controlplane/roster/list.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// this node read itself.
 	sender  string
 	version string
+	// pages is how many pages of the platform's list it was read from, 0 if that is not known.
+	pages int
 	// cordoned is what the lease holder last cordoned, at cordonedAt.
 	cordoned   []string
 	cordonedAt time.Time
@@ -43,16 +46,41 @@
 
 // set adopts a list that did not come by an update, made at that moment or later, unless the present
 // one is as new. It returns whether it did.
-func (l *list) set(replicas []discovery.Replica, asOf time.Time) bool {
+func (l *list) set(replicas []discovery.Replica, pages int, asOf time.Time) bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	if !asOf.After(l.asOf) {
 		return false
 	}
-	l.replicas, l.asOf, l.sender = replicas, asOf, ""
+	l.replicas, l.pages, l.asOf, l.sender = replicas, pages, asOf, ""
 	return true
 }
 
+// markDraining adopts that replicas are draining which the present list has otherwise, and returns whether there are any. The
+// rest of the list stays as it was, and as old.
+func (l *list) markDraining(draining map[string]discovery.Replica) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	changed := false
+	replicas := slices.Clone(l.replicas)
+	for index, replica := range replicas {
+		if entry, isDraining := draining[replica.ID]; isDraining && replica.State != discovery.Draining {
+			replicas[index], changed = entry, true
+		}
+	}
+	if changed {
+		l.replicas, l.sender = replicas, ""
+	}
+	return changed
+}
+
+// pageCount is how many pages the platform's list had, 0 if that is not known.
+func (l *list) pageCount() int {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.pages
+}
+
 // adoption is the result of adopting an update.
 type adoption int
 
@@ -83,6 +111,7 @@
 		replicas = applyDiff(l.replicas, update.Replicas, update.Removed)
 	}
 	l.replicas, l.asOf, l.sender, l.version = replicas, asOf, update.Member, update.Version
+	l.pages = update.Pages
 	return adopted
 }
 
--- /dev/null
+++ b/internal/controlplane/roster/platform_rate_test.go
@@ -0,0 +1,276 @@
+package roster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/discovery"
+	"ferryspar/internal/peer"
+)
+
+const (
+	// platformPageSize and platformRate are those of a platform that rejects what exceeds its rate, as in the users' deployments.
+	platformPageSize = 50
+	platformRate     = 44
+	// platformLatency is how long it takes to answer a page.
+	platformLatency = 12 * time.Millisecond
+	// drainBound is how soon all control planes must know that a replica is listed as draining: the shortest drainMs of the
+	// users' deployments, less what the way to the data planes and back takes.
+	drainBound = 2700 * time.Millisecond
+	// firstListBound is how soon after a start of all the list must be known everywhere.
+	firstListBound = 3 * time.Second
+	// takeoverTime is how long a fleet whose control planes were all killed is without a lease holder.
+	takeoverTime = 4 * time.Second
+)
+
+// limitedPlatform answers pages of a list of replicas and rejects calls over its rate, counted over any span of a second.
+type limitedPlatform struct {
+	lock     sync.Mutex
+	replicas []discovery.Replica
+	calls    []time.Time
+	rejected int
+}
+
+func newLimitedPlatform(replicas int) *limitedPlatform {
+	p := &limitedPlatform{}
+	for number := range replicas {
+		p.replicas = append(p.replicas, discovery.Replica{ID: fmt.Sprintf("i-%05d", number), State: discovery.Ready})
+	}
+	return p
+}
+
+func (p *limitedPlatform) allow(now time.Time) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.calls = slices.DeleteFunc(p.calls, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	if len(p.calls) >= platformRate {
+		p.rejected++
+		return false
+	}
+	p.calls = append(p.calls, now)
+	return true
+}
+
+// RoundTrip answers a call of a discovery.Client.
+func (p *limitedPlatform) RoundTrip(request *http.Request) (*http.Response, error) {
+	time.Sleep(platformLatency)
+	response := &http.Response{StatusCode: http.StatusTooManyRequests, Body: http.NoBody, Header: http.Header{}}
+	if !p.allow(time.Now()) {
+		return response, nil
+	}
+	from := 0
+	_, _ = fmt.Sscanf(request.URL.Query().Get("pageToken"), "p-%d", &from)
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	end := min(from+platformPageSize, len(p.replicas))
+	page := discovery.Page{Instances: p.replicas[from:end]}
+	if end < len(p.replicas) {
+		next := fmt.Sprintf("p-%d", end)
+		page.NextToken = &next
+	}
+	content, _ := json.Marshal(page)
+	response.StatusCode, response.Body = http.StatusOK, io.NopCloser(bytes.NewReader(content))
+	return response, nil
+}
+
+func (p *limitedPlatform) drain(index int) string {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.replicas[index].State = discovery.Draining
+	return p.replicas[index].ID
+}
+
+// control is the control plane of one node: whether it holds the lease is set by the test.
+type control struct {
+	noLease
+	self    string
+	cluster *controlCluster
+	lock    sync.Mutex
+	list    []discovery.Replica
+	asOf    time.Time
+}
+
+// controlCluster are all control planes by address.
+type controlCluster struct {
+	addresses []string
+	rosters   map[string]*Roster
+	controls  map[string]*control
+	// holder is the address of the one that holds the lease, "" for none; lock guards it.
+	lock   sync.Mutex
+	holder string
+}
+
+func (c *controlCluster) setHolder(position int) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.holder = c.addresses[position]
+}
+
+func (c *controlCluster) leaseHolder() string {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.holder
+}
+
+func (c *control) HoldsLease() bool { return c.cluster.leaseHolder() == c.self }
+func (c *control) Fence() (uint64, bool) {
+	return uint64(slices.Index(c.cluster.addresses, c.self) + 1), c.HoldsLease()
+}
+
+func (c *control) PublishRoster(replicas []discovery.Replica, _ []string, asOf time.Time) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.list, c.asOf = replicas, asOf
+}
+
+func (c *control) PublishedRoster() ([]discovery.Replica, []string, time.Time) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.list, nil, c.asOf
+}
+
+func (c *control) LeaseHolder() string { return c.cluster.leaseHolder() }
+func (c *control) OtherCount() int     { return len(c.cluster.addresses) - 1 }
+func (c *control) Others() []string {
+	return slices.DeleteFunc(slices.Clone(c.cluster.addresses), func(address string) bool { return address == c.self })
+}
+
+func (c *control) Call(ctx context.Context, method peer.Method, address string, message, reply any) error {
+	time.Sleep(time.Millisecond)
+	switch method {
+	case peer.MethodFetchRoster:
+		*reply.(*FetchReply) = c.cluster.rosters[address].HandleFetch(ctx, message.(FetchRequest))
+	case peer.MethodShareRoster:
+		*reply.(*Reply) = c.cluster.rosters[address].HandleUpdate(ctx, message.(peer.RosterUpdate))
+	default:
+		return errors.Errorf("no method %s", method)
+	}
+	return nil
+}
+
+func (c *controlCluster) shows(id string) bool {
+	for _, node := range c.controls {
+		list, _, _ := node.PublishedRoster()
+		listed := slices.IndexFunc(list, func(replica discovery.Replica) bool { return replica.ID == id })
+		if listed < 0 || list[listed].State != discovery.Draining {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *controlCluster) isListKnown() bool {
+	for _, node := range c.controls {
+		if list, _, _ := node.PublishedRoster(); len(list) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// oldestList is how old the oldest list of any node is.
+func (c *controlCluster) oldestList() time.Duration {
+	oldest := time.Duration(0)
+	for _, node := range c.controls {
+		_, _, asOf := node.PublishedRoster()
+		oldest = max(oldest, time.Since(asOf))
+	}
+	return oldest
+}
+
+// noHolder is the position of the lease holder where nobody holds the lease.
+const noHolder = -1
+
+// startControls starts control planes that know nothing yet, of which the one at the position holds the lease.
+func startControls(t *testing.T, count, holder int, listed *limitedPlatform) *controlCluster {
+	cluster := &controlCluster{rosters: map[string]*Roster{}, controls: map[string]*control{}}
+	for number := range count {
+		cluster.addresses = append(cluster.addresses, fmt.Sprintf("c-%d", number))
+	}
+	if holder != noHolder {
+		cluster.setHolder(holder)
+	}
+	for _, address := range cluster.addresses {
+		node := &control{self: address, cluster: cluster}
+		client := &discovery.Client{
+			Address:    "platform",
+			HTTPClient: &http.Client{Transport: listed},
+		}
+		config := Config{Self: address, Incarnation: address, CallsPerSecond: platformRate, Clock: time.Now}
+		cluster.controls[address] = node
+		cluster.rosters[address] = New(config, client, node, node, node)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, roster := range cluster.rosters {
+		running.Go(func() { roster.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return cluster
+}
+
+// Three thousand replicas take sixty pages, of which the platform allows 44 a second.
+func TestRoster_LongListIsReadWithinThePlatformsRate(t *testing.T) {
+	holders := map[string]int{
+		"the first node holds the lease": 0,
+		"the last":                       2,
+		"the second, after a while without any of them": noHolder,
+	}
+	for name, holder := range holders {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listed := newLimitedPlatform(3000)
+				cluster := startControls(t, 3, holder, listed)
+				startedAt := time.Now()
+				cluster.awaitLists(t, firstListBound)
+				t.Logf("first list after %s", time.Since(startedAt))
+				if holder == noHolder {
+					time.Sleep(takeoverTime - time.Since(startedAt))
+					cluster.setHolder(1)
+				}
+				cluster.checkDrains(t, listed)
+				assert.Assert(t, cluster.oldestList() < 6*time.Second, "a list is %s old", cluster.oldestList())
+				t.Logf("%d calls rejected", listed.rejected)
+			})
+		})
+	}
+}
+
+// awaitLists waits until all nodes know a list.
+func (c *controlCluster) awaitLists(t *testing.T, bound time.Duration) {
+	startedAt := time.Now()
+	for !c.isListKnown() {
+		assert.Assert(t, time.Since(startedAt) < bound, "a node knows no list")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// checkDrains lets replicas drain one after the other and expects that all nodes know of each in time.
+func (c *controlCluster) checkDrains(t *testing.T, listed *limitedPlatform) {
+	random := rand.New(rand.NewPCG(7, 1))
+	for range 20 {
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+		id := listed.drain(random.IntN(3000))
+		drainedAt := time.Now()
+		for !c.shows(id) {
+			assert.Assert(t, time.Since(drainedAt) < drainBound, "%s is not known to drain", id)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -16,7 +16,7 @@
 
 // Lister reads the platform's list (discovery.Client). It is used by one goroutine.
 type Lister interface {
-	List(ctx context.Context) ([]discovery.Replica, error)
+	List(ctx context.Context, options discovery.ReadOptions) ([]discovery.Replica, error)
 	// PageCount is how many pages the last complete list had; each counts as a call to the platform.
 	PageCount() int
 }
@@ -128,13 +128,21 @@
 }
 
 // Adopt adopts and publishes a list, ordered by id, that did not come by an update of the lease holder
-// and was made at that moment or later, unless the present one is as new.
-func (r *Roster) Adopt(replicas []discovery.Replica, asOf time.Time) {
-	if r.list.set(replicas, asOf) {
+// and was made at that moment or later, of so many pages (0 if not known), unless the present one is as new.
+func (r *Roster) Adopt(replicas []discovery.Replica, pages int, asOf time.Time) {
+	if r.list.set(replicas, pages, asOf) {
 		r.Publish()
 	}
 }
 
+// pageCount is how many pages the platform's list has, by the present list or what this node has read itself.
+func (r *Roster) pageCount() int {
+	if pages := r.list.pageCount(); pages > 0 {
+		return pages
+	}
+	return r.lister.PageCount()
+}
+
 // runReads reads the platform's list while this node holds the lease, or where the lease holder's
 // updates have not come for too long.
 func (r *Roster) runReads(ctx context.Context) {
@@ -157,20 +165,20 @@
 func (r *Roster) readIfDue(ctx context.Context, now time.Time) time.Duration {
 	rate := r.config.CallsPerSecond
 	holdsLease := r.placement.HoldsLease()
-	isStale := r.list.age(now) > staleAge(rate, r.lister.PageCount())
+	isStale := r.list.age(now) > staleAge(rate, r.pageCount())
 	if !holdsLease && isStale {
 		r.refreshWithoutLease(ctx, now)
-		if after := r.config.Clock(); r.list.age(after) > staleListAge {
+		if after := r.config.Clock(); r.list.age(after) > recentAge(rate, r.pageCount()) {
 			return r.takeover.askInterval(after)
 		}
 	}
 	r.takeover = takeover{}
 	if !holdsLease {
-		return sharedListInterval(rate, r.lister.PageCount(), r.cluster.OtherCount())
+		return min(sharedListInterval(rate, r.pageCount(), r.cluster.OtherCount()), maxListInterval)
 	}
-	_ = r.read(ctx, now)
+	_ = r.read(ctx, now, discovery.ReadOptions{PagesPerSecond: rate * holderRateShare})
 	r.sendAll(ctx, r.nextContent())
-	return listInterval(rate, r.lister.PageCount())
+	return listInterval(rate, r.pageCount())
 }
 
 // nextContent is what the periodic update carries that is due now: one in so many carries the rates of demand.
@@ -184,9 +192,10 @@
 
 // read reads the platform's list and publishes it. An update that another node sends meanwhile may be
 // newer than startedAt; the list that was read is dropped in that case.
-func (r *Roster) read(ctx context.Context, startedAt time.Time) error {
+func (r *Roster) read(ctx context.Context, startedAt time.Time, options discovery.ReadOptions) error {
+	options.OnPage = r.observePage
 	r.reading.Store(true)
-	entries, err := r.lister.List(ctx)
+	entries, err := r.lister.List(ctx, options)
 	r.reading.Store(false)
 	if err != nil {
 		logrus.WithError(err).Debug("platform list not read")
@@ -195,10 +204,25 @@
 	replicas := r.merger.Merge(entries, r.lister.PageCount(), startedAt)
 	slices.SortFunc(replicas, byID)
 	addWarmUpElapsed(replicas, r.config.Clock().Sub(startedAt))
-	r.Adopt(replicas, startedAt)
+	r.Adopt(replicas, r.lister.PageCount(), startedAt)
 	return nil
 }
 
+// observePage publishes that replicas are draining as soon as a page shows it. The pages of a long list take seconds to read, and
+// a draining replica must get no more requests by then.
+func (r *Roster) observePage(entries []discovery.Replica) {
+	draining := map[string]discovery.Replica{}
+	for _, entry := range entries {
+		if entry.State == discovery.Draining {
+			draining[entry.ID] = entry
+		}
+	}
+	if len(draining) > 0 && r.list.markDraining(draining) {
+		r.Publish()
+		r.RequestSend()
+	}
+}
+
 func byID(left, right discovery.Replica) int { return strings.Compare(left.ID, right.ID) }
 
 // addWarmUpElapsed makes the warm-up times left those of the moment when the read started. The platform
--- a/internal/controlplane/roster/takeover.go
+++ b/internal/controlplane/roster/takeover.go
@@ -46,6 +46,8 @@
 type FetchReply struct {
 	Replicas []discovery.Replica `json:"replicas,omitempty"`
 	AgeMs    int64               `json:"ageMs,omitempty"`
+	// Pages is how many pages the platform's list had, 0 if that is not known.
+	Pages int `json:"pages,omitempty"`
 	// Reading says that the receiver is reading the platform's list.
 	Reading bool `json:"reading,omitempty"`
 }
@@ -54,10 +56,10 @@
 func (r *Roster) HandleFetch(context.Context, FetchRequest) FetchReply {
 	replicas, asOf := r.list.current()
 	age := r.config.Clock().Sub(asOf)
-	if len(replicas) == 0 || age > staleListAge {
-		return FetchReply{Reading: r.reading.Load()}
+	if len(replicas) == 0 || age > recentAge(r.config.CallsPerSecond, r.pageCount()) {
+		return FetchReply{Reading: r.reading.Load(), Pages: r.list.pageCount()}
 	}
-	return FetchReply{Replicas: replicas, AgeMs: age.Milliseconds()}
+	return FetchReply{Replicas: replicas, AgeMs: age.Milliseconds(), Pages: r.list.pageCount()}
 }
 
 // takeover is a span of time without a lease and without a recent list. It is used by the reading loop only.
@@ -65,8 +67,8 @@
 	// staleSince is when it began, zero outside of one; readAt is when this node last read the platform's list in it.
 	staleSince time.Time
 	readAt     time.Time
-	// throttled is set once the platform has rejected a read of this node over the rate.
-	throttled bool
+	// takesTurns is set once the platform has rejected a read of this node over the rate, or the list has turned out to be long.
+	takesTurns bool
 	// rounds counts the rounds of asking.
 	rounds int
 	// reader is the node that last said that it was reading the list, at readingAt.
@@ -99,19 +101,35 @@
 		r.takeover = takeover{staleSince: now}
 	}
 	before := r.nodesBefore()
-	isShared := r.lister.PageCount() <= maxSharedPages && !r.takeover.throttled
-	isTurn := isShared || now.Sub(r.takeover.staleSince) >= time.Duration(len(before))*readTurn && !r.takeover.awaitsOther(now)
-	interval := sharedListInterval(r.config.CallsPerSecond, r.lister.PageCount(), r.cluster.OtherCount())
-	if isTurn && (r.takeover.readAt.IsZero() || now.Sub(r.takeover.readAt) >= interval) {
-		r.takeover.readAt = now
-		err := r.read(ctx, now)
-		r.takeover.throttled = r.takeover.throttled || errors.Is(err, discovery.ErrThrottled)
+	isShared := r.pageCount() <= maxSharedPages && !r.takeover.takesTurns
+	isTurn := now.Sub(r.takeover.staleSince) >= time.Duration(len(before))*readTurn && !r.takeover.awaitsOther(now)
+	interval := sharedListInterval(r.config.CallsPerSecond, r.pageCount(), r.cluster.OtherCount())
+	if (isShared || isTurn) && (r.takeover.readAt.IsZero() || now.Sub(r.takeover.readAt) >= interval) {
+		r.readWithoutLease(ctx, now, isTurn)
 		return
 	}
 	r.takeover.rounds++
 	r.fetch(ctx, r.takeover.nextAsked(before))
 }
 
+// readWithoutLease reads the platform's list. A node whose turn it is not stops where the list turns out to be long, and waits for
+// its turn: several that read a long list at once would all be rejected over the rate.
+func (r *Roster) readWithoutLease(ctx context.Context, now time.Time, isTurn bool) {
+	options := discovery.ReadOptions{PagesPerSecond: r.config.CallsPerSecond * loneRateShare}
+	if !isTurn {
+		options.MaxPages = maxSharedPages
+	}
+	err := r.read(ctx, now, options)
+	switch {
+	case errors.Is(err, discovery.ErrPageLimit):
+		r.takeover.takesTurns = true
+	case errors.Is(err, discovery.ErrThrottled):
+		r.takeover.takesTurns, r.takeover.readAt = true, now
+	default:
+		r.takeover.readAt = now
+	}
+}
+
 // nodesBefore are the nodes that read the list before this one: the last lease holder, whose update may just be late, then those
 // whose addresses come before this node's.
 func (r *Roster) nodesBefore() []string {
@@ -159,7 +177,7 @@
 		}
 		if len(reply.Replicas) > 0 {
 			// The reply may have been made as early as it was asked for.
-			r.Adopt(reply.Replicas, askedAt.Add(-time.Duration(reply.AgeMs)*time.Millisecond))
+			r.Adopt(reply.Replicas, reply.Pages, askedAt.Add(-time.Duration(reply.AgeMs)*time.Millisecond))
 			return
 		}
 	}
--- a/internal/controlplane/roster/updates.go
+++ b/internal/controlplane/roster/updates.go
@@ -22,6 +22,8 @@
 	Adopted  bool                `json:"has"`
 	Replicas []discovery.Replica `json:"replicas,omitempty"`
 	AgeMs    int64               `json:"ageMs,omitempty"`
+	// Pages is how many pages the platform's list had that Replicas were read from, 0 if that is not known.
+	Pages int `json:"pages,omitempty"`
 }
 
 // content is what an update carries beside the list.
@@ -97,6 +99,7 @@
 		Sequence: sequence,
 		AgeMs:    r.config.Clock().Sub(asOf).Milliseconds(),
 		Replicas: replicas,
+		Pages:    r.list.pageCount(),
 		Cordoned: cordoned,
 		Version:  r.config.Incarnation + "/" + strconv.FormatUint(sequence, 10),
 	}
@@ -125,7 +128,7 @@
 // itself. The reply may have been made as early as the update was sent.
 func (r *Roster) adoptNewer(reply Reply, sentAt time.Time) {
 	if len(reply.Replicas) > 0 {
-		r.Adopt(reply.Replicas, sentAt.Add(-time.Duration(reply.AgeMs)*time.Millisecond))
+		r.Adopt(reply.Replicas, reply.Pages, sentAt.Add(-time.Duration(reply.AgeMs)*time.Millisecond))
 	}
 }
 
@@ -148,9 +151,9 @@
 		r.placement.RecordListed(update.Replicas)
 		return Reply{Adopted: true}
 	}
-	if update.AgeMs <= staleListAge.Milliseconds() {
+	if update.AgeMs <= recentAge(r.config.CallsPerSecond, update.Pages).Milliseconds() {
 		return Reply{}
 	}
 	replicas, asOf := r.list.current()
-	return Reply{Replicas: replicas, AgeMs: now.Sub(asOf).Milliseconds()}
+	return Reply{Replicas: replicas, AgeMs: now.Sub(asOf).Milliseconds(), Pages: r.list.pageCount()}
 }
--- a/internal/controlplane/scheduler/sync.go
+++ b/internal/controlplane/scheduler/sync.go
@@ -8,8 +8,9 @@
 	"ferryspar/internal/placement"
 )
 
-// maxRosterAge is how old the list may be for models to be placed by it.
-const maxRosterAge = 3 * time.Second
+// maxRosterAge is how old the list may be for models to be placed by it. A long list is as old as its reading took when it is
+// complete, and twice as old just before the next one is.
+const maxRosterAge = 6 * time.Second
 
 // syncOnce follows the list, polls the replicas that are due, publishes what is known and plans, if there is reason to. It
 // does nothing without a configuration and a fresh list.
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -25,18 +25,48 @@
 	pageCount int
 }
 
+// UnpacedPages is how many pages of a list are read without a pause: short lists are read at once.
+const UnpacedPages = 4
+
+// ReadOptions say how the list is read. The zero value reads it to its end, one page after the other.
+type ReadOptions struct {
+	// MaxPages is how many pages the list may have to be read to its end, any number for 0.
+	MaxPages int
+	// PagesPerSecond bounds how fast the pages after the first ones (UnpacedPages) are read: the platform rejects calls over its
+	// rate, and a list of which a page is missing does not count. 0 sets no bound.
+	PagesPerSecond float64
+	// OnPage, if set, is called with the entries of each page as soon as it is read.
+	OnPage func(entries []Replica)
+}
+
+// dueAfter is how long after the start of a read the page of an index may be asked for.
+func (o ReadOptions) dueAfter(index int) time.Duration {
+	if o.PagesPerSecond <= 0 {
+		return 0
+	}
+	return ReadDuration(o.PagesPerSecond, index+1)
+}
+
+// ReadDuration is how long a paced read of so many pages takes at least.
+func ReadDuration(pagesPerSecond float64, pages int) time.Duration {
+	return time.Duration(float64(max(pages-UnpacedPages, 0)) / pagesPerSecond * float64(time.Second))
+}
+
 // PageCount is how many pages the last complete list had, one at least: each counts as a call to the platform.
 func (c *Client) PageCount() int { return max(c.pageCount, 1) }
 
 // ErrThrottled is returned when the platform rejects a read since its rate limit is exceeded.
 var ErrThrottled = errors.New("platform list: over the rate")
 
+// ErrPageLimit is returned for a list that is longer than the read may take.
+var ErrPageLimit = errors.New("platform list: longer than the limit of the read")
+
 // ErrTooManyPages is returned for a list that does not end.
 var ErrTooManyPages = errors.New("platform list: pages without end")
 
 const (
-	// pageTimeout is how long one page may take, listTimeout how long all of them: a list of sixty pages takes a second while a
-	// small machine starts, and a read that is given up has to be begun anew.
+	// pageTimeout is how long one page may take, listTimeout how long all of them beside the pauses between them: a list of sixty
+	// pages takes a second while a small machine starts, and a read that is given up has to be begun anew.
 	pageTimeout = 900 * time.Millisecond
 	listTimeout = 4 * time.Second
 	maxPages    = 200
@@ -46,16 +76,24 @@
 	maxThrottled  = 6
 )
 
-// List returns the complete list, or an error if any page of it failed: ErrThrottled, ErrTooManyPages, or
+// List returns the complete list, or an error if any page of it failed: ErrThrottled, ErrTooManyPages, ErrPageLimit, or
 // that of the call.
-func (c *Client) List(ctx context.Context) ([]Replica, error) {
-	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+func (c *Client) List(ctx context.Context, options ReadOptions) ([]Replica, error) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout+options.dueAfter(c.pageCount))
 	defer cancel()
 	var replicas []Replica
 	token, throttled := "", 0
+	startedAt := time.Now()
 	for index := 0; index < maxPages; index++ {
+		if options.MaxPages > 0 && index >= options.MaxPages {
+			c.pageCount = index + 1
+			return nil, ErrPageLimit
+		}
+		if !pause(bounded, time.Until(startedAt.Add(options.dueAfter(index)))) {
+			return nil, bounded.Err()
+		}
 		page, err := c.fetchPage(bounded, token)
-		if errors.Is(err, ErrThrottled) && index > 0 && throttled < maxThrottled && pause(bounded) {
+		if errors.Is(err, ErrThrottled) && index > 0 && throttled < maxThrottled && pause(bounded, throttlePause) {
 			throttled++
 			index--
 			continue
@@ -64,6 +102,9 @@
 			return nil, err
 		}
 		replicas = append(replicas, page.Instances...)
+		if options.OnPage != nil {
+			options.OnPage(page.Instances)
+		}
 		if page.NextToken == nil || *page.NextToken == "" {
 			c.pageCount = index + 1
 			return replicas, nil
@@ -73,9 +114,12 @@
 	return nil, ErrTooManyPages
 }
 
-// pause waits before a page is asked for again, and returns false if the context ended first.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(throttlePause)
+// pause waits before a page is asked for, and returns false if the context ended first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/peer/roster.go
+++ b/internal/peer/roster.go
@@ -22,6 +22,8 @@
 	// update that isn't above the newest one received, by Fence and then Sequence, was delayed and must be ignored.
 	Fence    uint64 `json:"fence"`
 	Sequence uint64 `json:"number"`
+	// Pages is how many pages of the platform's list Replicas were read from, 0 if that is not known.
+	Pages int `json:"pages,omitempty"`
 }
 
 // Rate is the demand for a model.
