Watch: every data plane is sent replicas with each adapter of a divided set

Cause: sets of over 320 replicas are divided into cells, of which a data plane is sent two. An adapter is loaded on a few replicas only; data planes without one of them in their cells waited for it, while the scheduler saw copies and loaded none (seen: 2 copies, one request waiting 2,046 ms). They were refused; it came with the cells and is why service did not come back at size.

Change: up to eight carriers of each adapter, by a hash of both names, are sent to every subscriber beside its cells.

--- a/internal/controlplane/watch/cells.go
+++ b/internal/controlplane/watch/cells.go
@@ -57,13 +57,15 @@
 // cellOf is the cell of a replica.
 func cellOf(id string, count int) int { return int(xxhash.Sum64String(id) & uint64(count-1)) }
 
-// divide divides the set again after the replicas with the ids have changed. Cells without any of them keep their version.
-func (s *endpointSet) divide(changedIDs map[string]bool, version uint64) {
+// divide divides the set of a model again after the replicas with the ids have changed. Cells without any of them keep their
+// version.
+func (s *endpointSet) divide(model string, changedIDs map[string]bool, version uint64) {
 	count := cellCount(max(len(s.cells), 1), len(s.endpoints))
 	if count == 1 {
-		s.cells = nil
+		s.cells, s.carriers = nil, nil
 		return
 	}
+	s.chooseCarriers(model, changedIDs, version)
 	all := count != len(s.cells)
 	if all {
 		s.cells = make([]cell, count)
@@ -166,6 +168,7 @@
 		for _, index := range s.cellsFor(dataPlane) {
 			sent = append(sent, s.cells[index].endpoints...)
 		}
+		sent = s.appendCarriers(sent)
 	default:
 		for _, replica := range s.endpoints {
 			sent = append(sent, replica)
@@ -179,7 +182,7 @@
 	if s.sample != nil || len(s.cells) <= 1 {
 		return s.version
 	}
-	newest := uint64(0)
+	newest := s.carriersVersion
 	for _, index := range s.cellsFor(dataPlane) {
 		newest = max(newest, s.cells[index].version)
 	}
--- a/internal/controlplane/watch/endpoints.go
+++ b/internal/controlplane/watch/endpoints.go
@@ -35,6 +35,10 @@
 	sample map[string]*endpointSource
 	// cells are the parts of a set that is too large to be sent whole; there are none otherwise.
 	cells []cell
+	// carriers are sent to every subscriber beside its cells, see chooseCarriers; carriersVersion is that of the roster in which
+	// they last changed.
+	carriers        map[string]*endpointSource
+	carriersVersion uint64
 	// ready counts the ready replicas of all cells by phase, as of the last division.
 	ready map[discovery.Phase]int
 }
@@ -90,7 +94,7 @@
 	for key, ids := range changed {
 		set := p.sets[key]
 		set.version = p.version
-		set.divide(ids, p.version)
+		set.divide(key.Model, ids, p.version)
 		for subscriber := range p.subscribers[key] {
 			if set.versionFor(subscriber.dataPlane) == p.version {
 				subscriber.notify()
