Discovery: a replica is left out once another one is listed at its address

Cause: a machine that comes back runs a new replica under a new id, and the platform lists the old one for some seconds more. Requests to it come back with 421, which each data plane finds out by itself; kinds that allow one try are refused.

Change: of replicas at one address those that an earlier reading showed first are left out. Where nothing tells which is newer both stay.

--- a/internal/discovery/merge.go
+++ b/internal/discovery/merge.go
@@ -11,11 +11,14 @@
 type Merger struct {
 	previous map[string]Replica
 	readAt   time.Time
+	// readings counts the readings, firstRead holds by id the one that showed a replica first.
+	readings  int
+	firstRead map[string]int
 }
 
 // Merge returns the entries of a reading, each id once, as the last page showed it. Of a reading in
 // several pages, what the one before showed and this one doesn't is carried over; a replica counts as
-// gone once two readings in a row don't show it.
+// gone once two readings in a row don't show it, or another one is listed at its address.
 func (m *Merger) Merge(entries []Replica, pages int, now time.Time) []Replica {
 	current := make(map[string]Replica, len(entries))
 	for _, replica := range entries {
@@ -33,5 +36,36 @@
 		}
 	}
 	m.previous, m.readAt = current, now
-	return merged
+	m.recordFirstRead(merged)
+	return m.withoutSuperseded(merged)
+}
+
+// recordFirstRead notes which replicas this reading shows first, and forgets those that it doesn't show.
+func (m *Merger) recordFirstRead(merged []Replica) {
+	m.readings++
+	firstRead := make(map[string]int, len(merged))
+	for _, replica := range merged {
+		reading, known := m.firstRead[replica.ID]
+		if !known {
+			reading = m.readings
+		}
+		firstRead[replica.ID] = reading
+	}
+	m.firstRead = firstRead
+}
+
+// withoutSuperseded leaves out replicas at whose address a later reading showed another one first. The platform lists a replica that
+// has crashed for some seconds more; where its machine is back with a new one, requests sent to the old one come back unserved.
+func (m *Merger) withoutSuperseded(merged []Replica) []Replica {
+	newest := make(map[string]int, len(merged))
+	for _, replica := range merged {
+		newest[replica.Address] = max(newest[replica.Address], m.firstRead[replica.ID])
+	}
+	kept := merged[:0]
+	for _, replica := range merged {
+		if replica.Address == "" || m.firstRead[replica.ID] == newest[replica.Address] {
+			kept = append(kept, replica)
+		}
+	}
+	return kept
 }
--- a/internal/discovery/merge_test.go
+++ b/internal/discovery/merge_test.go
@@ -35,3 +35,22 @@
 	assert.DeepEqual(t, read(1, time.Second, Replica{ID: "c"}), []string{"c"})     // one page is one moment
 	assert.DeepEqual(t, read(2, maxCarryOverAge, Replica{ID: "a"}), []string{"a"}) // too long ago
 }
+
+func TestMerger_LeavesOutAReplicaWhoseAddressAnotherOneHas(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	merger := &Merger{}
+	old, other := Replica{ID: "old", Address: "10.0.0.1:80"}, Replica{ID: "other", Address: "10.0.0.2:80"}
+	next := Replica{ID: "next", Address: "10.0.0.1:80"}
+	assert.DeepEqual(t, ids(merger.Merge([]Replica{old, other}, 2, now)), []string{"old", "other"})
+	now = now.Add(time.Second)
+	assert.DeepEqual(t, ids(merger.Merge([]Replica{old, other, next}, 2, now)), []string{"next", "other"})
+	now = now.Add(time.Second)
+	assert.DeepEqual(t, ids(merger.Merge([]Replica{old, next, other}, 2, now)), []string{"next", "other"}) // still listed
+	now = now.Add(time.Second)
+	assert.DeepEqual(t, ids(merger.Merge([]Replica{next, other}, 2, now)), []string{"next", "other"}) // carried over
+}
+
+func TestMerger_KeepsBothWhereNothingTellsWhichIsNewer(t *testing.T) {
+	both := []Replica{{ID: "a", Address: "10.0.0.1:80"}, {ID: "b", Address: "10.0.0.1:80"}}
+	assert.DeepEqual(t, ids((&Merger{}).Merge(both, 1, time.Time{})), []string{"a", "b"})
+}
