Scheduler: a holder whose order is refused for a higher fence takes the lease anew

No test played the refusal.

Change: the grant is given up and the lease acquired again, under a higher fence, by the way that unwritable records took already.

Measured: tests of the keeper over a simulated cluster (three refusals, three higher fences) and of the refusal itself.

--- /dev/null
+++ b/internal/controlplane/scheduler/fenced_test.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/keystore"
+	"ferryspar/internal/lease"
+	"ferryspar/internal/placement"
+	"ferryspar/internal/replicastate"
+	"ferryspar/internal/test/keystoresim"
+)
+
+// openCluster lets any node try for the lease.
+type openCluster struct{}
+
+func (openCluster) MayAcquireLease(time.Time) bool        { return true }
+func (openCluster) IsLeaseHolderReachable(time.Time) bool { return false }
+
+// runKeeper runs the keeper of one node of a simulated cluster until the test ends.
+func runKeeper(t *testing.T, cluster *keystoresim.Cluster) *LeaseKeeper {
+	name := cluster.Names[0]
+	clock := cluster.Clock(name)
+	keeper := newLeaseKeeper(LeaseConfig{
+		Manager: &lease.Manager{
+			Key:           keystore.LeasePrefix + "placement",
+			Holder:        name,
+			Address:       name,
+			TTL:           keystoresim.LeaseDuration,
+			TakeoverDelay: keystoresim.LeaseDuration,
+			Store:         cluster.StoreOf(name),
+			Clock:         clock,
+		},
+		Cluster: openCluster{},
+	}, clock, clock())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		keeper.run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return keeper
+}
+
+// awaitFenceAbove waits until the keeper holds the lease under a fence above the one given.
+func awaitFenceAbove(t *testing.T, keeper *LeaseKeeper, fence uint64) uint64 {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if grant := keeper.Grant(); grant != nil && grant.Record.Fence > fence && keeper.Holds() {
+			return grant.Record.Fence
+		}
+	}
+	t.Fatalf("the lease is not held under a fence above %d", fence)
+	return 0
+}
+
+func TestLeaseKeeper_TakesAHigherFenceAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := keystoresim.New(1, 3)
+		for _, name := range cluster.Names {
+			cluster.Start(name, true)
+		}
+		t.Cleanup(func() {
+			for _, name := range cluster.Names {
+				cluster.Kill(name)
+			}
+			time.Sleep(time.Minute)
+		})
+		keeper := runKeeper(t, cluster)
+		fence := awaitFenceAbove(t, keeper, 0)
+		for range 3 {
+			keeper.reportFenced(fence)
+			fence = awaitFenceAbove(t, keeper, fence)
+		}
+		keeper.reportFenced(1)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, keeper.Grant().Record.Fence, fence, "a refusal of an earlier fence says nothing of this one")
+	})
+}
+
+func TestScheduler_GivesUpTheGrantUnderWhichAnOrderWasFenced(t *testing.T) {
+	now := testStart
+	scheduler, _ := newPlacingScheduler(&now, 7)
+	tracked := scheduler.tracker.Replica("r")
+	assert.Assert(t, tracked.State().HandleReport(replicastate.Report{Loaded: map[string]bool{"m": true}}, now))
+	order, decided := scheduler.tracker.Decide(placement.Action{Server: "r", Load: true, Model: "n"}, now)
+	assert.Assert(t, decided)
+	scheduler.orders.handleResponse(tracked, order, http.StatusPreconditionFailed, nil)
+	select {
+	case found := <-scheduler.lease.unusable:
+		assert.Equal(t, found.fence, order.Fence)
+	default:
+		t.Fatal("the grant is not given up")
+	}
+}
--- a/internal/controlplane/scheduler/lease.go
+++ b/internal/controlplane/scheduler/lease.go
@@ -42,8 +42,8 @@
 	current   atomic.Pointer[lease.Grant]
 	// released is closed once the lease has been given up because the node leaves.
 	released chan struct{}
-	// unwritable has room for one grant whose record cannot be written any more.
-	unwritable chan *lease.Grant
+	// unusable has room for one grant that is to be given up and the lease acquired under a new fence.
+	unusable chan unusableGrant
 
 	// lock guards holderSeenAt.
 	lock         sync.Mutex
@@ -52,11 +52,11 @@
 
 func newLeaseKeeper(config LeaseConfig, clock func() time.Time, startedAt time.Time) *LeaseKeeper {
 	return &LeaseKeeper{
-		config:     config,
-		clock:      clock,
-		startedAt:  startedAt,
-		released:   make(chan struct{}),
-		unwritable: make(chan *lease.Grant, 1),
+		config:    config,
+		clock:     clock,
+		startedAt: startedAt,
+		released:  make(chan struct{}),
+		unusable:  make(chan unusableGrant, 1),
 	}
 }
 
@@ -98,9 +98,9 @@
 		case <-k.config.Leaving:
 			k.release(ctx)
 			return
-		case grant := <-k.unwritable:
+		case found := <-k.unusable:
 			// What was given up is acquired anew below, without waiting for the next tick.
-			k.giveUp(ctx, grant)
+			k.giveUp(ctx, found)
 		case <-ticker.C:
 		}
 		if grant := k.current.Load(); grant != nil {
@@ -159,21 +159,37 @@
 	return k.config.Manager.Reserve(ctx, grant, reservation)
 }
 
-// reportUnwritable has the lease of a grant given up whose record cannot be written any more.
+// unusableGrant is the fence of a grant that can be renewed and is of no use, and why.
+type unusableGrant struct {
+	fence  uint64
+	reason string
+}
+
+// reportUnwritable has the lease of a grant given up whose record cannot be written any more though it can be renewed, as when a
+// member that promised it has lost its disk, so that it can be taken under a new proposal number.
 func (k *LeaseKeeper) reportUnwritable(grant *lease.Grant) {
+	k.reportUnusable(unusableGrant{grant.Record.Fence, "its record cannot be written"})
+}
+
+// reportFenced has the lease given up under whose fence an order was refused, since the replica has seen a higher one. To order again
+// under the same fence would be refused for ever.
+func (k *LeaseKeeper) reportFenced(fence uint64) {
+	k.reportUnusable(unusableGrant{fence, "a replica has seen a higher fence"})
+}
+
+func (k *LeaseKeeper) reportUnusable(found unusableGrant) {
 	select {
-	case k.unwritable <- grant:
+	case k.unusable <- found:
 	default:
 	}
 }
 
-// giveUp releases a lease whose record cannot be written any more though it can be renewed, as when a member that promised
-// it has lost its disk, so that it can be taken under a new proposal number.
-func (k *LeaseKeeper) giveUp(ctx context.Context, grant *lease.Grant) {
-	if current := k.current.Load(); current == nil || current.Record.Fence != grant.Record.Fence {
+// giveUp releases a lease so that it is acquired again, under a higher fence.
+func (k *LeaseKeeper) giveUp(ctx context.Context, found unusableGrant) {
+	if current := k.current.Load(); current == nil || current.Record.Fence != found.fence {
 		return
 	}
-	logrus.WithField("fence", grant.Record.Fence).Info("lease released to be acquired again, its record cannot be written")
+	logrus.WithFields(logrus.Fields{"fence": found.fence, "reason": found.reason}).Info("lease released to be acquired again")
 	k.current.Store(nil)
 	k.releaseAfterOrders(ctx)
 }
--- a/internal/controlplane/scheduler/orders.go
+++ b/internal/controlplane/scheduler/orders.go
@@ -139,6 +139,9 @@
 	now := s.clock()
 	logOrder(tracked, order, status, err)
 	outcome := outcomeOf(status, err)
+	if outcome == replicastate.Fenced {
+		s.lease.reportFenced(order.Fence)
+	}
 	s.recordLoadOutcome(tracked, outcome, now)
 	s.tracker.HandleResponse(tracked, order, outcome, now)
 	if tracked.State().Phase() == replicastate.Changing {
