Model checker: five members, two joining, two kinds of fault

Planted faults caught: vote after a wipe of five members, taken back over a completion with two joining.

--- a/internal/test/modelcheck/planted_faults_test.go
+++ b/internal/test/modelcheck/planted_faults_test.go
@@ -215,6 +215,8 @@
 	{"taken back by the next members", modelcheck.ChangeAfterTakeBack(), takesBackByNextMembers},
 	{"taken back over a completion", modelcheck.TakeBackBesideCompletion(), takesBackOverCompletion},
 	{"votes of the next members counted beside a take-back", modelcheck.TakeBackBesideCompletion(), completesByNextMembers},
+	{"vote after a wipe at once, of five members", modelcheck.FiveWithWipe(), votesRightAfterWipe},
+	{"taken back over a completion, two joining", modelcheck.TwoJoiningTwice(), takesBackOverCompletion},
 	{"silence as agreement", modelcheck.TwoProposers(), countsSilenceAsAgreement},
 	{"stale member list installed at catch-up", modelcheck.MembershipDuringCatchUp(), installsStaleMembership},
 	{"ballot reused by the next life", modelcheck.Restart(), reusesProposalNumbers},
--- a/internal/test/modelcheck/scenarios.go
+++ b/internal/test/modelcheck/scenarios.go
@@ -23,7 +23,8 @@
 func Scenarios() []Scenario {
 	return append(ShortScenarios(),
 		TwoProposersTwice(), OneCrash(), WipeDuringWrite(), WipeThreeWriters(),
-		JointWrites(), MemberReplaced(), TakeBackThenWrites(), TakeBackWithWipe(), LeaseTaken(), LeaseDuringReplacement(),
+		JointWrites(), MemberReplaced(), TakeBackThenWrites(), TakeBackWithWipe(),
+		FiveTwoWipes(), CrashAndWipe(), TwoJoiningTwice(), LeaseTaken(), LeaseDuringReplacement(),
 		BootstrapHalfWritten(),
 	)
 }
@@ -43,6 +44,9 @@
 		MembershipDuringCatchUp(),
 		TakeBackBesideCompletion(),
 		ChangeAfterTakeBack(),
+		FiveMeetAtOne(),
+		FiveWithWipe(),
+		TwoJoining(),
 		LeaseReleased(),
 		LeaseWiped(),
 		DigestDuringWrites(),
