Simulations: steady clocks that run apart, in coordination and lease

Each machine's steady clock has a rate of its own, up to one part in 500 off, both signs: two of three schedules of the coordinator, 150 of the lease (whose holder stops 20 ms early; the placement lease's holder does so 0.8 s early). Planted: clocks 0.3 off are caught in both.

--- a/internal/controlplane/coordinator/coordinator_test.go
+++ b/internal/controlplane/coordinator/coordinator_test.go
@@ -328,6 +328,10 @@
 
 var brokenVariants = map[string]brokenVariant{
 	"a takeover that does not wait for the holder before it": opensBy(openedEarlier(coordination.KindLock, time.Hour)),
+	"clocks that run apart by far more than is allowed for": {
+		plant:  func(simulation *simulation) { simulation.cluster.ClockDrift = 0.3 },
+		faults: takeoverFaults,
+	},
 	"a former owner that forgets what it granted last": {
 		plant: func(simulation *simulation) {
 			simulation.changeHandover = func(handover *coordination.Handover) { handover.RemainingUs = 0 }
--- a/internal/controlplane/coordinator/simulation_test.go
+++ b/internal/controlplane/coordinator/simulation_test.go
@@ -25,6 +25,8 @@
 	// heartbeatInterval and suspectAfter are those of the control plane.
 	heartbeatInterval = 400 * time.Millisecond
 	suspectAfter      = 1600 * time.Millisecond
+	// allowedDrift is how far the steady clocks of control planes may run from that of applications, which is the true one here.
+	allowedDrift = 1.0 / 500
 	// voteTimeout is how long the members may take to vote again after a fault.
 	voteTimeout = time.Minute
 	// settleTime lets everything that still sleeps come to its end in fake time.
@@ -72,6 +74,9 @@
 	}
 	s.cluster.AssignZones([][]int{{2, 2, 1}, {2, 1, 1, 1}, {3, 2}}[seed%3]...)
 	s.cluster.Lossy, s.cluster.Retransmits = seed%2 == 0, true
+	if seed%3 > 0 {
+		s.cluster.ClockDrift = allowedDrift
+	}
 	return s
 }
 
--- a/internal/lease/holders_simulation_test.go
+++ b/internal/lease/holders_simulation_test.go
@@ -79,6 +79,8 @@
 	schedule
 	ttlOverrun    time.Duration
 	takeoverDelay time.Duration
+	// margin is how long before the end of its grant a holder stops acting.
+	margin time.Duration
 }
 
 func newActingSchedule(cluster simulatedCluster) actingSchedule {
@@ -101,6 +103,7 @@
 			simulatedHolder: holder,
 			ttl:             keystoresim.LeaseDuration + s.ttlOverrun,
 			takeoverDelay:   s.takeoverDelay,
+			margin:          s.margin,
 			log:             log,
 		}
 		acting.run(acting.step)
@@ -116,6 +119,7 @@
 	simulatedHolder
 	ttl           time.Duration
 	takeoverDelay time.Duration
+	margin        time.Duration
 	log           *actionLog
 	store         *keystore.Store
 	grant         *lease.Grant
@@ -132,7 +136,7 @@
 		return
 	}
 	h.acquireOrRenew()
-	if !h.cluster.Frozen(h.name) && h.grant.Allows(h.cluster.Clock(h.name)(), 0) && h.cluster.StoreOf(h.name) == store {
+	if !h.cluster.Frozen(h.name) && h.grant.Allows(h.cluster.Clock(h.name)(), h.margin) && h.cluster.StoreOf(h.name) == store {
 		h.log.add(action{time.Now(), h.name, h.grant.Record.Fence})
 	}
 }
@@ -173,6 +177,17 @@
 	}
 }
 
+// Clocks that run apart by one part in 500 take 6 ms from a lease of 1.5 s. The placement lease's holder stops acting 0.8 s early.
+func TestManager_OneActiveHolderWhileClocksRunApart(t *testing.T) {
+	const drift, margin = 1.0 / 500, 20 * time.Millisecond
+	forEachSeed(t, 150, func(t *testing.T, seed uint64) {
+		drifting := newActingSchedule(threeMembers)
+		drifting.clockDrift, drifting.margin = drift, margin
+		_, err := drifting.run(seed)
+		assert.NilError(t, err, "FERRYSPAR_SEED=%d replays this schedule", seed)
+	})
+}
+
 func TestSimulation_CatchesBrokenHolders(t *testing.T) {
 	const attempts = 120
 	overstays := newActingSchedule(threeMembers)
@@ -183,10 +198,14 @@
 	usesTimeOfDay.wallClocks = true
 	usesTimeOfDay.faults = slices.Concat(usesTimeOfDay.faults, []keystoresim.Fault{keystoresim.StepWallClock, keystoresim.StepWallClock})
 
+	runsApart := newActingSchedule(threeMembers)
+	runsApart.clockDrift = 0.3
+
 	for name, test := range map[string]struct {
 		schedule  actingSchedule
 		firstSeed uint64
 	}{
+		"clock runs too slow":   {runsApart, 1},
 		"overstays":             {overstays, 1},
 		"goes by the day clock": {usesTimeOfDay, 700},
 	} {
--- a/internal/lease/simulation_test.go
+++ b/internal/lease/simulation_test.go
@@ -63,6 +63,8 @@
 	simulatedCluster
 	seed       uint64
 	wallClocks bool
+	// clockDrift is the share by which the monotonic clock of a machine runs too fast or too slow at most.
+	clockDrift float64
 	// duration is how long holders run and faults occur.
 	duration time.Duration
 	// maxFaultInterval and maxFaultDuration bound the random parts of the time between faults, and of the
@@ -110,6 +112,7 @@
 	cluster := keystoresim.New(s.seed, size)
 	cluster.AssignZones(s.zones...)
 	cluster.UsesWallClock = s.wallClocks
+	cluster.ClockDrift = s.clockDrift
 	for _, name := range cluster.Names {
 		cluster.Start(name, true)
 	}
--- a/internal/test/keystoresim/clock.go
+++ b/internal/test/keystoresim/clock.go
@@ -1,6 +1,7 @@
 package keystoresim
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 	"unsafe"
@@ -42,7 +43,7 @@
 	return func() time.Time {
 		c.lock.Lock()
 		defer c.lock.Unlock()
-		now := OffsetWallClock(time.Now(), c.clockOffsets[name])
+		now := OffsetWallClock(c.steadyTime(name), c.clockOffsets[name])
 		if c.UsesWallClock {
 			return now.Round(0)
 		}
@@ -50,6 +51,16 @@
 	}
 }
 
+// steadyTime is the monotonic clock of a machine, which runs too fast or too slow by up to ClockDrift.
+func (c *Cluster) steadyTime(name string) time.Time {
+	now := time.Now()
+	if c.ClockDrift == 0 {
+		return now
+	}
+	share := 2*float64(c.drawNumber(name, "drift"))/math.MaxUint64 - 1
+	return now.Add(time.Duration(share * c.ClockDrift * float64(now.Sub(monotonicOrigin))))
+}
+
 // StepWallClock is a Fault that moves a machine's wall clock by up to an hour either way.
 func StepWallClock(cluster *Cluster, name string, random *rand.Rand, duration time.Duration) {
 	cluster.lock.Lock()
--- a/internal/test/keystoresim/cluster.go
+++ b/internal/test/keystoresim/cluster.go
@@ -55,6 +55,10 @@
 	Lossy       bool
 	Retransmits bool
 
+	// ClockDrift is the share by which the monotonic clock of a machine runs too fast or too slow at most. Each machine has its own
+	// rate for as long as the simulation lasts.
+	ClockDrift float64
+
 	// The following are broken variants, for tests to find.
 
 	// VotesWithoutCatchUp has a member that lost its disk vote at once.
