Control plane: an acknowledgement waits 0.25 s for data planes

Cause: the first acknowledgement after all control planes were killed comes after 1.04 s at 99 and 299 machines, where 1 s is wanted: 0.5 s until they run, the majority's read, and the whole wait for data planes, which at size always lasts to its end.

Change: 0.25 s in place of 0.35 s.

--- a/internal/controlplane/changes.go
+++ b/internal/controlplane/changes.go
@@ -20,8 +20,10 @@
 	// unconfirmedTimeout is how long it may take while none is known to be: the caller should try another
 	// node before its own timeout of a second.
 	unconfirmedTimeout = 700 * time.Millisecond
-	// ackTimeout is how long an acknowledgement waits for data planes to apply the change.
-	ackTimeout = 350 * time.Millisecond
+	// ackTimeout is how long an acknowledgement waits for data planes to apply the change. At size it always waits as long, since data
+	// planes acknowledge to their own control plane; the first acknowledgement after all control planes were killed is to come
+	// within a second, of which their start takes half.
+	ackTimeout = 250 * time.Millisecond
 	// ackCheckInterval is how often it looks whether they do.
 	ackCheckInterval = 10 * time.Millisecond
 )
