--- /dev/null
+++ b/internal/controlplane/coordinator/recovery_test.go
@@ -0,0 +1,136 @@
+package coordinator
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"ferryspar/internal/coordination"
+)
+
+// awaitAnswers calls each item, at one node after the other, until there is a clear answer, which must come in time.
+func (a *application) awaitAnswers(limit time.Duration) error {
+	began := time.Now()
+	calls := itemCalls(a.name())
+	answered := make(chan coordination.Call, len(calls))
+	for position, call := range calls {
+		source := rand.New(rand.NewPCG(a.random.Uint64(), 31))
+		// No two attempts begin at one moment, so that a schedule replays exactly.
+		delay := time.Duration(position+1) * attemptStagger
+		go func() {
+			time.Sleep(delay)
+			a.callUntilAnswered(call, source, began.Add(limit), answered)
+		}()
+	}
+	timeout := time.After(limit)
+	for range calls {
+		select {
+		case <-answered:
+		case <-timeout:
+			return errors.Wrapf(errUnanswered, "an item has no owner %s after the last fault", limit)
+		}
+	}
+	return nil
+}
+
+// callUntilAnswered makes attempts that overlap: one at a node that does not answer holds up no other.
+func (a *application) callUntilAnswered(
+	call coordination.Call, random *rand.Rand, until time.Time, answered chan<- coordination.Call,
+) {
+	isClear := make(chan struct{}, 1)
+	for time.Now().Before(until) {
+		names := a.simulation.cluster.MemberNames()
+		name, source := names[random.IntN(len(names))], rand.New(rand.NewPCG(random.Uint64(), 37))
+		go func() {
+			if a.simulation.call(name, source, call).isClear {
+				select {
+				case isClear <- struct{}{}:
+				default:
+				}
+			}
+		}()
+		select {
+		case <-isClear:
+			answered <- call
+			return
+		case <-time.After(attemptInterval):
+		}
+	}
+}
+
+// itemCalls are calls that touch each item and take nothing from the applications: numbers may have gaps, a lock is asked for by a
+// renewal that names no fence.
+func itemCalls(holder string) []coordination.Call {
+	calls := []coordination.Call{{Operation: coordination.OperationRevision, Kind: coordination.KindGroup, Name: group}}
+	for position := range counterCount {
+		calls = append(calls, coordination.Call{
+			Operation: coordination.OperationNext, Kind: coordination.KindCounter, Name: "n" + digit(position),
+		})
+	}
+	for position := range lockCount {
+		calls = append(calls, coordination.Call{
+			Operation: coordination.OperationRenew, Kind: coordination.KindLock, Name: "l" + digit(position), Holder: holder, HoldMs: 100,
+		})
+	}
+	return calls
+}
+
+// readBack draws each number, takes each lock and reads the revision of the group, which must be answered in time: a lock whose
+// holder has died is free one hold later.
+func readBack(reader *application, final *atomic.Uint64, limit time.Duration) error {
+	began := time.Now()
+	var open []string
+	for {
+		unanswered := reader.readAll(final)
+		if len(unanswered) == 0 {
+			return nil
+		}
+		open = append(open, unanswered...)
+		if time.Since(began) > limit {
+			return errors.Wrapf(errUnanswered, "%s after the last call of an application, by attempts %v", limit, open)
+		}
+		reader.pause(50 * time.Millisecond)
+	}
+}
+
+// errUnanswered is a failure of liveness; all others are of safety.
+var errUnanswered = errors.New("not everything answers in time")
+
+// readAll returns the calls that were not answered, or as though a lock were held.
+func (a *application) readAll(final *atomic.Uint64) (unanswered []string) {
+	for position := range counterCount {
+		call := coordination.Call{Operation: coordination.OperationNext, Kind: coordination.KindCounter, Name: "n" + digit(position)}
+		sent := time.Now()
+		drawn := a.simulation.call(a.node(), a.random, call)
+		if !drawn.isClear {
+			unanswered = append(unanswered, call.Name)
+			continue
+		}
+		a.records.lock.Lock()
+		a.records.draws = append(a.records.draws, draw{call.Name, drawn.result.Number, sent, time.Now()})
+		a.records.lock.Unlock()
+	}
+	for position := range lockCount {
+		call := coordination.Call{
+			Operation: coordination.OperationAcquire,
+			Kind:      coordination.KindLock,
+			Name:      "l" + digit(position),
+			Holder:    a.name(),
+			HoldMs:    100,
+		}
+		if taken := a.simulation.call(a.node(), a.random, call); taken.result.Outcome != coordination.OutcomeDone {
+			unanswered = append(unanswered, call.Name+string(taken.result.Outcome))
+		}
+	}
+	call := coordination.Call{Operation: coordination.OperationRevision, Kind: coordination.KindGroup, Name: group}
+	read := a.simulation.call(a.node(), a.random, call)
+	if !read.isClear {
+		return append(unanswered, group)
+	}
+	final.Store(max(read.result.Revision, 1))
+	return unanswered
+}
+
+func digit(position int) string { return string(rune('0' + position)) }
--- a/internal/test/keystoresim/replacement.go
+++ b/internal/test/keystoresim/replacement.go
@@ -12,11 +12,8 @@
 	"ferryspar/internal/keystore"
 )
 
-// Errors of a replacement.
-var (
-	errNeverMember       = errors.New("the newcomer never became a member")
-	errMembershipChanged = errors.New("the membership has changed")
-)
+// errNeverMember ends a replacement that no driver has completed.
+var errNeverMember = errors.New("the newcomer never became a member")
 
 const (
 	// replacementAttempts bounds how often drivers try to go on with a replacement.
@@ -85,25 +82,13 @@
 	default:
 		return false
 	}
-	err := commitMembership(ctx, store, next)
+	_, err := store.ChangeMembership(ctx, current, next)
 	if err == nil && random.IntN(2) == 0 {
 		store.AdoptMembership(next)
 	}
 	return false
 }
 
-func commitMembership(ctx context.Context, store *keystore.Store, next keystore.Membership) error {
-	_, err := store.Change(ctx, keystore.MembershipKey, func(register keystore.Register) (json.RawMessage, error) {
-		var committed keystore.Membership
-		_ = json.Unmarshal(register.Value, &committed)
-		if committed.Version >= next.Version {
-			return nil, errMembershipChanged
-		}
-		return json.Marshal(next)
-	})
-	return err
-}
-
 func (c *Cluster) hasCaughtUp(newcomer string, current keystore.Membership) bool {
 	store, acceptor := c.StoreOf(newcomer), c.AcceptorOf(newcomer)
 	if store == nil || acceptor == nil {
