Keystore: one decoder of memberships, one vote function of promises

MembershipOf and decodeMembership read a membership in the same way, and the closure that counts promises stood in becomeOwner and in takeBack. Behaviour as before.

--- a/internal/keystore/local_state.go
+++ b/internal/keystore/local_state.go
@@ -28,9 +28,7 @@
 
 // MembershipOf reads the newest membership that a member knows from its registers.
 func MembershipOf(registers map[string]Register) Membership {
-	var membership Membership
-	_ = json.Unmarshal(registers[localMembershipKey].Value, &membership)
-	return membership
+	return decodeMembership(registers[localMembershipKey])
 }
 
 // BootstrapRegisters is the first state of an initial member of a system that starts for the first time.
--- a/internal/keystore/membership_change.go
+++ b/internal/keystore/membership_change.go
@@ -43,8 +43,7 @@
 	key.owned = false
 	electorate := TakeBackElectorate(joint)
 	proposal := s.nextProposalNumber()
-	countsPromise := func(replies *replySet) VoteFunc { return replies.countsPromise }
-	prepared, agreed := s.queryElectorate(ctx, joint, electorate, PrepareMessage(MembershipKey, proposal), countsPromise)
+	prepared, agreed := s.queryElectorate(ctx, joint, electorate, PrepareMessage(MembershipKey, proposal), promiseVotes)
 	if !agreed {
 		return Register{}, prepared.prepareError()
 	}
@@ -83,6 +82,7 @@
 	}
 }
 
+// decodeMembership reads a membership from a register that holds one; it is empty if the register is.
 func decodeMembership(register Register) Membership {
 	var membership Membership
 	_ = json.Unmarshal(register.Value, &membership)
--- a/internal/keystore/proposer.go
+++ b/internal/keystore/proposer.go
@@ -192,8 +192,7 @@
 func (s *Store) becomeOwner(ctx context.Context, key *keyState) error {
 	key.owned = false
 	proposal := s.nextProposalNumber()
-	countsPromise := func(replies *replySet) VoteFunc { return replies.countsPromise }
-	prepared, agreed := s.queryQuorumWith(ctx, PrepareMessage(key.name, proposal), countsPromise)
+	prepared, agreed := s.queryQuorumWith(ctx, PrepareMessage(key.name, proposal), promiseVotes)
 	if !agreed {
 		err := prepared.prepareError()
 		key.effort.recordPrepare(err)
--- a/internal/keystore/replies.go
+++ b/internal/keystore/replies.go
@@ -40,6 +40,9 @@
 	return reply.Granted && !r.predatesDiskLoss(address)
 }
 
+// promiseVotes is the VoteFunc of the replies to a PrepareMessage.
+func promiseVotes(replies *replySet) VoteFunc { return replies.countsPromise }
+
 // predatesDiskLoss says that a member replied before it lost its disk, as the reply of another one shows: the reply says
 // nothing about what that member holds now.
 func (r *replySet) predatesDiskLoss(address string) bool {
