--- a/internal/controlplane/admin_configuration.go
+++ b/internal/controlplane/admin_configuration.go
@@ -34,9 +34,9 @@
 
 // Outcome implements configchange.Host.
 func (h configChangeHost) Outcome(call configchange.Call) (bool, error) {
-	ctx, cancel := h.node.withChangeTimeout(context.Background())
-	defer cancel()
-	return h.node.state.Outcome(ctx, call.Condition, call.Method, call.Body)
+	snapshot := h.node.publisher.Current()
+	learned := controlstate.ConfigurationRecord{Revision: snapshot.Revision, AppliedCalls: snapshot.AppliedCalls}
+	return learned.Outcome(call.Condition, call.Method, call.Body)
 }
 
 // IsReachable implements configchange.Host.
--- a/internal/controlplane/configchange/forwarder.go
+++ b/internal/controlplane/configchange/forwarder.go
@@ -18,6 +18,8 @@
 	pendingReplyAfter = 400 * time.Millisecond
 	// maxPending is how long the outcome of a call under way at its owner is awaited.
 	maxPending = 3 * time.Second
+	// outcomeInterval is how often, while the owner is at work, this node looks whether what it has learned decides the call.
+	outcomeInterval = 50 * time.Millisecond
 	// avoidFor is how long an owner that did not answer is left alone: by then this node, or another, owns the key.
 	avoidFor = 2 * time.Second
 )
@@ -26,7 +28,8 @@
 type Host interface {
 	// ConfigurationOwner is the address of the node that wrote the configuration last, as far as is known here.
 	ConfigurationOwner() string
-	// Outcome returns what became of a call by the committed configuration, or false if it is still open.
+	// Outcome returns what became of a call by the newest committed configuration that this node has learned of, or false if that
+	// leaves it open. It sends no messages.
 	Outcome(call Call) (decided bool, err error)
 	// IsReachable tells whether another node was heard just now and stays.
 	IsReachable(address string) bool
@@ -78,8 +81,8 @@
 		if decided, err := f.host.Outcome(call); decided {
 			return err
 		}
-		if reply, answered := f.forward(owner, call); answered {
-			return replyError(reply)
+		if answered, err := f.askOwner(owner, call); answered {
+			return err
 		}
 	}
 	return f.local.Do(context.Background(), call)
@@ -95,6 +98,32 @@
 	return !f.clock().Before(f.avoided[owner])
 }
 
+// askOwner has the owner carry out a call, and returns what it decided. An owner that has no time left replies long after it has
+// committed: what this node learns meanwhile may decide the call as well.
+func (f *Forwarder) askOwner(owner string, call Call) (answered bool, err error) {
+	type forwarded struct {
+		reply    peer.ChangeReply
+		answered bool
+	}
+	replies := make(chan forwarded, 1)
+	go func() {
+		reply, answered := f.forward(owner, call)
+		replies <- forwarded{reply: reply, answered: answered}
+	}()
+	ticker := time.NewTicker(outcomeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case received := <-replies:
+			return received.answered, replyError(received.reply)
+		case <-ticker.C:
+		}
+		if decided, err := f.host.Outcome(call); decided {
+			return true, err
+		}
+	}
+}
+
 // forward has the owner carry out a call, and returns its reply. Without an answer, or where the owner could not decide, the
 // call is this node's to carry out.
 func (f *Forwarder) forward(owner string, call Call) (peer.ChangeReply, bool) {
--- a/internal/controlplane/configchange/forwarder_test.go
+++ b/internal/controlplane/configchange/forwarder_test.go
@@ -99,6 +99,19 @@
 	})
 }
 
+func TestForwarder_AnswersByWhatIsLearnedBeforeTheOwnerReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet()
+		fleet.ownerTakes = 900 * time.Millisecond
+		began := time.Now()
+		time.AfterFunc(500*time.Millisecond, func() { fleet.decided = true })
+		assert.NilError(t, fleet.change(patchCall))
+		assert.Assert(t, time.Since(began) <= 500*time.Millisecond+outcomeInterval)
+		assert.Equal(t, fleet.localCalls, 0)
+		time.Sleep(maxPending)
+	})
+}
+
 func TestForwarder_TakesOverFromOwnerThatCannotBeReached(t *testing.T) {
 	cases := map[string]func(fleet *testFleet){
 		"silent":           func(fleet *testFleet) { fleet.silent = true },
--- a/internal/controlplane/demand/exchange.go
+++ b/internal/controlplane/demand/exchange.go
@@ -18,6 +18,9 @@
 	// summariesPerDemand is how many turns of load summaries there are to one of demand. A load summary that says nothing new is
 	// sent at these turns only, which keeps it known at its receivers (summaryTTL) though one of them be lost.
 	summariesPerDemand = 2
+	// unansweredDelay is how long a control plane that has not answered the last summary gets no other load summary: one that has
+	// no time left is asked for more by what it does not keep up with. A call that the network has lost holds up no more than that.
+	unansweredDelay = 600 * time.Millisecond
 	// minDemandInterval is the shortest time between two partial demand summaries.
 	minDemandInterval = 20 * time.Millisecond
 )
@@ -59,6 +62,7 @@
 	loads    *LoadAggregator
 	packer   packer
 	unpacked unpackedPeers
+	pending  pendingCalls
 	// lastLoad is the load summary of the last turn; it belongs to the goroutine of Run.
 	lastLoad peer.LoadSummary
 	// calls are those under way; Run waits for them.
@@ -82,6 +86,7 @@
 		onDemand: onDemand,
 		loads:    loads,
 		unpacked: unpackedPeers{addresses: map[string]bool{}},
+		pending:  pendingCalls{sentAt: map[string]time.Time{}},
 	}
 }
 
@@ -125,6 +130,9 @@
 	packed := e.packer.pack(load, e.host.Roster())
 	leaseHolder := e.host.LeaseHolder()
 	for _, address := range e.host.OtherControlPlanes() {
+		if !e.pending.begin(address, e.clock()) {
+			continue
+		}
 		summary := packed
 		if e.unpacked.contains(address) {
 			summary = load
@@ -132,7 +140,10 @@
 		if withDemand && address == leaseHolder {
 			summary = summary.WithDemand(e.demandSummary(false))
 		}
-		e.calls.Go(func() { e.share(ctx, address, summary) })
+		e.calls.Go(func() {
+			e.share(ctx, address, summary)
+			e.pending.end(address)
+		})
 	}
 }
 
@@ -235,3 +246,29 @@
 	defer u.lock.Unlock()
 	u.addresses[address] = unpacked
 }
+
+// pendingCalls are the load summaries under way, at most one to a control plane. It is safe for concurrent use.
+type pendingCalls struct {
+	// lock guards sentAt.
+	lock sync.Mutex
+	// sentAt is when the last summary without an answer was sent, by the address of its receiver.
+	sentAt map[string]time.Time
+}
+
+// begin records that a summary is sent now, and returns false if an earlier one may yet be answered.
+func (p *pendingCalls) begin(address string, now time.Time) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if sentAt, isPending := p.sentAt[address]; isPending && now.Sub(sentAt) < unansweredDelay {
+		return false
+	}
+	p.sentAt[address] = now
+	return true
+}
+
+// end records that a summary was answered, or that its call has failed.
+func (p *pendingCalls) end(address string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	delete(p.sentAt, address)
+}
--- a/internal/controlplane/watch/snapshot.go
+++ b/internal/controlplane/watch/snapshot.go
@@ -6,6 +6,7 @@
 
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/controlplane/fleetsize"
+	"ferryspar/internal/controlstate"
 	"ferryspar/internal/discovery"
 	"ferryspar/internal/drill"
 	"ferryspar/internal/peer"
@@ -24,6 +25,8 @@
 	// Revision is that of the configuration in force, zero for none. PackedConfiguration is its compressed document.
 	Revision            int64
 	PackedConfiguration []byte
+	// AppliedCalls are the operators' calls that led to Revision.
+	AppliedCalls controlstate.AppliedCalls
 	// Differences is the chain of the last differences that led to Revision, the newest last. It is empty after a revision that
 	// has none.
 	Differences []configuration.Difference
--- a/internal/controlstate/configuration.go
+++ b/internal/controlstate/configuration.go
@@ -65,27 +65,6 @@
 	})
 }
 
-// Outcome returns what became of a call, or must become of it, by the committed configuration: nil for one that was carried
-// out, an apierror.Error for one that is rejected. It returns false for a call that is still open.
-func (s *State) Outcome(ctx context.Context, baseRevision int64, method string, body []byte) (decided bool, err error) {
-	committed, known := s.Store.ReadCommitted(ctx, keystore.ConfigurationKey)
-	if !known {
-		return false, nil
-	}
-	record, err := DecodeConfiguration(committed)
-	if err != nil {
-		return false, nil
-	}
-	switch err := record.check(baseRevision, newCallDigest(method, baseRevision, body)); {
-	case err == nil:
-		return false, nil
-	case errors.Is(err, errAlreadyApplied):
-		return true, nil
-	default:
-		return true, err
-	}
-}
-
 // patch applies a change to the items of the record where it can, else to the whole document.
 func (s *State) patch(value json.RawMessage, current ConfigurationRecord, body []byte) (document, error) {
 	base, err := s.items.of(value, current)
--- a/internal/controlstate/records.go
+++ b/internal/controlstate/records.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 
+	"github.com/pkg/errors"
+
 	"ferryspar/internal/apierror"
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/keystore"
@@ -55,6 +57,20 @@
 	return apierror.New(apierror.VersionConflict, "revision %d is current", r.Revision)
 }
 
+// Outcome returns what became of a call that builds on an earlier revision than that of the record, which must be a committed one:
+// nil for one that was carried out, an apierror.Error for one that is rejected. Later records can't change that, since revisions
+// only rise and each call builds on one of them. It returns false for a call that the record leaves open.
+func (r ConfigurationRecord) Outcome(baseRevision int64, method string, body []byte) (decided bool, err error) {
+	if baseRevision >= r.Revision {
+		return false, nil
+	}
+	err = r.check(baseRevision, newCallDigest(method, baseRevision, body))
+	if errors.Is(err, errAlreadyApplied) {
+		return true, nil
+	}
+	return err != nil, err
+}
+
 // next is the record that a call writes.
 func (r ConfigurationRecord) next(document document, call callDigest) ConfigurationRecord {
 	next := ConfigurationRecord{
