Usage reports: each window of a tenant's requests is told to the platform once

The platform asks for the requests of each tenant that began to run in each window of wall time; nothing told it. Data planes count for their incarnation; counts are cumulative, so that they are counted once over lost, repeated and reordered messages, and go along with load reports and demand summaries, changed entries only. Windows are of the median of the control planes' clocks.

Planted faults caught: counts made anew by the successor, counts added twice, a replaced receiver not sent everything, windows closed at once, sent before committed.

--- a/internal/controlplane/demand/exchange.go
+++ b/internal/controlplane/demand/exchange.go
@@ -10,6 +10,7 @@
 	"ferryspar/internal/discovery"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
+	"ferryspar/internal/usage"
 )
 
 const (
@@ -63,19 +64,23 @@
 	packer   packer
 	unpacked unpackedPeers
 	pending  pendingCalls
+	// usage passes the counts of tenants' requests on; it does nothing where none are wanted.
+	usage *UsageRelay
 	// lastLoad is the load summary of the last turn; it belongs to the goroutine of Run.
 	lastLoad peer.LoadSummary
 	// calls are those under way; Run waits for them.
 	calls sync.WaitGroup
 }
 
-// NewExchange returns an exchange over the aggregator. It passes demand summaries, the own ones included, to onDemand.
+// NewExchange returns an exchange over the aggregator. It passes demand summaries, the own ones included, to onDemand, and counts of
+// tenants' requests to relay.
 func NewExchange(
 	sender Sender,
 	host Host,
 	caller Caller,
 	loads *LoadAggregator,
 	onDemand func(summary peer.LoadSummary),
+	relay *UsageRelay,
 	clock func() time.Time,
 ) *Exchange {
 	return &Exchange{
@@ -84,6 +89,7 @@
 		caller:   caller,
 		clock:    clock,
 		onDemand: onDemand,
+		usage:    relay,
 		loads:    loads,
 		unpacked: unpackedPeers{addresses: map[string]bool{}},
 		pending:  pendingCalls{sentAt: map[string]time.Time{}},
@@ -119,6 +125,9 @@
 	if isNew || withDemand {
 		e.sendLoad(ctx, load, withDemand)
 	}
+	if withDemand {
+		e.usage.forget(e.clock())
+	}
 	if withDemand && !slices.Contains(e.host.OtherControlPlanes(), e.host.LeaseHolder()) {
 		e.sendDemand(ctx, false)
 	}
@@ -137,18 +146,21 @@
 		if e.unpacked.contains(address) {
 			summary = load
 		}
+		var counts usage.Batch
 		if withDemand && address == leaseHolder {
 			summary = summary.WithDemand(e.demandSummary(false))
+			counts = e.usage.next()
+			summary.Usage = counts.Entries
 		}
 		e.calls.Go(func() {
-			e.share(ctx, address, summary)
+			e.share(ctx, address, summary, counts)
 			e.pending.end(address)
 		})
 	}
 }
 
-// share sends a summary of load, demand or both, and notes what became of it.
-func (e *Exchange) share(ctx context.Context, address string, summary peer.LoadSummary) {
+// share sends a summary of load, demand or both, and notes what became of it and of the counts in it.
+func (e *Exchange) share(ctx context.Context, address string, summary peer.LoadSummary, counts usage.Batch) {
 	var reply peer.LoadSummaryReply
 	err := e.caller.Call(ctx, peer.MethodShareLoad, address, summary, &reply)
 	if err == nil && summary.HasLoad() {
@@ -162,6 +174,9 @@
 		return
 	}
 	e.loads.MarkDelivered(summary)
+	if !summary.Partial {
+		e.usage.acknowledge(reply.Receiver, counts)
+	}
 }
 
 // demandSummary is what the placement lease's holder is sent of the demand here.
@@ -187,7 +202,7 @@
 		e.loads.MarkDelivered(summary)
 		return
 	}
-	e.calls.Go(func() { e.share(ctx, leaseHolder, summary) })
+	e.calls.Go(func() { e.share(ctx, leaseHolder, summary, usage.Batch{}) })
 }
 
 // HandleLoadReport takes in a data plane's load and answers with the load of all others on the replicas that it may use,
@@ -196,6 +211,8 @@
 	e.loads.AddReport(report, e.clock())
 	subscribed := e.host.SubscribedReplicas(report.DataPlane)
 	fleet := e.loads.FleetLoadFor(report.DataPlane, subscribed.IDs)
+	e.usage.merge(report.Usage)
+	fleet.Receiver, fleet.TimeOfDayUs = e.sender.Incarnation, e.usage.timeOfDayUs(e.clock())
 	if report.Endpoints == 0 || report.Endpoints != subscribed.Digest {
 		return fleet
 	}
@@ -208,13 +225,17 @@
 // HandleLoadSummary takes in another control plane's summary. If its loads are packed by a roster that isn't the one
 // here, they are not taken in and the sender is asked for summaries that aren't packed.
 func (e *Exchange) HandleLoadSummary(_ context.Context, summary peer.LoadSummary) peer.LoadSummaryReply {
+	reply := peer.LoadSummaryReply{}
 	if summary.IsDemand {
 		e.onDemand(summary)
+		e.usage.merge(summary.Usage)
+		reply.Receiver = e.sender.Incarnation
 	}
 	if summary.Packed != nil {
 		loads, known := e.packer.unpack(summary.Packed, e.host.Roster())
 		if !known {
-			return peer.LoadSummaryReply{UnknownVersion: true}
+			reply.UnknownVersion = true
+			return reply
 		}
 		peer.MergeOutcomes(loads, summary.Replicas)
 		summary.Replicas = loads
@@ -222,7 +243,7 @@
 	if summary.Replicas != nil {
 		e.loads.AddSummary(summary, e.clock())
 	}
-	return peer.LoadSummaryReply{}
+	return reply
 }
 
 // unpackedPeers are the control planes that have another roster, and so can't unpack loads. It is safe for concurrent
--- a/internal/controlplane/demand/exchange_test.go
+++ b/internal/controlplane/demand/exchange_test.go
@@ -75,9 +75,9 @@
 	roster := []discovery.Replica{{ID: "i-1"}, {ID: "i-2"}}
 	caller = &testCaller{}
 	first = NewExchange(Sender{Member: "a", Incarnation: "a1"}, &testHost{self: "a", leaseHolder: "b", roster: roster}, caller,
-		NewLoadAggregator(), func(peer.LoadSummary) {}, time.Now)
+		NewLoadAggregator(), func(peer.LoadSummary) {}, nil, time.Now)
 	second = NewExchange(Sender{Member: "b", Incarnation: "b1"}, &testHost{self: "b", leaseHolder: "b", roster: roster}, caller,
-		NewLoadAggregator(), func(summary peer.LoadSummary) { *demands = append(*demands, summary) }, time.Now)
+		NewLoadAggregator(), func(summary peer.LoadSummary) { *demands = append(*demands, summary) }, nil, time.Now)
 	caller.receiver = second
 	return first, second, caller
 }
@@ -92,7 +92,7 @@
 
 func TestExchange_PacksLoadForDataPlaneThatKnowsTheSameReplicas(t *testing.T) {
 	host := &testHost{self: "a", roster: []discovery.Replica{{ID: "i-1"}}}
-	exchange := NewExchange(Sender{Member: "a"}, host, &testCaller{}, NewLoadAggregator(), nil, time.Now)
+	exchange := NewExchange(Sender{Member: "a"}, host, &testCaller{}, NewLoadAggregator(), nil, nil, time.Now)
 	other := peer.ReplicaLoad{Running: 3, Tokens: 250, PrefillTokens: 100, Outcomes: peer.Outcomes{Served: 4, Failed: 1}}
 	exchange.HandleLoadReport(t.Context(), peer.LoadReport{DataPlane: "other", Replicas: map[string]peer.ReplicaLoad{"i-1": other}})
 	known := peer.NewReplicaIDs([]string{"i-1"})
--- a/internal/controlplane/demand_host.go
+++ b/internal/controlplane/demand_host.go
@@ -13,7 +13,7 @@
 
 func (n *Node) newLoadExchange() *demand.Exchange {
 	sender := demand.Sender{Member: n.self, Incarnation: n.incarnation}
-	return demand.NewExchange(sender, demandHost{n}, n.peers, n.loads, n.scheduler.Demand().HandleSummary, n.clock)
+	return demand.NewExchange(sender, demandHost{n}, n.peers, n.loads, n.scheduler.Demand().HandleSummary, n.usage, n.clock)
 }
 
 // OtherControlPlanes returns the addresses of the other control planes that are known.
--- a/internal/controlplane/members/heartbeats.go
+++ b/internal/controlplane/members/heartbeats.go
@@ -99,6 +99,7 @@
 		Leaving:           m.IsLeaving(),
 		Zone:              m.config.Zone,
 		Unreachable:       m.View().Suspects(),
+		TimeOfDayUs:       m.observeTimeOfDay(),
 	}
 	m.roundsSent++
 	if m.roundsSent%dataPlaneListPeriod == 1 || message.Leaving {
@@ -107,9 +108,19 @@
 	return message
 }
 
+// observeTimeOfDay takes in the time of day of this node's own clock, and returns it in microseconds.
+func (m *Manager) observeTimeOfDay() int64 {
+	now := m.config.Clock()
+	m.config.TimeOfDay.Observe(m.config.Self, now, now)
+	return now.UnixMicro()
+}
+
 // HandleHeartbeat records another node's heartbeat.
 func (m *Manager) HandleHeartbeat(_ context.Context, message peer.Heartbeat) HeartbeatReply {
 	now := m.config.Clock()
+	if message.TimeOfDayUs != 0 {
+		m.config.TimeOfDay.Observe(message.Address, time.UnixMicro(message.TimeOfDayUs), now)
+	}
 	m.lock.Lock()
 	m.nodes.Record(message.Address, heartbeat.Heartbeat{ReportedAt: now})
 	m.lastHeartbeats[message.Address] = message
--- a/internal/controlplane/members/manager.go
+++ b/internal/controlplane/members/manager.go
@@ -12,6 +12,7 @@
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/membership"
 	"ferryspar/internal/peer"
+	"ferryspar/internal/wallclock"
 )
 
 const (
@@ -35,6 +36,8 @@
 	// Clock is the node's steady clock, StartedAt its reading at the start.
 	Clock     func() time.Time
 	StartedAt time.Time
+	// TimeOfDay takes in what the clocks of all control planes say.
+	TimeOfDay *wallclock.Estimator
 }
 
 // Caller calls a method of another node (peer.Client).
--- a/internal/controlplane/members/manager_test.go
+++ b/internal/controlplane/members/manager_test.go
@@ -12,6 +12,7 @@
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/membership"
 	"ferryspar/internal/peer"
+	"ferryspar/internal/wallclock"
 )
 
 const testSegmentBytes = 64 << 10
@@ -60,7 +61,8 @@
 	acceptor := keystore.NewAcceptor(self, wal, keystore.AcceptorConfig{LeaseDuration: time.Second, Clock: clock, Seeds: seeds}, true)
 	store := keystore.NewStore(self, 1, n, bootstrap)
 	host := &testHost{}
-	config := Config{Self: self, NodeName: self, Zone: "zone-" + self, Seeds: seeds, DesiredMembers: 3, Clock: clock, StartedAt: n.now}
+	config := Config{Self: self, NodeName: self, Zone: "zone-" + self, Seeds: seeds, DesiredMembers: 3, Clock: clock, StartedAt: n.now,
+		TimeOfDay: wallclock.NewEstimator(n.now)}
 	manager := NewManager(config, store, acceptor, n, dataplanes.NewRegistry(), host)
 	n.managers[self] = manager
 	return manager, host
--- a/internal/controlplane/members_host.go
+++ b/internal/controlplane/members_host.go
@@ -29,6 +29,7 @@
 		DesiredMembers: 2*n.settings.FaultTolerance.MachineLoss + 1,
 		Clock:          n.clock,
 		StartedAt:      n.startedAt,
+		TimeOfDay:      n.timeOfDay,
 	}
 	return members.NewManager(config, n.store, n.acceptor, n.peers, n.dataPlanes, membersHost{n})
 }
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -18,12 +18,14 @@
 	"ferryspar/internal/controlplane/members"
 	"ferryspar/internal/controlplane/roster"
 	"ferryspar/internal/controlplane/scheduler"
+	"ferryspar/internal/controlplane/singleton"
 	"ferryspar/internal/controlplane/watch"
 	"ferryspar/internal/controlstate"
 	"ferryspar/internal/eventbus"
 	"ferryspar/internal/keystore"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
+	"ferryspar/internal/wallclock"
 )
 
 // Node is one control-plane node: member of the keystore, source of updates for data planes, server of
@@ -68,6 +70,12 @@
 	loads        *demand.LoadAggregator
 	loadExchange *demand.Exchange
 
+	// timeOfDay is that on which the control planes agree.
+	timeOfDay *wallclock.Estimator
+	// usage holds the counts of tenants' requests, or is nil if none are wanted; roles makes the calls that one node owes the platform.
+	usage *demand.UsageRelay
+	roles *singleton.Runner
+
 	// Replicas, and what operators rehearse with them.
 	roster     *roster.Roster
 	scheduler  *scheduler.Scheduler
@@ -111,6 +119,8 @@
 		dataPlanes:   dataplanes.NewRegistry(),
 		bus:          eventbus.New(),
 	}
+	node.timeOfDay = wallclock.NewEstimator(node.startedAt)
+	node.usage = node.newUsageRelay()
 	node.openKeystore(wal, incarnation, isBootstrapping)
 	node.applier = applier.New(node.store, node.acceptor, node.publisher, node.clock)
 	node.members = node.newMembers()
@@ -121,6 +131,7 @@
 	node.roster = node.newRoster()
 	node.scheduler = node.newScheduler()
 	node.loadExchange = node.newLoadExchange()
+	node.roles = node.newRoles()
 	node.drills = node.newDrills()
 	node.forecaster = node.newForecaster()
 	return node, nil
--- /dev/null
+++ b/internal/controlplane/roles_host.go
@@ -0,0 +1,60 @@
+package controlplane
+
+import (
+	"net/http"
+	"time"
+
+	"ferryspar/internal/controlplane/demand"
+	"ferryspar/internal/controlplane/singleton"
+	"ferryspar/internal/controlplane/usagereport"
+	"ferryspar/internal/discovery"
+	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/peer"
+	"ferryspar/internal/usage"
+)
+
+// usageRetention is for how long, beyond the time in which its report is due, a window's counts are kept for a node that takes the
+// lease late.
+const usageRetention = 30 * time.Second
+
+// newUsageRelay returns what keeps the counts of tenants' requests, or nil if the platform wants none.
+func (n *Node) newUsageRelay() *demand.UsageRelay {
+	if !n.settings.CloudAPI.Has(nodesettings.DutyUsage) {
+		return nil
+	}
+	return &demand.UsageRelay{
+		Ledger:    usage.NewLedger(),
+		Windows:   n.usageWindows(),
+		Retention: nodesettings.Seconds(n.settings.TimingBounds.UsageDelayS) + usageRetention,
+		TimeOfDay: n.timeOfDay.Now,
+	}
+}
+
+func (n *Node) usageWindows() usage.Windows {
+	return usage.Windows{Length: nodesettings.Seconds(n.settings.TimingBounds.UsageWindowS)}
+}
+
+// newRoles returns what makes the calls that one node at a time owes the platform.
+func (n *Node) newRoles() *singleton.Runner {
+	transport := peer.NewTransport(n.network, listConnectTimeout, listAckTimeout, 1)
+	config := singleton.Config{
+		Holder:         n.settings.NodeName,
+		CallsPerSecond: n.settings.CloudAPI.DutyPerS,
+		Lease:          n.scheduler.Lease(),
+		Platform: &discovery.RoleClient{
+			Address:    n.settings.CloudAPI.Address,
+			HTTPClient: &http.Client{Transport: transport},
+		},
+		Clock: n.clock,
+	}
+	if n.usage != nil {
+		config.Roles = append(config.Roles, usagereport.New(usagereport.Config{
+			Store:     n.store,
+			Ledger:    n.usage.Ledger,
+			Windows:   n.usage.Windows,
+			Delay:     nodesettings.Seconds(n.settings.TimingBounds.UsageDelayS),
+			TimeOfDay: n.timeOfDay.Now,
+		}))
+	}
+	return singleton.NewRunner(config)
+}
--- a/internal/controlplane/run.go
+++ b/internal/controlplane/run.go
@@ -69,6 +69,7 @@
 		n.loadExchange.Run,
 		n.drills.Run,
 		n.fleetSize.Run,
+		n.roles.Run,
 		n.watches.Run,
 		func(ctx context.Context) { n.watchSettings(ctx, signals) },
 	}
--- a/internal/controlplane/scheduler/fenced_test.go
+++ b/internal/controlplane/scheduler/fenced_test.go
@@ -78,10 +78,10 @@
 		keeper := runKeeper(t, cluster)
 		fence := awaitFenceAbove(t, keeper, 0)
 		for range 3 {
-			keeper.reportFenced(fence)
+			keeper.ReportFenced(fence)
 			fence = awaitFenceAbove(t, keeper, fence)
 		}
-		keeper.reportFenced(1)
+		keeper.ReportFenced(1)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, keeper.Grant().Record.Fence, fence, "a refusal of an earlier fence says nothing of this one")
 	})
--- a/internal/controlplane/scheduler/lease.go
+++ b/internal/controlplane/scheduler/lease.go
@@ -171,10 +171,10 @@
 	k.reportUnusable(unusableGrant{grant.Record.Fence, "its record cannot be written"})
 }
 
-// reportFenced has the lease given up under whose fence an order was refused, since the replica has seen a higher one. To order again
-// under the same fence would be refused for ever.
-func (k *LeaseKeeper) reportFenced(fence uint64) {
-	k.reportUnusable(unusableGrant{fence, "a replica has seen a higher fence"})
+// ReportFenced has the lease given up under whose fence an order was refused, since a higher one was seen. To order again under the
+// same fence would be refused for ever.
+func (k *LeaseKeeper) ReportFenced(fence uint64) {
+	k.reportUnusable(unusableGrant{fence, "a higher fence was seen"})
 }
 
 func (k *LeaseKeeper) reportUnusable(found unusableGrant) {
--- a/internal/controlplane/scheduler/orders.go
+++ b/internal/controlplane/scheduler/orders.go
@@ -140,7 +140,7 @@
 	logOrder(tracked, order, status, err)
 	outcome := outcomeOf(status, err)
 	if outcome == replicastate.Fenced {
-		s.lease.reportFenced(order.Fence)
+		s.lease.ReportFenced(order.Fence)
 	}
 	s.recordLoadOutcome(tracked, outcome, now)
 	s.tracker.HandleResponse(tracked, order, outcome, now)
--- a/internal/dataplane/loadreport.go
+++ b/internal/dataplane/loadreport.go
@@ -30,8 +30,10 @@
 		report := n.matcher.LoadReport(ctx)
 		report.DataPlane = n.settings.NodeName
 		endpoints := n.state.endpointIDs()
-		empty := len(report.Models) == 0 && len(report.Replicas) == 0
-		if empty && reportedEmpty {
+		counts := n.usage.next()
+		report.Usage = counts.Entries
+		empty := len(report.Models) == 0 && len(report.Replicas) == 0 && len(report.Usage) == 0
+		if empty && reportedEmpty && n.usage.knowsTimeOfDay() {
 			continue
 		}
 		reportedEmpty = empty
@@ -41,6 +43,7 @@
 		if n.peers.Call(ctx, peer.MethodReportLoad, primary, report, &reply) != nil {
 			continue
 		}
+		n.usage.adopt(counts, reply)
 		if fleetLoad, known := reply.Unpacked(endpoints); known {
 			n.state.adoptFleetLoad(ctx, fleetLoad, sentAt)
 		}
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -36,6 +36,8 @@
 	peers     *peer.Client
 	forwarder *replica.Forwarder
 	quotas    *Quotas
+	// usage counts the requests of tenants, or is nil if the platform wants no counts.
+	usage *usageCounter
 	// draining is set once a graceful shutdown has begun.
 	draining atomic.Bool
 }
@@ -78,6 +80,10 @@
 	node.proxy = proxy.NewHandler(&node.snapshot, node.matcher, node.forwarder, budgets, time.Now, rand.Float64)
 	node.proxy.Freshness = node.state.freshness
 	node.proxy.Quota = node.quotas
+	if settings.CloudAPI.Has(nodesettings.DutyUsage) {
+		node.usage = newUsageCounter(settings, time.Now)
+		node.proxy.Usage = node.usage
+	}
 	return node
 }
 
--- a/internal/keystore/names.go
+++ b/internal/keystore/names.go
@@ -31,6 +31,8 @@
 	DrillKey = "drill"
 	// FleetSizeKey holds how many data planes there are, and which may be homes of tenants' limits.
 	FleetSizeKey = "fleet/size"
+	// UsageKey holds the usage of tenants in windows whose counts are final.
+	UsageKey = "usage"
 	// CoordinationPrefix begins the keys of the locks, counters and groups of keys that applications share. Digests leave them
 	// out: nobody follows them but their owners, and there may be many.
 	CoordinationPrefix = "coordination/"
--- a/internal/nodesettings/check.go
+++ b/internal/nodesettings/check.go
@@ -52,6 +52,7 @@
 func (s Settings) commonChecks() []fieldCheck {
 	bounds := s.TimingBounds
 	isQuotaNegative := bounds.QuotaOverage < 0 || bounds.QuotaSlack < 0
+	lacksWindow := s.CloudAPI.Has(DutyUsage) && (bounds.UsageWindowS <= 0 || bounds.UsageDelayS <= 0)
 	return []fieldCheck{
 		{s.NodeName == "", "nodeName is missing"},
 		{net.ParseIP(s.IPAddress) == nil, fmt.Sprintf("ipAddress %q is no IP address", s.IPAddress)},
@@ -64,6 +65,8 @@
 		{bounds.RevocationClosed && bounds.RevokeMs <= 0, "timingBounds.revokeMs must be above 0"},
 		{bounds.QuotaWindowS <= 0, "timingBounds.quotaWindowS must be above 0"},
 		{isQuotaNegative, "timingBounds.quotaOverage and quotaSlack must not be below 0"},
+		{s.CloudAPI.DutyPerS < 0, "cloudApi.dutyPerS must not be below 0"},
+		{lacksWindow, "timingBounds.usageWindowS and usageDelayS must be above 0 where cloudApi.duties has usage_report"},
 		{bounds.HistoryS < 0, "timingBounds.historyS must not be below 0"},
 		{s.HeartbeatMs <= 0, "heartbeatMs must be above 0"},
 	}
--- a/internal/nodesettings/settings.go
+++ b/internal/nodesettings/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/knadh/koanf/parsers/toml/v2"
@@ -29,6 +30,12 @@
 	ServiceControl Service = "control" // replicas and operators: the control plane
 )
 
+// The duties at the platform, as named in the settings file.
+const (
+	DutyUsage     = "usage_report" // the requests of tenants, window by window
+	DutyAutoscale = "autoscale"    // how many replicas of a backend a zone has
+)
+
 // Settings are the contents of a settings file. Unknown fields of the file are ignored. A field without a
 // stated default is empty or 0 if the file omits it. Informational fields describe the deployment; no
 // program depends on them.
@@ -171,6 +178,12 @@
 	// RecoveryS is the time after the return of all machines within which requests must be served
 	// again. Informational.
 	RecoveryS float64 `koanf:"recoveryS"`
+	// UsageWindowS is the length, in s, of the windows in which the requests of tenants are counted, UsageDelayS how long after the
+	// end of one its report is due. Required for DutyUsage.
+	UsageWindowS float64 `koanf:"usageWindowS"`
+	UsageDelayS  float64 `koanf:"usageDelayS"`
+	// UsageError is by which part a count may be wrong. Informational.
+	UsageError float64 `koanf:"usageError"`
 	// HistoryS is how long, in s, applications may go on with a watch from a revision that they were given
 	// (docs/design/coordination.md). Default 20.
 	HistoryS float64 `koanf:"historyS"`
@@ -201,12 +214,17 @@
 	Address string `koanf:"address"`
 	// RatePerS is the limit of calls per second over all nodes. Default 10.
 	RatePerS float64 `koanf:"ratePerS"`
-	// Duties are the singleton duties that the platform expects of a node. Informational.
+	// Duties are the calls that one control plane at a time owes the platform: DutyUsage, DutyAutoscale. Others are ignored.
 	Duties []string `koanf:"duties"`
+	// DutyPerS is the limit of such calls per second over all nodes. Default 1.
+	DutyPerS float64 `koanf:"dutyPerS"`
 	// MaxLagMs is how old the list may be when it is read. Default 1000.
 	MaxLagMs float64 `koanf:"maxLagMs"`
 }
 
+// Has says whether a duty is owed.
+func (c CloudAPI) Has(duty string) bool { return slices.Contains(c.Duties, duty) }
+
 // Milliseconds converts a number of milliseconds to a duration.
 func Milliseconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Millisecond))
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -18,4 +18,6 @@
 	Zone       string   `json:"zone,omitempty"`
 	// Unreachable lists the members that the sender receives no heartbeats from.
 	Unreachable []string `json:"silent,omitempty"`
+	// TimeOfDayUs is the sender's time of day, in microseconds since 1970, by its own clock alone.
+	TimeOfDayUs int64 `json:"wallUs,omitempty"`
 }
--- a/internal/peer/load.go
+++ b/internal/peer/load.go
@@ -1,5 +1,7 @@
 package peer
 
+import "ferryspar/internal/usage"
+
 // LoadReport is the load that a data plane reports to its control plane.
 type LoadReport struct {
 	DataPlane string      `json:"daemon"`
@@ -10,6 +12,8 @@
 	// Endpoints is the digest of the ids of the replicas that the data plane knows, ordered by id, see ReplicaIDs. The reply
 	// is packed if the receiver takes the data plane to know the same ones.
 	Endpoints uint64 `json:"endpoints,omitempty"`
+	// Usage holds the counts of tenants' requests that the receiver is not known to have.
+	Usage []usage.Entry `json:"usage,omitempty"`
 }
 
 // ModelLoad is the demand for one model.
@@ -55,6 +59,10 @@
 	Replicas map[string]ReplicaLoad `json:"replicas,omitempty"`
 	// Packed, if set, holds the numbers of Replicas in a shorter form; Replicas holds just outcomes then.
 	Packed *PackedLoads `json:"dense,omitempty"`
+	// Receiver is the incarnation that has taken in the report's Usage.
+	Receiver string `json:"receiver,omitempty"`
+	// TimeOfDayUs is the time of day on which the control planes agree, in microseconds since 1970, 0 if it is not known yet.
+	TimeOfDayUs int64 `json:"wallUs,omitempty"`
 }
 
 // LoadSummary is what a control plane sends the others about the data planes that report to it: the load on replicas, and
@@ -81,6 +89,8 @@
 	// the same number until they are known to have been received, and must be counted once.
 	Incarnation string `json:"life,omitempty"`
 	Batch       uint64 `json:"batch,omitempty"`
+	// Usage holds the counts of tenants' requests that the receiver is not known to have.
+	Usage []usage.Entry `json:"usage,omitempty"`
 }
 
 // WithDemand returns a summary of load with the demand of another one.
@@ -88,6 +98,7 @@
 	s.SuspectCounts, s.Models = demand.SuspectCounts, demand.Models
 	s.IsDemand, s.Partial = demand.IsDemand, demand.Partial
 	s.Incarnation, s.Batch = demand.Incarnation, demand.Batch
+	s.Usage = demand.Usage
 	return s
 }
 
@@ -102,4 +113,6 @@
 	// UnknownVersion says that the receiver has no roster of the version in PackedLoads and took nothing in; it asks
 	// for summaries that aren't packed.
 	UnknownVersion bool `json:"unknown,omitempty"`
+	// Receiver is the incarnation that has taken in the summary's Usage.
+	Receiver string `json:"receiver,omitempty"`
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -39,6 +39,8 @@
 
 	// headerSent says that the client has the head of the response, so that it can only go on or be aborted.
 	headerSent bool
+	// counted says that the request counts among those that its tenant has had run.
+	counted bool
 	// events is where the stream is, for one that may be resumed at another replica.
 	events replica.EventBuffer
 	timing timing
@@ -143,6 +145,16 @@
 	return outcomeByVerdict[verdict]
 }
 
+// countBegun counts the request, once, when a replica has begun to run it.
+func (e *exchange) countBegun() {
+	tenant := e.parsed.upstream.Tenant
+	if e.counted || tenant == "" || e.handler.Usage == nil {
+		return
+	}
+	e.counted = true
+	e.handler.Usage.RequestBegan(tenant)
+}
+
 // report reports to the matcher how the attempt goes.
 func (e *exchange) report(outcome routing.Outcome) { e.handler.matcher.Report(e.ticket, outcome) }
 
--- a/internal/proxy/streaming.go
+++ b/internal/proxy/streaming.go
@@ -60,6 +60,9 @@
 		count, err := response.Body.Read(buffer)
 		if count > 0 {
 			e.reportProgress(&progress)
+			if isSuccess(response) {
+				e.countBegun()
+			}
 			if !e.writeContent(response, buffer[:count], resumable) {
 				e.report(routing.OutcomeCancelled)
 				panic(http.ErrAbortHandler)
--- a/internal/test/integration/fleet_test.go
+++ b/internal/test/integration/fleet_test.go
@@ -42,6 +42,7 @@
 	network        *memoryNetwork
 	lock           sync.Mutex
 	replicas       []*standInReplica
+	platform       standInPlatform
 	nodes          map[string]*runningNode
 	directories    map[string]keystore.Directory
 	client         *http.Client
@@ -80,7 +81,7 @@
 	transport := peer.NewTransport(f.network.machine("10.9.9.9"), time.Second, time.Minute, 0)
 	transport.DisableKeepAlives = true
 	f.client = &http.Client{Transport: transport}
-	f.serve("10.200.0.1", "10.200.0.1:80", http.HandlerFunc(f.serveReplicaList))
+	f.serve("10.200.0.1", "10.200.0.1:80", f.platformRoutes())
 	for _, standIn := range replicas {
 		f.addReplica(standIn)
 	}
--- /dev/null
+++ b/internal/wallclock/wallclock_test.go
@@ -0,0 +1,67 @@
+package wallclock
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var noon = time.Date(2030, 1, 1, 12, 0, 0, 0, time.UTC)
+
+// observeFor has five sources tell their time of day each 0.4 s; jump is by how much a source is off at a moment.
+func observeFor(e *Estimator, from time.Time, duration time.Duration, jump func(source int) time.Duration) time.Time {
+	now := from
+	for ; now.Before(from.Add(duration)); now = now.Add(400 * time.Millisecond) {
+		for source := range 5 {
+			e.Observe(fmt.Sprint(source), now.Add(jump(source)), now)
+		}
+	}
+	return now
+}
+
+func errorAt(t *testing.T, e *Estimator, now time.Time) time.Duration {
+	t.Helper()
+	estimate, known := e.Now(now)
+	assert.Assert(t, known)
+	return estimate.Sub(now).Abs()
+}
+
+func TestEstimator_FollowsTheMajorityOfClocks(t *testing.T) {
+	none := func(int) time.Duration { return 0 }
+	cases := map[string]struct {
+		jump    func(source int) time.Duration
+		longest time.Duration
+	}{
+		"two of five ahead":  {func(source int) time.Duration { return time.Duration(source/3) * 3 * time.Second }, 0},
+		"two of five behind": {func(source int) time.Duration { return -time.Duration(source/3) * 3 * time.Second }, 0},
+		"all jump":           {func(int) time.Duration { return 3 * time.Second }, 20 * time.Millisecond},
+	}
+	for name, jumping := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := NewEstimator(noon)
+			now := observeFor(e, noon, 4*time.Second, none)
+			now = observeFor(e, now, 5*time.Second, jumping.jump)
+			assert.Assert(t, errorAt(t, e, now) <= jumping.longest, "%s", errorAt(t, e, now))
+			now = observeFor(e, now, 5*time.Second, none)
+			assert.Assert(t, errorAt(t, e, now) <= 20*time.Millisecond)
+		})
+	}
+}
+
+func TestEstimator_StartsByTheMedianAfterItHasListened(t *testing.T) {
+	e := NewEstimator(noon)
+	e.Observe("own", noon.Add(3*time.Second), noon)
+	_, known := e.Now(noon)
+	assert.Assert(t, !known, "one clock alone may be off")
+	now := observeFor(e, noon, 3*time.Second, func(source int) time.Duration { return time.Duration(source/4) * time.Minute })
+	assert.Equal(t, errorAt(t, e, now), time.Duration(0))
+}
+
+func TestFollower_GoesByTheOwnClockUntilItIsTold(t *testing.T) {
+	f := NewFollower(noon)
+	assert.Assert(t, f.Now(noon.Add(time.Second)).Equal(noon.Add(time.Second)))
+	f.Follow(noon.Add(-time.Minute), noon)
+	assert.Assert(t, f.Now(noon.Add(time.Second)).Equal(noon.Add(time.Second-time.Minute)))
+}
