Replicas ordered: zones get as many as the demand of models needs

The platform takes orders of how many replicas of a backend each zone has; none was ever sent. The lease holder now observes, with each plan of the placement, which models are asked for and how many requests they keep busy; package autoscale decides, with hysteresis; the role capacityorder sends changes only, and repeats the newest order once an unanswered earlier one can no longer be carried out.

--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -84,6 +84,16 @@
 	ColdPerS   float64 `json:"coldPerS"`
 	// Runtime is nil if the replicas load no models.
 	Runtime *Runtime `json:"runtime"`
+	// Autoscale is nil if the number of replicas is not ours to order.
+	Autoscale *Autoscale `json:"autoscale,omitempty"`
+}
+
+// Autoscale bounds how many replicas of a backend may be ordered in each zone.
+type Autoscale struct {
+	MinReplicas int `json:"minReplicas"`
+	MaxReplicas int `json:"maxReplicas"`
+	// BootTimeS is how long a new replica takes before it serves, in seconds.
+	BootTimeS float64 `json:"bootTimeS"`
 }
 
 // Runtime is what each replica of a backend can load and run.
--- a/internal/controlplane/roles_host.go
+++ b/internal/controlplane/roles_host.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"ferryspar/internal/controlplane/capacityorder"
 	"ferryspar/internal/controlplane/demand"
 	"ferryspar/internal/controlplane/singleton"
 	"ferryspar/internal/controlplane/usagereport"
@@ -56,5 +57,8 @@
 			TimeOfDay: n.timeOfDay.Now,
 		}))
 	}
+	if n.settings.CloudAPI.Has(nodesettings.DutyAutoscale) {
+		config.Roles = append(config.Roles, capacityorder.New(n.scheduler.Capacity()))
+	}
 	return singleton.NewRunner(config)
 }
--- /dev/null
+++ b/internal/controlplane/scheduler/capacity.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"ferryspar/internal/autoscale"
+	"ferryspar/internal/configuration"
+	"ferryspar/internal/controlplane/capacityorder"
+	"ferryspar/internal/controlplane/replicatracker"
+	"ferryspar/internal/nodesettings"
+	"ferryspar/internal/placement"
+)
+
+const (
+	// capacityInterval is how often the demand for replicas is observed.
+	capacityInterval = time.Second
+	// capacityMaxAge is how old an observation may be that replicas are ordered by.
+	capacityMaxAge = 4 * time.Second
+	// askedWithin is for how long after its last request a model counts as one that is asked for.
+	askedWithin = 30 * time.Second
+)
+
+// capacityObserver observes what the replicas of backends are needed for. The planning loop alone calls observe.
+type capacityObserver struct {
+	tracker    *replicatracker.Tracker
+	observedAt time.Time
+	// busy averages the requests that run or wait, by model key.
+	busy map[string]float64
+	// zones are those in which replicas of a backend were listed, by backend.
+	zones  map[string]map[string]bool
+	latest atomic.Pointer[capacityObservation]
+}
+
+// capacityObservation is what was observed at a moment.
+type capacityObservation struct {
+	at       time.Time
+	backends []capacityorder.Backend
+}
+
+func newCapacityObserver(tracker *replicatracker.Tracker) *capacityObserver {
+	return &capacityObserver{tracker: tracker, busy: map[string]float64{}, zones: map[string]map[string]bool{}}
+}
+
+// Backends implements capacityorder.Source. Any goroutine may call it.
+func (c *capacityObserver) Backends(now time.Time) ([]capacityorder.Backend, bool) {
+	latest := c.latest.Load()
+	if latest == nil || now.Sub(latest.at) > capacityMaxAge {
+		return nil, false
+	}
+	return latest.backends, true
+}
+
+// observe takes in the planner's view.
+func (c *capacityObserver) observe(view *placement.View) {
+	passed := view.Now.Sub(c.observedAt)
+	if passed < capacityInterval || !view.DemandKnown {
+		return
+	}
+	c.observedAt = view.Now
+	observation := &capacityObservation{at: view.Now}
+	for index := range view.Table.Configuration.Backends {
+		backend := &view.Table.Configuration.Backends[index]
+		if backend.Autoscale == nil || backend.Runtime == nil {
+			continue
+		}
+		observation.backends = append(observation.backends, c.observeBackend(backend, view, passed))
+	}
+	c.latest.Store(observation)
+}
+
+func (c *capacityObserver) observeBackend(
+	backend *configuration.Backend, view *placement.View, passed time.Duration,
+) capacityorder.Backend {
+	bootTime := nodesettings.Seconds(backend.Autoscale.BootTimeS)
+	weight := 1 - math.Exp(-passed.Seconds()/max(bootTime.Seconds(), 1))
+	return capacityorder.Backend{
+		Name: backend.Name,
+		Limits: autoscale.Limits{
+			Min:      backend.Autoscale.MinReplicas,
+			Max:      backend.Autoscale.MaxReplicas,
+			BootTime: bootTime,
+		},
+		Zones: c.zonesOf(backend.Name, view),
+		Demand: autoscale.Demand{
+			Slots:        backend.Runtime.Slots,
+			WeightSizeMb: backend.Runtime.WeightSizeMb,
+			Models:       c.modelsOf(backend, view, weight),
+		},
+	}
+}
+
+// zonesOf counts the replicas of a backend by zone.
+func (c *capacityObserver) zonesOf(backend string, view *placement.View) []autoscale.Zone {
+	known := c.zones[backend]
+	if known == nil {
+		known = map[string]bool{}
+		c.zones[backend] = known
+	}
+	listed := map[string]int{}
+	for _, replica := range c.tracker.Listed() {
+		if replica.Backend() != backend {
+			continue
+		}
+		zone := replica.Listed().Zone
+		known[zone] = true
+		if !replica.IsDraining() {
+			listed[zone]++
+		}
+	}
+	var zones []autoscale.Zone
+	for zone := range known {
+		zones = append(zones, autoscale.Zone{Name: zone, Listed: listed[zone], IsDrained: view.DrainedZones[zone]})
+	}
+	return zones
+}
+
+// modelsOf are the models of a backend that requests have asked for lately, with their adapters' requests.
+func (c *capacityObserver) modelsOf(backend *configuration.Backend, view *placement.View, weight float64) []autoscale.Model {
+	current, isAsked := map[string]float64{}, map[string]bool{}
+	for key, demand := range view.Demand {
+		name, reference := placement.SplitModelKey(key)
+		if name != backend.Name {
+			continue
+		}
+		model, _ := placement.SplitReference(reference)
+		busy := demand.Running + float64(demand.Waiting)
+		current[model] += busy
+		isAsked[model] = isAsked[model] || busy > 0 || view.Now.Sub(demand.LastSeen) < askedWithin
+	}
+	var models []autoscale.Model
+	for _, model := range backend.Runtime.Models {
+		key := placement.ModelKey(backend.Name, model.Name)
+		c.busy[key] += weight * (current[model.Name] - c.busy[key])
+		if isAsked[model.Name] {
+			models = append(models, autoscale.Model{SizeMb: model.WeightSizeMb, Busy: c.busy[key]})
+		}
+	}
+	return models
+}
--- a/internal/controlplane/scheduler/scheduler.go
+++ b/internal/controlplane/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"ferryspar/internal/controlplane/capacityorder"
 	"ferryspar/internal/controlplane/replicatracker"
 	"ferryspar/internal/lease"
 	"ferryspar/internal/placement"
@@ -43,6 +44,7 @@
 	poller        *reportPoller
 	eviction      *contextEviction
 	phases        *phaseBalancer
+	capacity      *capacityObserver
 	// grant is the one that the tracked replicas were learned under.
 	grant *lease.Grant
 	// sizes are those that models had in earlier configurations under the grant.
@@ -96,6 +98,7 @@
 		background:    s.background,
 	}
 	s.phases = newPhaseBalancer(s.tracker, s.demand, s.orders)
+	s.capacity = newCapacityObserver(s.tracker)
 	s.eviction = &contextEviction{
 		tracker:    s.tracker,
 		copies:     s.copies,
@@ -110,6 +113,9 @@
 // Lease is the keeper of the placement lease.
 func (s *Scheduler) Lease() *LeaseKeeper { return s.lease }
 
+// Capacity tells what the replicas of backends are needed for, while this node places models.
+func (s *Scheduler) Capacity() capacityorder.Source { return s.capacity }
+
 // Demand is the demand of all data planes.
 func (s *Scheduler) Demand() *DemandView { return s.demand }
 
--- a/internal/controlplane/scheduler/sync.go
+++ b/internal/controlplane/scheduler/sync.go
@@ -44,6 +44,7 @@
 		s.orders.start(ctx, action, now)
 	}
 	s.phases.plan(ctx, view)
+	s.capacity.observe(view)
 	for _, server := range view.Servers {
 		s.tracker.Replica(server.ID).SetIntent(server.Intent)
 	}
--- /dev/null
+++ b/internal/test/integration/capacity_test.go
@@ -0,0 +1,113 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/discovery"
+	"ferryspar/internal/nodesettings"
+)
+
+// capacityOrder is the body of an order of replicas.
+type capacityOrder struct {
+	Backend      string `json:"backend"`
+	Zone         string `json:"zone"`
+	DesiredCount int    `json:"desiredCount"`
+}
+
+// startCapacity starts a fleet whose replicas may be ordered, from one to five in a zone.
+func startCapacity(t *testing.T) *fleet {
+	f := startFleetOf(t, 0, 1, 0,
+		newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.2.2.1", "south", "swift"))
+	f.adjustSettings = func(settings *nodesettings.Settings) {
+		settings.CloudAPI.Duties = []string{nodesettings.DutyAutoscale}
+		settings.CloudAPI.DutyPerS = 50
+	}
+	f.cores = 3
+	for number := 1; number <= f.cores; number++ {
+		f.startCore(coreHost(number), true, 1, 2, 3)
+	}
+	f.startEdge(edgeHost(1))
+	time.Sleep(3 * time.Second)
+	scaled := strings.Replace(document(1, ""), `"runtime":`,
+		`"autoscale":{"minReplicas":1,"maxReplicas":5,"bootTimeS":2},"runtime":`, 1)
+	assert.Equal(t, f.putConfiguration(1, 0, scaled).status, http.StatusOK)
+	time.Sleep(6 * time.Second)
+	return f
+}
+
+// ordered returns what the platform was told last, by zone.
+func (f *fleet) ordered() map[string]int {
+	latest := map[string]int{}
+	for _, call := range f.platform.accepted(discovery.PathCapacity) {
+		var order capacityOrder
+		assert.NilError(f.t, json.Unmarshal([]byte(call.body), &order))
+		latest[order.Zone] = order.DesiredCount
+	}
+	return latest
+}
+
+// busyInterval lies between two requests of keepBusy: far more of them come than two replicas serve.
+const busyInterval = 4 * time.Millisecond
+
+// keepBusy has many requests wait at once for some time.
+func (f *fleet) keepBusy(duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(busyInterval) {
+		attempt := fmt.Sprint("busy-", time.Now().UnixNano())
+		go f.request(1, attempt, "/quick/", "swift")
+	}
+}
+
+func TestCapacity_IsOrderedAsRequestsNeedItAndByOneNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startCapacity(t)
+		assert.Equal(t, len(f.platform.accepted(discovery.PathCapacity)), 0, "nothing new is said at rest")
+		f.keepBusy(15 * time.Second)
+		ordered := f.ordered()
+		assert.Assert(t, ordered["north"] > 1 || ordered["south"] > 1, "%v", ordered)
+		calls := f.platform.accepted(discovery.PathCapacity)
+		for _, call := range calls {
+			assert.Equal(t, call.holder, calls[0].holder)
+		}
+	})
+}
+
+func TestCapacity_TheLastOrderStandsThoughAnEarlierOneMayBeCarriedOutLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startCapacity(t)
+		f.platform.set(func(p *standInPlatform) { p.losesAnswers = true })
+		f.keepBusy(8 * time.Second)
+		f.platform.set(func(p *standInPlatform) { p.losesAnswers = false })
+		unanswered := f.ordered()
+		uncertain := len(f.platform.accepted(discovery.PathCapacity))
+		assert.Assert(t, uncertain > 0)
+		f.keepBusy(5 * time.Second)
+		time.Sleep(16 * time.Second)
+		repeated := map[string]int{}
+		calls := f.platform.accepted(discovery.PathCapacity)
+		for _, call := range calls[uncertain:] {
+			var order capacityOrder
+			assert.NilError(t, json.Unmarshal([]byte(call.body), &order))
+			repeated[order.Zone]++
+		}
+		for zone := range unanswered {
+			assert.Assert(t, repeated[zone] >= 2, "acknowledged once, and once more when nothing late can follow: %v", repeated)
+		}
+	})
+}
+
+func TestCapacity_ARestartOfAllStartsFromWhatIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startCapacity(t)
+		f.restartCores(f.kill, 1, 2, 3)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(f.platform.accepted(discovery.PathCapacity)), 0)
+	})
+}
