Quotas: loans are renewed every 0.75 s

A term of 3 s would spare more, and was rejected by two tests: a dead data plane's share is missing for longer.

--- a/internal/quota/parameters.go
+++ b/internal/quota/parameters.go
@@ -40,7 +40,7 @@
 		Groups:             4,
 		HomeShardsPerGroup: 2,
 		LoanTerm:           2 * time.Second,
-		RenewalInterval:    600 * time.Millisecond,
+		RenewalInterval:    750 * time.Millisecond,
 		TokenTTL:           250 * time.Millisecond,
 		FleetSizeTTL:       5500 * time.Millisecond,
 		SilentExpiry:       10 * time.Second,
