--- a/internal/controlplane/roster/intervals.go
+++ b/internal/controlplane/roster/intervals.go
@@ -9,6 +9,10 @@
 const (
 	// minListInterval is the shortest interval between two reads of the list.
 	minListInterval = 450 * time.Millisecond
+	// settledInterval is the shortest interval while the list has not changed for settledAfter: each page that is read has a price.
+	// It is below staleListAge, so that updates come before the others take the list for stale.
+	settledInterval = 850 * time.Millisecond
+	settledAfter    = 3 * time.Second
 	// minReadPause is the shortest pause between the end of a read that took long and the next one.
 	minReadPause = minListInterval / 4
 	// staleListAge is how old a list may be before a node without the lease reads it itself.
@@ -36,6 +40,14 @@
 	return max(minListInterval, min(thrifty, max(maxListInterval, fastest)))
 }
 
+// settled is the interval between two reads of a list that has not changed for a time.
+func settled(interval, unchangedFor time.Duration) time.Duration {
+	if unchangedFor < settledAfter {
+		return interval
+	}
+	return max(interval, settledInterval)
+}
+
 // sharedListInterval is the interval of each of the nodes that read the list without the lease: together
 // they take no more than a part of the platform's rate.
 func sharedListInterval(callsPerSecond float64, pages, readers int) time.Duration {
--- a/internal/controlplane/roster/intervals_test.go
+++ b/internal/controlplane/roster/intervals_test.go
@@ -36,5 +36,9 @@
 
 func TestStaleAge_ExceedsListInterval(t *testing.T) {
 	assert.Equal(t, staleAge(44, 1), staleListAge)
+	assert.Assert(t, settledInterval < staleListAge)
+	assert.Equal(t, settled(minListInterval, settledAfter-1), minListInterval)
+	assert.Equal(t, settled(minListInterval, settledAfter), settledInterval)
+	assert.Equal(t, settled(2*time.Second, time.Hour), 2*time.Second, "never more often than the rate allows")
 	assert.Assert(t, staleAge(44, 60) > listInterval(44, 60)+minListInterval)
 }
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -82,6 +82,8 @@
 	takeover takeover
 	// reading is set while the platform's list is being read.
 	reading atomic.Bool
+	// changedAt is when a read found another list than the one before; used by the reading loop only.
+	changedAt time.Time
 	// periodicUpdates counts the periodic updates since the start; used by the reading loop only.
 	periodicUpdates int
 	list            list
@@ -178,7 +180,7 @@
 	}
 	_ = r.read(ctx, now, discovery.ReadOptions{PagesPerSecond: rate * holderRateShare})
 	r.sendAll(ctx, r.nextContent())
-	return listInterval(rate, r.pageCount())
+	return settled(listInterval(rate, r.pageCount()), now.Sub(r.changedAt))
 }
 
 // nextContent is what the periodic update carries that is due now: one in so many carries the rates of demand.
@@ -204,6 +206,9 @@
 	replicas := r.merger.Merge(entries, r.lister.PageCount(), startedAt)
 	slices.SortFunc(replicas, byID)
 	addWarmUpElapsed(replicas, r.config.Clock().Sub(startedAt))
+	if !SameContent(replicas, r.Replicas()) {
+		r.changedAt = startedAt
+	}
 	r.Adopt(replicas, r.lister.PageCount(), startedAt)
 	return nil
 }
