Roster: rates of demand go along every 1.5 s, however often the list is sent

TestForecast_MatchesRealLossOfRegion failed with the settled list: rates went with every fourth update, 3.4 s apart, too old for a forecast or a successor.

--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -84,8 +84,8 @@
 	reading atomic.Bool
 	// changedAt is when a read found another list than the one before; used by the reading loop only.
 	changedAt time.Time
-	// periodicUpdates counts the periodic updates since the start; used by the reading loop only.
-	periodicUpdates int
+	// ratesSentAt is when a periodic update carried the rates of demand last; used by the reading loop only.
+	ratesSentAt time.Time
 	list            list
 	// publishLock is held from reading the list until it is published, so that the newest stays.
 	publishLock sync.Mutex
@@ -179,17 +179,17 @@
 		return min(sharedListInterval(rate, r.pageCount(), r.cluster.OtherCount()), maxListInterval)
 	}
 	_ = r.read(ctx, now, discovery.ReadOptions{PagesPerSecond: rate * holderRateShare})
-	r.sendAll(ctx, r.nextContent())
+	r.sendAll(ctx, r.nextContent(now))
 	return settled(listInterval(rate, r.pageCount()), now.Sub(r.changedAt))
 }
 
-// nextContent is what the periodic update carries that is due now: one in so many carries the rates of demand.
-func (r *Roster) nextContent() content {
-	r.periodicUpdates++
-	if r.periodicUpdates%ratesPeriod == 1 {
-		return withRates
+// nextContent is what the periodic update carries that is due now.
+func (r *Roster) nextContent(now time.Time) content {
+	if now.Sub(r.ratesSentAt) < ratesInterval {
+		return listOnly
 	}
-	return listOnly
+	r.ratesSentAt = now
+	return withRates
 }
 
 // read reads the platform's list and publishes it. An update that another node sends meanwhile may be
--- a/internal/controlplane/roster/updates.go
+++ b/internal/controlplane/roster/updates.go
@@ -13,8 +13,9 @@
 // resendInterval is the wait before an update that was asked for while one was being sent.
 const resendInterval = 40 * time.Millisecond
 
-// ratesPeriod is one in how many periodic updates carries the rates of demand: they are averages over seconds and minutes.
-const ratesPeriod = 4
+// ratesInterval is how long after the last periodic update with the rates of demand the next one carries them: they are averages
+// over seconds and minutes.
+const ratesInterval = 1500 * time.Millisecond
 
 // Reply says whether the receiver of an update now holds its list. Where that list is stale and the
 // receiver holds a newer one, Replicas is that one, as old as AgeMs.
