Metrics: both programs tell their figures in the text format of Prometheus

A data plane serves /ferryspar/metrics at its readiness address, a control plane at its control-plane address: requests in flight, rejections and attempts by kind; revision, ages of confirmation and list, fence, windows closed and pending, replicas wanted. A collector reads what its owner keeps anyway; nothing is computed between two reads.

--- a/internal/controlplane/capacityorder/orders.go
+++ b/internal/controlplane/capacityorder/orders.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,12 +59,36 @@
 	plannedAt time.Time
 	planners  map[string]*autoscale.Planner
 	orders    map[subject]*order
+	// wanted is what Wanted returns.
+	wanted atomic.Pointer[[]Wanted]
 	// sending is the order that Next returned last, sentCount its number.
 	sending   subject
 	sentCount int
 	sentAt    time.Time
 }
 
+// Wanted is how many replicas are planned for a backend in a zone.
+type Wanted struct {
+	Backend, Zone string
+	Replicas      int
+}
+
+// Wanted returns what was planned last. Any goroutine may call it.
+func (o *Orders) Wanted() []Wanted {
+	if wanted := o.wanted.Load(); wanted != nil {
+		return *wanted
+	}
+	return nil
+}
+
+func (o *Orders) publishWanted() {
+	var wanted []Wanted
+	for key, order := range o.orders {
+		wanted = append(wanted, Wanted{Backend: key.backend, Zone: key.zone, Replicas: order.wanted})
+	}
+	o.wanted.Store(&wanted)
+}
+
 // New returns the role.
 func New(source Source) *Orders {
 	orders := &Orders{source: source}
@@ -92,6 +117,7 @@
 	for _, backend := range backends {
 		o.plan(backend, now)
 	}
+	o.publishWanted()
 }
 
 func (o *Orders) plan(backend Backend, now time.Time) {
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"ferryspar/internal/controlplane/applier"
+	"ferryspar/internal/controlplane/capacityorder"
 	"ferryspar/internal/controlplane/configchange"
 	"ferryspar/internal/controlplane/coordinator"
 	"ferryspar/internal/controlplane/dataplanes"
@@ -19,6 +20,7 @@
 	"ferryspar/internal/controlplane/roster"
 	"ferryspar/internal/controlplane/scheduler"
 	"ferryspar/internal/controlplane/singleton"
+	"ferryspar/internal/controlplane/usagereport"
 	"ferryspar/internal/controlplane/watch"
 	"ferryspar/internal/controlstate"
 	"ferryspar/internal/eventbus"
@@ -75,6 +77,9 @@
 	// usage holds the counts of tenants' requests, or is nil if none are wanted; roles makes the calls that one node owes the platform.
 	usage *demand.UsageRelay
 	roles *singleton.Runner
+	// usageReporter and capacityOrders are those of the roles that the platform wants; the others are nil.
+	usageReporter  *usagereport.Reporter
+	capacityOrders *capacityorder.Orders
 
 	// Replicas, and what operators rehearse with them.
 	roster     *roster.Roster
--- a/internal/controlplane/roles_host.go
+++ b/internal/controlplane/roles_host.go
@@ -49,16 +49,18 @@
 		Clock: n.clock,
 	}
 	if n.usage != nil {
-		config.Roles = append(config.Roles, usagereport.New(usagereport.Config{
+		n.usageReporter = usagereport.New(usagereport.Config{
 			Store:     n.store,
 			Ledger:    n.usage.Ledger,
 			Windows:   n.usage.Windows,
 			Delay:     nodesettings.Seconds(n.settings.TimingBounds.UsageDelayS),
 			TimeOfDay: n.timeOfDay.Now,
-		}))
+		})
+		config.Roles = append(config.Roles, n.usageReporter)
 	}
 	if n.settings.CloudAPI.Has(nodesettings.DutyAutoscale) {
-		config.Roles = append(config.Roles, capacityorder.New(n.scheduler.Capacity()))
+		n.capacityOrders = capacityorder.New(n.scheduler.Capacity())
+		config.Roles = append(config.Roles, n.capacityOrders)
 	}
 	return singleton.NewRunner(config)
 }
--- a/internal/controlplane/roster/roster.go
+++ b/internal/controlplane/roster/roster.go
@@ -86,7 +86,7 @@
 	changedAt time.Time
 	// ratesSentAt is when a periodic update carried the rates of demand last; used by the reading loop only.
 	ratesSentAt time.Time
-	list            list
+	list        list
 	// publishLock is held from reading the list until it is published, so that the newest stays.
 	publishLock sync.Mutex
 	deliveries  deliveries
--- a/internal/controlplane/usagereport/reporter.go
+++ b/internal/controlplane/usagereport/reporter.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -52,10 +53,32 @@
 	isRead bool
 	// accepted are the windows among those pending whose report the platform has taken.
 	accepted map[uint64]bool
+	// status is what Status returns.
+	status atomic.Pointer[Status]
 	// sending is the window of the call that Next returned last.
 	sending uint64
 }
 
+// Status is what a reporter knows of its reports.
+type Status struct {
+	// ClosedUpTo is the newest window whose counts are final, 0 while that is not known.
+	ClosedUpTo uint64
+	// Pending is how many reports the platform has not accepted.
+	Pending int
+}
+
+// Status returns what was known last. Any goroutine may call it.
+func (r *Reporter) Status() Status {
+	if status := r.status.Load(); status != nil {
+		return *status
+	}
+	return Status{}
+}
+
+func (r *Reporter) publishStatus() {
+	r.status.Store(&Status{ClosedUpTo: r.record.ClosedUpTo, Pending: len(r.record.Pending) - len(r.accepted)})
+}
+
 // New returns a reporter.
 func New(config Config) *Reporter {
 	return &Reporter{config: config, accepted: map[uint64]bool{}}
@@ -120,6 +143,7 @@
 	}
 	maps.DeleteFunc(r.accepted, func(window uint64, _ bool) bool { return !pending[window] })
 	r.config.Ledger.Forget(record.ClosedUpTo + 1)
+	r.publishStatus()
 }
 
 // due are the reports of windows that are to be closed.
@@ -156,5 +180,6 @@
 func (r *Reporter) Answered(outcome singleton.Outcome, _ time.Time) {
 	if outcome == singleton.OutcomeAccepted || outcome == singleton.OutcomeRejected {
 		r.accepted[r.sending] = true
+		r.publishStatus()
 	}
 }
--- a/internal/dataplane/status.go
+++ b/internal/dataplane/status.go
@@ -13,7 +13,7 @@
 )
 
 // statusRoutes answers load balancers whether this node is ready, and operators what it rejected since its start, how its
-// attempts at replicas ended, and what it holds and has lent of tenants' limits.
+// attempts at replicas ended, and what it holds and has lent of tenants' limits; metrics have the figures as text.
 func (n *Node) statusRoutes() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/ferryspar/readyz", n.serveReadiness)
@@ -26,6 +26,7 @@
 	router.Get("/ferryspar/quota", func(writer http.ResponseWriter, _ *http.Request) {
 		writeJSON(writer, n.quotas.status())
 	})
+	router.Handle("/ferryspar/metrics", n.metricsHandler())
 	return router
 }
 
