--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -15,12 +15,12 @@
 		demand Demand
 		want   int
 	}{
-		"nothing":                   {Demand{Slots: 10, WeightSizeMb: 100}, 0},
-		"rare models share":         {Demand{Slots: 10, WeightSizeMb: 100, Models: []Model{{SizeMb: 50}, {SizeMb: 50}, {SizeMb: 30}}}, 2},
-		"one that is busy":          {Demand{Slots: 10, WeightSizeMb: 100, Models: []Model{{SizeMb: 60, Busy: 20}}}, 3},
-		"slots are short":           {Demand{Slots: 10, WeightSizeMb: 9, Models: []Model{{SizeMb: 1, Busy: 35}, {SizeMb: 1, Busy: 35}}}, 10},
-		"no limit of memory":        {Demand{Slots: 10, Models: []Model{{SizeMb: 1, Busy: 7}}}, 1},
-		"sizes that fit in no pair": {Demand{Slots: 10, WeightSizeMb: 100, Models: []Model{{SizeMb: 51}, {SizeMb: 51}, {SizeMb: 49}}}, 2},
+		"nothing":         {Demand{Slots: 10, WeightSizeMb: 100}, 0},
+		"rare models":     {Demand{Slots: 10, WeightSizeMb: 100, Models: []Model{{SizeMb: 50}, {SizeMb: 50}, {SizeMb: 30}}}, 2},
+		"a busy one":      {Demand{Slots: 10, WeightSizeMb: 100, Models: []Model{{SizeMb: 60, Busy: 20}}}, 3},
+		"slots are short": {Demand{Slots: 10, WeightSizeMb: 9, Models: []Model{{SizeMb: 1, Busy: 35}, {SizeMb: 1, Busy: 35}}}, 10},
+		"no memory limit": {Demand{Slots: 10, Models: []Model{{SizeMb: 1, Busy: 7}}}, 1},
+		"sizes apart":     {Demand{Slots: 10, WeightSizeMb: 100, Models: []Model{{SizeMb: 51}, {SizeMb: 51}, {SizeMb: 49}}}, 2},
 	}
 	for name, given := range cases {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, given.demand.Replicas(), given.want) })
