--- a/internal/controlplane/routes.go
+++ b/internal/controlplane/routes.go
@@ -48,7 +48,7 @@
 func (n *Node) adminRoutes() http.Handler {
 	router := chi.NewRouter()
 	router.Mount("/", adminapi.NewHandler(n, adminapi.NewReplayGuard(n.settings.BindAddresses.ControlPlane, n.clock)))
-	router.Handle(metricsPath, n.metricsHandler())
+	router.Method(http.MethodGet, metricsPath, n.metricsHandler())
 	coordinationapi.Register(router, coordinationService{n})
 	return router
 }
--- a/internal/dataplane/status.go
+++ b/internal/dataplane/status.go
@@ -26,7 +26,7 @@
 	router.Get("/ferryspar/quota", func(writer http.ResponseWriter, _ *http.Request) {
 		writeJSON(writer, n.quotas.status())
 	})
-	router.Handle("/ferryspar/metrics", n.metricsHandler())
+	router.Method(http.MethodGet, "/ferryspar/metrics", n.metricsHandler())
 	return router
 }
 
