Data plane: a process that got no processor time serves what it can read before it closes connections

Suspected: timers and sockets are due at once when the process runs again, the timer is served first, and Shutdown closes connections as idle whose next request lies unread. Not traced, not reproduced.

--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -212,6 +212,7 @@
 	startedAt := time.Now()
 	grace := nodesettings.Seconds(n.settings.TimingBounds.GraceS) - closeReserve
 	time.Sleep(min(drainNotice, grace/2))
+	awaitProcessorTime(time.Now, time.Sleep, startedAt.Add(grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
