--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]caseFunc{
 	"smuggle": playSmuggle,
 	"memory":  playMemory,
+	"drain":   playDrain,
 }
 
 func main() {
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -14,8 +14,8 @@
 // model is the one model that all stand-in replicas hold.
 const model = "daka510000"
 
-// eventInterval is the time between two events of a stream.
-const eventInterval = 20 * time.Millisecond
+// eventInterval is the time between two events of a stream, each of which holds three tokens.
+const eventInterval = 33 * time.Millisecond
 
 // execution is one run of a request at a replica.
 type execution struct {
