Clients: fail at responses that can be read in two ways, and never reuse their connections

Change: httpframing.CheckResponses is below every client of ours. At the first byte that breaks the syntax, has a second reading, or stands behind the end of a response, reads and writes of the connection fail. A replica's response then proves nothing (verdict "unknown"), a call to another node is an error. Stray bytes that come with a response are seen before the next request is written, which closes part of the gap that docs/design/answers.md left open.

Why it works: the transport gets no byte of a response whose end is in doubt beyond the point of doubt, and cannot put a connection back whose reads fail.

Test: without the check, TestCheckResponses_NeverReusesAConnectionInDoubt failed for length and chunks in either order, a folded coding, a lone LF in a field ("got 200 answer" in place of an error), and ended in a deadlock at 101. It splits each of 33 forms at every byte, with and without a stray response behind it.

--- a/cmd/ferryspar-emulator/applications.go
+++ b/cmd/ferryspar-emulator/applications.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"ferryspar/internal/httpframing"
 	"ferryspar/internal/sim/applications"
 )
 
@@ -44,7 +46,11 @@
 		LockDuration: a.Hold,
 		NamePrefix:   a.NamePrefix,
 		Seed:         a.Seed,
-	}, &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true})
+	}, &http.Transport{
+		DialContext:         httpframing.CheckResponses((&net.Dialer{}).DialContext),
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		DisableCompression:  true,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"ferryspar/internal/httpframing"
 )
 
 // ErrNoAddress is returned by a Client without addresses.
@@ -161,7 +163,10 @@
 
 // NewHTTPClient returns an HTTP client for Client.HTTPClient. It doesn't follow redirects, as the Client does so itself.
 func NewHTTPClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = httpframing.CheckResponses(transport.DialContext)
 	return &http.Client{
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/adminapi/client_test.go
+++ b/internal/adminapi/client_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/test/httpforms"
 )
 
 func newTestServer(t *testing.T, handle http.HandlerFunc) string {
@@ -69,3 +71,16 @@
 	assert.ErrorContains(t, err, "no control plane address given")
 	assert.Assert(t, errors.Is(err, ErrNoAddress))
 }
+
+func TestClient_RejectsAmbiguousResponse(t *testing.T) {
+	for _, form := range httpforms.AmbiguousResponses() {
+		t.Run(form.Name, func(t *testing.T) {
+			t.Parallel()
+			ambiguous := httpforms.StartServer(t, func(*http.Request) string { return form.Raw })
+			next := newTestServer(t, func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write([]byte("{}")) })
+			response, err := newTestClient(ambiguous.Address, next).Call(context.Background(), http.MethodGet, "/ferryspar/config", "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, string(response.Body), "{}")
+		})
+	}
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"ferryspar/internal/httpframing"
 )
 
 const (
@@ -65,12 +67,13 @@
 	}
 }
 
-// NewTransport returns a transport without compression and proxies that keeps at most idle unused connections per host. Like
+// NewTransport returns a transport without compression and proxies that keeps at most idle unused connections per host. It fails
+// at responses that are ambiguous, and never reuses their connections. Like
 // every http.Transport, it resends a request that it considers idempotent and whose body it can reread when a reused
 // connection breaks; docs/design/answers.md describes how callers prevent that.
 func NewTransport(network Network, connectTimeout, ackTimeout time.Duration, idle int) *http.Transport {
 	return &http.Transport{
-		DialContext:         network.DialFunc(connectTimeout, ackTimeout),
+		DialContext:         httpframing.CheckResponses(network.DialFunc(connectTimeout, ackTimeout)),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
@@ -95,7 +98,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+		if tcp, known := connection.(interface{ SetLinger(seconds int) error }); known {
 			_ = tcp.SetLinger(0)
 		}
 		return connection, nil
