Proxy: serve request targets in absolute form

Change: the target reaches the replica in origin form, path and query unchanged. A Host that differs from the host of the target can be read in two ways and gets 400 at every listener.

Tests: two forms more that are served and two that are rejected, at all listeners.

--- a/internal/httpframing/head.go
+++ b/internal/httpframing/head.go
@@ -32,6 +32,8 @@
 	contentLength int64
 	chunked       bool
 	hosts         int
+	// authority is the host of a target in absolute form, empty for other targets.
+	authority string
 }
 
 // parseLine parses the next line, without its line break, and reports whether it ends the header.
@@ -57,6 +59,7 @@
 	if !found || !foundVersion || !isToken(method) || !isTarget(target) {
 		return malformed("request line")
 	}
+	h.authority = authorityOf(target)
 	return h.parseVersion(version)
 }
 
@@ -99,7 +102,7 @@
 	switch len(name) {
 	case len("Host"):
 		if strings.EqualFold(string(name), "Host") {
-			h.hosts++
+			return h.parseHost(value)
 		}
 	case len("Content-Length"):
 		if strings.EqualFold(string(name), "Content-Length") {
@@ -113,6 +116,16 @@
 	return nil
 }
 
+// parseHost accepts only the host of the target beside a target in absolute form (RFC 9112, 3.2): some readers route by the one, some
+// by the other.
+func (h *headParser) parseHost(value []byte) error {
+	h.hosts++
+	if h.authority != "" && !strings.EqualFold(h.authority, string(value)) {
+		return malformed("Host differs from the host of the target")
+	}
+	return nil
+}
+
 // parseContentLength accepts a further Content-Length only if it states the same length.
 func (h *headParser) parseContentLength(value []byte) error {
 	length, err := strconv.ParseUint(string(value), 10, 63)
@@ -193,6 +206,18 @@
 	return len(content) > 0
 }
 
+// authorityOf returns the host, with its port if it has one, of a target in absolute form, or nothing of any other target.
+func authorityOf(target []byte) string {
+	scheme, rest, found := bytes.Cut(target, []byte("://"))
+	if !found || !isToken(scheme) {
+		return ""
+	}
+	if end := bytes.IndexAny(rest, "/?"); end >= 0 {
+		rest = rest[:end]
+	}
+	return string(rest)
+}
+
 // isFieldValue reports whether the content has no control characters but tabs; a lone CR is one.
 func isFieldValue(content []byte) bool {
 	for _, letter := range content {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,7 @@
 
 // parse reads the whole request and makes all checks that do not depend on other requests. Errors are of package apierror.
 func (h *Handler) parse(request *http.Request, arrived time.Time) (*parsedRequest, error) {
+	request.RequestURI = originForm(request.RequestURI)
 	attemptID := request.Header.Get(replica.HeaderAttemptID)
 	if !isValidAttemptID(attemptID) || len(request.Header.Values(replica.HeaderAttemptID)) != 1 {
 		return nil, apierror.New(apierror.InvalidAttemptID, "")
@@ -209,6 +211,27 @@
 	return max(backend.MaxConns/max(snapshot.DataPlaneCount, 1), 1)
 }
 
+// originForm returns a target in absolute form, as clients send it to proxies, without its scheme and host, and any other target
+// unchanged (RFC 9112, 3.2.2).
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, found := strings.Cut(target, "://")
+	if !found {
+		return target
+	}
+	start := strings.IndexAny(rest, "/?")
+	switch {
+	case start < 0:
+		return "/"
+	case rest[start] == '?':
+		return "/" + rest[start:]
+	default:
+		return rest[start:]
+	}
+}
+
 // readBody reads the whole body, up to the limit in bytes; a limit of 0 stands for defaultMaxBodyBytes.
 func readBody(request *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
--- a/internal/test/httpforms/requests.go
+++ b/internal/test/httpforms/requests.go
@@ -146,6 +146,12 @@
 		replaced("two spaces in the request line", " HTTP/1.1", "  HTTP/1.1"),
 		replaced("tab in the request line", " HTTP/1.1", "\tHTTP/1.1"),
 		replaced("space in the target", " HTTP/1.1", " a HTTP/1.1"),
+		rewritten("absolute target of another host", func(raw string, m Message) string {
+			return strings.Replace(raw, " "+m.Target, " http://other.example"+m.Target, 1)
+		}),
+		rewritten("absolute target with a user", func(raw string, m Message) string {
+			return strings.Replace(raw, " "+m.Target, " http://user@"+m.Host+m.Target, 1)
+		}),
 		replaced("HTTP/2.0", "HTTP/1.1", "HTTP/2.0"),
 		replaced("version of two digits", "HTTP/1.1", "HTTP/1.10"),
 		replaced("version in lower case", "HTTP/1.1", "http/1.1"),
@@ -204,6 +210,12 @@
 		chunked("trailer", func(m Message) string { return m.chunk() + "0\r\nSum: 1\r\nNote:\r\n\r\n" }),
 		rewritten("empty line before", func(raw string, _ Message) string { return "\r\n" + raw }),
 		rewritten("two empty lines before", func(raw string, _ Message) string { return "\r\n\r\n" + raw }),
+		rewritten("absolute target", func(raw string, m Message) string {
+			return strings.Replace(raw, " "+m.Target, " http://"+m.Host+m.Target, 1)
+		}),
+		rewritten("absolute target in capitals", func(raw string, m Message) string {
+			return strings.Replace(raw, " "+m.Target, " HTTP://"+strings.ToUpper(m.Host)+m.Target, 1)
+		}),
 		replaced("later minor version", "HTTP/1.1", "HTTP/1.2"),
 	}
 	for index := range forms {
