Proxy: while shutting down, reject requests whose response would be cut

Cause: nothing compared the time left of the grace period with the time that a response takes.

Change: each data plane learns how long responses of a route take, as means with their deviations. While it shuts down, each request is checked at the moment it would be sent, so after every kind of wait: with five eighths of the grace period left the mean must fit, later the mean and four deviations. Otherwise 503 with Ferryspar-Not-Executed, so that the client goes to another data plane.

Test: TestServing_ShutdownRejectsRequestsThatWouldBeCutShort failed at 6 and 7 s, TestServing_ShutdownRejectsRequestsOfUnknownDuration failed (200 in place of 503, and a run), with the check left out.

--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -209,12 +209,13 @@
 // shutDown turns readiness off, waits for load balancers to notice, and lets requests in flight finish within the grace period.
 func (n *Node) shutDown(server *http.Server) {
 	logrus.Info("shutting down, reporting not ready")
-	n.drain()
 	startedAt := time.Now()
 	grace := nodesettings.Seconds(n.settings.TimingBounds.GraceS) - closeReserve
+	closesAt := startedAt.Add(grace)
+	n.drain(closesAt)
 	time.Sleep(min(drainNotice, grace/2))
 	awaitCPUTime(time.Now, time.Sleep, startedAt.Add(grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace))
+	ctx, cancel := context.WithDeadline(context.Background(), closesAt)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		logrus.WithError(err).WithField("in_flight", n.proxy.InFlight()).Warn("grace period expired with requests in flight")
@@ -223,10 +224,10 @@
 	logrus.WithField("duration_ms", time.Since(startedAt).Milliseconds()).Info("shutdown complete")
 }
 
-// drain starts the graceful shutdown of every part of the node.
-func (n *Node) drain() {
+// drain starts the graceful shutdown of every part of the node. Its connections are closed at closesAt.
+func (n *Node) drain(closesAt time.Time) {
 	n.draining.Store(true)
-	n.proxy.Drain()
+	n.proxy.Drain(closesAt)
 	n.matcher.StartDraining()
 	n.quotas.Drain()
 	n.state.Drain()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// awaitAssignment waits until the matcher assigns a replica, then checks the API key and the retry budget.
+// awaitAssignment waits until the matcher assigns a replica, then checks the API key, the time left in a shutdown and the retry
+// budget.
 func (e *exchange) awaitAssignment(ctx context.Context) (routing.Decision, *apierror.Error) {
 	handler := e.handler
 	request := e.parsed.request
@@ -95,7 +96,11 @@
 		return assignment, assignment.Error
 	}
 	e.ticket = assignment.Ticket
-	if rejection := e.reauthorize(); rejection != nil {
+	rejection := e.reauthorize()
+	if rejection == nil {
+		rejection = e.rejectIfCutShort()
+	}
+	if rejection != nil {
 		e.report(routing.OutcomeCancelled)
 		return assignment, rejection
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -24,8 +24,10 @@
 	retryBudgets *RetryBudgets
 	clock        func() time.Time
 	random       func() float64
-	draining     atomic.Bool
-	inFlight     atomic.Int64
+	// shutdown is set once the data plane is shutting down.
+	shutdown    atomic.Pointer[shutdown]
+	inFlight    atomic.Int64
+	completions completionTimes
 
 	// RequestLog, if set before the first request, receives an entry for each request.
 	RequestLog *requestlog.Writer
@@ -67,11 +69,14 @@
 	}
 }
 
-// Drain makes all further responses ask clients to close their connections.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// Drain makes all further responses ask clients to close their connections, and rejects requests that may not be complete at
+// closesAt, when the data plane closes its connections.
+func (h *Handler) Drain(closesAt time.Time) {
+	h.shutdown.Store(&shutdown{startedAt: h.clock(), closesAt: closesAt})
+}
 
 // Draining reports whether Drain was called.
-func (h *Handler) Draining() bool { return h.draining.Load() }
+func (h *Handler) Draining() bool { return h.shutdown.Load() != nil }
 
 // InFlight returns the number of requests being served.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
--- a/internal/proxy/prefill.go
+++ b/internal/proxy/prefill.go
@@ -65,10 +65,14 @@
 	return response, verdict, nil
 }
 
-// admit checks the request against the present snapshot, API keys and configuration before it is sent to the assigned replica:
-// these may have changed while the request waited for its assignment or its prefill step.
+// admit checks the request against the present snapshot, API keys, configuration and the time left in a shutdown before it is sent
+// to the assigned replica: these may have changed while the request waited for its assignment or its prefill step.
 func (e *exchange) admit(assigned *routing.Replica) (routing.Target, error) {
-	if rejection := e.reauthorize(); rejection != nil {
+	rejection := e.reauthorize()
+	if rejection == nil {
+		rejection = e.rejectIfCutShort()
+	}
+	if rejection != nil {
 		e.report(routing.OutcomeWithdrawn)
 		return routing.Target{}, rejection
 	}
--- a/internal/proxy/streaming.go
+++ b/internal/proxy/streaming.go
@@ -190,6 +190,7 @@
 	switch {
 	case isSuccess(response):
 		e.report(routing.OutcomeServed)
+		e.learnCompletion()
 	case isServerFailure(response):
 		e.report(routing.OutcomeFailed)
 	default:
