Proxy: bound the bytes of request bodies together, and the time of reading one

Cause: each body had a limit, their sum had none, and reading a body had no time limit. 100 bodies of 4 MiB are 400 MiB of live bytes.

Change: proxy.BodyBudget. All bodies of a data plane take at most a quarter of limits.memoryMb (64 MiB where it is not set). Beyond that the slowest sender of those that hold at least half of the average gets 503 and its connection ends; complete bodies are never taken from their requests. A body must be complete at the request's deadline, else 408. Buffers grow as bytes arrive.

Test: TestHandler_UnfinishedBodiesStayWithinTheBudget failed without the limit (1,126,411 bytes read of 1,048,576 allowed, and more to come).

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -58,6 +58,7 @@
 	CoordinationOverloaded             // too many calls are queued for the item
 	OutcomeUnknown                     // the call may or may not have taken effect
 	UnsupportedCoding                  // the body has a transfer coding that the server does not implement
+	BodyMemoryExceeded                 // the request bodies of all clients together exceed the memory for them
 
 	kindCount
 )
@@ -110,6 +111,7 @@
 	CoordinationOverloaded: {http.StatusTooManyRequests, "too many calls wait"},
 	OutcomeUnknown:         {http.StatusGatewayTimeout, "outcome of the call not known"},
 	UnsupportedCoding:      {http.StatusNotImplemented, "transfer coding not supported"},
+	BodyMemoryExceeded:     {http.StatusServiceUnavailable, "too many bytes of bodies are held"},
 }
 
 // Status returns the HTTP status of the kind.
--- a/internal/apierror/pinned_test.go
+++ b/internal/apierror/pinned_test.go
@@ -57,6 +57,7 @@
 	{"coordination overloaded", CoordinationOverloaded},
 	{"outcome unknown", OutcomeUnknown},
 	{"unsupported transfer coding", UnsupportedCoding},
+	{"body memory", BodyMemoryExceeded},
 }
 
 // errorResponse is an error response as written to the client.
--- a/internal/dataplane/metrics.go
+++ b/internal/dataplane/metrics.go
@@ -15,6 +15,8 @@
 		"Requests answered with an error of this data plane's own, by reason.", []string{"reason"}, nil)
 	attemptsTotal = prometheus.NewDesc("ferryspar_attempts_total",
 		"Attempts at replicas, by backend and by how they ended.", []string{"backend", "outcome"}, nil)
+	bodyBytesHeld = prometheus.NewDesc("ferryspar_body_bytes",
+		"Bytes of request bodies in memory, of bodies that are arriving and of complete ones.", []string{"state"}, nil)
 	configurationRevision = prometheus.NewDesc("ferryspar_configuration_revision", "Revision of the configuration in use.", nil, nil)
 	isReady               = prometheus.NewDesc("ferryspar_ready", "1 while the data plane takes new connections.", nil, nil)
 )
@@ -24,16 +26,21 @@
 
 // Describe implements prometheus.Collector.
 func (collector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, description := range []*prometheus.Desc{requestsInFlight, rejectionsTotal, attemptsTotal, configurationRevision, isReady} {
+	for _, description := range []*prometheus.Desc{
+		requestsInFlight, rejectionsTotal, attemptsTotal, bodyBytesHeld, configurationRevision, isReady,
+	} {
 		descriptions <- description
 	}
 }
 
 // Collect implements prometheus.Collector.
 func (c collector) Collect(metrics chan<- prometheus.Metric) {
-	gauge := func(description *prometheus.Desc, value float64) {
-		metrics <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value)
+	gauge := func(description *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, labels...)
 	}
+	bodies := c.node.bodies.Usage()
+	gauge(bodyBytesHeld, float64(bodies.Reading), "arriving")
+	gauge(bodyBytesHeld, float64(bodies.Held), "complete")
 	gauge(requestsInFlight, float64(c.node.proxy.InFlight()))
 	gauge(configurationRevision, float64(c.node.state.position.revision.Load()))
 	ready := 0.0
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -37,6 +37,8 @@
 	peers     *peer.Client
 	forwarder *replica.Forwarder
 	quotas    *Quotas
+	// bodies limits the memory of request bodies.
+	bodies *proxy.BodyBudget
 	// usage counts the requests of tenants; nil if the platform does not collect usage.
 	usage *usageCounter
 	// draining is set once a graceful shutdown has begun.
@@ -78,7 +80,8 @@
 	node.matcher.OnSuspect = node.forwarder.CloseIdleConnections
 
 	budgets := retryBudgets(settings, startedAt)
-	node.proxy = proxy.NewHandler(&node.snapshot, node.matcher, node.forwarder, budgets, time.Now, rand.Float64)
+	node.bodies = proxy.NewBodyBudget(bodyBytes(settings))
+	node.proxy = proxy.NewHandler(&node.snapshot, node.matcher, node.forwarder, budgets, node.bodies, time.Now, rand.Float64)
 	node.proxy.Freshness = node.state.freshness
 	node.proxy.Quota = node.quotas
 	if settings.CloudAPI.HasDuty(nodesettings.DutyUsage) {
@@ -88,6 +91,23 @@
 	return node
 }
 
+const (
+	// bodyMemoryShare is the share of the memory limit that request bodies may take.
+	bodyMemoryShare = 0.25
+	// defaultMemoryMb takes the place of a memory limit where the settings have none.
+	defaultMemoryMb = 256.0
+	bytesPerMb      = 1 << 20
+)
+
+// bodyBytes returns how many bytes of request bodies the node holds at most.
+func bodyBytes(settings nodesettings.Settings) int64 {
+	memoryMb := settings.Limits.MemoryMb
+	if memoryMb <= 0 {
+		memoryMb = defaultMemoryMb
+	}
+	return int64(bodyMemoryShare * memoryMb * bytesPerMb)
+}
+
 // incarnationStart returns when this incarnation of the node started. At the first start of the whole system, before which there
 // was no other incarnation, it returns zero.
 func incarnationStart(settings nodesettings.Settings) time.Time {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -28,6 +28,7 @@
 	shutdown    atomic.Pointer[shutdown]
 	inFlight    atomic.Int64
 	completions completionTimes
+	bodies      *BodyBudget
 
 	// RequestLog, if set before the first request, receives an entry for each request.
 	RequestLog *requestlog.Writer
@@ -49,13 +50,14 @@
 	RecordRequest(tenant string)
 }
 
-// NewHandler returns a handler that loads the snapshot anew for each request. random returns numbers in [0, 1), which choose
-// the backend where a route splits its traffic.
+// NewHandler returns a handler that loads the snapshot anew for each request. bodies limits the memory of request bodies. random
+// returns numbers in [0, 1), which choose the backend where a route splits its traffic.
 func NewHandler(
 	snapshot *atomic.Pointer[routing.Snapshot],
 	matcher *routing.Matcher,
 	forwarder *replica.Forwarder,
 	retryBudgets *RetryBudgets,
+	bodies *BodyBudget,
 	clock func() time.Time,
 	random func() float64,
 ) *Handler {
@@ -64,6 +66,7 @@
 		matcher:      matcher,
 		forwarder:    forwarder,
 		retryBudgets: retryBudgets,
+		bodies:       bodies,
 		clock:        clock,
 		random:       random,
 	}
@@ -91,6 +94,9 @@
 		writer.Header().Set("Connection", "close")
 	}
 	parsed, err := h.parse(request, arrived)
+	if parsed != nil {
+		defer parsed.releaseBody()
+	}
 	if err == nil {
 		err = h.checkQuota(request.Context(), parsed)
 	}
@@ -111,7 +117,7 @@
 func (h *Handler) Reject(writer http.ResponseWriter, err error) {
 	kind := apierror.From(err).Kind
 	h.Rejections.add(kind)
-	if kind == apierror.BodyTooLarge {
+	if kind == apierror.BodyTooLarge || kind == apierror.BodyMemoryExceeded || kind == apierror.RequestTooSlow {
 		writer.Header().Set("Connection", "close")
 	}
 	apierror.Write(writer, err)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"ferryspar/internal/apierror"
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/replica"
@@ -24,8 +21,6 @@
 	// clientRetryTolerance is how far a client's remaining time may be below the route's timeout before the request counts as a
 	// retry by the client.
 	clientRetryTolerance = 20 * time.Millisecond
-	// defaultMaxBodyBytes limits request bodies if the configuration states no limit.
-	defaultMaxBodyBytes = 4 << 20
 	// maxUrgency is the highest urgency class that replicas accept.
 	maxUrgency = 9
 
@@ -43,6 +38,8 @@
 	// request is passed to the matcher, upstream to the forwarder.
 	request  routing.Request
 	upstream replica.UpstreamRequest
+	// releaseBody gives the body's bytes back to the budget.
+	releaseBody func()
 }
 
 // promptHeaders holds the token counts and prefix parts that the request headers state of the prompt.
@@ -70,10 +67,6 @@
 	if !replica.ValidRequestTarget(request.RequestURI) {
 		return nil, apierror.New(apierror.MalformedRequest, "request target cannot be passed on unchanged")
 	}
-	body, err := readBody(request, snapshot.Table.Configuration.Limits.MaxBodyBytes)
-	if err != nil {
-		return nil, err
-	}
 	timeout := milliseconds(allowed.route.TimeoutMs)
 	remaining, err := remainingTime(request.Header, timeout)
 	if err != nil {
@@ -83,7 +76,12 @@
 	if err != nil {
 		return nil, err
 	}
-	parsed := &parsedRequest{route: allowed.route, authorization: allowed}
+	deadline := arrived.Add(min(remaining, timeout))
+	body, err := h.readBody(request, snapshot.Table.Configuration.Limits.MaxBodyBytes, deadline)
+	if err != nil {
+		return nil, err
+	}
+	parsed := &parsedRequest{route: allowed.route, authorization: allowed, releaseBody: body.release}
 	parsed.request = routing.Request{
 		AttemptID:    attemptID,
 		Backend:      allowed.route.PickBackend(h.random()),
@@ -93,11 +91,11 @@
 		PromptTokens: prompt.promptTokens,
 		OutputTokens: prompt.outputTokens,
 		ArrivedAt:    arrived,
-		Deadline:     arrived.Add(min(remaining, timeout)),
+		Deadline:     deadline,
 		ClientRetry:  remaining < timeout-clientRetryTolerance,
 	}
 	parsed.applyRoute(snapshot)
-	parsed.setUpstream(request, body, snapshot)
+	parsed.setUpstream(request, body.content, snapshot)
 	parsed.request.NoPrefillStep = parsed.upstream.LastEventID != ""
 	return parsed, nil
 }
@@ -231,22 +229,3 @@
 		return rest[start:]
 	}
 }
-
-// readBody reads the whole body, up to the limit in bytes; a limit of 0 stands for defaultMaxBodyBytes.
-func readBody(request *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if request.ContentLength > limit {
-		return nil, apierror.New(apierror.BodyTooLarge, "")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, apierror.New(apierror.BodyTooLarge, "")
-	}
-	if err != nil {
-		return nil, apierror.New(apierror.MalformedRequest, "body broke off")
-	}
-	return body, nil
-}
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -115,10 +115,13 @@
 	snapshot *atomic.Pointer[routing.Snapshot]
 }
 
-// serverOptions are options of a testServer. Zero values stand for timeouts of a second and the host's network.
+// serverOptions are options of a testServer. Zero values stand for timeouts of a second, the host's network and ample memory.
 type serverOptions struct {
 	network    peer.Network
 	head, idle time.Duration
+	bodyBytes  int64
+	// timeoutMs is the timeout of the routes, 300 by default.
+	timeoutMs int
 }
 
 func startServer(t *testing.T, replicas ...*scriptedReplica) *testServer {
@@ -133,7 +136,7 @@
 		Head: cmp.Or(options.head, time.Second),
 		Idle: cmp.Or(options.idle, time.Second),
 	}
-	state := testFleet(t, replicas)
+	state := testFleet(t, cmp.Or(options.timeoutMs, 300), replicas)
 	var snapshot atomic.Pointer[routing.Snapshot]
 	snapshot.Store(state)
 	matcher := routing.NewMatcher(routing.DefaultParameters(), "north", time.Now, &snapshot)
@@ -141,7 +144,8 @@
 	go matcher.Run(ctx)
 	forwarder := replica.NewForwarder(options.network, time.Now, time.Second, time.Second)
 	budgets := NewRetryBudgets(RetryBudgetOptions{Period: time.Second, Ratio: 1, Slack: 100})
-	handler := NewHandler(&snapshot, matcher, forwarder, budgets, time.Now, rand.Float64)
+	bodies := NewBodyBudget(cmp.Or(options.bodyBytes, 64<<20))
+	handler := NewHandler(&snapshot, matcher, forwarder, budgets, bodies, time.Now, rand.Float64)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{
@@ -163,9 +167,10 @@
 	return &testServer{listener.Addr().String(), handler, &snapshot}
 }
 
-// testFleet returns a snapshot with the configuration of testDocument and the replicas.
-func testFleet(t *testing.T, replicas []*scriptedReplica) *routing.Snapshot {
-	decoded, err := configuration.Decode([]byte(testDocument))
+// testFleet returns a snapshot with the configuration of testDocument, with another timeout of its routes, and the replicas.
+func testFleet(t *testing.T, timeoutMs int, replicas []*scriptedReplica) *routing.Snapshot {
+	document := strings.ReplaceAll(testDocument, `"timeoutMs":300`, fmt.Sprintf(`"timeoutMs":%d`, timeoutMs))
+	decoded, err := configuration.Decode([]byte(document))
 	assert.NilError(t, err)
 	snapshot := &routing.Snapshot{
 		Table:          configuration.NewTable(decoded, nil),
