--- a/internal/httpframing/head.go
+++ b/internal/httpframing/head.go
@@ -187,14 +187,37 @@
 // tokenPunctuation holds the characters of a token besides letters and digits (RFC 9110, 5.6.2).
 const tokenPunctuation = "!#$%&'*+-.^_`|~"
 
-func isToken(content []byte) bool {
+// isTokenByte and isValueByte tell which bytes may stand in a token and in a field value, where control characters other than tabs
+// may not, a lone CR included.
+var isTokenByte, isValueByte = tokenBytes(), valueBytes()
+
+func tokenBytes() (allowed [256]bool) {
+	for letter := range allowed {
+		isLetter := letter >= 'a' && letter <= 'z' || letter >= 'A' && letter <= 'Z'
+		isDigit := letter >= '0' && letter <= '9'
+		allowed[letter] = isLetter || isDigit || letter < 0x80 && strings.ContainsRune(tokenPunctuation, rune(letter))
+	}
+	return allowed
+}
+
+func valueBytes() (allowed [256]bool) {
+	for letter := range allowed {
+		allowed[letter] = letter >= ' ' && letter != 0x7f || letter == '\t'
+	}
+	return allowed
+}
+
+func isToken(content []byte) bool { return len(content) > 0 && consistsOf(content, &isTokenByte) }
+
+func isFieldValue(content []byte) bool { return consistsOf(content, &isValueByte) }
+
+func consistsOf(content []byte, allowed *[256]bool) bool {
 	for _, letter := range content {
-		isAlphanumeric := letter >= 'a' && letter <= 'z' || letter >= 'A' && letter <= 'Z' || letter >= '0' && letter <= '9'
-		if !isAlphanumeric && strings.IndexByte(tokenPunctuation, letter) < 0 {
+		if !allowed[letter] {
 			return false
 		}
 	}
-	return len(content) > 0
+	return true
 }
 
 func isTarget(content []byte) bool {
@@ -218,16 +241,6 @@
 	return string(rest)
 }
 
-// isFieldValue reports whether the content has no control characters but tabs; a lone CR is one.
-func isFieldValue(content []byte) bool {
-	for _, letter := range content {
-		if letter < ' ' && letter != '\t' || letter == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 func isDigits(content []byte) bool {
 	for _, letter := range content {
 		if letter < '0' || letter > '9' {
--- a/internal/httpframing/serverconn.go
+++ b/internal/httpframing/serverconn.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"ferryspar/internal/apierror"
 )
 
@@ -63,9 +61,11 @@
 	return nil
 }
 
-// SetReadDeadline also records whether the server waits for a request.
+// SetReadDeadline also records whether the server waits for a request, if the time of its header is limited here.
 func (c *serverConn) SetReadDeadline(deadline time.Time) error {
-	c.waiting.Store(deadline.After(time.Now()))
+	if c.options.HeadTimeout > 0 {
+		c.waiting.Store(deadline.After(time.Now()))
+	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
@@ -148,7 +148,7 @@
 
 // startHeadTimeout limits the time for the rest of a header, unless the server has a request in progress.
 func (c *serverConn) startHeadTimeout() {
-	if c.options.HeadTimeout > 0 && c.waiting.Load() {
+	if c.waiting.Load() {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(c.options.HeadTimeout))
 	}
 }
@@ -219,7 +219,8 @@
 	c.ready = len(c.input)
 }
 
+// isTimeout reports whether a read has reached its deadline. Connections return such errors unwrapped, as the server expects them.
 func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	timeout, known := err.(net.Error)
+	return known && timeout.Timeout()
 }
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -37,7 +37,7 @@
 	bodies   []string
 }
 
-func startReplica(t *testing.T, id string, serve script) *scriptedReplica {
+func startReplica(t testing.TB, id string, serve script) *scriptedReplica {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { listener.Close() })
@@ -124,11 +124,11 @@
 	timeoutMs int
 }
 
-func startServer(t *testing.T, replicas ...*scriptedReplica) *testServer {
+func startServer(t testing.TB, replicas ...*scriptedReplica) *testServer {
 	return startServerWith(t, serverOptions{}, replicas...)
 }
 
-func startServerWith(t *testing.T, options serverOptions, replicas ...*scriptedReplica) *testServer {
+func startServerWith(t testing.TB, options serverOptions, replicas ...*scriptedReplica) *testServer {
 	if options.network == nil {
 		options.network = peer.HostNetwork{}
 	}
@@ -168,7 +168,7 @@
 }
 
 // testFleet returns a snapshot with the configuration of testDocument, with another timeout of its routes, and the replicas.
-func testFleet(t *testing.T, timeoutMs int, replicas []*scriptedReplica) *routing.Snapshot {
+func testFleet(t testing.TB, timeoutMs int, replicas []*scriptedReplica) *routing.Snapshot {
 	document := strings.ReplaceAll(testDocument, `"timeoutMs":300`, fmt.Sprintf(`"timeoutMs":%d`, timeoutMs))
 	decoded, err := configuration.Decode([]byte(document))
 	assert.NilError(t, err)
