Control plane: bound the bytes of request bodies, and the time of reading one

Change: the budget of the data plane becomes package bodybudget, with a handler that reads a body through a budget before it passes the request on. Each of the two servers has a budget of its own, an eighth of limits.memoryMb and at least 33 MiB, so that operators and other nodes can't push out one another and the largest configuration fits. A body may take 30 s.

--- a/internal/proxy/bodybudget.go
+++ b/internal/bodybudget/budget.go
@@ -1,48 +1,54 @@
-package proxy
+// Package bodybudget limits the memory that a server holds for the bodies of all its requests together.
+//
+// Start reading at Budget.Read.
+package bodybudget
 
 import (
 	"sync"
 	"time"
 
-	"ferryspar/internal/apierror"
+	"github.com/pkg/errors"
 )
 
-// BodyBudget limits the bytes that a data plane holds of request bodies, those that are still arriving and those that are kept
-// until their requests end. It is safe for concurrent use.
+// ErrExhausted is returned for a body that was rejected because all bodies together exceed the budget.
+var ErrExhausted = errors.New("bodies exceed the memory for them")
+
+// Budget limits the bytes that a server holds of request bodies, those that are still arriving and those that are kept until their
+// requests end. It is safe for concurrent use.
 //
 // If the budget is exhausted, the slowest senders are rejected first, among those that hold at least half of the average. A request
 // that was read completely keeps its body.
-type BodyBudget struct {
+type Budget struct {
 	limit int64
 
 	// lock guards the fields below and those of the readers.
 	lock         sync.Mutex
-	readers      map[*bodyReader]bool
+	readers      map[*reading]bool
 	readingBytes int64
 	heldBytes    int64
 }
 
-// NewBodyBudget returns a budget of that many bytes.
-func NewBodyBudget(limit int64) *BodyBudget {
-	return &BodyBudget{limit: limit, readers: map[*bodyReader]bool{}}
+// New returns a budget of that many bytes.
+func New(limit int64) *Budget {
+	return &Budget{limit: limit, readers: map[*reading]bool{}}
 }
 
-// BodyUsage is how many bytes of a budget are in use.
-type BodyUsage struct {
+// Usage is how many bytes of a budget are in use.
+type Usage struct {
 	// Reading counts the bytes of bodies that are arriving, Held those of complete bodies.
 	Reading, Held int64
 }
 
 // Usage returns how many bytes are in use.
-func (b *BodyBudget) Usage() BodyUsage {
+func (b *Budget) Usage() Usage {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return BodyUsage{Reading: b.readingBytes, Held: b.heldBytes}
+	return Usage{Reading: b.readingBytes, Held: b.heldBytes}
 }
 
-// bodyReader is a body that is being read.
-type bodyReader struct {
-	budget    *BodyBudget
+// reading is a body that is being read.
+type reading struct {
+	budget    *Budget
 	startedAt time.Time
 	// interrupt makes the read in progress fail. It must not block.
 	interrupt func()
@@ -51,8 +57,8 @@
 }
 
 // open registers a body that is about to be read. interrupt ends its read if it has to be rejected.
-func (b *BodyBudget) open(now time.Time, interrupt func()) *bodyReader {
-	reader := &bodyReader{budget: b, startedAt: now, interrupt: interrupt}
+func (b *Budget) open(now time.Time, interrupt func()) *reading {
+	reader := &reading{budget: b, startedAt: now, interrupt: interrupt}
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.readers[reader] = true
@@ -60,12 +66,12 @@
 }
 
 // reserve takes bytes for the body, from slower senders if there are none left. It returns an error if this is the slowest one.
-func (r *bodyReader) reserve(count int64, now time.Time) error {
+func (r *reading) reserve(count int64, now time.Time) error {
 	budget := r.budget
 	budget.lock.Lock()
 	defer budget.lock.Unlock()
 	if r.rejected {
-		return errBodyMemory()
+		return ErrExhausted
 	}
 	r.bytes += count
 	budget.readingBytes += count
@@ -74,7 +80,7 @@
 		budget.remove(slowest)
 		slowest.rejected = true
 		if slowest == r {
-			return errBodyMemory()
+			return ErrExhausted
 		}
 		slowest.interrupt()
 	}
@@ -83,8 +89,8 @@
 
 // slowest returns the reader that has received the fewest bytes a second, of those that hold at least half of the average. The
 // caller holds the lock, and at least one reader is open.
-func (b *BodyBudget) slowest(now time.Time) *bodyReader {
-	var found *bodyReader
+func (b *Budget) slowest(now time.Time) *reading {
+	var found *reading
 	var slowestRate float64
 	for reader := range b.readers {
 		if 2*reader.bytes*int64(len(b.readers)) < b.readingBytes {
@@ -99,7 +105,7 @@
 }
 
 // remove takes back what the reader holds. The caller holds the lock.
-func (b *BodyBudget) remove(reader *bodyReader) {
+func (b *Budget) remove(reader *reading) {
 	b.readingBytes -= reader.bytes
 	reader.bytes = 0
 	delete(b.readers, reader)
@@ -107,12 +113,12 @@
 
 // close ends the reading. The bytes of a complete body stay reserved until release is called, those of any other are given back. It
 // returns an error if the body was rejected meanwhile.
-func (r *bodyReader) close(complete bool) (release func(), err error) {
+func (r *reading) close(complete bool) (release func(), err error) {
 	budget := r.budget
 	budget.lock.Lock()
 	defer budget.lock.Unlock()
 	if r.rejected {
-		return nil, errBodyMemory()
+		return nil, ErrExhausted
 	}
 	held := r.bytes
 	budget.remove(r)
@@ -126,8 +132,3 @@
 		budget.heldBytes -= held
 	}), nil
 }
-
-// errBodyMemory is the error of a body that was rejected for want of memory.
-func errBodyMemory() error {
-	return apierror.NewRetryable(apierror.BodyMemoryExceeded, bodyMemoryRetryAfter)
-}
--- a/internal/controlplane/run.go
+++ b/internal/controlplane/run.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"ferryspar/internal/bodybudget"
 	"ferryspar/internal/httpframing"
 	"ferryspar/internal/nodesettings"
 )
@@ -17,6 +18,13 @@
 const (
 	idleTimeout       = time.Minute
 	readHeaderTimeout = 10 * time.Second
+	// bodyTimeout limits the time for reading a request body.
+	bodyTimeout = 30 * time.Second
+	// bodyMemoryShare is the share of the memory limit that the request bodies of one server may take.
+	bodyMemoryShare = 1.0 / 8
+	bytesPerMb      = 1 << 20
+	// minBodyBytes is the least that they may take: a configuration of the largest size that operators may send, and a small one.
+	minBodyBytes = 33 << 20
 )
 
 // Run serves until parent is done, a server fails, or a stop signal has been handled. It returns once its loops have ended, but
@@ -38,8 +46,12 @@
 		return errors.Wrapf(err, "control plane address %s", adminAddress)
 	}
 	defer adminListener.Close()
-	peerServer := &http.Server{Handler: n.peerRoutes(), IdleTimeout: idleTimeout}
-	adminServer := &http.Server{Handler: n.adminRoutes(), IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout}
+	peerServer := &http.Server{Handler: n.limitBodies(n.peerRoutes()), IdleTimeout: idleTimeout}
+	adminServer := &http.Server{
+		Handler:           n.limitBodies(n.adminRoutes()),
+		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
 	failures := make(chan error, 2)
 	framing := httpframing.Options{HeadTimeout: readHeaderTimeout}
 	go func() { failures <- httpframing.Serve(peerServer, peerListener, framing) }()
@@ -61,6 +73,13 @@
 	}
 }
 
+// limitBodies bounds the memory for the bodies of one server's requests and the time for reading each. Each server has a budget of
+// its own, so that operators and other nodes can't push out one another.
+func (n *Node) limitBodies(next http.Handler) http.Handler {
+	limit := max(int64(bodyMemoryShare*n.settings.Limits.MemoryMb*bytesPerMb), minBodyBytes)
+	return bodybudget.Handler(next, bodybudget.New(limit), limit-1, bodyTimeout)
+}
+
 // startLoops starts the loops of the node's components, which run until ctx is done.
 func (n *Node) startLoops(ctx context.Context, loops *sync.WaitGroup, signals nodesettings.Signals) {
 	parts := []func(context.Context){
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"ferryspar/internal/bodybudget"
 	"ferryspar/internal/httpframing"
 	"ferryspar/internal/nodesettings"
 	"ferryspar/internal/peer"
@@ -38,7 +39,7 @@
 	forwarder *replica.Forwarder
 	quotas    *Quotas
 	// bodies limits the memory of request bodies.
-	bodies *proxy.BodyBudget
+	bodies *bodybudget.Budget
 	// usage counts the requests of tenants; nil if the platform does not collect usage.
 	usage *usageCounter
 	// draining is set once a graceful shutdown has begun.
@@ -80,7 +81,7 @@
 	node.matcher.OnSuspect = node.forwarder.CloseIdleConnections
 
 	budgets := retryBudgets(settings, startedAt)
-	node.bodies = proxy.NewBodyBudget(bodyBytes(settings))
+	node.bodies = bodybudget.New(bodyBytes(settings))
 	node.proxy = proxy.NewHandler(&node.snapshot, node.matcher, node.forwarder, budgets, node.bodies, time.Now, rand.Float64)
 	node.proxy.Freshness = node.state.freshness
 	node.proxy.Quota = node.quotas
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ferryspar/internal/bodybudget"
 	"ferryspar/internal/replica"
 )
 
@@ -21,7 +22,7 @@
 	return connection
 }
 
-func (s *testServer) awaitUsage(t *testing.T, met func(BodyUsage) bool) {
+func (s *testServer) awaitUsage(t *testing.T, met func(bodybudget.Usage) bool) {
 	t.Helper()
 	for deadline := time.Now().Add(2 * time.Second); !met(s.handler.bodies.Usage()); {
 		assert.Assert(t, time.Now().Before(deadline), "usage %+v", s.handler.bodies.Usage())
@@ -54,7 +55,7 @@
 	}
 	assert.Assert(t, rejected >= 20 && rejected < 30, "%d rejected", rejected)
 	assert.DeepEqual(t, upstream.attemptIDs(), []string{"ordinary"})
-	server.awaitUsage(t, func(usage BodyUsage) bool { return usage == BodyUsage{} })
+	server.awaitUsage(t, func(usage bodybudget.Usage) bool { return usage == bodybudget.Usage{} })
 }
 
 func TestHandler_BodyThatIsLateGets408(t *testing.T) {
@@ -66,7 +67,7 @@
 	assert.Equal(t, response.status, http.StatusRequestTimeout)
 	assert.Assert(t, time.Since(startedAt) > 200*time.Millisecond, "the route allows 300 ms")
 	assert.Equal(t, upstream.requestCount(), 0)
-	server.awaitUsage(t, func(usage BodyUsage) bool { return usage == BodyUsage{} })
+	server.awaitUsage(t, func(usage bodybudget.Usage) bool { return usage == bodybudget.Usage{} })
 }
 
 // Guards against a read deadline of the body that ends the request behind it.
@@ -78,30 +79,3 @@
 		time.Sleep(400 * time.Millisecond)
 	}
 }
-
-func TestBodyBudget_RejectsTheSlowestLargeSender(t *testing.T) {
-	now := time.Unix(1000, 0)
-	budget := NewBodyBudget(1000)
-	interrupted := []string{}
-	open := func(name string, age time.Duration, bytes int64) *bodyReader {
-		reader := budget.open(now.Add(-age), func() { interrupted = append(interrupted, name) })
-		assert.NilError(t, reader.reserve(bytes, now))
-		return reader
-	}
-	small, slow, quick := open("small", time.Hour, 10), open("slow", time.Minute, 400), open("quick", time.Second, 400)
-	assert.NilError(t, quick.reserve(400, now))
-	assert.DeepEqual(t, interrupted, []string{"slow"})
-	_, err := slow.close(true)
-	assert.Assert(t, err != nil)
-	release, err := quick.close(true)
-	assert.NilError(t, err)
-	assert.DeepEqual(t, budget.Usage(), BodyUsage{Reading: 10, Held: 800})
-	late := open("late", time.Second, 100)
-	assert.Assert(t, late.reserve(200, now) != nil, "a complete body was rejected")
-	release()
-	release()
-	assert.DeepEqual(t, budget.Usage(), BodyUsage{Reading: 10})
-	_, err = small.close(false)
-	assert.NilError(t, err)
-	assert.DeepEqual(t, budget.Usage(), BodyUsage{})
-}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ferryspar/internal/apierror"
+	"ferryspar/internal/bodybudget"
 	"ferryspar/internal/replica"
 	"ferryspar/internal/requestlog"
 	"ferryspar/internal/routing"
@@ -28,7 +29,7 @@
 	shutdown    atomic.Pointer[shutdown]
 	inFlight    atomic.Int64
 	completions completionTimes
-	bodies      *BodyBudget
+	bodies      *bodybudget.Budget
 
 	// RequestLog, if set before the first request, receives an entry for each request.
 	RequestLog *requestlog.Writer
@@ -57,7 +58,7 @@
 	matcher *routing.Matcher,
 	forwarder *replica.Forwarder,
 	retryBudgets *RetryBudgets,
-	bodies *BodyBudget,
+	bodies *bodybudget.Budget,
 	clock func() time.Time,
 	random func() float64,
 ) *Handler {
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ferryspar/internal/bodybudget"
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/discovery"
 	"ferryspar/internal/httpframing"
@@ -144,7 +145,7 @@
 	go matcher.Run(ctx)
 	forwarder := replica.NewForwarder(options.network, time.Now, time.Second, time.Second)
 	budgets := NewRetryBudgets(RetryBudgetOptions{Period: time.Second, Ratio: 1, Slack: 100})
-	bodies := NewBodyBudget(cmp.Or(options.bodyBytes, 64<<20))
+	bodies := bodybudget.New(cmp.Or(options.bodyBytes, 64<<20))
 	handler := NewHandler(&snapshot, matcher, forwarder, budgets, bodies, time.Now, rand.Float64)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
