Soak: real processes under traffic while they are terminated, killed, frozen and restarted

internal/test/soak runs control planes, data planes, stand-in replicas and clients on loopback addresses. Clients use a connection until the process closes it or is gone; a fifth of the requests send their last byte up to 2 s late. Judges are pure functions over the history: UNASKED, TWICE, REFUSED, MIXED, LOST with its excuses, acknowledged configurations found again, panics. Each finds a planted violation in a history.

It is a first part: no coordination, quotas, drains, replaced disks, proxies between processes or cutting of schedules, and the faults are planted in histories, not in the system.

--- /dev/null
+++ b/internal/test/soak/faults.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// carryOut carries out a schedule and waits for its end.
+func (f *fleet) carryOut(schedule []scheduledFault) {
+	byName := map[string]*process{}
+	for _, node := range f.all() {
+		byName[node.name] = node
+	}
+	for _, fault := range schedule {
+		time.Sleep(fault.At - f.recorder.now())
+		fmt.Println(fault)
+		if fault.Kind == changeConfiguration {
+			f.faults.Go(f.change)
+			continue
+		}
+		f.faults.Go(func() { f.apply(fault, byName[fault.Node]) })
+	}
+}
+
+func (f *fleet) recordEvent(node *process, kind faultKind) {
+	f.recorder.record(func(h *history) {
+		h.Events = append(h.Events, nodeEvent{At: f.recorder.now(), Node: node.name, Kind: kind})
+	})
+}
+
+// apply carries out one fault of a process, to its restart.
+func (f *fleet) apply(fault scheduledFault, node *process) {
+	f.recordEvent(node, fault.Kind)
+	switch fault.Kind {
+	case faultFreeze:
+		node.signal(syscall.SIGSTOP)
+		time.Sleep(fault.Duration)
+		f.recordEvent(node, eventThaw)
+		node.signal(syscall.SIGCONT)
+		return
+	case faultKill:
+		<-node.signal(syscall.SIGKILL)
+	case faultTerm:
+		node.terminate()
+	}
+	time.Sleep(restartDelay)
+	if err := node.restart(); err != nil {
+		fmt.Fprintln(os.Stderr, node.name, err)
+	}
+	started := eventStart
+	if fault.Kind == faultKill {
+		started = eventRestart
+	}
+	f.recordEvent(node, started)
+}
+
+// terminate sends SIGTERM, and SIGKILL after the grace period.
+func (p *process) terminate() {
+	ended := p.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(graceTime):
+		<-p.signal(syscall.SIGKILL)
+	}
+}
+
+// patchForm is a change of the configuration that adds a route.
+const patchForm = `{"revision":%d,"upsert":{"routeTable":[
+{"name":"added-%d","hostname":"soak.example","pathPrefix":"/added-%d/","routeType":"streaming","timeoutMs":20000,
+"targetLatencyMs":600,"priority":1,"backend":"scribes","retryCount":1}]}}`
+
+// change adds a route to the configuration. It is sent to the control planes in turn until one answers clearly.
+func (f *fleet) change() {
+	f.recorder.lock.Lock()
+	base := f.revision
+	f.revision++
+	revision := f.revision
+	f.recorder.lock.Unlock()
+	body := fmt.Sprintf(patchForm, revision, revision, revision)
+	deadline := time.Now().Add(changeInterval - pollInterval)
+	for number := 0; time.Now().Before(deadline); number++ {
+		address := f.controls[number%len(f.controls)].address
+		current := f.readRevision(address)
+		if current < base {
+			time.Sleep(pollInterval)
+			continue
+		}
+		status, err := f.call(http.MethodPatch, address, fmt.Sprint(current), body, nil)
+		if err == nil && status == http.StatusOK {
+			f.recorder.record(func(h *history) {
+				h.Acknowledgements = append(h.Acknowledgements, acknowledgement{f.recorder.now(), revision})
+			})
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// readRevision returns the revision of the configuration that a control plane reads, or 0.
+func (f *fleet) readRevision(address string) int {
+	var read struct {
+		Revision int `json:"revision"`
+	}
+	if status, err := f.call(http.MethodGet, address, "", "", &read); err != nil || status != http.StatusOK {
+		return 0
+	}
+	return read.Revision
+}
+
+// finalRevision returns the newest revision that can be read at the end.
+func (f *fleet) finalRevision() int {
+	newest := 0
+	_ = f.repeat(func(number int) error {
+		newest = f.readRevision(f.controls[number%len(f.controls)].address)
+		if newest == 0 {
+			return fmt.Errorf("no configuration read")
+		}
+		return nil
+	})
+	return newest
+}
+
+var panicLine = regexp.MustCompile(`(?m)^(panic: |fatal error: |WARNING: DATA RACE).*$`)
+
+// panics returns the lines of the logs that report a panic or a data race.
+func (f *fleet) panics() (found []string) {
+	for _, node := range f.all() {
+		content, err := os.ReadFile(node.log)
+		if err != nil {
+			continue
+		}
+		for _, line := range panicLine.FindAllString(string(content), -1) {
+			found = append(found, node.name+": "+strings.TrimSpace(line))
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/test/soak/history.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+// Moments are durations since the start of the run.
+
+// sentRequest is a request of a client with its outcome.
+type sentRequest struct {
+	ID   string `json:"id"`
+	Node string `json:"node"`
+	// SentAt is when the last byte was sent, EndedAt when the response or the connection ended.
+	SentAt  time.Duration `json:"sentAt"`
+	EndedAt time.Duration `json:"endedAt"`
+	// Status is 0 if no response header came. Complete is set if the whole response came.
+	Status   int    `json:"status"`
+	Complete bool   `json:"complete"`
+	Seal     string `json:"seal"`
+	Body     string `json:"body"`
+}
+
+// execution is one run of a request at a replica.
+type execution struct {
+	ID        string        `json:"id"`
+	Replica   string        `json:"replica"`
+	Body      string        `json:"body"`
+	StartedAt time.Duration `json:"startedAt"`
+	EndedAt   time.Duration `json:"endedAt"`
+	// Complete is set if the replica has written its whole response.
+	Complete bool `json:"complete"`
+}
+
+// nodeEvent is something that was done to a process.
+type nodeEvent struct {
+	At   time.Duration `json:"at"`
+	Node string        `json:"node"`
+	Kind faultKind     `json:"kind"`
+}
+
+// acknowledgement is an answered change of the configuration.
+type acknowledgement struct {
+	At       time.Duration `json:"at"`
+	Revision int           `json:"revision"`
+}
+
+// history is the record of a run.
+type history struct {
+	Requests         []sentRequest     `json:"requests"`
+	Executions       []execution       `json:"executions"`
+	Events           []nodeEvent       `json:"events"`
+	Acknowledgements []acknowledgement `json:"acknowledgements"`
+	// FinalRevision is the revision of the configuration that was read at the end, 0 if none could be read.
+	FinalRevision int `json:"finalRevision"`
+	// Panics are lines of the processes' logs that report a panic or a data race.
+	Panics []string `json:"panics"`
+}
+
+// recorder collects a history. It is safe for concurrent use.
+type recorder struct {
+	startedAt time.Time
+	lock      sync.Mutex
+	history   history
+}
+
+func newRecorder() *recorder { return &recorder{startedAt: time.Now()} }
+
+func (r *recorder) now() time.Duration { return time.Since(r.startedAt) }
+
+// record changes the history.
+func (r *recorder) record(change func(h *history)) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	change(&r.history)
+}
+
+// beginExecution records the start of a run and returns its position.
+func (r *recorder) beginExecution(run execution) int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	run.StartedAt = r.now()
+	r.history.Executions = append(r.history.Executions, run)
+	return len(r.history.Executions) - 1
+}
+
+func (r *recorder) endExecution(position int, complete bool) {
+	r.record(func(h *history) {
+		h.Executions[position].EndedAt = r.now()
+		h.Executions[position].Complete = complete
+	})
+}
