--- a/internal/test/soak/clients.go
+++ b/internal/test/soak/clients.go
@@ -22,7 +22,7 @@
 	clientPause = 40 * time.Millisecond
 	// slowSenderShare is the share of requests whose bodies are sent in two parts, up to longestSend apart.
 	slowSenderShare = 0.2
-	longestSend     = 2 * time.Second
+	longestSend     = 6 * time.Second
 	reconnectPause  = 50 * time.Millisecond
 )
 
