--- a/internal/httpframing/serverconn.go
+++ b/internal/httpframing/serverconn.go
@@ -50,9 +50,6 @@
 	waiting atomic.Bool
 }
 
-// NetConn returns the connection below.
-func (c *serverConn) NetConn() net.Conn { return c.Conn }
-
 // CloseWrite shuts down the writing side. The server looks for this method.
 func (c *serverConn) CloseWrite() error {
 	if half, known := c.Conn.(interface{ CloseWrite() error }); known {
@@ -108,7 +105,10 @@
 	valid, malformedBody := c.body.scan(target[:count])
 	if malformedBody != nil {
 		c.failure = malformedBody
-		return valid, nil
+		if valid == 0 {
+			err = malformedBody
+		}
+		return valid, err
 	}
 	if valid < count {
 		c.input = bytes.Clone(target[valid:count])
