Proxy: while shutting down, rest no send on a learned time

Callers saw: with a data plane that got SIGTERM, requests whose last byte came late in the grace period were run and their responses cut (rule LOST), once responses got longer or tokens slower than those before, with the same Ferryspar-Token-Count.

Cause: late in the grace period a request was sent if the mean and four deviations of earlier responses fit into the time left. What other requests took says nothing certain of the next one; the time of a whole response was even divided by the tokens that its client allowed, so short responses taught a pace that no token ever had.

Change: a request is sent if its own deadline (or its route's timeout) ends it before connections are closed, or until 2.7 s after the shutdown began, which LOST excuses for requests sent no later than 3 s after the SIGTERM. Until then the mean chooses between two answers that are both allowed. Later it gets 503 with Ferryspar-Not-Executed. Connections are closed in the last sixth of any graceS.

The tests of the estimate's deviation went with the deviation; the one of its mean stayed, and two tests of the decision replace the one of the upper bound.

--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -223,19 +223,26 @@
 const (
 	// drainNotice is how long the server stays open after readiness turns off, so that load balancers can redirect clients.
 	drainNotice = 2300 * time.Millisecond
-	// closeReserve is the part of the grace period reserved for closing connections.
-	closeReserve = 300 * time.Millisecond
+	// maxCloseReserve and closeReserveShare limit the part of the grace period that is reserved for closing connections: clients
+	// allow for responses that are cut in the last sixth of it only.
+	maxCloseReserve   = 300 * time.Millisecond
+	closeReserveShare = 1.0 / 12
 )
 
+// servingTime returns how long requests in flight may go on in a grace period.
+func servingTime(grace time.Duration) time.Duration {
+	return grace - min(maxCloseReserve, time.Duration(closeReserveShare*float64(grace)))
+}
+
 // shutDown turns readiness off, waits for load balancers to notice, and lets requests in flight finish within the grace period.
 func (n *Node) shutDown(server *http.Server) {
 	logrus.Info("shutting down, reporting not ready")
 	startedAt := time.Now()
-	grace := nodesettings.Seconds(n.settings.TimingBounds.GraceS) - closeReserve
-	closesAt := startedAt.Add(grace)
+	serving := servingTime(nodesettings.Seconds(n.settings.TimingBounds.GraceS))
+	closesAt := startedAt.Add(serving)
 	n.drain(closesAt)
-	time.Sleep(min(drainNotice, grace/2))
-	awaitCPUTime(time.Now, time.Sleep, startedAt.Add(grace/2))
+	time.Sleep(min(drainNotice, serving/2))
+	awaitCPUTime(time.Now, time.Sleep, startedAt.Add(serving/2))
 	ctx, cancel := context.WithDeadline(context.Background(), closesAt)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/proxy/completion_test.go
+++ b/internal/proxy/completion_test.go
@@ -15,49 +15,52 @@
 	return timing{sentAt: sentAt, firstByteAt: sentAt.Add(firstByte), lastByteAt: sentAt.Add(firstByte + stream)}
 }
 
-func TestCompletionTimes_BoundFollowsSizeAndSpread(t *testing.T) {
+func TestCompletionTimes_MeanFollowsSizeAndNewResponses(t *testing.T) {
 	var times completionTimes
 	request := &routing.Request{Route: "a", OutputTokens: 100}
-	_, known := times.estimate(request)
-	assert.Assert(t, !known)
+	assert.Equal(t, times.mean(request), time.Duration(0), "nothing is known")
 	for range 100 {
 		times.observe(request, completed(200*time.Millisecond, time.Second))
 	}
-	steady, known := times.estimate(request)
-	assert.Assert(t, known)
-	assert.Equal(t, steady.mean.Round(time.Millisecond), 1200*time.Millisecond)
-	assert.Assert(t, steady.upperBound >= steady.mean && steady.upperBound < 1300*time.Millisecond, "%s", steady.upperBound)
-	longer, _ := times.estimate(&routing.Request{Route: "a", OutputTokens: 300})
-	assert.Equal(t, longer.mean.Round(time.Millisecond), 3200*time.Millisecond)
-	for number := range 100 {
-		times.observe(request, completed(200*time.Millisecond, time.Second+time.Duration(number%2)*time.Second))
+	assert.Equal(t, times.mean(request).Round(time.Millisecond), 1200*time.Millisecond)
+	longer := &routing.Request{Route: "a", OutputTokens: 300}
+	assert.Equal(t, times.mean(longer).Round(time.Millisecond), 3200*time.Millisecond)
+	for range 100 {
+		times.observe(request, completed(200*time.Millisecond, 2*time.Second))
+	}
+	assert.Equal(t, times.mean(request).Round(10*time.Millisecond), 2200*time.Millisecond)
+	assert.Equal(t, times.mean(&routing.Request{Route: "b"}), time.Duration(0))
+}
+
+// Guards against a learned time that lets a request be sent when only its own deadline can: the estimates range from a hundredth to
+// a hundred times what the response takes.
+func TestShutdown_LateSendsRestOnTheDeadlineAlone(t *testing.T) {
+	startedAt := time.Unix(1000, 0)
+	ending := &shutdown{startedAt: startedAt, closesAt: startedAt.Add(7700 * time.Millisecond)}
+	for after := 2800 * time.Millisecond; after < 9*time.Second; after += 100 * time.Millisecond {
+		for _, mean := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond, 2 * time.Second, 200 * time.Second} {
+			now := startedAt.Add(after)
+			assert.Assert(t, !ending.allows(now, ending.closesAt.Add(time.Millisecond), mean), "after %s, mean %s", after, mean)
+			assert.Assert(t, ending.allows(now, ending.closesAt, mean), "after %s, mean %s", after, mean)
+		}
 	}
-	spread, _ := times.estimate(request)
-	assert.Assert(t, spread.mean > 1500*time.Millisecond && spread.upperBound > 2200*time.Millisecond, "%+v", spread)
-	_, known = times.estimate(&routing.Request{Route: "b"})
-	assert.Assert(t, !known)
 }
 
-func TestShutdown_AllowsWhatIsLikelyToBeCompleteInTime(t *testing.T) {
+func TestShutdown_EarlySendsRestOnTheMean(t *testing.T) {
 	startedAt := time.Unix(1000, 0)
-	ending := &shutdown{startedAt: startedAt, closesAt: startedAt.Add(8 * time.Second)}
-	usual := completionEstimate{mean: 2 * time.Second, upperBound: 4 * time.Second}
-	long := completionEstimate{mean: 6 * time.Second, upperBound: 7 * time.Second}
+	ending := &shutdown{startedAt: startedAt, closesAt: startedAt.Add(7700 * time.Millisecond)}
+	deadline := startedAt.Add(15 * time.Second)
 	for _, test := range []struct {
-		after    time.Duration
-		estimate completionEstimate
-		known    bool
-		want     bool
+		after, mean time.Duration
+		want        bool
 	}{
-		{0, completionEstimate{}, false, true},
-		{3 * time.Second, completionEstimate{}, false, true},
-		{3100 * time.Millisecond, completionEstimate{}, false, false},
-		{2 * time.Second, long, true, true},
-		{2100 * time.Millisecond, long, true, false},
-		{4 * time.Second, usual, true, true},
-		{4100 * time.Millisecond, usual, true, false},
-		{9 * time.Second, usual, true, false},
+		{0, 0, true},
+		{2700 * time.Millisecond, 0, true},
+		{2700 * time.Millisecond, 5 * time.Second, true},
+		{2700 * time.Millisecond, 5001 * time.Millisecond, false},
+		{0, 7700 * time.Millisecond, true},
+		{time.Second, 7700 * time.Millisecond, false},
 	} {
-		assert.Equal(t, ending.allows(startedAt.Add(test.after), test.estimate, test.known), test.want, "after %s", test.after)
+		assert.Equal(t, ending.allows(startedAt.Add(test.after), deadline, test.mean), test.want, "after %s", test.after)
 	}
 }
--- a/internal/test/integration/standin_replica_test.go
+++ b/internal/test/integration/standin_replica_test.go
@@ -11,6 +11,9 @@
 	"ferryspar/internal/sim/emulator/standin"
 )
 
+// usualEventInterval is the time between two events of a stream.
+const usualEventInterval = 20 * time.Millisecond
+
 // execution is one request that a stand-in has run.
 type execution struct {
 	attempt   string
@@ -31,6 +34,7 @@
 	breakStreamAfter int
 	full             bool
 	events           int
+	eventInterval    time.Duration
 	loadTime         time.Duration
 	diskLoadTime     time.Duration // of a model that is on the disk; 0 for loadTime
 	overCapacity     bool
@@ -60,7 +64,10 @@
 }
 
 func newStandInReplica(id, host, zone string, models ...string) *standInReplica {
-	standIn := &standInReplica{models: standin.NewModelSet(models...), events: 5, loadTime: 2 * time.Second, orderState: newOrderState()}
+	standIn := &standInReplica{
+		models: standin.NewModelSet(models...), events: 5, eventInterval: usualEventInterval, loadTime: 2 * time.Second,
+		orderState: newOrderState(),
+	}
 	standIn.listed = discovery.Replica{
 		ID:       id,
 		Backend:  backendName,
@@ -179,7 +186,7 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	time.Sleep(firstTokenDelay)
 	for number := from + 1; number <= events; number++ {
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(s.interval())
 		fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", number, number)
 		_ = http.NewResponseController(writer).Flush()
 		if breakAfter > 0 && number == breakAfter {
@@ -188,6 +195,19 @@
 	}
 }
 
+// setAnswers sets the number of events of the next streams, and the interval between all events from now on.
+func (s *standInReplica) setAnswers(events int, interval time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.events, s.eventInterval = events, interval
+}
+
+func (s *standInReplica) interval() time.Duration {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.eventInterval
+}
+
 func (s *standInReplica) executedSince(from time.Time) int {
 	amount := 0
 	for _, run := range s.executed() {
