Load budget: count loads of unanswered orders until they can start no more

Callers saw: nothing yet; found by looking for the cause of the cut requests on other paths.

Cause: a successor counted each load without an age as started 1 s after its grant, and a holder gave an unanswered load up after 3 s and a report. Both were assumptions of how long an order stays in the network, and carried the promise of the rate.

Change: a load whose call has ended without an answer counts until its replica has accepted another order since, or is gone, and for 15 s and a window at most. The reservation names it to successors by a negative age, and is written as soon as there is one. The format of the record stays.

Not mended: an order whose call is in flight when its holder is killed is in no record by name.

--- a/internal/controlplane/scheduler/diskloads_test.go
+++ b/internal/controlplane/scheduler/diskloads_test.go
@@ -45,7 +45,7 @@
 
 // countedLoads returns how many loads from the store may have started within the window.
 func countedLoads(scheduler *Scheduler, now time.Time) int {
-	scheduler.budget.available(now, scheduler.configuration.table, scheduler.mayStart)
+	scheduler.budget.available(now, scheduler.configuration.table, scheduler)
 	return scheduler.budget.budget.Count(now, scheduler.budget.bounds)
 }
 
--- a/internal/controlplane/scheduler/loadbudget.go
+++ b/internal/controlplane/scheduler/loadbudget.go
@@ -21,6 +21,9 @@
 	// maxUncertainDelay is how long after a lease holder has stopped ordering a load may still start if its order got no clear
 	// answer.
 	maxUncertainDelay = time.Second
+	// maxLateStart is how long after its call has ended without an answer a load may still start: a replica may carry such an order
+	// out seconds later (docs/questions.md).
+	maxLateStart = 15 * time.Second
 	// reservationTimeout bounds one write of a reservation, so that lease renewals are not delayed for long.
 	reservationTimeout = 500 * time.Millisecond
 )
@@ -79,9 +82,17 @@
 	return loadbudget.NewBounds(limit, loadbudget.StartDelays{Accepted: maxLoadStartDelay, Uncertain: maxUncertainDelay})
 }
 
-// available returns how many loads from the store may start now under the current grant; it may be negative. mayStart reports
-// whether the pending order of a replica may still be accepted; loads whose orders can no longer be accepted count as started.
-func (b *loadBudget) available(now time.Time, table *configuration.Table, mayStart func(id string) bool) float64 {
+// pendingOrders tells of orders whose outcome is not known.
+type pendingOrders interface {
+	// mayStart reports whether an order of a replica whose call is in flight may still be accepted.
+	mayStart(id string) bool
+	// rejectsOrdersOf reports whether a replica certainly rejects orders that were decided on a sequence number.
+	rejectsOrdersOf(id string, sequence int64) bool
+}
+
+// available returns how many loads from the store may start now under the current grant; it may be negative. Loads whose orders can
+// no longer be accepted count as started.
+func (b *loadBudget) available(now time.Time, table *configuration.Table, orders pendingOrders) float64 {
 	grant := b.lease.Grant()
 	if grant == nil {
 		return 0
@@ -90,8 +101,13 @@
 	defer b.lock.Unlock()
 	b.bounds = loadBounds(table, b.limit)
 	b.adoptGrant(grant)
-	for _, id := range b.budget.Pending() {
-		if !mayStart(id) {
+	for _, id := range b.budget.InFlight() {
+		if !orders.mayStart(id) {
+			b.budget.RecordInFlightStarted(id, now)
+		}
+	}
+	for id, sequence := range b.budget.Unanswered() {
+		if orders.rejectsOrdersOf(id, sequence) {
 			b.budget.RecordStarted(id, now)
 		}
 	}
@@ -157,6 +173,15 @@
 	b.budget.RecordRejected(id)
 }
 
+// recordUnanswered records that the call that ordered a load of a replica has ended without an answer. The order was decided on the
+// sequence number.
+func (b *loadBudget) recordUnanswered(id string, sequence int64, now time.Time) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.budget.RecordUnanswered(id, sequence, now.Add(maxLateStart))
+	b.propose(b.lease.Grant(), now)
+}
+
 // recordStarted records that an order of a replica was accepted: every load ordered there has started by now or never will.
 func (b *loadBudget) recordStarted(id string, now time.Time) {
 	b.lock.Lock()
--- a/internal/controlplane/scheduler/loadbudget_test.go
+++ b/internal/controlplane/scheduler/loadbudget_test.go
@@ -13,6 +13,13 @@
 	"ferryspar/internal/placement"
 )
 
+// noPendingOrders implements pendingOrders: no order may be accepted late.
+type noPendingOrders struct{}
+
+func (noPendingOrders) mayStart(string) bool { return false }
+
+func (noPendingOrders) rejectsOrdersOf(string, int64) bool { return true }
+
 func TestLoadBudget_LoadsFromStoreStayWithinRate(t *testing.T) {
 	for seed := range uint64(60) {
 		random := rand.New(rand.NewPCG(seed, 29))
@@ -23,11 +30,10 @@
 		budget := scheduler.budget
 		budget.limit.Overage = overage
 		scheduler.lease.current.Store(&lease.Grant{Record: lease.Record{Fence: 1, Reserved: new(loadbudget.Reservation)}})
-		neverPending := func(string) bool { return false }
 		var startedAt []time.Time
 		for range 1200 {
 			now = now.Add(time.Duration(random.IntN(60)) * time.Millisecond)
-			for tokens := budget.available(now, table, neverPending); tokens >= 1; tokens-- {
+			for tokens := budget.available(now, table, noPendingOrders{}); tokens >= 1; tokens-- {
 				budget.recordOrdered(placement.Action{Server: "r", Model: "m", Load: true, FromStore: true}, now)
 				budget.recordStarted("r", now)
 				startedAt = append(startedAt, now.Add(time.Duration(random.IntN(int(maxLoadStartDelay)))))
--- a/internal/controlplane/scheduler/orders.go
+++ b/internal/controlplane/scheduler/orders.go
@@ -143,7 +143,7 @@
 	if outcome == replicastate.Fenced {
 		s.lease.ReportFenced(order.Fence)
 	}
-	s.recordLoadOutcome(tracked, outcome, now)
+	s.recordLoadOutcome(tracked, order, outcome, now)
 	s.tracker.HandleResponse(tracked, order, outcome, now)
 	if tracked.State().Phase() == replicastate.Changing {
 		tracked.State().ExpectCompletion(now.Add(s.expectedDuration(tracked)))
@@ -151,17 +151,25 @@
 }
 
 // recordLoadOutcome counts a load from the store as started when it is accepted, and stops counting it if the replica rejected
-// it or nothing was sent. Without a clear answer it keeps counting as one that may start. Responses to orders of an earlier grant
-// are ignored: the budget already counts their loads as started.
-func (s *orderSender) recordLoadOutcome(tracked *replicatracker.Replica, outcome replicastate.Outcome, now time.Time) {
+// it or nothing was sent. Without a clear answer it keeps counting as one that may start. Any accepted order makes the replica reject
+// every earlier one. Responses to orders of an earlier grant are ignored: the budget already counts their loads.
+func (s *orderSender) recordLoadOutcome(
+	tracked *replicatracker.Replica, order replicastate.Order, outcome replicastate.Outcome, now time.Time,
+) {
+	if !s.tracker.IsTracked(tracked) {
+		return
+	}
+	if outcome == replicastate.Accepted {
+		s.budget.recordStarted(tracked.ID(), now)
+		return
+	}
 	action := tracked.Action()
-	if action == nil || !loadsFromStore(*action) || !s.tracker.IsTracked(tracked) {
+	if action == nil || !loadsFromStore(*action) {
 		return
 	}
 	switch outcome {
 	case replicastate.NoResponse:
-	case replicastate.Accepted:
-		s.budget.recordStarted(tracked.ID(), now)
+		s.budget.recordUnanswered(tracked.ID(), order.ExpectedSequence, now)
 	default:
 		s.budget.recordRejected(tracked.ID())
 	}
--- a/internal/controlplane/scheduler/sync.go
+++ b/internal/controlplane/scheduler/sync.go
@@ -63,7 +63,7 @@
 		SizeHistory:  s.sizes,
 		Loading:      s.loadsInProgress(isTarget),
 		DrainedZones: map[string]bool{},
-		StoreTokens:  s.budget.available(now, table, s.mayStart),
+		StoreTokens:  s.budget.available(now, table, s),
 		DemandKnown:  s.demand.isLearned(now),
 		Servers:      s.tracker.Servers(isTarget, s.demand.suspectedAmong(s.tracker.Listed()), now),
 	}
@@ -86,8 +86,15 @@
 	return loading
 }
 
-// mayStart reports whether the pending order of a replica may still be accepted.
+// mayStart implements pendingOrders.
 func (s *Scheduler) mayStart(id string) bool {
 	replica := s.tracker.Replica(id)
 	return replica != nil && replica.State().HasUnconfirmedOrder()
 }
+
+// rejectsOrdersOf implements pendingOrders. An incarnation that is gone accepts no order, and one that has accepted another order
+// since rejects it for its sequence number.
+func (s *Scheduler) rejectsOrdersOf(id string, sequence int64) bool {
+	replica := s.tracker.Replica(id)
+	return replica == nil || replica.State().HasPassed(sequence)
+}
--- a/internal/loadbudget/budget.go
+++ b/internal/loadbudget/budget.go
@@ -18,7 +18,9 @@
 	// reserved is Reservation.Loads of the last reservation that was certainly written.
 	reserved      int
 	writeInFlight bool
-	retryAt       time.Time
+	// unansweredUnwritten is set while the last reservation that was certainly written lacks unanswered loads.
+	unansweredUnwritten bool
+	retryAt             time.Time
 	// excessSince is the time from which the reservation has been far above the need; zero while it is not.
 	excessSince time.Time
 }
@@ -77,8 +79,23 @@
 	b.used++
 }
 
-// Pending returns the names with pending loads.
-func (b *Budget) Pending() []string { return b.log.Pending() }
+// InFlight returns the names with loads whose calls are in flight.
+func (b *Budget) InFlight() []string { return b.log.InFlight() }
+
+// RecordInFlightStarted records that the loads under a name whose calls are in flight started at now or before, or never will.
+func (b *Budget) RecordInFlightStarted(name string, now time.Time) {
+	b.log.RecordInFlightStarted(name, now)
+}
+
+// RecordUnanswered records that the call for a load under a name has ended without an answer. The order was decided on the replica's
+// sequence number, and the load starts at startBy at the latest. A successor has to know of it, so a reservation becomes due.
+func (b *Budget) RecordUnanswered(name string, sequence int64, startBy time.Time) {
+	b.log.RecordUnanswered(name, sequence, startBy)
+	b.unansweredUnwritten = true
+}
+
+// Unanswered returns the names with unanswered loads, with the highest sequence number that one was decided on.
+func (b *Budget) Unanswered() map[string]int64 { return b.log.Unanswered() }
 
 // RecordStarted records that the pending loads under a name started at now or before, or never will.
 func (b *Budget) RecordStarted(name string, now time.Time) { b.log.RecordStarted(name, now) }
@@ -114,10 +131,10 @@
 	counted := b.log.Count(now, bounds.Window)
 	countedSoon := b.log.Remaining(now.Add(bounds.lookahead()), bounds.Window)
 	allowance := max(min(bounds.headroom(), bounds.Loads-countedSoon), 0)
-	if !b.shouldRaise(allowance, bounds) && !b.shouldLower(now, counted+allowance, bounds) {
+	if !b.unansweredUnwritten && !b.shouldRaise(allowance, bounds) && !b.shouldLower(now, counted+allowance, bounds) {
 		return Reservation{}, false
 	}
-	b.writeInFlight = true
+	b.writeInFlight, b.unansweredUnwritten = true, false
 	b.excessSince = time.Time{}
 	left := max(b.allowance-b.used, 0)
 	b.allowance, b.used = min(left, allowance), 0
@@ -156,6 +173,7 @@
 	b.writeInFlight = false
 	if !certain {
 		b.retryAt = now.Add(retryBackoff)
+		b.unansweredUnwritten = len(b.log.Unanswered()) > 0
 		return
 	}
 	b.reserved, b.allowance = written.Loads, b.proposedAllowance
--- a/internal/loadbudget/budget_test.go
+++ b/internal/loadbudget/budget_test.go
@@ -1,6 +1,9 @@
 package loadbudget_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,3 +78,82 @@
 	_, loads = countWrites(&budget, bounds, now.Add(blocked), time.Second, time.Millisecond)
 	assert.Equal(t, loads, bounds.Loads)
 }
+
+// unansweredDelay is how long after its call an unanswered load may start in the tests below, and callTime how long that call takes.
+const (
+	unansweredDelay = 15 * time.Second
+	callTime        = time.Second
+)
+
+// lateLoads plays lease holders that order loads, half of which are left unanswered and start late. A holder is replaced only while no
+// call is in flight. It returns when the loads started.
+func lateLoads(random *rand.Rand, bounds loadbudget.Bounds) (startTimes []time.Time) {
+	budget, written, fence := new(loadbudget.Budget), loadbudget.Reservation{}, uint64(1)
+	budget.TakeOver(loadbudget.Takeover{Fence: fence, PredecessorStoppedAt: startTime, Reserved: &written}, bounds)
+	callsEnd := map[string]time.Time{}
+	for now := startTime; now.Before(startTime.Add(2 * time.Minute)); now = now.Add(tick) {
+		for name, end := range callsEnd {
+			if !now.Before(end) {
+				budget.RecordUnanswered(name, 0, now.Add(unansweredDelay))
+				delete(callsEnd, name)
+			}
+		}
+		if reservation, due := budget.Propose(now, bounds); due {
+			written = reservation
+			budget.CompleteWrite(fence, written, true, now)
+		}
+		for budget.Available(now, bounds) >= 1 {
+			name := fmt.Sprint("replica-", len(startTimes))
+			budget.RecordOrdered(name)
+			if random.IntN(2) == 0 {
+				budget.RecordStarted(name, now)
+				startTimes = append(startTimes, now)
+				continue
+			}
+			callsEnd[name] = now.Add(callTime)
+			startTimes = append(startTimes, now.Add(callTime+time.Duration(random.Int64N(int64(unansweredDelay)))))
+		}
+		if len(callsEnd) == 0 && random.IntN(200) == 0 {
+			if reservation, due := budget.Propose(now, bounds); due {
+				written = reservation
+			}
+			fence++
+			budget = new(loadbudget.Budget)
+			budget.TakeOver(loadbudget.Takeover{Fence: fence, PredecessorStoppedAt: now, Reserved: &written}, bounds)
+		}
+	}
+	return startTimes
+}
+
+func TestBudget_UnansweredLoadsCountUntilTheyStart(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 37))
+		rate := 0.5 + float64(random.IntN(6))
+		startTimes := lateLoads(random, boundsOf(rate))
+		slices.SortFunc(startTimes, time.Time.Compare)
+		most := 0
+		for first, from := range startTimes {
+			within := slices.IndexFunc(startTimes[first:], func(at time.Time) bool { return at.Sub(from) >= period })
+			if within < 0 {
+				within = len(startTimes) - first
+			}
+			most = max(most, within)
+		}
+		assert.Assert(t, float64(most) <= rate*period.Seconds()*overage+3, "seed %d: %d loads at a rate of %f", seed, most, rate)
+		assert.Assert(t, len(startTimes) > 20, "seed %d: only %d loads", seed, len(startTimes))
+	}
+}
+
+func TestBudget_RejectedSequenceEndsUnansweredLoad(t *testing.T) {
+	var budget loadbudget.Budget
+	bounds := boundsOf(1)
+	budget.TakeOver(loadbudget.Takeover{Fence: 1, PredecessorStoppedAt: startTime, Reserved: new(loadbudget.Reservation)}, bounds)
+	budget.RecordOrdered("replica-1")
+	assert.DeepEqual(t, budget.InFlight(), []string{"replica-1"})
+	budget.RecordUnanswered("replica-1", 7, startTime.Add(unansweredDelay))
+	assert.Equal(t, len(budget.InFlight()), 0)
+	assert.DeepEqual(t, budget.Unanswered(), map[string]int64{"replica-1": 7})
+	assert.Equal(t, budget.Count(startTime.Add(unansweredDelay-time.Second), bounds), 1)
+	budget.RecordStarted("replica-1", startTime)
+	assert.Equal(t, budget.Count(startTime.Add(bounds.Window), bounds), 0)
+}
--- a/internal/loadbudget/reservation.go
+++ b/internal/loadbudget/reservation.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// AgedLoads is a number of loads that had started at least AgeMs milliseconds before a reservation was decided.
+// AgedLoads is a number of loads that had started at least AgeMs milliseconds before a reservation was decided. If AgeMs is negative,
+// they have not certainly started, and start no later than that long after it.
 type AgedLoads struct {
 	Loads int   `json:"loads"`
 	AgeMs int64 `json:"ageMs"`
@@ -10,7 +11,7 @@
 
 // Reservation is the part of the lease's record by which the next holder counts this holder's loads. Loads is an upper bound
 // of the loads that may have started within the window. Aged are those of them that had started when the reservation was
-// decided; the others may have started at any time since, or may still start.
+// decided, or whose orders were left unanswered by then; the others may have been ordered at any time since.
 type Reservation struct {
 	Loads int         `json:"loads"`
 	Aged  []AgedLoads `json:"aged,omitempty"`
--- a/internal/replicastate/report.go
+++ b/internal/replicastate/report.go
@@ -171,3 +171,9 @@
 
 // Loaded returns the last reported set, or that of the platform's list before the first report. The caller must not modify it.
 func (r *Replica) Loaded() map[string]bool { return r.loaded }
+
+// HasPassed reports whether the replica is known to have accepted an order since it had the sequence number: it rejects every other
+// order that was decided on it.
+func (r *Replica) HasPassed(sequence int64) bool {
+	return r.IsKnown() && r.sequence > sequence
+}
--- a/internal/test/integration/standin_orders_test.go
+++ b/internal/test/integration/standin_orders_test.go
@@ -43,11 +43,13 @@
 	adapterTime   time.Duration // to load or unload an adapter
 	reportLag     time.Duration // the age of the state that reports show
 	answersToDrop int           // the number of next accepted orders whose answers are lost
-	sequence      int64
-	highestFence  uint64
-	busyUntil     time.Time
-	incarnation   int
-	history       []pastReport
+	// orderDelay, if set, returns whether the next order gets no answer, and how long after it the order is then decided.
+	orderDelay   func() (delay time.Duration, unanswered bool)
+	sequence     int64
+	highestFence uint64
+	busyUntil    time.Time
+	incarnation  int
+	history      []pastReport
 	// rejectedOverCapacity are loads that exceed the capacity, but were rejected for their sequence number or a running order.
 	rejectedOverCapacity []receivedOrder
 }
@@ -109,6 +111,10 @@
 func (s *standInReplica) handleOrder(writer http.ResponseWriter, request *http.Request) {
 	order := receivedOrder{receivedAt: time.Now()}
 	_ = json.NewDecoder(request.Body).Decode(&order)
+	if s.decideLater(order) {
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	s.lock.Lock()
 	order.status = s.decideOrder(order)
 	s.orders = append(s.orders, order)
@@ -123,6 +129,29 @@
 	writer.WriteHeader(order.status)
 }
 
+// decideLater reports whether the order is to get no answer, and decides such an order after its delay.
+func (s *standInReplica) decideLater(order receivedOrder) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.orderState.orderDelay == nil {
+		return false
+	}
+	delay, unanswered := s.orderState.orderDelay()
+	if !unanswered {
+		return false
+	}
+	incarnation := s.orderState.incarnation
+	time.AfterFunc(delay, func() {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		if s.orderState.incarnation == incarnation {
+			order.status = s.decideOrder(order)
+			s.orders = append(s.orders, order)
+		}
+	})
+	return true
+}
+
 // decideOrder accepts or rejects an order and starts it if it is accepted. The caller holds the lock.
 func (s *standInReplica) decideOrder(order receivedOrder) int {
 	if order.Fence < s.orderState.highestFence {
