--- a/internal/test/integration/standin_replica_test.go
+++ b/internal/test/integration/standin_replica_test.go
@@ -202,6 +202,13 @@
 	s.events, s.eventInterval = events, interval
 }
 
+// setPace sets the time to the first event of the next streams, and the interval between all events from now on.
+func (s *standInReplica) setPace(firstEvent, interval time.Duration) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.firstTokenDelay, s.eventInterval = firstEvent, interval
+}
+
 func (s *standInReplica) interval() time.Duration {
 	s.lock.Lock()
 	defer s.lock.Unlock()
