Body budget: read bodies by one function, and keep the shares of memory in one place

Cause: proxy.Handler.readBody and bodybudget.Handler took the same steps around Budget.Read (deadline, interrupt after an error, deadline off), and both programs stated a share of memory and the size of a megabyte.

Change: Budget.Read takes the deadline and the connection, and does those steps. bodybudget.ShareOf and two named shares take the place of the constants. Behaviour stays.

--- a/internal/bodybudget/handler.go
+++ b/internal/bodybudget/handler.go
@@ -23,23 +23,18 @@
 			next.ServeHTTP(writer, request)
 			return
 		}
-		connection := http.NewResponseController(writer)
-		interrupt := func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) }
-		_ = connection.SetReadDeadline(time.Now().Add(timeout))
 		content, release, err := budget.Read(request.Body, Options{
 			StatedLength: request.ContentLength,
 			Limit:        limit,
-			Interrupt:    interrupt,
+			Deadline:     time.Now().Add(timeout),
+			Connection:   http.NewResponseController(writer),
 		})
 		if err != nil {
-			// The server must not wait for the rest of the body before it sends the response.
-			interrupt()
 			writer.Header().Set("Connection", "close")
 			apierror.Write(writer, ResponseTo(err))
 			return
 		}
 		defer release()
-		_ = connection.SetReadDeadline(time.Time{})
 		request.Body = io.NopCloser(bytes.NewReader(content))
 		next.ServeHTTP(writer, request)
 	})
--- a/internal/bodybudget/read.go
+++ b/internal/bodybudget/read.go
@@ -19,17 +19,40 @@
 	StatedLength int64
 	// Limit is the largest body, in bytes.
 	Limit int64
-	// Interrupt makes the read in progress fail, if the body has to be rejected. It must not block.
-	Interrupt func()
+	// Deadline is when the body must be complete.
+	Deadline time.Time
+	// Connection is the one that the body is read from.
+	Connection Connection
 }
 
+// Connection sets the deadline of the reads of a connection, or none for the zero time. A deadline in the past makes a read in progress
+// fail. It must not block.
+type Connection interface {
+	SetReadDeadline(deadline time.Time) error
+}
+
+// interrupt makes the reads of a connection fail.
+func interrupt(connection Connection) { _ = connection.SetReadDeadline(time.Unix(1, 0)) }
+
 // Read reads a body to its end. The bytes count toward the budget until release is called, which must be done once if err is nil. The
-// error is ErrExhausted, ErrTooLarge or that of the source.
+// error is ErrExhausted, ErrTooLarge or that of the source. After an error the connection can't be read any more, so that the server
+// does not wait for the rest of the body before it sends the response.
 func (b *Budget) Read(source io.Reader, options Options) (content []byte, release func(), err error) {
+	_ = options.Connection.SetReadDeadline(options.Deadline)
+	content, release, err = b.read(source, options)
+	if err != nil {
+		interrupt(options.Connection)
+		return nil, nil, err
+	}
+	_ = options.Connection.SetReadDeadline(time.Time{})
+	return content, release, nil
+}
+
+func (b *Budget) read(source io.Reader, options Options) (content []byte, release func(), err error) {
 	if options.StatedLength > options.Limit {
 		return nil, nil, ErrTooLarge
 	}
-	reader := b.open(time.Now(), options.Interrupt)
+	reader := b.open(time.Now(), func() { interrupt(options.Connection) })
 	content, err = reader.readAll(source, options)
 	release, rejection := reader.close(err == nil)
 	if rejection != nil {
--- a/internal/controlplane/run.go
+++ b/internal/controlplane/run.go
@@ -20,10 +20,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// bodyTimeout limits the time for reading a request body.
 	bodyTimeout = 30 * time.Second
-	// bodyMemoryShare is the share of the memory limit that the request bodies of one server may take.
-	bodyMemoryShare = 1.0 / 8
-	bytesPerMb      = 1 << 20
-	// minBodyBytes is the least that they may take: a configuration of the largest size that operators may send, and a small one.
+	// minBodyBytes is the least that the request bodies of one server may take: a configuration of the largest size that operators may
+	// send, and a small one.
 	minBodyBytes = 33 << 20
 )
 
@@ -76,7 +74,7 @@
 // limitBodies bounds the memory for the bodies of one server's requests and the time for reading each. Each server has a budget of
 // its own, so that operators and other nodes can't push out one another.
 func (n *Node) limitBodies(next http.Handler) http.Handler {
-	limit := max(int64(bodyMemoryShare*n.settings.Limits.MemoryMb*bytesPerMb), minBodyBytes)
+	limit := max(bodybudget.ShareOf(n.settings.Limits.MemoryMb, bodybudget.ControlPlaneShare), minBodyBytes)
 	return bodybudget.Handler(next, bodybudget.New(limit), limit-1, bodyTimeout)
 }
 
--- a/internal/dataplane/node.go
+++ b/internal/dataplane/node.go
@@ -81,7 +81,7 @@
 	node.matcher.OnSuspect = node.forwarder.CloseIdleConnections
 
 	budgets := retryBudgets(settings, startedAt)
-	node.bodies = bodybudget.New(bodyBytes(settings))
+	node.bodies = bodybudget.New(bodybudget.ShareOf(settings.Limits.MemoryMb, bodybudget.DataPlaneShare))
 	node.proxy = proxy.NewHandler(&node.snapshot, node.matcher, node.forwarder, budgets, node.bodies, time.Now, rand.Float64)
 	node.proxy.Freshness = node.state.freshness
 	node.proxy.Quota = node.quotas
@@ -92,23 +92,6 @@
 	return node
 }
 
-const (
-	// bodyMemoryShare is the share of the memory limit that request bodies may take.
-	bodyMemoryShare = 0.25
-	// defaultMemoryMb takes the place of a memory limit where the settings have none.
-	defaultMemoryMb = 256.0
-	bytesPerMb      = 1 << 20
-)
-
-// bodyBytes returns how many bytes of request bodies the node holds at most.
-func bodyBytes(settings nodesettings.Settings) int64 {
-	memoryMb := settings.Limits.MemoryMb
-	if memoryMb <= 0 {
-		memoryMb = defaultMemoryMb
-	}
-	return int64(bodyMemoryShare * memoryMb * bytesPerMb)
-}
-
 // incarnationStart returns when this incarnation of the node started. At the first start of the whole system, before which there
 // was no other incarnation, it returns zero.
 func incarnationStart(settings nodesettings.Settings) time.Time {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -26,19 +26,15 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	connection := connectionOf(request.Context())
-	connection.setBodyDeadline(deadline)
 	content, release, err := h.bodies.Read(request.Body, bodybudget.Options{
 		StatedLength: request.ContentLength,
 		Limit:        limit,
-		Interrupt:    connection.interruptBody,
+		Deadline:     deadline,
+		Connection:   bodyReads{connectionOf(request.Context())},
 	})
 	if err != nil {
-		// The server must not wait for the rest of the body before it sends the response.
-		connection.interruptBody()
 		return requestBody{}, bodybudget.ResponseTo(err)
 	}
-	connection.setBodyDeadline(time.Time{})
 	return requestBody{content: content, release: release}, nil
 }
 
--- a/internal/proxy/connection.go
+++ b/internal/proxy/connection.go
@@ -104,16 +104,18 @@
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
-// setBodyDeadline sets the deadline for reading a request body, or none for the zero time. c may be nil.
-func (c *clientConnection) setBodyDeadline(deadline time.Time) {
-	if c != nil {
-		_ = c.Conn.SetReadDeadline(deadline)
+// bodyReads sets the deadline for reading a request body, past the timeouts that clientConnection.SetReadDeadline puts in its place. The
+// connection may be nil.
+type bodyReads struct{ connection *clientConnection }
+
+// SetReadDeadline implements bodybudget.Connection.
+func (b bodyReads) SetReadDeadline(deadline time.Time) error {
+	if b.connection == nil {
+		return nil
 	}
+	return b.connection.Conn.SetReadDeadline(deadline)
 }
 
-// interruptBody makes the read of a request body fail. c may be nil.
-func (c *clientConnection) interruptBody() { c.setBodyDeadline(time.Unix(1, 0)) }
-
 // markHandled records on the connection of the context that its request has reached the handler.
 func markHandled(ctx context.Context) {
 	if connection := connectionOf(ctx); connection != nil {
