--- a/internal/test/soak/clients.go
+++ b/internal/test/soak/clients.go
@@ -21,20 +21,44 @@
 	// clientPause is the mean pause between two requests of a client.
 	clientPause = 40 * time.Millisecond
 	// slowSenderShare is the share of requests whose bodies are sent in two parts, up to longestSend apart.
-	slowSenderShare = 0.2
+	slowSenderShare = 0.3
 	longestSend     = 6 * time.Second
 	reconnectPause  = 50 * time.Millisecond
 )
 
 var requestCount atomic.Uint64
 
+// route is a route of the configuration, which says what may be repeated.
+type route struct {
+	name, prefix string
+	// repeatable is set for routes whose requests may run more than once.
+	repeatable bool
+	retryCount int
+}
+
+var routes = []route{
+	{name: "once", prefix: "/once/", retryCount: 1},
+	{name: "resumed", prefix: "/resumed/", repeatable: true, retryCount: 3},
+	{name: "idempotent", prefix: "/idempotent/", repeatable: true, retryCount: 2},
+}
+
+// routeNamed returns the route with the name.
+func routeNamed(name string) route {
+	for _, known := range routes {
+		if known.name == name {
+			return known
+		}
+	}
+	return route{}
+}
+
 // headForm is the header of a request, without its values.
-const headForm = "POST /soak/ask HTTP/1.1\r\nHost: " + clientHost + "\r\n" + replica.HeaderAttemptID + ": %s\r\n" +
+const headForm = "POST %sask HTTP/1.1\r\nHost: " + clientHost + "\r\n" + replica.HeaderAttemptID + ": %s\r\n" +
 	replica.HeaderModel + ": " + modelName + "\r\n" + replica.HeaderTokenCount + ": 900,%d\r\n" +
 	replica.HeaderPromptPrefix + ": 5c1e07a2:800,%x:100\r\n" + replica.HeaderTimeRemaining + ": %d\r\nContent-Length: %d\r\n\r\n"
 
-func headOf(id string, length int) string {
-	return fmt.Sprintf(headForm, id, eventCount(id), requestCount.Load(), requestTimeout.Milliseconds(), length)
+func headOf(id string, to route, length int) string {
+	return fmt.Sprintf(headForm, to.prefix, id, mostEvents, requestCount.Load(), requestTimeout.Milliseconds(), length)
 }
 
 // client keeps one connection to a data plane and uses it until the process closes it or is gone; then it opens one to any data plane.
@@ -74,10 +98,11 @@
 
 // send sends one request and reads its response. SentAt is 0 if not all of it could be written.
 func (c *client) send(node *process, connection net.Conn, reader *bufio.Reader) (sent sentRequest, mayContinue bool) {
-	sent = sentRequest{ID: fmt.Sprintf("r%06d", requestCount.Add(1)), Node: node.name}
+	to := routes[c.random.IntN(len(routes))]
 	recorder := c.fleet.recorder
+	sent = sentRequest{ID: fmt.Sprintf("r%06d", requestCount.Add(1)), Node: node.name, Route: to.name, HeadAt: recorder.now()}
 	body := promptOf(sent.ID)
-	head := headOf(sent.ID, len(body))
+	head := headOf(sent.ID, to, len(body))
 	_ = connection.SetDeadline(time.Now().Add(requestTimeout))
 	first := body[:len(body)-1]
 	if _, err := io.WriteString(connection, head+first); err != nil {
@@ -93,6 +118,7 @@
 	sent.SentAt = sentAt
 	response, err := http.ReadResponse(reader, nil)
 	if err == nil {
+		sent.FirstByteAt = recorder.now()
 		defer response.Body.Close()
 		content, readErr := io.ReadAll(response.Body)
 		err = readErr
--- a/internal/test/soak/faults.go
+++ b/internal/test/soak/faults.go
@@ -19,11 +19,16 @@
 	for _, fault := range schedule {
 		time.Sleep(fault.At - f.recorder.now())
 		fmt.Println(fault)
-		if fault.Kind == changeConfiguration {
+		switch fault.Kind {
+		case changeConfiguration:
 			f.faults.Go(f.change)
-			continue
+		case changeEvacuation:
+			f.faults.Go(func() { f.evacuate(fault) })
+		case faultLyingHealth:
+			f.lie(fault)
+		default:
+			f.faults.Go(func() { f.apply(fault, byName[fault.Node]) })
 		}
-		f.faults.Go(func() { f.apply(fault, byName[fault.Node]) })
 	}
 }
 
@@ -37,6 +42,12 @@
 func (f *fleet) apply(fault scheduledFault, node *process) {
 	f.recordEvent(node, fault.Kind)
 	switch fault.Kind {
+	case faultHangup:
+		if err := node.rewriteSettings(); err != nil {
+			fmt.Fprintln(os.Stderr, node.name, err)
+		}
+		node.signal(syscall.SIGHUP)
+		return
 	case faultFreeze:
 		node.signal(syscall.SIGSTOP)
 		time.Sleep(fault.Duration)
@@ -106,12 +117,50 @@
 	var read struct {
 		Revision int `json:"revision"`
 	}
+	sentAt := f.recorder.now()
 	if status, err := f.call(http.MethodGet, address, "", "", &read); err != nil || status != http.StatusOK {
 		return 0
 	}
+	f.recorder.record(func(h *history) { h.Reads = append(h.Reads, configurationRead{sentAt, address, read.Revision}) })
 	return read.Revision
 }
 
+// lie makes the health checks of a replica false.
+func (f *fleet) lie(fault scheduledFault) {
+	for _, replica := range f.replicas {
+		if replica.listed.ID == fault.Node {
+			replica.liesUntil.Store(int64(f.recorder.now() + fault.Duration))
+		}
+	}
+}
+
+// evacuate evacuates a zone and takes that back after the fault's duration.
+func (f *fleet) evacuate(fault scheduledFault) {
+	endAt := f.recorder.now() + fault.Duration
+	if f.callUntilClear(http.MethodPost, fault.Node) {
+		acknowledgedAt := f.recorder.now()
+		time.Sleep(endAt - f.recorder.now())
+		f.recorder.record(func(h *history) {
+			h.Evacuations = append(h.Evacuations, evacuation{fault.Node, acknowledgedAt, f.recorder.now()})
+		})
+	}
+	f.callUntilClear(http.MethodDelete, fault.Node)
+}
+
+// callUntilClear sends a call on the evacuation of a zone to the control planes in turn, until one acknowledges it or for changeInterval.
+func (f *fleet) callUntilClear(method, zone string) bool {
+	deadline := time.Now().Add(changeInterval)
+	for number := 0; time.Now().Before(deadline); number++ {
+		address := f.controls[number%len(f.controls)].address
+		status, err := f.callPath(method, address, drainPath+zone, "", "", nil)
+		if err == nil && status < http.StatusMultipleChoices {
+			return true
+		}
+		time.Sleep(pollInterval)
+	}
+	return false
+}
+
 // finalRevision returns the newest revision that can be read at the end.
 func (f *fleet) finalRevision() int {
 	newest := 0
--- a/internal/test/soak/fleet.go
+++ b/internal/test/soak/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,10 +24,14 @@
 const (
 	graceTime    = 8 * time.Second
 	syncTime     = 4 * time.Second
-	restartDelay = 300 * time.Millisecond
-	startTimeout = 30 * time.Second
-	pollInterval = 100 * time.Millisecond
-	callTimeout  = 2 * time.Second
+	contactTime  = 3 * time.Second
+	evacuateTime = 5 * time.Second
+	// configurationApplyTime is how long after its acknowledgement every node has a configuration.
+	configurationApplyTime = 2 * time.Second
+	restartDelay           = 300 * time.Millisecond
+	startTimeout           = 30 * time.Second
+	pollInterval           = 100 * time.Millisecond
+	callTimeout            = 2 * time.Second
 	// internalPorts is the number of ports of a node for traffic between nodes; those for operators, clients and readiness follow.
 	internalPorts = 4
 	nodePorts     = internalPorts + 3
@@ -50,15 +55,20 @@
 	folder, programs, network string
 	recorder                  *recorder
 	controls, edges           []*process
+	replicas                  []*standIn
+	seed                      uint64
 	revision                  int
 	faults                    sync.WaitGroup
 }
 
-func zoneOf(number int) string { return fmt.Sprintf("zone-%d", number%3+1) }
+// zoneCount is the number of zones.
+const zoneCount = 3
+
+func zoneOf(number int) string { return fmt.Sprintf("zone-%d", number%zoneCount+1) }
 
 // startFleet starts replicas, the platform and all processes, and sends the first configuration.
 func startFleet(chosen options, folder string, recorder *recorder) (*fleet, error) {
-	started := &fleet{folder: folder, programs: chosen.Programs, network: chosen.Network, recorder: recorder}
+	started := &fleet{folder: folder, programs: chosen.Programs, network: chosen.Network, seed: chosen.Seed, recorder: recorder}
 	list, err := started.startPlatform(chosen.Replicas)
 	if err != nil {
 		return nil, err
@@ -80,9 +90,9 @@
 func (f *fleet) all() []*process { return append(append([]*process{}, f.controls...), f.edges...) }
 
 func (f *fleet) startPlatform(replicas int) (string, error) {
-	list := &platform{}
 	for number := range replicas {
-		entry := &standIn{recorder: f.recorder, listed: discovery.Replica{
+		pace := &pacer{random: rand.New(rand.NewPCG(f.seed, uint64(number)))}
+		entry := &standIn{recorder: f.recorder, pacer: pace, listed: discovery.Replica{
 			ID: fmt.Sprintf("i-%d", number+1), Backend: backendName, Zone: zoneOf(number), Revision: "v1", Slots: replicaSlots,
 			State: "ready", Phase: discovery.PhaseUnified, Models: []discovery.LoadedModel{{Name: modelName, Revision: 1}},
 		}}
@@ -91,11 +101,28 @@
 			return "", err
 		}
 		entry.listed.Address = address
-		list.replicas = append(list.replicas, entry)
+		f.replicas = append(f.replicas, entry)
 	}
-	return serve(f.hostOf(-1), list)
+	return serve(f.hostOf(-1), &platform{replicas: f.replicas})
 }
 
+// controlKind and edgeKind are the first parts of the names of control planes and data planes.
+const (
+	controlKind = "control"
+	edgeKind    = "edge"
+)
+
+// The programs that a run needs.
+const (
+	dataPlaneProgram    = "ferryspar-data-plane"
+	controlPlaneProgram = "ferryspar-control-plane"
+	emulatorProgram     = "ferryspar-emulator"
+)
+
+func nodeName(kind string, number int) string { return fmt.Sprintf("%s-%d", kind, number+1) }
+
+func isControl(name string) bool { return strings.HasPrefix(name, controlKind+"-") }
+
 // prepare names the addresses of all processes and writes their settings.
 func (f *fleet) prepare(chosen options, list string) error {
 	add := func(kind, program string, number, host int) (*process, error) {
@@ -103,7 +130,7 @@
 		if err != nil {
 			return nil, err
 		}
-		name := fmt.Sprintf("%s-%d", kind, number+1)
+		name := nodeName(kind, number)
 		return &process{
 			name: name, program: filepath.Join(f.programs, program), settings: filepath.Join(f.folder, name+".toml"),
 			log: filepath.Join(f.folder, name+".log"), address: fmt.Sprintf("%s:%d", f.hostOf(host), port+internalPorts),
@@ -111,14 +138,14 @@
 		}, nil
 	}
 	for number := range chosen.Controls {
-		node, err := add("control", "ferryspar-control-plane", number, number)
+		node, err := add(controlKind, controlPlaneProgram, number, number)
 		if err != nil {
 			return err
 		}
 		f.controls = append(f.controls, node)
 	}
 	for number := range chosen.Edges {
-		node, err := add("edge", "ferryspar-data-plane", number, chosen.Controls+number)
+		node, err := add(edgeKind, dataPlaneProgram, number, chosen.Controls+number)
 		if err != nil {
 			return err
 		}
@@ -143,12 +170,15 @@
 // firstPort is the first port of every node; all nodes of a deployment use the same ports.
 const firstPort = 27720
 
+// errPortTaken is returned if a port of the deployment is not free; another --network avoids it.
+var errPortTaken = errors.New("a port of the deployment is taken")
+
 // freePorts returns firstPort if the node's ports are free on the host.
 func freePorts(host string) (int, error) {
 	for offset := range nodePorts {
 		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, firstPort+offset))
 		if err != nil {
-			return 0, errors.Wrap(err, "a port of the deployment is taken")
+			return 0, errors.Wrap(errPortTaken, err.Error())
 		}
 		listener.Close()
 	}
@@ -174,8 +204,10 @@
 		"limits":         map[string]any{"cpuCores": 1, "memoryMb": memoryMb, "maxFds": maxFds, "diskMb": 128},
 		"faultTolerance": map[string]any{"machineLoss": (len(f.controls) - 1) / 2},
 		"timingBounds": map[string]any{
-			"contactMs": 3000, "ackTimeoutMs": 4000, "syncTimeS": syncTime.Seconds(), "drainMs": 3000, "graceS": graceTime.Seconds(),
-			"configApplyMs": 2000, "retryBudgetRatio": 0.2, "budgetPeriodS": 10, "retryBudgetSlack": 54, "leaseMs": 3000,
+			"contactMs": contactTime.Milliseconds(), "ackTimeoutMs": 4000, "evacuateMs": evacuateTime.Milliseconds(),
+			"syncTimeS": syncTime.Seconds(), "drainMs": 3000, "graceS": graceTime.Seconds(),
+			"configApplyMs": configurationApplyTime.Milliseconds(), "retryBudgetRatio": 0.2, "budgetPeriodS": 10,
+			"retryBudgetSlack": 54, "leaseMs": 3000,
 			"coldOverage": 1.5, "coldSlack": 5, "originPeriodS": 5, "originOverage": 1.1, "fencing": true,
 		},
 		"cloudApi": map[string]any{"address": list, "ratePerS": 42.0, "maxLagMs": 800},
@@ -212,15 +244,27 @@
 
 // restart starts the program again, with settings that say that the system does not start for the first time.
 func (p *process) restart() error {
+	if err := p.rewriteSettings(); err != nil {
+		return err
+	}
+	return p.start()
+}
+
+// rewriteSettings writes settings that say that the system does not start for the first time.
+func (p *process) rewriteSettings() error {
 	content, err := os.ReadFile(p.settings)
 	if err != nil {
 		return err
 	}
 	later := bytes.Replace(content, []byte("bootstrap = true"), []byte("bootstrap = false"), 1)
-	if err := os.WriteFile(p.settings, later, 0o600); err != nil {
-		return err
-	}
-	return p.start()
+	return os.WriteFile(p.settings, later, 0o600)
+}
+
+// pid returns the id of the process.
+func (p *process) pid() int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.command.Process.Pid
 }
 
 // signal sends a signal to the process and returns a channel that is closed at its end.
@@ -231,9 +275,20 @@
 	return p.ended
 }
 
-// call sends one call of an operator to a control plane and decodes the answer into target, which may be nil.
+// configurationPath and drainPath are paths of the operators' API; the latter is followed by a zone.
+const (
+	configurationPath = "/ferryspar/config"
+	drainPath         = "/ferryspar/drain-zone/"
+)
+
+// call sends one call on the configuration to a control plane and decodes the answer into target, which may be nil.
 func (f *fleet) call(method, address, ifMatch string, body string, target any) (status int, err error) {
-	request, err := http.NewRequest(method, "http://"+address+"/ferryspar/config", strings.NewReader(body))
+	return f.callPath(method, address, configurationPath, ifMatch, body, target)
+}
+
+// callPath sends one call of an operator to a control plane and decodes the answer into target, which may be nil.
+func (f *fleet) callPath(method, address, path, ifMatch string, body string, target any) (status int, err error) {
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
@@ -250,10 +305,14 @@
 }
 
 const firstConfiguration = `{"revision":1,"routeTable":[
-{"name":"soak","hostname":"soak.example","pathPrefix":"/soak/","routeType":"streaming",
-"timeoutMs":20000,"targetLatencyMs":600,"priority":1,"backend":"scribes","retryCount":1,"sticky":true,"resumable":false,"tokenGapMs":300}],
+{"name":"once","hostname":"soak.example","pathPrefix":"/once/","routeType":"streaming","timeoutMs":20000,"targetLatencyMs":600,
+"priority":1,"backend":"scribes","retryCount":1,"sticky":true,"resumable":false,"tokenGapMs":300},
+{"name":"resumed","hostname":"soak.example","pathPrefix":"/resumed/","routeType":"streaming","timeoutMs":20000,"targetLatencyMs":8000,
+"priority":0,"backend":"scribes","retryCount":3,"sticky":true,"resumable":true,"tokenGapMs":300},
+{"name":"idempotent","hostname":"soak.example","pathPrefix":"/idempotent/","routeType":"idempotent","timeoutMs":20000,"targetLatencyMs":600,
+"priority":2,"backend":"scribes","retryCount":2,"sticky":true}],
 "backends":[{"name":"scribes","healthPath":"/healthz","maxConns":1900,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":200.0,
-"runtime":{"slots":64,"kvCacheTokens":500000,"kvTokenBytes":1000,"linkMbps":180000.0,"stepSize":3,"modelList":[{"name":"swift",
+"runtime":{"slots":64,"kvCacheTokens":5000000,"kvTokenBytes":1000,"linkMbps":180000.0,"stepSize":3,"modelList":[{"name":"swift",
 "weightSizeMb":100,"loadTimeS":1,"adapterList":0,"adapterSizeMb":1}],"weightSizeMb":1000,"adapterCapacity":8,"loadsPerS":1.0}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
--- a/internal/test/soak/judges.go
+++ b/internal/test/soak/judges.go
@@ -3,26 +3,33 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 )
 
 // judge returns the violations of one rule in a history.
 type judge func(h *history) []string
 
-// judges lists the judges by the name of their rule.
+// judges lists the judges by the name of their rule, with what they check.
 var judges = []struct {
-	rule  string
-	judge judge
+	rule, checks string
+	judge        judge
 }{
-	{"UNASKED", judgeUnasked},
-	{"TWICE", judgeTwice},
-	{"REFUSED", judgeRefused},
-	{"MIXED", judgeMixed},
-	{"LOST", judgeLost},
-	{"CONFIG", judgeConfiguration},
-	{"PANIC", judgePanics},
+	{"UNASKED", "no replica runs what no client sent, or another body", judgeUnasked},
+	{"TWICE", "no request that may not be repeated runs more than once", judgeTwice},
+	{"REFUSED", "no such request runs that is answered with 408, 421, 429 or 503", judgeRefused},
+	{"MIXED", "a success is the whole response of a replica to that request, or visibly cut", judgeMixed},
+	{"BUDGET", "no request runs more often than its route's retry count (three are tolerated)", judgeRetries},
+	{"LOST", "no response is cut around a SIGTERM or SIGHUP but as the rule excuses, nor without a fault (three are tolerated)", judgeLost},
+	{"CONFIG", "the newest acknowledged configuration is read at the end", judgeConfiguration},
+	{"CONFIG", "no read shows a configuration older than one acknowledged configApplyMs before", judgeReads},
+	{"EVAC", "nothing reaches an evacuated zone evacuateMs after its acknowledgement, from data planes in touch", judgeEvacuations},
+	{"COORDINATION", "the applications' locks, numbers, keys and watches keep their promises", judgeCoordination},
+	{"MEMORY", "no process exceeds its memory or its descriptors", judgeUsage},
+	{"PANIC", "no process panics or reports a data race", judgePanics},
 }
 
+// tolerated is how many requests may break a rule that names more than three.
+const tolerated = 3
+
 // requestsByID indexes the requests that clients sent.
 func (h *history) requestsByID() map[string]sentRequest {
 	byID := map[string]sentRequest{}
@@ -45,26 +52,54 @@
 	return violations
 }
 
-// judgeTwice finds requests that ran more than once; no request of a run may be repeated.
-func judgeTwice(h *history) (violations []string) {
-	runs := map[string]int{}
+// runsByID indexes the runs by the request.
+func (h *history) runsByID() map[string][]execution {
+	runs := map[string][]execution{}
 	for _, run := range h.Executions {
-		runs[run.ID]++
-		if runs[run.ID] == 2 {
-			violations = append(violations, run.ID+" ran twice")
+		runs[run.ID] = append(runs[run.ID], run)
+	}
+	return runs
+}
+
+// judgeTwice finds requests that ran more than once though they may not be repeated.
+func judgeTwice(h *history) (violations []string) {
+	sent := h.requestsByID()
+	for id, runs := range h.runsByID() {
+		if len(runs) > 1 && !routeNamed(sent[id].Route).repeatable {
+			violations = append(violations, fmt.Sprintf("%s ran %d times", id, len(runs)))
+		}
+	}
+	return violations
+}
+
+// judgeRetries finds requests that ran more often than the retry count of their route allows, if there are more than tolerated.
+func judgeRetries(h *history) (violations []string) {
+	sent := h.requestsByID()
+	for id, runs := range h.runsByID() {
+		if to := routeNamed(sent[id].Route); to.repeatable && len(runs) > to.retryCount {
+			violations = append(violations, fmt.Sprintf("%s ran %d times, %d are allowed on its route", id, len(runs), to.retryCount))
 		}
 	}
+	return beyondTolerated(violations)
+}
+
+// beyondTolerated returns the violations if there are more than tolerated.
+func beyondTolerated(violations []string) []string {
+	if len(violations) <= tolerated {
+		return nil
+	}
 	return violations
 }
 
 // promises are the statuses that promise that a request has not run and never will.
 var promises = map[int]bool{408: true, 421: true, 429: true, 503: true}
 
-// judgeRefused finds requests that ran although their clients were promised that they had not.
+// judgeRefused finds requests that may not be repeated and ran although their clients were promised that they had not.
 func judgeRefused(h *history) (violations []string) {
 	sent := h.requestsByID()
 	for _, run := range h.Executions {
-		if status := sent[run.ID].Status; promises[status] {
+		request := sent[run.ID]
+		if status := request.Status; promises[status] && !routeNamed(request.Route).repeatable {
 			violations = append(violations, fmt.Sprintf("%s was answered with %d, but ran at %s", run.ID, status, run.Replica))
 		}
 	}
@@ -86,84 +121,7 @@
 	return violations
 }
 
-const (
-	// unplannedWindow is how long before a request no unplanned fault may have come for LOST to count (contactMs).
-	unplannedWindow = 3 * time.Second
-	// lateWork is how long after a SIGTERM a replica's work begins to excuse a cut, the last sixth of the grace period, for requests
-	// that were sent until earlyRequest after it.
-	lateWork     = graceTime * 5 / 6
-	earlyRequest = 3 * time.Second
-	// lossSlack is how long after its last byte an unanswered request that was not passed on may end.
-	lossSlack = 200 * time.Millisecond
-)
-
-// judgeLost finds requests that were cut around a SIGTERM of the data plane that took them.
-func judgeLost(h *history) (violations []string) {
-	runs := map[string]execution{}
-	for _, run := range h.Executions {
-		runs[run.ID] = run
-	}
-	for _, request := range h.Requests {
-		if request.Complete || request.SentAt == 0 {
-			continue
-		}
-		terminatedAt, found := h.plannedEnd(request)
-		if !found || h.hasUnplanned(request.SentAt-unplannedWindow, request.EndedAt) {
-			continue
-		}
-		run, passedOn := runs[request.ID]
-		if passedOn && isExcused(request, run, terminatedAt) || !passedOn && request.EndedAt-request.SentAt <= lossSlack {
-			continue
-		}
-		violations = append(violations, fmt.Sprintf("%s, sent to %s %s after its SIGTERM, was cut %s after it; passed on: %v",
-			request.ID, request.Node, request.SentAt-terminatedAt, request.EndedAt-terminatedAt, passedOn))
-	}
-	return violations
-}
-
-// plannedEnd returns the SIGTERM around which the request ended.
-func (h *history) plannedEnd(request sentRequest) (time.Duration, bool) {
-	for _, event := range h.Events {
-		isNear := request.EndedAt >= event.At && request.EndedAt <= event.At+graceTime+time.Second
-		if event.Node == request.Node && event.Kind == faultTerm && isNear {
-			return event.At, true
-		}
-	}
-	return 0, false
-}
-
-// unplanned are the kinds of events that are no planned work.
-var unplanned = map[faultKind]bool{faultKill: true, faultFreeze: true, eventThaw: true, eventRestart: true}
-
-// hasUnplanned reports whether any process was killed, frozen, thawed or restarted between the moments.
-func (h *history) hasUnplanned(from, to time.Duration) bool {
-	for _, event := range h.Events {
-		if unplanned[event.Kind] && event.At >= from && event.At <= to {
-			return true
-		}
-	}
-	return false
-}
-
-// isExcused reports whether a replica's work late in the grace period excuses the cut.
-func isExcused(request sentRequest, run execution, terminatedAt time.Duration) bool {
-	worksUntil := run.EndedAt
-	if worksUntil == 0 {
-		worksUntil = request.EndedAt
-	}
-	return worksUntil >= terminatedAt+lateWork && request.SentAt <= terminatedAt+earlyRequest
-}
-
-// judgeConfiguration finds acknowledged configurations that are not found at the end.
-func judgeConfiguration(h *history) (violations []string) {
-	for _, acknowledged := range h.Acknowledgements {
-		if acknowledged.Revision > h.FinalRevision {
-			violations = append(violations, fmt.Sprintf("revision %d was acknowledged, %d is read at the end", acknowledged.Revision,
-				h.FinalRevision))
-		}
-	}
-	return violations
-}
+func judgeCoordination(h *history) []string { return h.Coordination }
 
 func judgePanics(h *history) []string { return h.Panics }
 
--- a/internal/test/soak/judges_test.go
+++ b/internal/test/soak/judges_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -34,6 +35,43 @@
 	h.Executions[0].EndedAt = terminatedAt + endedAfter
 }
 
+// cutInCalmTimes makes more requests than are tolerated end without a response or a fault.
+func cutInCalmTimes(h *history) {
+	const cutAt = 30 * time.Second
+	h.Events = nil
+	for _, id := range []string{"c", "d", "e", "f"} {
+		h.Requests = append(h.Requests, sentRequest{ID: id, Node: "edge-1", HeadAt: cutAt, SentAt: cutAt, EndedAt: cutAt + time.Second})
+		h.Executions = append(h.Executions, execution{ID: id, Body: promptOf(id)})
+	}
+}
+
+// runTooOften makes more requests than are tolerated run more often than their route allows.
+func runTooOften(h *history) {
+	for _, id := range []string{"c", "d", "e", "f"} {
+		h.Requests = append(h.Requests, sentRequest{ID: id, Route: "idempotent", Status: 502, Complete: true})
+		for range routeNamed("idempotent").retryCount + 1 {
+			h.Executions = append(h.Executions, execution{ID: id, Body: promptOf(id)})
+		}
+	}
+}
+
+// readOldConfiguration adds a read of a revision that is older than the acknowledged one.
+func readOldConfiguration(h *history) {
+	h.Reads = []configurationRead{{SentAt: 13 * time.Second, Node: "control-1", Revision: 2}}
+}
+
+// useTooMuch makes a data plane exceed its memory.
+func useTooMuch(h *history) { h.Usage = map[string]processUsage{edgeKind: {PeakMb: memoryMb + 1}} }
+
+// runInEvacuatedZone makes a request reach a replica of an evacuated zone, long after the SIGTERM.
+func runInEvacuatedZone(h *history) {
+	h.Evacuations = []evacuation{{Zone: "zone-1", AcknowledgedAt: 40 * time.Second, EndedAt: 60 * time.Second}}
+	late := h.Requests[0]
+	late.ID, late.SentAt, late.Seal, late.Body = "c", 50*time.Second, sealOf("c"), streamOf("c")
+	h.Requests = append(h.Requests, late)
+	h.Executions = append(h.Executions, execution{ID: "c", Body: promptOf("c"), Zone: "zone-1", StartedAt: 50 * time.Second})
+}
+
 func TestHistory_EachJudgeFindsItsViolation(t *testing.T) {
 	assert.Equal(t, len(soundHistory().violations()), 0)
 	for name, test := range map[string]struct {
@@ -53,8 +91,18 @@
 			cut(h, time.Second, 2*time.Second)
 			h.Executions = nil
 		}, "LOST"},
-		"lost configuration": {func(h *history) { h.FinalRevision = 2 }, "CONFIG"},
-		"panic":              {func(h *history) { h.Panics = []string{"edge-1: panic: a"} }, "PANIC"},
+		"cut after a SIGHUP": {func(h *history) {
+			cut(h, time.Second, 2*time.Second)
+			h.Events[0].Kind = faultHangup
+		}, "LOST"},
+		"cut without a fault":            {cutInCalmTimes, "LOST"},
+		"too many retries":               {runTooOften, "BUDGET"},
+		"lost configuration":             {func(h *history) { h.FinalRevision = 2 }, "CONFIG"},
+		"older configuration":            {readOldConfiguration, "CONFIG"},
+		"run in an empty zone":           {runInEvacuatedZone, "EVAC"},
+		"broken promise of coordination": {func(h *history) { h.Coordination = []string{"two holders"} }, "COORDINATION"},
+		"too much memory":                {useTooMuch, "MEMORY"},
+		"panic":                          {func(h *history) { h.Panics = []string{"edge-1: panic: a"} }, "PANIC"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			planted := soundHistory()
@@ -77,6 +125,14 @@
 			cut(h, time.Second, 3*time.Second)
 			h.Events[0].Node = "edge-2"
 		},
+		"replica broke off": func(h *history) {
+			cut(h, time.Second, 3*time.Second)
+			h.Executions[0].Misbehaviour = breakOff
+		},
+		"deadline reached": func(h *history) {
+			cut(h, time.Second, 3*time.Second)
+			h.Requests[0].HeadAt = h.Requests[0].EndedAt - requestTimeout
+		},
 		"crossed the close, not passed on": func(h *history) {
 			cut(h, time.Second, 1100*time.Millisecond)
 			h.Executions = nil
@@ -92,16 +148,21 @@
 
 func TestNewSchedule_KeepsItsLimits(t *testing.T) {
 	controls, edges := []string{"control-1", "control-2", "control-3"}, []string{"edge-1", "edge-2", "edge-3"}
+	replicas := []string{"i-1", "i-2"}
 	for seed := range uint64(200) {
-		schedule := newSchedule(seed, time.Minute, controls, edges)
-		assert.DeepEqual(t, schedule, newSchedule(seed, time.Minute, controls, edges))
+		schedule := newSchedule(seed, time.Minute, controls, edges, replicas)
+		assert.DeepEqual(t, schedule, newSchedule(seed, time.Minute, controls, edges, replicas))
 		busyUntil := map[string]time.Duration{}
 		lastControl := -controlSpacing
 		for _, fault := range schedule {
-			assert.Assert(t, fault.At >= calmStart && fault.At < time.Minute-calmEnd)
-			if fault.Kind == changeConfiguration {
+			switch fault.Kind {
+			case changeConfiguration, faultLyingHealth:
+				continue
+			case changeEvacuation:
+				assert.Assert(t, fault.At+fault.Duration < time.Minute)
 				continue
 			}
+			assert.Assert(t, fault.At >= calmStart && fault.At < time.Minute-calmEnd)
 			if fault.Node[0] == 'c' {
 				assert.Assert(t, fault.At-lastControl >= controlSpacing, "seed %d: control planes lost together", seed)
 				lastControl = fault.At
@@ -119,3 +180,18 @@
 		}
 	}
 }
+
+func TestEventCount_IsMostlySmallAndNeverAboveWhatRequestsState(t *testing.T) {
+	short, long := 0, 0
+	for number := range 2000 {
+		count := eventCount(fmt.Sprint("r", number))
+		assert.Assert(t, count >= 1 && count <= mostEvents)
+		if count <= shortEvents {
+			short++
+		}
+		if count > mostEvents/2 {
+			long++
+		}
+	}
+	assert.Assert(t, short > 1200 && long > 200, "%d short, %d long", short, long)
+}
--- a/internal/test/soak/main.go
+++ b/internal/test/soak/main.go
@@ -16,7 +16,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,12 +27,12 @@
 
 type options struct {
 	Programs string        `long:"programs" default:"target" description:"folder of the programs"`
-	Seed     uint64        `long:"seed" default:"1" description:"seed of the schedule"`
+	Seed     uint64        `long:"seed" default:"0" description:"seed of the schedule (0: a drawn one, which is printed)"`
 	Length   time.Duration `long:"for" default:"40s" description:"length of the run"`
 	Controls int           `long:"control-planes" default:"3" description:"number of control planes, odd"`
 	Edges    int           `long:"data-planes" default:"3" description:"number of data planes, at least 2"`
 	Replicas int           `long:"replicas" default:"4" description:"number of stand-in replicas"`
-	Clients  int           `long:"clients" default:"24" description:"number of clients"`
+	Clients  int           `long:"clients" default:"120" description:"number of clients"`
 	Network  string        `long:"network" default:"127.0.79" description:"first three parts of the loopback addresses"`
 	Keep     string        `long:"keep" description:"folder for settings, logs and the history (default: a temporary one)"`
 }
@@ -42,6 +42,8 @@
 	exitUsage  = 2
 	// maxEdges limits the data planes to the loopback addresses of the deployment.
 	maxEdges = 200
+	// maxDrawnSeed is the largest seed that is drawn.
+	maxDrawnSeed = 1_000_000
 )
 
 func (o options) check() error {
@@ -58,23 +60,48 @@
 	if address := net.ParseIP(o.Network + ".1"); address == nil || !address.IsLoopback() {
 		return errors.New("--network must be the first three parts of loopback addresses")
 	}
-	if _, err := os.Stat(filepath.Join(o.Programs, "ferryspar-data-plane")); err != nil {
-		return errors.Wrap(err, "--programs")
+	for _, program := range []string{dataPlaneProgram, controlPlaneProgram, emulatorProgram} {
+		if _, err := os.Stat(filepath.Join(o.Programs, program)); err != nil {
+			return errors.Wrap(err, "--programs")
+		}
 	}
 	return nil
 }
 
+// description says what each judge checks.
+func description() string {
+	var text strings.Builder
+	text.WriteString("Runs the programs as real processes on loopback, with faults, and judges what clients, replicas and operators saw:\n")
+	for _, entry := range judges {
+		fmt.Fprintf(&text, "\n%s: %s.", entry.rule, entry.checks)
+	}
+	return text.String()
+}
+
 func main() {
 	var chosen options
-	if _, err := flags.Parse(&chosen); err != nil {
+	parser := flags.NewParser(&chosen, flags.Default)
+	parser.LongDescription = description()
+	if _, err := parser.Parse(); err != nil {
+		var parsing *flags.Error
+		if errors.As(err, &parsing) && parsing.Type == flags.ErrHelp {
+			return
+		}
 		os.Exit(exitUsage)
 	}
 	if err := chosen.check(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
+	if chosen.Seed == 0 {
+		chosen.Seed = 1 + rand.Uint64N(maxDrawnSeed)
+		fmt.Println("drawn seed:", chosen.Seed)
+	}
 	if err := run(chosen); err != nil {
 		fmt.Fprintln(os.Stderr, err)
+		if errors.Is(err, errPortTaken) {
+			os.Exit(exitUsage)
+		}
 		os.Exit(exitBroken)
 	}
 }
@@ -109,7 +136,7 @@
 
 // play runs the clients and the schedule, and waits for the end of both.
 func (f *fleet) play(ctx context.Context, chosen options) {
-	schedule := newSchedule(chosen.Seed, chosen.Length, namesOf(f.controls), namesOf(f.edges))
+	schedule := newSchedule(chosen.Seed, chosen.Length, namesOf(f.controls), namesOf(f.edges), f.replicaIDs())
 	clientContext, stopClients := context.WithTimeout(ctx, chosen.Length)
 	defer stopClients()
 	var clients sync.WaitGroup
@@ -117,6 +144,8 @@
 		user := &client{fleet: f, random: rand.New(rand.NewPCG(chosen.Seed, uint64(number)+1))}
 		clients.Go(func() { user.run(clientContext) })
 	}
+	clients.Go(func() { f.coordinate(ctx, chosen.Length) })
+	clients.Go(func() { f.watchUsage(clientContext) })
 	scheduled := make(chan struct{})
 	go func() {
 		defer close(scheduled)
@@ -137,12 +166,19 @@
 	return names
 }
 
+func (f *fleet) replicaIDs() (ids []string) {
+	for _, replica := range f.replicas {
+		ids = append(ids, replica.listed.ID)
+	}
+	return ids
+}
+
 // report judges the history, keeps it if a folder was named, and returns an error if a rule was broken.
 func (f *fleet) report(ctx context.Context, chosen options) error {
-	if ctx.Err() != nil {
-		return errors.New("interrupted, not judged")
+	final, panics := 0, f.panics()
+	if ctx.Err() == nil {
+		final = f.finalRevision()
 	}
-	final, panics := f.finalRevision(), f.panics()
 	f.recorder.lock.Lock()
 	recorded := f.recorder.history
 	f.recorder.lock.Unlock()
@@ -156,15 +192,10 @@
 			return err
 		}
 	}
-	complete := 0
-	for _, request := range recorded.Requests {
-		if request.Complete && request.Status == 200 {
-			complete++
-		}
+	if ctx.Err() != nil {
+		return errors.New("interrupted, not judged")
 	}
-	faults := slices.DeleteFunc(slices.Clone(recorded.Events), func(event nodeEvent) bool { return event.Kind == eventThaw })
-	fmt.Printf("seed %d: %d requests, %d served, %d runs, %d events, %d changes acknowledged\n", chosen.Seed, len(recorded.Requests),
-		complete, len(recorded.Executions), len(faults), len(recorded.Acknowledgements))
+	fmt.Printf("seed %d: %s\n", chosen.Seed, recorded.summary(chosen.Length))
 	found := recorded.violations()
 	for _, violation := range found {
 		fmt.Println(violation)
--- a/internal/test/soak/schedule.go
+++ b/internal/test/soak/schedule.go
@@ -22,8 +22,14 @@
 	eventThaw    faultKind = "thaw"
 	eventStart   faultKind = "start"
 	eventRestart faultKind = "restart"
-	// changeConfiguration is a change of the configuration.
+	// faultHangup is SIGHUP after the settings file was written anew.
+	faultHangup faultKind = "hangup"
+	// faultLyingHealth makes the health checks of a replica false for the fault's duration.
+	faultLyingHealth faultKind = "lying health"
+	// changeConfiguration is a change of the configuration, changeEvacuation an evacuation of a zone that is taken back after the
+	// duration.
 	changeConfiguration faultKind = "change"
+	changeEvacuation    faultKind = "evacuation"
 )
 
 const (
@@ -39,6 +45,12 @@
 	// meanFaultInterval is the mean time between faults of data planes.
 	meanFaultInterval = 1500 * time.Millisecond
 	changeInterval    = 2500 * time.Millisecond
+	// evacuationInterval is the time between two evacuations, and evacuationTime that between an evacuation and its end.
+	evacuationInterval = 14 * time.Second
+	evacuationTime     = 9 * time.Second
+	// meanLieInterval is the mean time between false health checks, which last for longestLie at most.
+	meanLieInterval = 5 * time.Second
+	longestLie      = 3 * time.Second
 )
 
 // scheduledFault is an entry of a schedule.
@@ -51,7 +63,7 @@
 
 // newSchedule draws the faults of a run from a seed. Faults of data planes come in series and overlap, but at least one data plane
 // is left alone at any time; faults of control planes keep controlSpacing.
-func newSchedule(seed uint64, length time.Duration, controls, edges []string) []scheduledFault {
+func newSchedule(seed uint64, length time.Duration, controls, edges, replicas []string) []scheduledFault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var schedule []scheduledFault
 	busyUntil := map[string]time.Duration{}
@@ -67,25 +79,43 @@
 	for at := calmStart + exponential(random, meanFaultInterval); at < length-calmEnd; at += controlSpacing {
 		schedule = append(schedule, drawFault(random, at, controls[random.IntN(len(controls))]))
 	}
-	for at := calmStart; at < length-calmEnd; at += changeInterval {
-		schedule = append(schedule, scheduledFault{At: at, Kind: changeConfiguration})
-	}
+	schedule = append(schedule, newChanges(seed, length, replicas)...)
 	slices.SortStableFunc(schedule, func(a, b scheduledFault) int { return int(a.At - b.At) })
 	return schedule
 }
 
+// newChanges draws what happens beside the faults of processes: changes, evacuations of one zone at a time, and false health checks.
+func newChanges(seed uint64, length time.Duration, replicas []string) (changes []scheduledFault) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for at := calmStart; at < length-calmEnd; at += changeInterval {
+		changes = append(changes, scheduledFault{At: at, Kind: changeConfiguration})
+	}
+	for at := calmStart + exponential(random, meanFaultInterval); at+evacuationTime < length; at += evacuationInterval {
+		zone := zoneOf(random.IntN(zoneCount))
+		changes = append(changes, scheduledFault{At: at, Node: zone, Kind: changeEvacuation, Duration: evacuationTime})
+	}
+	for at := exponential(random, meanLieInterval); at < length-calmEnd; at += exponential(random, meanLieInterval) {
+		liar := replicas[random.IntN(len(replicas))]
+		lie := time.Duration(random.Float64() * float64(longestLie))
+		changes = append(changes, scheduledFault{At: at, Node: liar, Kind: faultLyingHealth, Duration: lie})
+	}
+	return changes
+}
+
 func exponential(random *rand.Rand, mean time.Duration) time.Duration {
 	return time.Duration(random.ExpFloat64() * float64(mean))
 }
 
 func drawFault(random *rand.Rand, at time.Duration, node string) scheduledFault {
 	fault := scheduledFault{At: at, Node: node, Kind: faultTerm}
-	switch random.IntN(5) {
+	switch random.IntN(6) {
 	case 0:
 		fault.Kind = faultKill
 	case 1:
 		fault.Kind = faultFreeze
 		fault.Duration = shortFreeze + time.Duration(random.Float64()*float64(longestFreeze-shortFreeze))
+	case 2:
+		fault.Kind = faultHangup
 	}
 	return fault
 }
@@ -97,6 +127,8 @@
 		return fault.Duration
 	case faultKill:
 		return restartDelay
+	case faultHangup:
+		return 0
 	default:
 		return graceTime + restartDelay
 	}
--- a/internal/test/soak/standins.go
+++ b/internal/test/soak/standins.go
@@ -3,11 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"ferryspar/internal/discovery"
@@ -16,41 +15,20 @@
 )
 
 const (
-	backendName = "scribes"
-	modelName   = "swift"
-	// eventInterval is the time between two events of a stream, of which there are shortestStream to longestStream.
-	eventInterval                  = 20 * time.Millisecond
-	shortestStream, streamVariants = 2, 150
-	replicaSlots                   = 64
-	replicaKVTokens                = 500000
+	backendName     = "scribes"
+	modelName       = "swift"
+	replicaSlots    = 64
+	replicaKVTokens = 5000000
 )
 
-// promptOf returns the body of the request with the id, sealOf the seal of its response, and streamOf the body of its response.
-func promptOf(id string) string { return "prompt of " + id }
-
-func sealOf(id string) string { return "seal." + id }
-
-func streamOf(id string) string {
-	var stream strings.Builder
-	for number := range eventCount(id) {
-		stream.WriteString(eventOf(id, number+1))
-	}
-	return stream.String()
-}
-
-func eventOf(id string, number int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", number, id) }
-
-// eventCount returns the number of events of a stream, which the id determines.
-func eventCount(id string) int {
-	sum := fnv.New32a()
-	_, _ = io.WriteString(sum, id)
-	return shortestStream + int(sum.Sum32()%streamVariants)
-}
-
-// standIn is a healthy replica that records what it runs.
+// standIn is a replica that records what it runs. Its pace changes, and some of its responses are faulty.
 type standIn struct {
 	listed   discovery.Replica
 	recorder *recorder
+	pacer    *pacer
+	runs     atomic.Int64
+	// liesUntil is the end of the time in which its health checks are false, in nanoseconds since the start of the run.
+	liesUntil atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
@@ -69,33 +47,70 @@
 		writer.WriteHeader(http.StatusOK)
 	case "/healthz":
 		writer.Header().Set(replica.HeaderReplicaID, s.listed.ID)
+		if s.recorder.now() < time.Duration(s.liesUntil.Load()) {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
 	default:
-		s.stream(writer, request, id)
+		s.answer(writer, request, id)
 	}
 }
 
-func (s *standIn) stream(writer http.ResponseWriter, request *http.Request, id string) {
+// answer runs a request, unless it is malformed or its misbehaviour is to reject it.
+func (s *standIn) answer(writer http.ResponseWriter, request *http.Request, id string) {
 	body, err := io.ReadAll(request.Body)
-	if err != nil || id == "" {
+	kind := misbehaviourOf(id, s.listed.ID, int(s.runs.Add(1)))
+	if err != nil || id == "" || kind == answerFull {
 		writer.Header().Set(replica.HeaderNotExecuted, "1")
-		writer.WriteHeader(http.StatusBadRequest)
+		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	position := s.recorder.beginExecution(execution{ID: id, Replica: s.listed.ID, Body: string(body)})
+	run := execution{ID: id, Replica: s.listed.ID, Zone: s.listed.Zone, Body: string(body), Misbehaviour: kind}
+	_, _ = fmt.Sscanf(request.Header.Get(replica.HeaderLastEventID), "%d", &run.From)
+	position := s.recorder.beginExecution(run)
 	complete := false
 	defer func() { s.recorder.endExecution(position, complete) }()
-	writer.Header().Set(replica.HeaderSeal, sealOf(id))
+	switch kind {
+	case resetAtOnce:
+		panic(http.ErrAbortHandler)
+	case answerError:
+		writer.Header().Set(replica.HeaderSeal, sealOf(id))
+		writer.WriteHeader(http.StatusInternalServerError)
+		complete = true
+		return
+	}
+	complete = s.stream(writer, request, run)
+}
+
+// stream writes the events of a response and reports whether it wrote all of them.
+func (s *standIn) stream(writer http.ResponseWriter, request *http.Request, run execution) bool {
+	writer.Header().Set(replica.HeaderSeal, sealOf(run.ID))
 	writer.Header().Set("Content-Type", "text/event-stream")
-	for number := range eventCount(id) {
+	events := eventCount(run.ID)
+	random := drawOf(run.ID + run.Replica)
+	stallAt := -1
+	if random.Float64() < stallShare {
+		stallAt = random.IntN(events)
+	}
+	for number := run.From; number < events; number++ {
+		wait := s.pacer.interval()
+		if number == stallAt {
+			wait += time.Duration(random.Float64() * float64(longestStall))
+		}
 		select {
 		case <-request.Context().Done():
-			return
-		case <-time.After(eventInterval):
+			return false
+		case <-time.After(wait):
+		}
+		event := eventOf(run.ID, number+1)
+		if run.Misbehaviour == breakOff && number == (run.From+events)/2 {
+			_, _ = io.WriteString(writer, event[:len(event)/2])
+			_ = http.NewResponseController(writer).Flush()
+			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(writer, eventOf(id, number+1))
+		_, _ = io.WriteString(writer, event)
 		_ = http.NewResponseController(writer).Flush()
 	}
-	complete = true
+	return true
 }
 
 // platform answers the platform's list of replicas, on one page.
