--- a/internal/test/soak/faults.go
+++ b/internal/test/soak/faults.go
@@ -40,6 +40,8 @@
 
 // apply carries out one fault of a process, to its restart.
 func (f *fleet) apply(fault scheduledFault, node *process) {
+	node.faultLock.Lock()
+	defer node.faultLock.Unlock()
 	f.recordEvent(node, fault.Kind)
 	switch fault.Kind {
 	case faultHangup:
--- a/internal/test/soak/fleet.go
+++ b/internal/test/soak/fleet.go
@@ -39,12 +39,15 @@
 	memoryMb      = 284
 )
 
-// process is one of the programs on an address of its own. Its fields but name, program, settings and addresses belong to lock.
+// process is one of the programs on an address of its own. Its fields from command on belong to lock.
 type process struct {
 	name, program, settings, log string
 	// address is where it serves operators or clients, ready where it answers readiness checks.
 	address, ready string
 
+	// faultLock is held while a fault is carried out, to its restart: on a busy machine that may take longer than the schedule allows for.
+	faultLock sync.Mutex
+
 	lock    sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
