--- a/internal/test/soak/judges_control.go
+++ b/internal/test/soak/judges_control.go
@@ -50,17 +50,26 @@
 	return violations
 }
 
-// isInTouch reports whether neither the data plane nor any control plane had a fault in the time before that makes a node count as in
-// touch again, twice for control planes.
+// isInTouch reports whether the data plane and the control planes ran without a fault long enough for the data plane to count as in touch.
 func (h *history) isInTouch(node string, at time.Duration) bool {
+	last := map[string]nodeEvent{}
 	for _, event := range h.Events {
-		if event.Kind == faultHangup || event.At > at {
-			continue
+		isRelevant := event.Node == node || isControl(event.Node)
+		if isRelevant && event.Kind != faultHangup && event.At <= at && event.At >= last[event.Node].At {
+			last[event.Node] = event
 		}
-		age := at - event.At
-		if event.Node == node && age <= max(contactTime, graceTime) || isControl(event.Node) && age <= 2*contactTime+graceTime {
+	}
+	for _, event := range last {
+		calm := contactTime
+		if isControl(event.Node) {
+			calm = 2 * contactTime
+		}
+		if interrupts[event.Kind] || at-event.At <= calm {
 			return false
 		}
 	}
 	return true
 }
+
+// interrupts are the kinds of events after which a process is not there until the next event.
+var interrupts = map[faultKind]bool{faultTerm: true, faultKill: true, faultFreeze: true}
--- a/internal/test/soak/judges_test.go
+++ b/internal/test/soak/judges_test.go
@@ -65,6 +65,7 @@
 
 // runInEvacuatedZone makes a request reach a replica of an evacuated zone, long after the SIGTERM.
 func runInEvacuatedZone(h *history) {
+	h.Events = append(h.Events, nodeEvent{At: 18 * time.Second, Node: "edge-1", Kind: eventStart})
 	h.Evacuations = []evacuation{{Zone: "zone-1", AcknowledgedAt: 40 * time.Second, EndedAt: 60 * time.Second}}
 	late := h.Requests[0]
 	late.ID, late.SentAt, late.Seal, late.Body = "c", 50*time.Second, sealOf("c"), streamOf("c")
