--- a/internal/test/integration/estimates_test.go
+++ b/internal/test/integration/estimates_test.go
@@ -69,7 +69,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				first, second := newStandInReplica("i-1", "10.1.2.1", "north", "swift"), newStandInReplica("i-2", "10.2.2.1", "south", "swift")
+				first := newStandInReplica("i-1", "10.1.2.1", "north", "swift")
+				second := newStandInReplica("i-2", "10.2.2.1", "south", "swift")
 				f := startSettledFleet(t, 1, first, second)
 				first.setPace(test.firstBefore, test.intervalBefore)
 				second.setPace(test.firstBefore, test.intervalBefore)
