Load budget: a failing test of unanswered loads under a continuing grant

Found while reading the change once more. If the write that names unanswered loads is in flight when the same process gets its next grant, its outcome is ignored (another fence), and at the bound no further write is due, so a successor does not learn of these loads (CEILING).

The mend is one line of Budget.TakeOver, which has to set unansweredUnwritten again if loads are unanswered under a continuing grant.

--- a/internal/loadbudget/budget_test.go
+++ b/internal/loadbudget/budget_test.go
@@ -157,3 +157,29 @@
 	budget.RecordStarted("replica-1", startTime)
 	assert.Equal(t, budget.Count(startTime.Add(bounds.Window), bounds), 0)
 }
+
+// Guards against unanswered loads that no record names: the write that was to name them was in flight when this process got its next
+// grant.
+func TestBudget_ContinuingGrantWritesUnansweredLoadsAgain(t *testing.T) {
+	var budget loadbudget.Budget
+	var written loadbudget.Reservation
+	bounds := boundsOf(1)
+	budget.TakeOver(loadbudget.Takeover{Fence: 1, PredecessorStoppedAt: startTime, Reserved: &written}, bounds)
+	for number := range bounds.Loads {
+		if reservation, due := budget.Propose(startTime, bounds); due {
+			written = reservation
+			budget.CompleteWrite(1, written, true, startTime)
+		}
+		assert.Assert(t, budget.Available(startTime, bounds) >= 1)
+		budget.RecordOrdered(fmt.Sprint("replica-", number))
+	}
+	for number := range bounds.Loads {
+		budget.RecordUnanswered(fmt.Sprint("replica-", number), 0, startTime.Add(unansweredDelay))
+	}
+	_, due := budget.Propose(startTime, bounds)
+	assert.Assert(t, due)
+	next := loadbudget.Takeover{Fence: 2, ContinuesFence: 1, PredecessorStoppedAt: startTime, Reserved: &written}
+	budget.TakeOver(next, bounds)
+	_, due = budget.Propose(startTime, bounds)
+	assert.Assert(t, due, "the record does not name the unanswered loads")
+}
