Routing: keep to the order of the queue where slots are short

What callers saw: with one slot free, a request that had waited past its target lost it to one with more time left: value and cost, times a factor of priority and of the share of the target waited, decided who was served.

Cause: the flow maximized the sum of ranked weights over any subset of the batch.

Change: the requests are added to the flow in the order of the queue (priority, tenant, slack), each over its cheapest augmenting path, so that weights decide only who is served where. rankWeight is gone.

Evidence: the row "late already" of TestMatcher_ServesLeastSlackFirst failed before.

Why it works: an augmenting path never takes the place of a request that has one.

--- a/internal/routing/assign.go
+++ b/internal/routing/assign.go
@@ -31,7 +31,6 @@
 		row := requestRow{
 			request:       request,
 			prefillFactor: m.prefillFactors.factor(request.Model),
-			rank:          rankWeight(request, now),
 			useLedger:     useLedger,
 		}
 		m.addRow(&row, now)
@@ -110,7 +109,7 @@
 	}
 	if scored := m.score(row, node, now); scored.weight >= 0 {
 		graph.scored = append(graph.scored, scored)
-		graph.arcs = append(graph.arcs, arc{index, -scored.weight * row.rank})
+		graph.arcs = append(graph.arcs, arc{index, -scored.weight})
 	}
 }
 
--- a/internal/routing/assign_test.go
+++ b/internal/routing/assign_test.go
@@ -115,7 +115,7 @@
 		for row := range cost {
 			cost[row] = make([]float64, replicas)
 			for column := range cost[row] {
-				cost[row][column] = -float64(random.IntN(6)) * []float64{1, random.Float64()}[random.IntN(2)]
+				cost[row][column] = float64(2-random.IntN(6)) * []float64{1, random.Float64()}[random.IntN(2)]
 				if random.IntN(3) == 0 {
 					cost[row][column] = forbidden
 				}
@@ -131,6 +131,7 @@
 			if column >= 0 {
 				best += cost[row][column]
 			}
+			assert.Equal(t, chosen[row] >= 0, column >= 0, "round %d: request %d", round, row)
 			if at := chosen[row]; at >= 0 {
 				total += rows[row][at].cost
 				load[rows[row][at].node]++
--- a/internal/routing/dense_test.go
+++ b/internal/routing/dense_test.go
@@ -17,16 +17,17 @@
 	for request := range chosen {
 		chosen[request] = -1
 	}
-	for {
-		path, gain := denseShortest(cost, capacity, chosen, load)
-		if path == nil || gain >= 0 {
-			return chosen
+	for request := range chosen {
+		path := denseShortest(cost, capacity, chosen, load, request)
+		if path == nil {
+			continue
 		}
 		load[path[len(path)-1].replica]++
 		for _, step := range path {
 			chosen[step.request] = step.replica
 		}
 	}
+	return chosen
 }
 
 // step is one arc of an augmenting path.
@@ -45,8 +46,8 @@
 	requestFrom     []int // replica before the request on its path
 }
 
-// denseShortest returns the cheapest augmenting path and its cost, or nil if there is none.
-func denseShortest(cost [][]float64, capacity []int, chosen, load []int) ([]step, float64) {
+// denseShortest returns the cheapest augmenting path from an unassigned request, or nil if there is none.
+func denseShortest(cost [][]float64, capacity []int, chosen, load []int, start int) []step {
 	requests, replicas := len(cost), len(capacity)
 	search := denseSearch{
 		cost:            cost,
@@ -61,10 +62,8 @@
 	for request := range requests {
 		search.requestDistance[request] = math.Inf(1)
 		search.requestFrom[request] = -1
-		if chosen[request] < 0 {
-			search.requestDistance[request] = 0
-		}
 	}
+	search.requestDistance[start] = 0
 	for replica := range replicas {
 		search.replicaDistance[replica] = math.Inf(1)
 		search.replicaFrom[replica] = -1
@@ -76,9 +75,9 @@
 	}
 	best := search.nearestFreeReplica()
 	if best < 0 {
-		return nil, 0
+		return nil
 	}
-	return pathTo(best, search.replicaFrom, search.requestFrom), search.replicaDistance[best]
+	return pathTo(best, search.replicaFrom, search.requestFrom)
 }
 
 func (s *denseSearch) relaxReplicas() (changed bool) {
@@ -176,7 +175,7 @@
 		}
 		scored := m.score(&requestRow{request: request, prefillFactor: m.prefillFactors.factor(request.Model), useLedger: true}, node, now)
 		if scored.weight >= 0 {
-			costs[position] = -scored.weight * rankWeight(request, now)
+			costs[position] = -scored.weight
 		}
 	}
 	return costs, modelNotLoaded
--- a/internal/routing/disaggregation_test.go
+++ b/internal/routing/disaggregation_test.go
@@ -164,7 +164,7 @@
 		request := splitRequest(round, float64(random.IntN(8000)), 700+float64(random.IntN(3000)))
 		matcher.graph.rowStarts = matcher.graph.rowStarts[:0]
 		matcher.buildNodes([]*Request{request}, noon)
-		row := requestRow{request: request, prefillFactor: 1, rank: 1, useLedger: true}
+		row := requestRow{request: request, prefillFactor: 1, useLedger: true}
 		matcher.graph.rowStarts = append(matcher.graph.rowStarts, 0)
 		matcher.graph.arcs, matcher.graph.scored = matcher.graph.arcs[:0], matcher.graph.scored[:0]
 		matcher.addRow(&row, noon)
--- a/internal/routing/expire_test.go
+++ b/internal/routing/expire_test.go
@@ -199,7 +199,8 @@
 		request.hostsIn(fixture.matcher.index)
 		fixture.matcher.Wake()
 		retryAfter := fixture.matcher.retryAfter(request, fixture.now)
-		assert.Assert(t, retryAfter >= test.expected && retryAfter < test.expected+100*time.Millisecond, "%v, expected %v", retryAfter, test.expected)
+		isExpected := retryAfter >= test.expected && retryAfter < test.expected+100*time.Millisecond
+		assert.Assert(t, isExpected, "%v, expected %v", retryAfter, test.expected)
 	}
 }
 
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// arc is an edge of the assignment graph from a request to a replica node. The cost is the negated,
-// rank-weighted weight of the pair (IEMAS §4.3: cost = −w); it is never above 0.
+// arc is an edge of the assignment graph from a request to a replica node. The cost is the negated weight of the pair
+// (IEMAS §4.3: cost = −w).
 type arc struct {
 	node int
 	cost float64
@@ -20,9 +20,10 @@
 // costTolerance is the difference of path costs below which they count as equal, to absorb rounding errors.
 const costTolerance = 1e-12
 
-// flowSolver finds the assignment of requests to replicas with the least total cost, by min-cost max-flow
-// with successive shortest paths (IEMAS §4.2 eq. 7, exact by theorem 4.1): each request has capacity 1, each
-// replica its free slots (eq. 2). Buffers are reused between calls.
+// flowSolver finds an assignment of requests to replicas by min-cost max-flow with successive shortest paths (IEMAS §4.2 eq. 7,
+// theorem 4.1): each request has capacity 1, each replica its free slots (eq. 2). Where the slots are too few, earlier requests go
+// before later ones; of the assignments of the requests that can be served so, it finds the one with the least total cost. Buffers
+// are reused between calls.
 type flowSolver struct {
 	chosen         []int // position of each request's arc in its row, -1 for none
 	used           []int // slots used at each replica
@@ -40,19 +41,19 @@
 	return buffer
 }
 
-// assign returns for each row (request) the position of its chosen arc in the row, or -1. The result
-// is valid until the next call.
+// assign returns for each row (request) the position of its chosen arc in the row, or -1. The rows are added one after the other,
+// each over its cheapest augmenting path, which moves earlier rows to other replicas but never removes one. The result is valid until
+// the next call.
 func (f *flowSolver) assign(rows [][]arc, capacity []int) []int {
 	f.chosen = resizeBuffer(f.chosen, len(rows), -1)
 	f.used = resizeBuffer(f.used, len(capacity), 0)
-	for {
-		end, gain := f.shortest(rows, capacity)
-		if end < 0 || gain >= 0 {
-			return f.chosen
+	for row := range rows {
+		if end := f.shortest(rows, capacity, row); end >= 0 {
+			f.used[end]++
+			f.augment(rows, end)
 		}
-		f.used[end]++
-		f.augment(rows, end)
 	}
+	return f.chosen
 }
 
 // augment sends one unit of flow along the shortest path that ends at a replica: walking back from there,
@@ -70,19 +71,14 @@
 	}
 }
 
-// shortest finds the cheapest path in the residual graph from any unassigned request to any replica with a
-// free slot. It uses Bellman-Ford, since arcs have negative costs and their reversals positive ones. It
-// returns the replica at the end of the path and the cost, or -1 if there is no path.
-func (f *flowSolver) shortest(rows [][]arc, capacity []int) (end int, cost float64) {
+// shortest finds the cheapest path in the residual graph from an unassigned request to any replica with a free slot. It uses
+// Bellman-Ford, since arcs may have negative costs. It returns the replica at the end of the path, or -1 if there is none.
+func (f *flowSolver) shortest(rows [][]arc, capacity []int, start int) int {
 	unreached := math.Inf(1)
 	f.rowDistance = resizeBuffer(f.rowDistance, len(rows), unreached)
 	f.columnDistance = resizeBuffer(f.columnDistance, len(capacity), unreached)
 	f.reachedFrom = resizeBuffer(f.reachedFrom, len(capacity), predecessor{-1, -1})
-	for row, at := range f.chosen {
-		if at < 0 {
-			f.rowDistance[row] = 0
-		}
-	}
+	f.rowDistance[start] = 0
 	rounds := len(rows) + len(capacity)
 	for changed, round := true, 0; changed && round <= rounds; round++ {
 		forward := f.relaxForward(rows, capacity)
@@ -98,10 +94,7 @@
 			best = column
 		}
 	}
-	if best < 0 {
-		return -1, 0
-	}
-	return best, f.columnDistance[best]
+	return best
 }
 
 // relaxForward relaxes the distances of replicas over arcs that carry no flow.
--- a/internal/routing/flow_test.go
+++ b/internal/routing/flow_test.go
@@ -3,23 +3,46 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-// exhaustiveMinCost returns the least cost of assigning the requests from the given one on, by exhaustive search.
-func exhaustiveMinCost(cost [][]float64, capacity []int, request int) float64 {
+// assignmentResult is which requests of an assignment are served, and at what total cost.
+type assignmentResult struct {
+	served []bool
+	cost   float64
+}
+
+// isBetterThan reports whether an assignment serves an earlier request that the other does not or, if both serve the same ones, costs
+// less.
+func (r assignmentResult) isBetterThan(other assignmentResult) bool {
+	for request := range r.served {
+		if r.served[request] != other.served[request] {
+			return r.served[request]
+		}
+	}
+	return r.cost < other.cost
+}
+
+// exhaustiveBest returns the best assignment of the requests from the given one on, by exhaustive search. served are those before it.
+func exhaustiveBest(cost [][]float64, capacity []int, served []bool) assignmentResult {
+	request := len(served)
 	if request == len(cost) {
-		return 0
+		return assignmentResult{served: slices.Clone(served)}
 	}
-	best := exhaustiveMinCost(cost, capacity, request+1)
+	best := exhaustiveBest(cost, capacity, append(served, false))
 	for replica := range capacity {
 		if capacity[replica] == 0 || cost[request][replica] == forbidden {
 			continue
 		}
 		capacity[replica]--
-		best = min(best, cost[request][replica]+exhaustiveMinCost(cost, capacity, request+1))
+		found := exhaustiveBest(cost, capacity, append(served, true))
+		found.cost += cost[request][replica]
+		if found.isBetterThan(best) {
+			best = found
+		}
 		capacity[replica]++
 	}
 	return best
@@ -33,7 +56,7 @@
 		for row := range cost {
 			cost[row] = make([]float64, replicas)
 			for column := range cost[row] {
-				cost[row][column] = -random.Float64()
+				cost[row][column] = 0.5 - random.Float64()
 				if random.IntN(4) == 0 {
 					cost[row][column] = forbidden
 				}
@@ -57,7 +80,10 @@
 			load[column]++
 			assert.Assert(t, load[column] <= capacity[column], "round %d: over capacity", round)
 		}
-		best := exhaustiveMinCost(cost, capacity, 0)
-		assert.Assert(t, math.Abs(total-best) < 1e-9, "round %d: flow %f, best %f", round, total, best)
+		best := exhaustiveBest(cost, capacity, nil)
+		for row, at := range chosen {
+			assert.Equal(t, at >= 0, best.served[row], "round %d: request %d of %v", round, row, best.served)
+		}
+		assert.Assert(t, math.Abs(total-best.cost) < 1e-9, "round %d: flow %f, best %f", round, total, best.cost)
 	}
 }
--- a/internal/routing/graph.go
+++ b/internal/routing/graph.go
@@ -32,7 +32,6 @@
 type requestRow struct {
 	request       *Request
 	prefillFactor float64 // of the request's model, see modelPrefillFactors
-	rank          float64 // factor of the weights, see rankWeight
 	useLedger     bool    // whether the prefix ledger may be used
 
 	// The following fields are set for a disaggregated backend: the hash and the tokens of the prompt prefix that is shared
--- a/internal/routing/queue_test.go
+++ b/internal/routing/queue_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ferryspar/internal/peer"
 )
 
 func TestMatcher_QueueIsStablySorted(t *testing.T) {
@@ -66,3 +68,41 @@
 	assert.Assert(t, decision.Ticket != nil)
 	assert.Assert(t, request.hostsIndex == nil && request.hosts == nil)
 }
+
+func TestMatcher_ServesLeastSlackFirst(t *testing.T) {
+	for name, change := range map[string]func(first, other *Request){
+		"less time":   func(first, _ *Request) { first.Deadline = first.Deadline.Add(-time.Second) },
+		"longer one":  func(first, _ *Request) { first.OutputTokens *= 2 },
+		"more urgent": func(first, other *Request) { first.Priority, other.Deadline = 0, first.Deadline.Add(-9*time.Second) },
+		"late already": func(first, _ *Request) {
+			first.ArrivedAt, first.Deadline = first.ArrivedAt.Add(-time.Second), first.Deadline.Add(-time.Second)
+		},
+		"short target": func(first, other *Request) {
+			first.Deadline, other.LatencyTarget = first.Deadline.Add(-time.Second), time.Millisecond
+		},
+		"waited long": func(first, other *Request) {
+			other.ArrivedAt, first.Deadline = other.ArrivedAt.Add(-5*time.Second), first.Deadline.Add(-1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := fullFleet()
+			fixture.answerIn(time.Second)
+			first, other := fixture.patientRequest(15*time.Second), fixture.patientRequest(15*time.Second)
+			first.Priority, other.Priority = 1, 1
+			change(first, other)
+			fixture.matcher.Enqueue(other)
+			fixture.matcher.Enqueue(first)
+			fixture.now = fixture.now.Add(waitRound)
+			fleet := *fixture.snapshot.Load()
+			fleet.PeerLoadsAt = fixture.now
+			fleet.PeerLoads = map[string]peer.ReplicaLoad{}
+			for index, replica := range fleet.Replicas {
+				fleet.PeerLoads[replica.ID] = peer.ReplicaLoad{Running: fixtureSlots - min(1, index/2)}
+			}
+			fixture.snapshot.Store(&fleet)
+			fixture.matcher.Wake()
+			assert.Equal(t, len(first.Decided), 1, "the only slot is for the request with the least slack")
+			assert.Equal(t, len(other.Decided), 0)
+		})
+	}
+}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -183,14 +183,3 @@
 	late := m.parameters.LateValue
 	return successRate * (late + (1-late)*inTime)
 }
-
-// rankWeight returns the factor of a request's weights. It rises with the priority (0 is the highest) and
-// with the share of the latency target that the request has waited, so that when slots are short the flow
-// prefers such requests.
-func rankWeight(request *Request, now time.Time) float64 {
-	weight := 1 + 1/float64(request.Priority+1)
-	if request.LatencyTarget > 0 {
-		weight += min(float64(now.Sub(request.ArrivedAt))/float64(request.LatencyTarget), 1)
-	}
-	return weight
-}
