Routing: prune by the time left, and let value and cost choose the replica only

What callers saw: a prompt of 30,000 tokens with a small target waited in front of free replicas until it was refused, since its cost passed its value; a request with 2 s left for an answer of 3 s was sent and cut by its deadline.

Change: v = delta x success rate - (1 - delta) x latency / target, without step, floor or cap; a pair is pruned if the answer is not expected to be complete by the deadline, unless the replica is idle. LateValue, MaxLatencyRatio and servableWeight are gone, and with them the keys lateWorth and latencyBound of scenario files (no file uses them).

Evidence: the tests of score_test.go and the row "costs more" of TestMatcher_ServesLeastSlackFirst failed before. TestServableWeight_KeepsOrderAndStaysPositive tested what is gone; TestMatcher_QueueingRefusesNobodyBeforeTheDeadline takes its place.

Why it works: only time left and work left prune.

--- a/internal/routing/assign.go
+++ b/internal/routing/assign.go
@@ -14,9 +14,9 @@
 }
 
 // solve builds the assignment graph of a batch and returns, for each request, the position of the chosen
-// arc among the request's arcs, or -1: the allocation that maximizes the sum of weights (IEMAS §4.2
-// eq. 7). It returns nil if no pair has a weight of at least 0. The result and the graph it refers to are
-// valid until the next call.
+// arc among the request's arcs, or -1. The requests are in the order in which they are served if slots are short; of the
+// allocations that keep to it, the result maximizes the sum of weights (IEMAS §4.2 eq. 7). It returns nil if every pair is pruned.
+// The result and the graph it refers to are valid until the next call.
 func (m *Matcher) solve(requests []*Request, now time.Time) []int {
 	graph := &m.graph
 	defer graph.reset()
@@ -42,7 +42,7 @@
 	return graph.solver.assign(graph.rows, graph.capacity)
 }
 
-// addRow adds the arcs of one request: one for each usable host of its model with a weight of at least 0.
+// addRow adds the arcs of one request: one for each usable host of its model that may complete the answer in time.
 // Fallback replicas (see limitToShare) are used only if this data plane is designated for no other replica;
 // in that case, only the one with the lowest hash fraction is used.
 func (m *Matcher) addRow(row *requestRow, now time.Time) {
@@ -100,14 +100,14 @@
 }
 
 // addArc adds the arc between a request and a replica unless the replica has no slot or not enough memory
-// for it, or the pair's weight is below 0 (pruned, IEMAS algorithm 1 line 12).
+// for it, or is not expected to complete the answer in the request's remaining time (pruned, IEMAS algorithm 1 line 12).
 func (m *Matcher) addArc(row *requestRow, index int, now time.Time) {
 	graph := &m.graph
 	node := &graph.nodes[index]
 	if node.capacity <= 0 || row.request.TotalTokens() > node.freeMemory {
 		return
 	}
-	if scored := m.score(row, node, now); scored.weight >= 0 {
+	if scored := m.score(row, node, now); scored.inTime {
 		graph.scored = append(graph.scored, scored)
 		graph.arcs = append(graph.arcs, arc{index, -scored.weight})
 	}
--- a/internal/routing/dense_test.go
+++ b/internal/routing/dense_test.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		scored := m.score(&requestRow{request: request, prefillFactor: m.prefillFactors.factor(request.Model), useLedger: true}, node, now)
-		if scored.weight >= 0 {
+		if scored.inTime {
 			costs[position] = -scored.weight
 		}
 	}
--- a/internal/routing/disaggregation.go
+++ b/internal/routing/disaggregation.go
@@ -14,7 +14,6 @@
 	successRate    float64
 	features       Features
 	predictedMs    float64 // duration of the prefill step
-	idleMs         float64 // the same at an idle replica
 	cachedTokens   float64
 	uncachedTokens float64
 	cost           float64
@@ -101,14 +100,13 @@
 	uncached := max(row.request.PromptTokens-cached, 0)
 	features := node.features(*row, cached, uncached)
 	cost := m.parameters.TokenCost*uncached + m.crossZoneCost(node.replica) + m.congestionCost(row.request, node, uncached)
-	predictedMs, idleMs := node.predictStep(stepPrefill, &features)
+	predictedMs := node.predictStep(stepPrefill, &features)
 	return prefillChoice{
 		node:           index,
 		source:         node.replica,
 		successRate:    node.state.predictor.SuccessRate(),
 		features:       features,
 		predictedMs:    predictedMs,
-		idleMs:         idleMs,
 		cachedTokens:   cached,
 		uncachedTokens: uncached,
 		cost:           cost,
@@ -142,18 +140,17 @@
 	request := row.request
 	distance := transferDistance(choice.source, node.replica)
 	features := m.decodeFeatures(row, node, distance)
-	decodeMs, idleMs := node.predictStep(stepDecode, &features)
+	decodeMs := node.predictStep(stepDecode, &features)
 	predictedMs := choice.predictedMs + decodeMs
 	success := choice.successRate * node.state.predictor.SuccessRate()
 	cost := choice.cost + m.parameters.TransferCost*request.PromptTokens*distance
 	return scoredPair{
-		weight:        m.value(request, success, predictedMs, now) - cost - m.crossZoneCost(node.replica),
+		weight:        m.value(request, success, predictedMs) - cost - m.crossZoneCost(node.replica),
 		features:      features,
 		predictedMs:   predictedMs,
 		prefillFactor: 1,
 		prefill:       choice,
-		idleMs:        choice.idleMs + idleMs,
-		meetsDeadline: meetsDeadline(request, predictedMs, now),
+		inTime:        m.completesInTime(request, node, predictedMs, now),
 	}
 }
 
--- a/internal/routing/disaggregation_test.go
+++ b/internal/routing/disaggregation_test.go
@@ -178,7 +178,7 @@
 			for rank, at := range ranked.nodes[:ranked.count] {
 				choice := matcher.scorePrefill(&row, at, expectedHitRates[rank]*row.sharedTokens, noon)
 				pair := matcher.scorePair(&row, &choice, &matcher.graph.nodes[index], noon)
-				exhaustive = max(exhaustive, servableWeight(pair.weight))
+				exhaustive = max(exhaustive, pair.weight)
 			}
 		}
 		matcher.graph.reset()
@@ -311,16 +311,6 @@
 	assert.Assert(t, len(used) >= 4, "%v", used)
 }
 
-func TestServableWeight_KeepsOrderAndStaysPositive(t *testing.T) {
-	last := 0.0
-	for weight := -5.0; weight < 1; weight += 0.01 {
-		servable := servableWeight(weight)
-		assert.Assert(t, servable > last, "%f", weight)
-		last = servable
-	}
-	assert.Equal(t, servableWeight(0.5), 0.5)
-}
-
 func TestCandidates_AreTheHighestRanked(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
@@ -403,3 +393,22 @@
 		})
 	}
 }
+
+// Queueing that makes requests late for their target refuses none of them as long as they can end in their time.
+func TestMatcher_QueueingRefusesNobodyBeforeTheDeadline(t *testing.T) {
+	matcher, snapshot := newSplitMatcher(4, 4, 1)
+	for index := range 4 {
+		snapshot.PeerLoads[fmt.Sprintf("p-%d", index)] = peer.ReplicaLoad{Running: 30, PrefillTokens: 60000}
+	}
+	for number := range 60 {
+		request := splitRequest(number, 2000, 1000)
+		request.Deadline = noon.Add(30 * time.Second)
+		matcher.Enqueue(request)
+		assert.Equal(t, len(request.Decided), 1, "request %d", number)
+		assert.Assert(t, (<-request.Decided).Error == nil, "request %d", number)
+	}
+	late := splitRequest(500, 2000, 1000)
+	late.Deadline = noon.Add(time.Second)
+	matcher.Enqueue(late)
+	assert.Equal(t, matcher.WaitingCount(), 1, "prefills of seconds are ahead of it")
+}
--- a/internal/routing/parameters.go
+++ b/internal/routing/parameters.go
@@ -21,10 +21,6 @@
 	// InterferenceCost is the cost, for each stream at a decode replica, of a prefill there that makes the streams exceed their
 	// token gap.
 	InterferenceCost float64 `koanf:"interferenceCost"`
-	// LateValue is the value of an answer after the latency target, relative to an answer in time.
-	LateValue float64 `koanf:"lateWorth"`
-	// MaxLatencyRatio limits the latency term of the value, in latency targets.
-	MaxLatencyRatio float64 `koanf:"latencyBound"`
 
 	// QueueLimit limits the number of waiting requests.
 	QueueLimit int `koanf:"queueBound"`
@@ -60,10 +56,8 @@
 		CrossZoneCost:    0.03,
 		TransferCost:     0.000004,
 		InterferenceCost: 0.3,
-		LateValue:        0.4,
 		QueueLimit:       512,
 		LedgerLimit:      20000,
-		MaxLatencyRatio:  0.6,
 		HitCheckAffinity: 0.5,
 		HitCheckMarginMs: 40,
 		WarmUpOverage:    1,
--- a/internal/routing/parameters_test.go
+++ b/internal/routing/parameters_test.go
@@ -15,7 +15,7 @@
 	}
 	assert.DeepEqual(t, keys, []string{
 		"batchSize", "batchWait", "delta", "tokenPrice", "crossPrice", "moveCost", "interferenceCost",
-		"lateWorth", "latencyBound", "queueBound",
+		"queueBound",
 		"ledgerBound", "ledgerLife", "hitAffinity", "hitMargin", "daemon", "coldOverage", "coldSlack", "lifeBegan",
 	})
 }
--- a/internal/routing/phase.go
+++ b/internal/routing/phase.go
@@ -163,11 +163,7 @@
 	return stepKey{backend: replica.Backend, phase: replica.Phase, step: of}
 }
 
-// predictStep returns the predicted latency of a step in ms, and that at an idle replica.
-func (n *replicaNode) predictStep(of servingStep, features *Features) (predictedMs, idleMs float64) {
-	model := n.models[of]
-	slowness := n.state.slowness.factor[of]
-	idle := *features
-	idle[featurePending], idle[featureUtilization] = 0, 0
-	return model.latency(*features) * slowness, model.latency(idle) * slowness
+// predictStep returns the predicted latency of a step in ms.
+func (n *replicaNode) predictStep(of servingStep, features *Features) float64 {
+	return n.models[of].latency(*features) * n.state.slowness.factor[of]
 }
--- a/internal/routing/queue_test.go
+++ b/internal/routing/queue_test.go
@@ -74,6 +74,7 @@
 		"less time":   func(first, _ *Request) { first.Deadline = first.Deadline.Add(-time.Second) },
 		"longer one":  func(first, _ *Request) { first.OutputTokens *= 2 },
 		"more urgent": func(first, other *Request) { first.Priority, other.Deadline = 0, first.Deadline.Add(-9*time.Second) },
+		"costs more":  func(first, _ *Request) { first.PromptTokens = 15000 },
 		"late already": func(first, _ *Request) {
 			first.ArrivedAt, first.Deadline = first.ArrivedAt.Add(-time.Second), first.Deadline.Add(-time.Second)
 		},
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -7,18 +7,12 @@
 	"ferryspar/internal/discovery"
 )
 
-const (
-	// inTimeMidpoint and inTimeWidth, as shares of the latency target, are the midpoint and the width of the
-	// logistic step from answers in time to late ones.
-	inTimeMidpoint = 0.9
-	inTimeWidth    = 0.12
-	// tokensPerThousand converts tokens to the unit of the latency model.
-	tokensPerThousand = 1000
-)
+// tokensPerThousand converts tokens to the unit of the latency model.
+const tokensPerThousand = 1000
 
 // scoredPair is the value of serving one request at one replica, with its components.
 type scoredPair struct {
-	weight         float64 // w = v − Ĉ (IEMAS eq. 7); the pair is pruned below 0
+	weight         float64 // w = v − Ĉ (IEMAS eq. 7)
 	features       Features
 	predictedMs    float64 // time to the first token
 	cachedTokens   float64 // prompt tokens the ledger expects in the replica's cache
@@ -27,17 +21,15 @@
 
 	// prefill, if set, is the prefill replica to be used; the other fields then describe the decode step.
 	prefill *prefillChoice
-	// idleMs, at a decode replica, is the predicted time to the first token if the replicas were idle.
-	idleMs float64
-	// meetsDeadline, at a decode replica, is set if the first event is predicted before the deadline.
-	meetsDeadline bool
+	// inTime is set if the answer is expected to be complete before the deadline; the pair is pruned otherwise.
+	inTime bool
 }
 
 // score computes the weight of a pair of request and replica:
 //
 //	w = v − Ĉ, v = δP − (1−δ)L   (IEMAS §3 eq. 1, §4.2 eq. 7; §4.1 for the predicted P, L and Ĉ)
 //
-// P is the expected quality, L the predicted latency as a share of the latency target, and Ĉ the cost of
+// P is the replica's success rate, L the predicted latency as a share of the latency target, and Ĉ the cost of
 // the tokens to be prefilled and of crossing zones. At a decode replica it is the best weight among prefilling the prompt
 // there and prefilling it at one of the row's prefill replicas. docs/design/routing-policy.md describes the differences from
 // the paper.
@@ -50,13 +42,10 @@
 		best = m.scoreLocalPrefill(row, node, now)
 	}
 	for index := range row.prefills {
-		if pair := m.scorePair(row, &row.prefills[index], node, now); pair.weight > best.weight {
+		if pair := m.scorePair(row, &row.prefills[index], node, now); pair.isBetterThan(&best) {
 			best = pair
 		}
 	}
-	if best.meetsDeadline {
-		best.weight = servableWeight(best.weight)
-	}
 	return best
 }
 
@@ -64,22 +53,21 @@
 // each prefill chunk delays the next tokens of all streams there, and slower streams occupy the replica's slots for longer.
 const MaxColocatedPrefillTokens = 600
 
-// minLinearWeight is the weight below which servableWeight is no longer the identity.
-const minLinearWeight = 0.02
-
-// servableWeight maps weights to positive ones and keeps their order. At a disaggregated backend the prefill cost of a very
-// long prompt may exceed the value of a late answer, although the actual value grows with the prompt as well: pruning such
-// pairs would reject the largest requests only.
-func servableWeight(weight float64) float64 {
-	if weight >= minLinearWeight {
-		return weight
+// isBetterThan reports whether a way to serve a request is better than another: in time rather than not, then by weight.
+func (p *scoredPair) isBetterThan(other *scoredPair) bool {
+	if p.inTime != other.inTime {
+		return p.inTime
 	}
-	return minLinearWeight * math.Exp(weight-minLinearWeight)
+	return p.weight > other.weight
 }
 
-// meetsDeadline reports whether a first event is predicted before the request's deadline.
-func meetsDeadline(request *Request, predictedMs float64, now time.Time) bool {
-	return predictedMs <= float64(request.Deadline.Sub(now).Milliseconds())
+// completesInTime reports whether an answer is expected to be complete before the request's deadline. An idle replica may always
+// try: nothing is ahead of the request there, and a prediction that is too high would otherwise never be corrected.
+func (m *Matcher) completesInTime(request *Request, node *replicaNode, predictedMs float64, now time.Time) bool {
+	if node.state.running+node.peerLoad.Running == 0 {
+		return now.Before(request.Deadline)
+	}
+	return predictedMs+m.answers.expectedMs(request) <= inMs(request.Deadline.Sub(now))
 }
 
 // scoreUnified computes the weight of serving a request at a replica that does both prefill and decode.
@@ -91,12 +79,13 @@
 	predictedMs := state.predictor.Latency(features)
 	cost := m.parameters.TokenCost*uncachedTokens*row.prefillFactor + m.crossZoneCost(replica)
 	return scoredPair{
-		weight:         m.value(request, state.predictor.SuccessRate(), predictedMs, now) - cost,
+		weight:         m.value(request, state.predictor.SuccessRate(), predictedMs) - cost,
 		features:       features,
 		predictedMs:    predictedMs,
 		cachedTokens:   cachedTokens,
 		uncachedTokens: uncachedTokens,
 		prefillFactor:  row.prefillFactor,
+		inTime:         m.completesInTime(request, node, predictedMs, now),
 	}
 }
 
@@ -107,19 +96,18 @@
 	request := row.request
 	uncached := request.PromptTokens
 	features := node.features(*row, 0, uncached)
-	predictedMs, idleMs := node.predictStep(stepFull, &features)
+	predictedMs := node.predictStep(stepFull, &features)
 	cost := m.parameters.TokenCost*uncached + m.crossZoneCost(node.replica)
 	if len(row.prefills) > 0 {
 		cost += m.interferenceCost(request, node, uncached)
 	}
 	return scoredPair{
-		weight:         m.value(request, node.state.predictor.SuccessRate(), predictedMs, now) - cost,
+		weight:         m.value(request, node.state.predictor.SuccessRate(), predictedMs) - cost,
 		features:       features,
 		predictedMs:    predictedMs,
 		uncachedTokens: uncached,
 		prefillFactor:  1,
-		idleMs:         idleMs,
-		meetsDeadline:  meetsDeadline(request, predictedMs, now),
+		inTime:         m.completesInTime(request, node, predictedMs, now),
 	}
 }
 
@@ -148,12 +136,13 @@
 // maxInterferedStreams limits the number of streams that the interference cost counts.
 const maxInterferedStreams = 16
 
-// value returns v of IEMAS eq. 1.
-func (m *Matcher) value(request *Request, successRate, predictedMs float64, now time.Time) float64 {
-	latencyTargetMs := max(float64(request.LatencyTarget.Milliseconds()), 1)
-	quality := m.quality(request, successRate, predictedMs, latencyTargetMs, now)
-	latency := min(predictedMs/latencyTargetMs, m.parameters.MaxLatencyRatio)
-	return m.parameters.QualityWeight*quality - (1-m.parameters.QualityWeight)*latency
+// value returns v of IEMAS eq. 1. The latency is relative to the route's latency target, or, without one, to one second.
+func (m *Matcher) value(request *Request, successRate, predictedMs float64) float64 {
+	scaleMs := inMs(request.LatencyTarget)
+	if scaleMs <= 0 {
+		scaleMs = inMs(time.Second)
+	}
+	return m.parameters.QualityWeight*successRate - (1-m.parameters.QualityWeight)*predictedMs/scaleMs
 }
 
 // features returns the predictor's inputs for one pair (IEMAS §4.1 eq. 4 and 5); see Features.
@@ -169,17 +158,3 @@
 		featureAffinity:          cachedTokens / max(1, row.request.PromptTokens),
 	}
 }
-
-// quality returns P of IEMAS eq. 1: the replica's success rate times a logistic step at the latency target,
-// with a floor for answers after the target but before the deadline, and 0 for those expected after it.
-func (m *Matcher) quality(request *Request, successRate, predictedMs, latencyTargetMs float64, now time.Time) float64 {
-	remainingMs := float64(request.Deadline.Sub(now).Milliseconds())
-	if predictedMs > remainingMs {
-		return 0
-	}
-	elapsedMs := float64(now.Sub(request.ArrivedAt).Milliseconds())
-	excessMs := elapsedMs + predictedMs - latencyTargetMs*inTimeMidpoint
-	inTime := 1 / (1 + math.Exp(excessMs/(latencyTargetMs*inTimeWidth)))
-	late := m.parameters.LateValue
-	return successRate * (late + (1-late)*inTime)
-}
