Routing: let a prefill step take what the rest of the work leaves

What callers saw: at backends with prefill and decode apart, a prompt that was not read within four targets or 0.45 of the time left was given up although there was time, so that long prompts got 503 and short ones were read twice.

Cause: prefillTimeShare and prefillTimeTargets; besides, half a target made a first event overdue, so that how soon a replica was suspected depended on whose request it ran.

Change: the step may take until only the decode step and the answer still fit (or, for a short prompt, its prefill at the decode replica and the answer). A first event is overdue by its own prediction alone.

--- a/internal/routing/disaggregation.go
+++ b/internal/routing/disaggregation.go
@@ -222,6 +222,7 @@
 		prefillFactor:  1,
 		sentAt:         now,
 		kvTTL:          kvTTL(source.runtime),
+		timeout:        m.prefillTimeout(request, now),
 	}
 	decode := m.newDecodeTicket(request, node, scored, prefill, now)
 	prefill.decode = decode
@@ -236,7 +237,7 @@
 	m.resolve(request, Decision{
 		Replica: node.replica,
 		Ticket:  decode,
-		Prefill: &PrefillStep{Replica: source.replica, Ticket: prefill, Timeout: prefill.prefillTimeout()},
+		Prefill: &PrefillStep{Replica: source.replica, Ticket: prefill, Timeout: prefill.timeout},
 	})
 }
 
--- a/internal/routing/disaggregation_test.go
+++ b/internal/routing/disaggregation_test.go
@@ -412,3 +412,23 @@
 	matcher.Enqueue(late)
 	assert.Equal(t, matcher.WaitingCount(), 1, "prefills of seconds are ahead of it")
 }
+
+// A prefill step may take until only the rest of the work fits the remaining time.
+func TestMatcher_PrefillMayTakeWhatTheRestLeaves(t *testing.T) {
+	for _, test := range []struct {
+		remaining, answer, target time.Duration
+	}{
+		{4 * time.Second, 0, 500 * time.Millisecond},
+		{4 * time.Second, 0, 5 * time.Second},
+		{4 * time.Second, time.Second, 500 * time.Millisecond},
+		{14 * time.Second, time.Second, 500 * time.Millisecond},
+	} {
+		matcher, _ := newSplitMatcher(2, 2, 1)
+		request := splitRequest(1, 5000, 2000)
+		request.Deadline, request.LatencyTarget = noon.Add(test.remaining), test.target
+		matcher.answers[request.modelKey()] = &answerPace{meanMs: inMs(test.answer) / request.OutputTokens}
+		timeout := decideSplit(t, matcher, request).Prefill.Timeout
+		rest := test.answer + fromMs(matcher.decodeMs(request))
+		assert.Equal(t, timeout, test.remaining-rest)
+	}
+}
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -215,29 +215,28 @@
 func (t *Ticket) suspicionTimeout() time.Duration {
 	switch {
 	case t.step == stepPrefill:
-		return t.prefillTimeout()
+		return t.timeout
 	case t.isDisaggregated():
 		return t.firstEventTimeout()
 	}
 	return inactivityTimeout
 }
 
-const (
-	// A prefill may take prefillTimeShare of the time to the request's deadline, but not more than prefillTimeTargets times the
-	// latency target.
-	prefillTimeShare   = 0.45
-	prefillTimeTargets = 4
-)
-
-// prefillTimeout returns how long the prefill step may take before the request continues without it. It is long enough to wait
-// for the queue of a busy replica, since abandoning the step means prefilling the prompt again elsewhere.
-func (t *Ticket) prefillTimeout() time.Duration {
-	remaining := time.Duration(prefillTimeShare * float64(t.request.Deadline.Sub(t.sentAt)))
-	return max(t.firstEventTimeout(), min(remaining, prefillTimeTargets*t.request.LatencyTarget))
+// prefillTimeout returns how long a prefill step may take that is sent now: as long as what follows it still fits the request's
+// remaining time. That is the decode step and the answer, or, if the prompt is short enough to be prefilled at the decode replica
+// instead, that prefill and the answer.
+func (m *Matcher) prefillTimeout(request *Request, now time.Time) time.Duration {
+	restMs := m.decodeMs(request)
+	if request.PromptTokens <= MaxColocatedPrefillTokens {
+		key := stepKey{backend: request.Backend, phase: discovery.PhaseDecode, step: stepFull}
+		restMs = m.models.at(key).latency(m.idleFeatures(request))
+	}
+	restMs += m.answers.expectedMs(request)
+	return max(request.Deadline.Sub(now)-fromMs(restMs), 0)
 }
 
 // firstEventTimeout returns the time after the send from which a first event is overdue.
 func (t *Ticket) firstEventTimeout() time.Duration {
 	predicted := time.Duration(t.predictedMs) * time.Millisecond
-	return max(inactivityTimeout, overdueFactor*predicted, t.request.LatencyTarget/2)
+	return max(inactivityTimeout, overdueFactor*predicted)
 }
