Routing: weigh a prefill beside streams by the part of their token gap that it takes

The cost of a prefill at a decode replica rose between two shares of the token gap, 0.2 and 0.7, so that a few tokens more changed the choice by the whole cost. It now rises with the part of the gap that the prefill takes, up to the whole gap.

--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -111,16 +111,9 @@
 	}
 }
 
-// The interference cost rises linearly from 0 to its maximum while the predicted prefill time rises from the first to the
-// second of these shares of the route's maximum token gap.
-const (
-	minInterferenceGapShare = 0.2
-	maxInterferenceGapShare = 0.7
-)
-
 // interferenceCost returns the cost, to the streams that run at a decode replica, of prefilling so many tokens there: the next
-// tokens of the streams wait for each prefill chunk, and a stream whose token gap exceeds its limit counts as late. It does not
-// apply if no prefill replica could be used instead.
+// tokens of the streams wait for it, and their routes promise a maximum token gap. It rises with the part of that gap that the prefill
+// takes, and does not apply if no prefill replica could be used instead.
 func (m *Matcher) interferenceCost(request *Request, node *replicaNode, uncached float64) float64 {
 	gapMs := float64(request.MaxTokenGap.Milliseconds())
 	running := float64(node.state.running + node.peerLoad.Running)
@@ -129,8 +122,7 @@
 	}
 	msPerThousand := node.models[stepFull].prefillMsPerThousand()
 	prefillMs := (uncached + node.state.pendingTokens + node.peerLoad.PrefillTokens) / tokensPerThousand * msPerThousand
-	share := (prefillMs/gapMs - minInterferenceGapShare) / (maxInterferenceGapShare - minInterferenceGapShare)
-	return m.parameters.InterferenceCost * min(running, maxInterferedStreams) * min(max(share, 0), 1)
+	return m.parameters.InterferenceCost * min(running, maxInterferedStreams) * min(prefillMs/gapMs, 1)
 }
 
 // maxInterferedStreams limits the number of streams that the interference cost counts.
