Placement: load first what its callers need first

What callers saw: which model was loaded first followed shares of the routes' targets: waiting requests counted up to one and a half times until the oldest was late for its target, then 0.4 of one each, up to four targets of age. A caller with 20 s left could go before one whose load had to begin now.

Cause: urgencyGrowth, lateValue and maxLateness in missing.go, fed by the target of the last request.

Change: data planes report by when a model must be loaded for the most urgent of the waiting requests that a load can still serve (LoadDueMs, in place of the target). Models are loaded in the order of the time until their load must begin, then of the number of waiting requests. Copies of hot models stay ordered by their rate.

Golden messages: key t is gone, l is new; an older receiver takes a missing t as no target.

Why it works: only the callers' time and the load's time enter the order.

--- a/internal/controlplane/demand/demand_aggregator.go
+++ b/internal/controlplane/demand/demand_aggregator.go
@@ -52,11 +52,12 @@
 
 // modelDemand is a model's demand over all control planes.
 type modelDemand struct {
-	waiting         int
-	running         int
-	latencyTargetMs float64
+	waiting int
+	running int
 	// oldestWaitMs holds the longest wait of a queued request, by member.
 	oldestWaitMs map[string]float64
+	// loadDueMs holds when the model must be loaded (peer.ModelLoad), by member.
+	loadDueMs map[string]float64
 }
 
 // NewDemandAggregator returns an aggregator without reports.
@@ -169,14 +170,14 @@
 func (a *DemandAggregator) addDemand(member, key string, model peer.ModelLoad) {
 	sum := a.demand[key]
 	if sum == nil {
-		sum = &modelDemand{oldestWaitMs: map[string]float64{}}
+		sum = &modelDemand{oldestWaitMs: map[string]float64{}, loadDueMs: map[string]float64{}}
 		a.demand[key] = sum
 	}
 	sum.waiting += model.Waiting
 	sum.running += model.Running
-	sum.latencyTargetMs = max(sum.latencyTargetMs, model.LatencyTargetMs)
 	if model.Waiting > 0 {
 		sum.oldestWaitMs[member] = max(sum.oldestWaitMs[member], model.OldestWaitMs)
+		sum.loadDueMs[member] = peer.EarlierLoadDue(sum.loadDueMs[member], model.LoadDueMs)
 		a.waiting[key] = true
 	}
 	a.changed[key] = true
@@ -196,6 +197,7 @@
 		sum.waiting -= report.models[index].Waiting
 		sum.running -= report.models[index].Running
 		delete(sum.oldestWaitMs, member)
+		delete(sum.loadDueMs, member)
 		if sum.waiting == 0 {
 			delete(a.waiting, key)
 		}
@@ -250,10 +252,13 @@
 		demand.Waiting = sum.waiting
 		demand.Running = float64(sum.running)
 		demand.OldestWaitMs = 0
-		demand.LatencyTargetMs = max(demand.LatencyTargetMs, sum.latencyTargetMs)
+		demand.LoadDueMs = 0
 		for _, oldest := range sum.oldestWaitMs {
 			demand.OldestWaitMs = max(demand.OldestWaitMs, oldest)
 		}
+		for _, dueMs := range sum.loadDueMs {
+			demand.LoadDueMs = peer.EarlierLoadDue(demand.LoadDueMs, dueMs)
+		}
 		if sum.waiting == 0 && sum.running == 0 {
 			delete(a.demand, key)
 		}
--- a/internal/controlplane/demand/demand_aggregator_test.go
+++ b/internal/controlplane/demand/demand_aggregator_test.go
@@ -32,6 +32,9 @@
 			demand.Running += float64(model.Running)
 			if model.Waiting > 0 {
 				demand.OldestWaitMs = max(demand.OldestWaitMs, model.OldestWaitMs)
+				if model.LoadDueMs > 0 && (demand.LoadDueMs == 0 || model.LoadDueMs < demand.LoadDueMs) {
+					demand.LoadDueMs = model.LoadDueMs
+				}
 			}
 			demands[key] = demand
 		}
@@ -66,6 +69,7 @@
 				Waiting:      random.IntN(3),
 				Running:      random.IntN(3),
 				OldestWaitMs: float64(random.IntN(900)),
+				LoadDueMs:    float64(random.IntN(4) * 1000),
 			})
 		}
 		if random.IntN(4) == 0 {
@@ -97,7 +101,9 @@
 			aggregator.UpdateDemands(demands, now)
 			expected := expectedDemand(received, now)
 			for key, demand := range demands {
-				actual := placement.Demand{Waiting: demand.Waiting, Running: demand.Running, OldestWaitMs: demand.OldestWaitMs}
+				actual := placement.Demand{
+					Waiting: demand.Waiting, Running: demand.Running, OldestWaitMs: demand.OldestWaitMs, LoadDueMs: demand.LoadDueMs,
+				}
 				assert.Equal(t, actual, expected[key], "seed %d: %s", seed, key)
 				assert.Equal(t, aggregator.waiting[key], demand.Waiting > 0, "seed %d: %s", seed, key)
 			}
--- a/internal/controlplane/demand/load_aggregator.go
+++ b/internal/controlplane/demand/load_aggregator.go
@@ -272,7 +272,7 @@
 func addDemand(sum, model peer.ModelLoad) peer.ModelLoad {
 	sum.Waiting += model.Waiting
 	sum.Running += model.Running
-	sum.LatencyTargetMs = max(sum.LatencyTargetMs, model.LatencyTargetMs)
+	sum.LoadDueMs = peer.EarlierLoadDue(sum.LoadDueMs, model.LoadDueMs)
 	sum.OldestWaitMs = max(sum.OldestWaitMs, model.OldestWaitMs)
 	return sum
 }
--- a/internal/controlplane/node_bench_test.go
+++ b/internal/controlplane/node_bench_test.go
@@ -108,12 +108,11 @@
 	}
 	for index := range reportedModels {
 		report.Models = append(report.Models, peer.ModelLoad{
-			Backend:         "writers",
-			Model:           fmt.Sprintf("model%04d", (dataPlane*3+index)%(2*replicas)),
-			Arrivals:        1,
-			Running:         2,
-			LatencyTargetMs: 600,
-			PrefillMs:       20,
+			Backend:   "writers",
+			Model:     fmt.Sprintf("model%04d", (dataPlane*3+index)%(2*replicas)),
+			Arrivals:  1,
+			Running:   2,
+			PrefillMs: 20,
 		})
 	}
 	return report
--- a/internal/peer/load.go
+++ b/internal/peer/load.go
@@ -27,12 +27,21 @@
 	// Arrivals is the number of requests that arrived since the last report.
 	Arrivals int `json:"a,omitempty"`
 	Running  int `json:"r,omitempty"`
-	// LatencyTargetMs is the latency target, in milliseconds, of the most recent request for the model.
-	LatencyTargetMs float64 `json:"t,omitempty"`
+	// LoadDueMs is the time, in milliseconds, within which the model must be loaded for the most urgent of the waiting requests, of
+	// those for which a load that begins now is in time; 0 if there are none.
+	LoadDueMs float64 `json:"l,omitempty"`
 	// PrefillMs is the prefill time, in milliseconds, that replicas spent on the model since the last report.
 	PrefillMs float64 `json:"d,omitempty"`
 }
 
+// EarlierLoadDue returns the earlier of two values of ModelLoad.LoadDueMs.
+func EarlierLoadDue(leftMs, rightMs float64) float64 {
+	if leftMs == 0 || rightMs == 0 {
+		return max(leftMs, rightMs)
+	}
+	return min(leftMs, rightMs)
+}
+
 // Outcomes holds decayed counts of attempts that succeeded and that failed.
 type Outcomes struct {
 	Served float64 `json:"y,omitempty"`
--- a/internal/placement/fleetshape_test.go
+++ b/internal/placement/fleetshape_test.go
@@ -95,10 +95,9 @@
 		return
 	}
 	demand := &Demand{
-		Rate:            float64(random.IntN(64)) / 64,
-		LongTermRate:    float64(random.IntN(64)) / 512,
-		LastRequestAt:   now.Add(-time.Duration(random.IntN(40)) * time.Second),
-		LatencyTargetMs: 2000,
+		Rate:          float64(random.IntN(64)) / 64,
+		LongTermRate:  float64(random.IntN(64)) / 512,
+		LastRequestAt: now.Add(-time.Duration(random.IntN(40)) * time.Second),
 	}
 	if random.IntN(4) == 0 {
 		demand.Rate, demand.Running = float64(random.IntN(512))/64, float64(random.IntN(40))
@@ -106,6 +105,7 @@
 	}
 	if random.Float64() < s.waiting {
 		demand.Waiting, demand.OldestWaitMs, demand.LastRequestAt = 1+random.IntN(6), float64(random.IntN(4000)), now
+		demand.LoadDueMs = float64(random.IntN(4) * 4000)
 	}
 	view.Demand[ModelKey("s", reference)] = demand
 }
--- a/internal/placement/intents.go
+++ b/internal/placement/intents.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // intendedLoad is a server with an intent, and the model of that intent.
 type intendedLoad struct {
@@ -38,11 +35,10 @@
 			p.setIntent(state, "")
 			continue
 		}
-		candidate := candidateModel{model, p.urgency(model, p.demand.total(model))}
-		loads = append(loads, intendedLoad{state, candidate})
+		loads = append(loads, intendedLoad{state, p.candidate(model)})
 	}
 	slices.SortStableFunc(loads, func(left, right intendedLoad) int {
-		return cmp.Compare(right.urgency, left.urgency)
+		return compareUrgency(left.candidateModel, right.candidateModel)
 	})
 	return loads
 }
--- a/internal/placement/missing.go
+++ b/internal/placement/missing.go
@@ -2,17 +2,23 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
-// candidateModel is a model that a planning step considers for a load, the highest urgency first.
+// candidateModel is a model that a planning step considers for a load.
 type candidateModel struct {
-	model   int
-	urgency float64
+	model int
+	// slackMs is the time until the load must begin for the most urgent of the requests that it can still serve, infinite if there are
+	// none.
+	slackMs float64
+	// waiting is the number of requests that wait for the model.
+	waiting int
 }
 
+// compareUrgency orders candidates by their slack, the least first, then by the number of waiting requests, the most first.
 func compareUrgency(left, right candidateModel) int {
-	return cmp.Or(cmp.Compare(right.urgency, left.urgency), left.model-right.model)
+	return cmp.Or(cmp.Compare(left.slackMs, right.slackMs), right.waiting-left.waiting)
 }
 
 // missingModels returns the models that requests wait for and that are neither loaded nor certainly being loaded anywhere,
@@ -23,10 +29,10 @@
 		demand := p.demand.total(model)
 		isMissing := p.counts.loaded(model) == 0 && !p.isLoading(model)
 		if p.items.isConfigured(model) && demand.Waiting > 0 && isMissing {
-			candidates = append(candidates, candidateModel{model, p.urgency(model, demand)})
+			candidates = append(candidates, p.candidate(model))
 		}
 	}
-	slices.SortFunc(candidates, compareUrgency)
+	slices.SortStableFunc(candidates, compareUrgency)
 	return candidates
 }
 
@@ -68,30 +74,15 @@
 	}
 }
 
-const (
-	// urgencyGrowth is the share by which the urgency of a request has grown when it can only just be served in time.
-	urgencyGrowth = 0.5
-	// lateValue is the value of serving a request late, relative to serving it in time.
-	lateValue = 0.4
-	// maxLateness, in latency targets, limits the growth of the urgency with the oldest request's age.
-	maxLateness = 4
-	// msPerSecond converts load times to the unit of waiting times.
-	msPerSecond = 1000
-)
+// msPerSecond converts load times to the unit of waiting times.
+const msPerSecond = 1000
 
-// urgency returns the value of loading a model for the waiting requests. It is their count, and grows as the time in which
-// the oldest can be served in time runs out. Once the oldest will be late, each request that is estimated to be late counts
-// only lateValue, and the urgency grows with the oldest request's age.
-func (p *planner) urgency(model int, demand *Demand) float64 {
-	if demand.Waiting == 0 {
-		return 0
-	}
-	remaining := max(demand.LatencyTargetMs-p.items.loadTimeS(model)*msPerSecond, 0)
-	if demand.LatencyTargetMs <= 0 || demand.OldestWaitMs <= remaining {
-		return float64(demand.Waiting) * (1 + urgencyGrowth*demand.OldestWaitMs/max(remaining, 1))
+// candidate returns a model as a candidate for a load.
+func (p *planner) candidate(model int) candidateModel {
+	demand := p.demand.total(model)
+	slackMs := math.Inf(1)
+	if demand.LoadDueMs > 0 {
+		slackMs = demand.LoadDueMs - p.items.loadTimeS(model)*msPerSecond
 	}
-	others := float64(demand.Waiting - 1)
-	inTime := others * remaining / demand.OldestWaitMs
-	oldest := lateValue * min(demand.OldestWaitMs/demand.LatencyTargetMs, maxLateness)
-	return inTime + (others-inTime)*lateValue + oldest
+	return candidateModel{model: model, slackMs: slackMs, waiting: demand.Waiting}
 }
--- a/internal/placement/reference_plan_test.go
+++ b/internal/placement/reference_plan_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sort"
 	"strings"
 
@@ -123,12 +124,8 @@
 		}
 		intending = append(intending, server)
 	}
-	urgencies := map[string]float64{}
-	for _, server := range intending {
-		urgencies[server.Intent] = p.urgency(p.sizes[server.Intent], p.view.totalDemand(p.backend.Name, server.Intent))
-	}
 	sort.SliceStable(intending, func(left, right int) bool {
-		return urgencies[intending[left].Intent] > urgencies[intending[right].Intent]
+		return p.isMoreUrgent(p.sizes[intending[left].Intent], p.sizes[intending[right].Intent])
 	})
 	for _, server := range intending {
 		if model := server.Intent; p.intentObsolete(server) {
@@ -161,19 +158,15 @@
 
 func (p *referencePlanner) missingModels() []configuration.Model {
 	var candidates []configuration.Model
-	urgencies := map[string]float64{}
 	for _, model := range p.runtime.Models {
 		demand := p.view.totalDemand(p.backend.Name, model.Name)
 		copies := len(p.view.copies(p.backend.Name, model.Name))
 		loading := p.view.Loading[ModelKey(p.backend.Name, model.Name)]
 		if demand.Waiting > 0 && copies == 0 && loading == 0 && !p.isIntended(model.Name) {
-			candidates, urgencies[model.Name] = append(candidates, model), p.urgency(model, demand)
+			candidates = append(candidates, model)
 		}
 	}
-	urgency := func(model configuration.Model) float64 {
-		return p.urgency(model, p.view.totalDemand(p.backend.Name, model.Name))
-	}
-	sort.SliceStable(candidates, func(left, right int) bool { return urgency(candidates[left]) > urgency(candidates[right]) })
+	sort.SliceStable(candidates, func(left, right int) bool { return p.isMoreUrgent(candidates[left], candidates[right]) })
 	return candidates
 }
 
@@ -190,17 +183,19 @@
 	}
 }
 
-func (p *referencePlanner) urgency(model configuration.Model, demand Demand) float64 {
-	if demand.Waiting == 0 {
-		return 0
+// isMoreUrgent reports whether a model is loaded before another: its load must begin earlier or, if both must at the same time, more
+// requests wait for it.
+func (p *referencePlanner) isMoreUrgent(left, right configuration.Model) bool {
+	slack := func(model configuration.Model) float64 {
+		if due := p.view.totalDemand(p.backend.Name, model.Name).LoadDueMs; due > 0 {
+			return due - model.LoadTimeS*1000
+		}
+		return math.Inf(1)
 	}
-	remaining := max(demand.LatencyTargetMs-model.LoadTimeS*1000, 0)
-	if demand.LatencyTargetMs <= 0 || demand.OldestWaitMs <= remaining {
-		return float64(demand.Waiting) * (1 + urgencyGrowth*demand.OldestWaitMs/max(remaining, 1))
+	if slack(left) != slack(right) {
+		return slack(left) < slack(right)
 	}
-	others := float64(demand.Waiting - 1)
-	inTime := others * remaining / demand.OldestWaitMs
-	return inTime + (others-inTime)*lateValue + lateValue*min(demand.OldestWaitMs/demand.LatencyTargetMs, 4)
+	return p.view.totalDemand(p.backend.Name, left.Name).Waiting > p.view.totalDemand(p.backend.Name, right.Name).Waiting
 }
 
 func (p *referencePlanner) isIntended(model string) bool {
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -5,6 +5,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"ferryspar/internal/peer"
 )
 
 // simulatedSlots is the number of slots of each server.
@@ -188,12 +190,12 @@
 func (s *simulation) updateDemand(step time.Duration) {
 	now := s.view.Now
 	for _, demand := range s.view.Demand {
-		demand.Waiting, demand.OldestWaitMs, demand.Running = 0, 0, 0
+		demand.Waiting, demand.OldestWaitMs, demand.LoadDueMs, demand.Running = 0, 0, 0, 0
 	}
 	demandOf := func(reference string) *Demand {
 		name := ModelKey("s", reference)
 		if s.view.Demand[name] == nil {
-			s.view.Demand[name] = &Demand{LatencyTargetMs: s.latencyTargetS * 1000}
+			s.view.Demand[name] = &Demand{}
 		}
 		return s.view.Demand[name]
 	}
@@ -202,6 +204,10 @@
 		demand.Waiting++
 		demand.OldestWaitMs = max(demand.OldestWaitMs, float64(now.Sub(request.arrivedAt).Milliseconds()))
 		demand.LastRequestAt = now
+		dueMs := 3*s.latencyTargetS*1000 - float64(now.Sub(request.arrivedAt).Milliseconds())
+		if model, found := s.view.Table.Model(0, fmt.Sprintf("m%d", s.modelNumber(request.reference))); found && dueMs >= model.LoadTimeS*1000 {
+			demand.LoadDueMs = peer.EarlierLoadDue(demand.LoadDueMs, dueMs)
+		}
 	}
 	for _, request := range s.running {
 		demandOf(request.reference).Running++
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -4,18 +4,19 @@
 	"time"
 
 	"ferryspar/internal/configuration"
+	"ferryspar/internal/peer"
 )
 
 // Demand is the demand for one model or adapter, summed over all data planes.
 type Demand struct {
-	Waiting         int       // requests that wait for a copy or a free slot
-	OldestWaitMs    float64   // wait of the oldest of them, in ms
-	Rate            float64   // requests per second, averaged over seconds
-	LongTermRate    float64   // requests per second, averaged over minutes
-	Running         float64   // requests running at replicas
-	PrefillLoad     float64   // seconds of prefill per second, i.e. the number of replicas that prefill keeps busy
-	LastRequestAt   time.Time // arrival of the last request
-	LatencyTargetMs float64   // of the route; 0 for none
+	Waiting       int       // requests that wait for a copy or a free slot
+	OldestWaitMs  float64   // wait of the oldest of them, in ms
+	Rate          float64   // requests per second, averaged over seconds
+	LongTermRate  float64   // requests per second, averaged over minutes
+	Running       float64   // requests running at replicas
+	PrefillLoad   float64   // seconds of prefill per second, i.e. the number of replicas that prefill keeps busy
+	LastRequestAt time.Time // arrival of the last request
+	LoadDueMs     float64   // see peer.ModelLoad
 }
 
 // Server is a replica as seen by the planner. Plan changes Intent only.
@@ -92,7 +93,7 @@
 	d.LongTermRate += other.LongTermRate
 	d.Running += other.Running
 	d.PrefillLoad += other.PrefillLoad
-	d.LatencyTargetMs = max(d.LatencyTargetMs, other.LatencyTargetMs)
+	d.LoadDueMs = peer.EarlierLoadDue(d.LoadDueMs, other.LoadDueMs)
 	if other.LastRequestAt.After(d.LastRequestAt) {
 		d.LastRequestAt = other.LastRequestAt
 	}
--- a/internal/replicastate/simulation/cluster_test.go
+++ b/internal/replicastate/simulation/cluster_test.go
@@ -124,7 +124,7 @@
 		DrainedZones: map[string]bool{}, StoreTokens: loadTokens, DemandKnown: true,
 	}
 	for _, reference := range c.wanted {
-		demand := &placement.Demand{Rate: 1, LongTermRate: 1, LastRequestAt: c.now, LatencyTargetMs: 2000}
+		demand := &placement.Demand{Rate: 1, LongTermRate: 1, LastRequestAt: c.now}
 		if !c.loaded(reference) {
 			demand.Waiting = 2
 			demand.OldestWaitMs = float64(c.now.Sub(c.waitingSince[reference]).Milliseconds())
--- a/internal/routing/loadreport.go
+++ b/internal/routing/loadreport.go
@@ -15,26 +15,20 @@
 
 // demandCounters count the demand by model for load reports. arrivals and prefillMs are reset by each report.
 type demandCounters struct {
-	arrivals        map[modelKey]int
-	running         map[modelKey]int
-	latencyTargetMs map[modelKey]float64 // of the last request
-	prefillMs       map[modelKey]float64 // predicted time to prefill uncached tokens
+	arrivals  map[modelKey]int
+	running   map[modelKey]int
+	prefillMs map[modelKey]float64 // predicted time to prefill uncached tokens
 }
 
 func newDemandCounters() demandCounters {
 	return demandCounters{
-		arrivals:        map[modelKey]int{},
-		running:         map[modelKey]int{},
-		latencyTargetMs: map[modelKey]float64{},
-		prefillMs:       map[modelKey]float64{},
+		arrivals:  map[modelKey]int{},
+		running:   map[modelKey]int{},
+		prefillMs: map[modelKey]float64{},
 	}
 }
 
-func (c *demandCounters) recordArrival(request *Request) {
-	key := request.modelKey()
-	c.arrivals[key]++
-	c.latencyTargetMs[key] = float64(request.LatencyTarget.Milliseconds())
-}
+func (c *demandCounters) recordArrival(request *Request) { c.arrivals[request.modelKey()]++ }
 
 // recordStart counts a request as running from now on.
 func (c *demandCounters) recordStart(request *Request) { c.running[request.modelKey()]++ }
@@ -51,12 +45,13 @@
 	}
 }
 
-// collect returns the demand by model, sorted by backend and model, and resets arrivals and prefillMs.
-func (c *demandCounters) collect(waiting []*Request, now time.Time) []peer.ModelLoad {
+// collectDemand returns the demand by model, sorted by backend and model, and resets arrivals and prefillMs.
+func (m *Matcher) collectDemand(now time.Time) []peer.ModelLoad {
+	c := &m.demand
 	models := map[modelKey]*peer.ModelLoad{}
 	at := func(key modelKey) *peer.ModelLoad {
 		if models[key] == nil {
-			models[key] = &peer.ModelLoad{Backend: key.backend, Model: key.model, LatencyTargetMs: c.latencyTargetMs[key]}
+			models[key] = &peer.ModelLoad{Backend: key.backend, Model: key.model}
 		}
 		return models[key]
 	}
@@ -69,10 +64,11 @@
 	for key, amount := range c.running {
 		at(key).Running = amount
 	}
-	for _, request := range waiting {
+	for _, request := range m.queue.requests {
 		model := at(request.modelKey())
 		model.Waiting++
 		model.OldestWaitMs = max(model.OldestWaitMs, float64(now.Sub(request.ArrivedAt).Milliseconds()))
+		model.LoadDueMs = peer.EarlierLoadDue(model.LoadDueMs, m.loadDueMs(request, now))
 	}
 	c.arrivals = map[modelKey]int{}
 	c.prefillMs = map[modelKey]float64{}
@@ -85,3 +81,13 @@
 	})
 	return sorted
 }
+
+// loadDueMs returns the time, in ms, by which the model must be loaded so that the request can still be served, or 0 if a load that
+// begins now takes longer.
+func (m *Matcher) loadDueMs(request *Request, now time.Time) float64 {
+	due := request.Deadline.Sub(now) - m.servingTime(request)
+	if due < m.loadTime(modelKey{request.Backend, BaseModel(request.Model)}) {
+		return 0
+	}
+	return float64(due.Milliseconds())
+}
--- a/internal/routing/loadreport_test.go
+++ b/internal/routing/loadreport_test.go
@@ -66,3 +66,29 @@
 	fixture.matcher.Wake()
 	assert.Equal(t, len(fixture.matcher.replicas.states) > 0, true)
 }
+
+// The time by which a model must be loaded follows the most urgent of the waiting requests that a load can still serve.
+func TestMatcher_LoadReportStatesWhenModelMustBeLoaded(t *testing.T) {
+	for name, test := range map[string]struct {
+		remaining []time.Duration
+		dueMs     float64
+	}{
+		"one":                {[]time.Duration{15 * time.Second}, 14000},
+		"most urgent":        {[]time.Duration{15 * time.Second, 9 * time.Second}, 8000},
+		"one comes too late": {[]time.Duration{15 * time.Second, 6 * time.Second}, 14000},
+	} {
+		fixture := newTestFleet(3, 2, 3, func(int) int { return 0 })
+		fixture.snapshot.Load().Table.Configuration.Backends[0].Runtime.Models[1].LoadTimeS = 5.5
+		for _, replica := range fixture.snapshot.Load().Replicas {
+			delete(replica.Models, "model-1")
+		}
+		for _, remaining := range test.remaining {
+			request := fixture.patientRequest(remaining)
+			request.Model = "model-1"
+			fixture.matcher.answers[request.modelKey()] = &answerPace{meanMs: 1000 / request.OutputTokens}
+			fixture.matcher.Enqueue(request)
+		}
+		load := fixture.matcher.CollectLoad()
+		assert.Equal(t, load.Models[0].LoadDueMs, test.dueMs, name)
+	}
+}
--- a/internal/routing/matcher.go
+++ b/internal/routing/matcher.go
@@ -168,7 +168,7 @@
 	}
 	report := peer.LoadReport{
 		Zone:     m.zone,
-		Models:   m.demand.collect(m.queue.requests, now),
+		Models:   m.collectDemand(now),
 		Replicas: m.replicas.collect(m.index, m.health, now),
 	}
 	if m.replicas.unlisted > 0 {
--- a/internal/routing/work.go
+++ b/internal/routing/work.go
@@ -72,7 +72,12 @@
 // remainingWork returns how long a request is likely to take from its send to the end of its answer, preceded by a load if its model
 // is loaded nowhere (docs/design/waits.md). What is not known yet counts as 0.
 func (m *Matcher) remainingWork(request *Request, now time.Time) time.Duration {
-	return m.remainingLoad(request, now) + fromMs(m.firstEventMs(request)+m.answers.likelyMs(request))
+	return m.remainingLoad(request, now) + m.servingTime(request)
+}
+
+// servingTime returns how long a request is likely to take from its send to the end of its answer.
+func (m *Matcher) servingTime(request *Request) time.Duration {
+	return fromMs(m.firstEventMs(request) + m.answers.likelyMs(request))
 }
 
 // firstEventMs returns the predicted time from a request's send to its first event at the best of the idle replicas that have its
--- a/internal/sim/emulator/demand.go
+++ b/internal/sim/emulator/demand.go
@@ -158,6 +158,7 @@
 	for _, entry := range d.byKey {
 		entry.Waiting = 0
 		entry.OldestWaitMs = 0
+		entry.LoadDueMs = 0
 		entry.Running = 0
 	}
 	for _, number := range d.reportingEdges() {
@@ -173,7 +174,7 @@
 			entry := d.entry(placement.ModelKey(model.Backend, model.Model))
 			entry.Waiting += model.Waiting
 			entry.Running += float64(model.Running)
-			entry.LatencyTargetMs = max(entry.LatencyTargetMs, model.LatencyTargetMs)
+			entry.LoadDueMs = peer.EarlierLoadDue(entry.LoadDueMs, model.LoadDueMs)
 			if model.Waiting > 0 {
 				entry.OldestWaitMs = max(entry.OldestWaitMs, model.OldestWaitMs)
 				entry.LastRequestAt = now
