--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -59,6 +59,7 @@
 
 	drill        *Drill // the drill in force when the request arrived, or nil
 	underDrill   bool   // selected by the drill
+	heldByDrill  bool   // tried once without the drilled replicas
 	onlyCopyLost bool   // all replicas that could serve it are in the drilled loss, so it is exempt
 }
 
