Quota: wait for the decision while the request can still be served

What callers saw: a request with 15 s left waited 3 s at most for its tenant's home shards (a fifth of its time, or of its target where the data plane had lost contact), then got 503; one of a patient route waited longer than one of a quick route.

Cause: quotaTimeoutDivisor and minQuotaTimeout. Change: it waits until its deadline less the mean duration of its route's answers, and is refused at once where the data plane reaches neither a home shard nor a control plane, since others can decide. A data plane that may not retry asks clients to come back after a new connection's time, not twice that: their next attempt needs no retry budget.

--- a/internal/dataplane/quotaadmission.go
+++ b/internal/dataplane/quotaadmission.go
@@ -7,26 +7,23 @@
 	"ferryspar/internal/apierror"
 	"ferryspar/internal/configuration"
 	"ferryspar/internal/peer"
-	"ferryspar/internal/proxy"
 	"ferryspar/internal/quota"
 )
 
 const (
-	// minQuotaTimeout is the minimum time that a request may wait for calls to its tenant's home shards.
-	minQuotaTimeout = 600 * time.Millisecond
 	// homeRetryInterval is the pause before the next attempt if no home shard can be called.
 	homeRetryInterval = 50 * time.Millisecond
 	// borrowTimeout limits a call to a home shard, not counting the time for which the home shard may hold it.
 	borrowTimeout = 250 * time.Millisecond
-	// unknownRetryAfter is the Retry-After of a request whose tenant's home shards did not respond.
-	unknownRetryAfter = 200 * time.Millisecond
+	// unknownRetryAfter is the Retry-After of a request whose tenant's home shards did not respond: another data plane may reach them.
+	unknownRetryAfter = 50 * time.Millisecond
 )
 
 // Take spends a token of the tenant. If none is left here, it borrows tokens from a home shard of the tenant. Requests of a
-// tenant that arrive while a call is pending share the next call. If no home shard can answer, Take retries until the timeout, or
-// only until timeouts.Local if this node lacks a recent fleet size. The errors are of the kinds apierror.TenantRateLimited and
-// apierror.QuotaUnknown.
-func (q *Quotas) Take(ctx context.Context, tenant *configuration.Tenant, timeouts proxy.QuotaTimeouts) error {
+// tenant that arrive while a call is pending share the next call. If no home shard can answer, Take retries until the given time, or
+// fails at once if this node has no contact with the control planes either: it is then cut off, and others can decide. The errors
+// are of the kinds apierror.TenantRateLimited and apierror.QuotaUnknown.
+func (q *Quotas) Take(ctx context.Context, tenant *configuration.Tenant, until time.Time) error {
 	if limitOf(tenant).Unlimited() {
 		return nil
 	}
@@ -36,8 +33,7 @@
 	q.borrower.RecordRequest(tenant.Name, startedAt)
 	q.addWaiting(tenant.Name, 1)
 	defer q.addWaiting(tenant.Name, -1)
-	timeout := max(timeouts.Fleet, minQuotaTimeout)
-	for now := startedAt; now.Sub(startedAt) < timeout && ctx.Err() == nil; now = q.clock() {
+	for now := startedAt; now.Before(until) && ctx.Err() == nil; now = q.clock() {
 		if q.borrower.TakeToken(tenant.Name, now) {
 			return nil
 		}
@@ -45,7 +41,7 @@
 		if retryAfter := q.borrower.OverLimitFor(tenant.Name, now); replied == nil && retryAfter > 0 {
 			return apierror.NewRetryable(apierror.TenantRateLimited, retryAfter)
 		}
-		if replied == nil && now.Sub(startedAt) > timeouts.Local && !q.lender.HasFreshFleetSize(now) {
+		if replied == nil && !q.lender.HasFreshFleetSize(now) {
 			break
 		}
 		q.lock.Unlock()
--- a/internal/proxy/authorization_test.go
+++ b/internal/proxy/authorization_test.go
@@ -221,7 +221,7 @@
 	requested []string
 }
 
-func (q *testQuota) Take(_ context.Context, tenant *configuration.Tenant, _ QuotaTimeouts) error {
+func (q *testQuota) Take(_ context.Context, tenant *configuration.Tenant, _ time.Time) error {
 	q.requested = append(q.requested, tenant.Name)
 	if tenant.Name == q.rejects {
 		return apierror.NewRetryable(apierror.TenantRateLimited, 250*time.Millisecond)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -106,7 +106,7 @@
 	}
 	if e.attempts > 0 && !e.retryGranted && !e.takeRetry() {
 		e.report(routing.OutcomeCancelled)
-		return assignment, apierror.NewRetryable(apierror.NotExecuted, budgetRetryAfter)
+		return assignment, apierror.NewRetryable(apierror.NotExecuted, notExecutedRetryAfter)
 	}
 	e.retryGranted = e.attempts > 0
 	return assignment, nil
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -11,9 +11,8 @@
 const (
 	// maxUnsentAttempts is how many attempts of one request may fail before a byte is written. They do not use up its retryCount.
 	maxUnsentAttempts = 4
-	// budgetRetryAfter is the Retry-After of requests that were not retried because the retry budget was exhausted.
-	budgetRetryAfter = 100 * time.Millisecond
-	// notExecutedRetryAfter is the Retry-After of requests that no replica has executed.
+	// notExecutedRetryAfter is the Retry-After of requests that no replica has executed: the client may try again as soon as it has a
+	// new connection, since its next attempt is a new request, which needs no retry budget.
 	notExecutedRetryAfter = 50 * time.Millisecond
 )
 
