Load budget: write unanswered loads again under a grant that continues

What could happen: if the write that names unanswered loads was in flight when the same process got its next grant, its outcome was ignored and nothing made another one due, so a successor might not know of these loads (rule CEILING).

Cause: TakeOver forgot the write in flight but kept that nothing was unwritten. Change: after a grant that continues, a write is due as long as the log has unanswered loads.

Why it works: the write is decided by what the log holds, not by what an earlier grant had sent.

--- a/internal/loadbudget/budget.go
+++ b/internal/loadbudget/budget.go
@@ -41,6 +41,8 @@
 		b.reserved = grant.Reserved.Loads
 	}
 	if continues {
+		// A write in flight belongs to the previous grant, so its outcome is ignored and the record may lack unanswered loads.
+		b.unansweredUnwritten = len(b.log.Unanswered()) > 0
 		return
 	}
 	lastStart := grant.PredecessorStoppedAt.Add(bounds.UncertainDelay)
