Soak: signals and changes in series, and clients that keep using a connection

SIGHUPs come up to five at a time, a process that shuts down gets SIGHUP and SIGTERM up to four times more, four changes of the configuration follow one another within 0.3 s, and half of the clients go on using a connection after a response that announces its end, until the process closes it or is gone. Besides: an unused function and a long line.

--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -205,7 +205,8 @@
 		demand.OldestWaitMs = max(demand.OldestWaitMs, float64(now.Sub(request.arrivedAt).Milliseconds()))
 		demand.LastRequestAt = now
 		dueMs := 3*s.latencyTargetS*1000 - float64(now.Sub(request.arrivedAt).Milliseconds())
-		if model, found := s.view.Table.Model(0, fmt.Sprintf("m%d", s.modelNumber(request.reference))); found && dueMs >= model.LoadTimeS*1000 {
+		name := fmt.Sprintf("m%d", s.modelNumber(request.reference))
+		if model, found := s.view.Table.Model(0, name); found && dueMs >= model.LoadTimeS*1000 {
 			demand.LoadDueMs = peer.EarlierLoadDue(demand.LoadDueMs, dueMs)
 		}
 	}
--- a/internal/routing/rendezvous.go
+++ b/internal/routing/rendezvous.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,9 +21,6 @@
 // affinityHash returns the hash of a prefix and a replica by which replicas are ranked for the prefix.
 func affinityHash(prefix, replica uint64) uint64 { return mixHash(prefix ^ replica) }
 
-// affinityFraction converts a hash to a fraction from 0 to 1.
-func affinityFraction(hash uint64) float64 { return float64(hash) / math.MaxUint64 }
-
 // candidateCount is the number of replicas that are considered for a request. All data planes see the same loads, some tenths of
 // a second old: if each chose the least loaded of all replicas, all would choose the same one. Different prefixes have
 // different candidates.
--- a/internal/test/soak/clients.go
+++ b/internal/test/soak/clients.go
@@ -65,6 +65,8 @@
 type client struct {
 	fleet  *fleet
 	random *rand.Rand
+	// ignoresClose makes the client go on using a connection after a response that announces its end.
+	ignoresClose bool
 }
 
 // run sends requests until the context ends.
@@ -123,7 +125,7 @@
 		content, readErr := io.ReadAll(response.Body)
 		err = readErr
 		sent.Status, sent.Seal, sent.Body = response.StatusCode, response.Header.Get(replica.HeaderSeal), string(content)
-		mayContinue = !response.Close
+		mayContinue = !response.Close || c.ignoresClose
 	}
 	sent.Complete, sent.EndedAt = err == nil, recorder.now()
 	return sent, mayContinue && err == nil
--- a/internal/test/soak/faults.go
+++ b/internal/test/soak/faults.go
@@ -46,10 +46,11 @@
 	f.recordEvent(node, fault.Kind)
 	switch fault.Kind {
 	case faultHangup:
-		if err := node.rewriteSettings(); err != nil {
-			fmt.Fprintln(os.Stderr, node.name, err)
+		node.hangup()
+		for range fault.Repeats {
+			time.Sleep(signalPause)
+			node.hangup()
 		}
-		node.signal(syscall.SIGHUP)
 		return
 	case faultFreeze:
 		node.signal(syscall.SIGSTOP)
@@ -60,7 +61,7 @@
 	case faultKill:
 		<-node.signal(syscall.SIGKILL)
 	case faultTerm:
-		node.terminate()
+		node.terminate(fault.Repeats)
 	}
 	time.Sleep(restartDelay)
 	if err := node.restart(); err != nil {
@@ -73,12 +74,33 @@
 	f.recordEvent(node, started)
 }
 
-// terminate sends SIGTERM, and SIGKILL after the grace period.
-func (p *process) terminate() {
+// hangup writes the settings file anew and sends SIGHUP.
+func (p *process) hangup() {
+	if err := p.rewriteSettings(); err != nil {
+		fmt.Fprintln(os.Stderr, p.name, err)
+	}
+	p.signal(syscall.SIGHUP)
+}
+
+// terminate sends SIGTERM, then SIGHUP and SIGTERM in turn while the process shuts down, and SIGKILL after the grace period.
+func (p *process) terminate(repeats int) {
 	ended := p.signal(syscall.SIGTERM)
+	killAt := time.After(graceTime)
+	for number := range repeats {
+		select {
+		case <-ended:
+			return
+		case <-time.After(signalPause):
+		}
+		if number%2 == 0 {
+			p.hangup()
+		} else {
+			p.signal(syscall.SIGTERM)
+		}
+	}
 	select {
 	case <-ended:
-	case <-time.After(graceTime):
+	case <-killAt:
 		<-p.signal(syscall.SIGKILL)
 	}
 }
--- a/internal/test/soak/main.go
+++ b/internal/test/soak/main.go
@@ -141,7 +141,11 @@
 	defer stopClients()
 	var clients sync.WaitGroup
 	for number := range chosen.Clients {
-		user := &client{fleet: f, random: rand.New(rand.NewPCG(chosen.Seed, uint64(number)+1))}
+		user := &client{
+			fleet:        f,
+			random:       rand.New(rand.NewPCG(chosen.Seed, uint64(number)+1)),
+			ignoresClose: number%2 == 0,
+		}
 		clients.Go(func() { user.run(clientContext) })
 	}
 	clients.Go(func() { f.coordinate(ctx, chosen.Length) })
--- a/internal/test/soak/schedule.go
+++ b/internal/test/soak/schedule.go
@@ -51,6 +51,13 @@
 	// meanLieInterval is the mean time between false health checks, which last for longestLie at most.
 	meanLieInterval = 5 * time.Second
 	longestLie      = 3 * time.Second
+	// mostRepeats limits the further signals of a series, and signalPause is the time between two of them.
+	mostRepeats = 4
+	signalPause = 150 * time.Millisecond
+	// changesPerSeries changes of the configuration follow one another each seriesInterval, seriesPause apart.
+	changesPerSeries = 4
+	seriesInterval   = 10 * time.Second
+	seriesPause      = 100 * time.Millisecond
 )
 
 // scheduledFault is an entry of a schedule.
@@ -59,6 +66,8 @@
 	Node     string        `json:"node,omitempty"`
 	Kind     faultKind     `json:"kind"`
 	Duration time.Duration `json:"duration,omitempty"`
+	// Repeats is how many further signals follow the first one in a series, signalPause apart.
+	Repeats int `json:"repeats,omitempty"`
 }
 
 // newSchedule draws the faults of a run from a seed. Faults of data planes come in series and overlap, but at least one data plane
@@ -90,6 +99,11 @@
 	for at := calmStart; at < length-calmEnd; at += changeInterval {
 		changes = append(changes, scheduledFault{At: at, Kind: changeConfiguration})
 	}
+	for at := calmStart + seriesInterval/2; at < length-calmEnd; at += seriesInterval {
+		for number := range changesPerSeries {
+			changes = append(changes, scheduledFault{At: at + time.Duration(number)*seriesPause, Kind: changeConfiguration})
+		}
+	}
 	for at := calmStart + exponential(random, meanFaultInterval); at+evacuationTime < length; at += evacuationInterval {
 		zone := zoneOf(random.IntN(zoneCount))
 		changes = append(changes, scheduledFault{At: at, Node: zone, Kind: changeEvacuation, Duration: evacuationTime})
@@ -107,12 +121,12 @@
 }
 
 func drawFault(random *rand.Rand, at time.Duration, node string) scheduledFault {
-	fault := scheduledFault{At: at, Node: node, Kind: faultTerm}
+	fault := scheduledFault{At: at, Node: node, Kind: faultTerm, Repeats: random.IntN(mostRepeats + 1)}
 	switch random.IntN(6) {
 	case 0:
-		fault.Kind = faultKill
+		fault.Kind, fault.Repeats = faultKill, 0
 	case 1:
-		fault.Kind = faultFreeze
+		fault.Kind, fault.Repeats = faultFreeze, 0
 		fault.Duration = shortFreeze + time.Duration(random.Float64()*float64(longestFreeze-shortFreeze))
 	case 2:
 		fault.Kind = faultHangup
@@ -136,5 +150,5 @@
 
 // String describes the fault for the record.
 func (f scheduledFault) String() string {
-	return fmt.Sprintf("%7.3f s %s %s %s", f.At.Seconds(), f.Kind, f.Node, f.Duration.Round(time.Millisecond))
+	return fmt.Sprintf("%7.3f s %s %s %s, %d repeats", f.At.Seconds(), f.Kind, f.Node, f.Duration.Round(time.Millisecond), f.Repeats)
 }
