Routing: estimate the work left by tokens, not by first events under load

What callers saw (the demonstration's real processes on a busy machine): with all slots taken, a caller with 12 s left for a short answer got 503 after 3.4 s, and of 24 callers with 30 s left up to 12 got one within 0.7 s, although all that ran had ended within 13 s.

Cause: the predictor of first events is learned under load, where they wait at the replica; its value for an idle one is an extrapolation that came out in seconds. Four deviations made short, uneven answers look long.

Change: the prompt counts as its tokens times the learned time for each, which is limited; so do the prompts ahead at a replica when a pair is pruned. Two deviations instead of four.

Evidence: TestMatcher_WaitsAlthoughFirstEventsTookLong fails without the change. Why it works: the parts of the estimate that carry a refusal have limits.

--- a/internal/routing/assign.go
+++ b/internal/routing/assign.go
@@ -163,7 +163,7 @@
 		prefillFactor:  scored.prefillFactor,
 		sentAt:         now,
 		key:            stepKeyOf(replica, stepFull),
-		expectedMs:     scored.predictedMs + m.answers.expectedMs(request),
+		expectedMs:     m.expectedMs(request),
 	}
 	state.recordTicket(ticket)
 	request.recordCachedParts(scored.cachedTokens)
--- a/internal/routing/completedprefill.go
+++ b/internal/routing/completedprefill.go
@@ -105,7 +105,7 @@
 		prefillFactor: 1,
 		sentAt:        now,
 		prefill:       prefill,
-		expectedMs:    scored.predictedMs + m.answers.expectedMs(request),
+		expectedMs:    m.expectedMs(request),
 	}
 }
 
--- a/internal/routing/expire.go
+++ b/internal/routing/expire.go
@@ -55,5 +55,5 @@
 	case request.expectedWait > 0:
 		return request.expectedWait
 	}
-	return fromMs(m.firstEventMs(request) + m.answers.expectedMs(request))
+	return fromMs(m.expectedMs(request))
 }
--- a/internal/routing/expire_test.go
+++ b/internal/routing/expire_test.go
@@ -213,3 +213,22 @@
 	assert.Assert(t, pace.meanMs > 17 && pace.meanMs < 23, "%f", pace.meanMs)
 	assert.Assert(t, likely >= 30 && likely < 80, "%f", likely)
 }
+
+// First events that took long under load say nothing of the work of a request that waits.
+func TestMatcher_WaitsAlthoughFirstEventsTookLong(t *testing.T) {
+	fixture := fullFleet()
+	fixture.answerIn(time.Second)
+	for _, replica := range fixture.snapshot.Load().Replicas {
+		state := fixture.matcher.replicas.state(replica.ID)
+		for range 50 {
+			state.predictor.Observe(Features{featureIntercept: 1, featureUncached: 0.8, featureUtilization: 1}, 9000)
+		}
+	}
+	request := fixture.patientRequest(12 * time.Second)
+	fixture.matcher.Enqueue(request)
+	_, _, decided := fixture.decideBy(request, 9*time.Second)
+	assert.Assert(t, !decided, "the request waits")
+	fixture.freeSlots()
+	decision, _, decided := fixture.decideBy(request, time.Second)
+	assert.Assert(t, decided && decision.Error == nil)
+}
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -229,7 +229,7 @@
 	restMs := m.decodeMs(request)
 	if request.PromptTokens <= MaxColocatedPrefillTokens {
 		key := stepKey{backend: request.Backend, phase: discovery.PhaseDecode, step: stepFull}
-		restMs = m.models.at(key).latency(m.idleFeatures(request))
+		restMs = m.scaledTokens(request) / tokensPerThousand * m.models.at(key).prefillMsPerThousand()
 	}
 	restMs += m.answers.expectedMs(request)
 	return max(request.Deadline.Sub(now)-fromMs(restMs), 0)
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -61,13 +61,14 @@
 	return p.weight > other.weight
 }
 
-// completesInTime reports whether an answer is expected to be complete before the request's deadline. An idle replica may always
-// try: nothing is ahead of the request there, and a prediction that is too high would otherwise never be corrected.
-func (m *Matcher) completesInTime(request *Request, node *replicaNode, predictedMs float64, now time.Time) bool {
+// completesInTime reports whether an answer is expected to be complete before the request's deadline, given the time to read its
+// prompt and those ahead of it. An idle replica may always try: nothing is ahead of the request there, and an estimate that is too high
+// would otherwise never be corrected.
+func (m *Matcher) completesInTime(request *Request, node *replicaNode, promptsMs float64, now time.Time) bool {
 	if node.state.running+node.peerLoad.Running == 0 {
 		return now.Before(request.Deadline)
 	}
-	return predictedMs+m.answers.expectedMs(request) <= inMs(request.Deadline.Sub(now))
+	return promptsMs+m.answers.expectedMs(request) <= inMs(request.Deadline.Sub(now))
 }
 
 // scoreUnified computes the weight of serving a request at a replica that does both prefill and decode.
@@ -78,6 +79,8 @@
 	features := node.features(*row, cachedTokens, uncachedTokens)
 	predictedMs := state.predictor.Latency(features)
 	cost := m.parameters.TokenCost*uncachedTokens*row.prefillFactor + m.crossZoneCost(replica)
+	pendingTokens := uncachedTokens*row.prefillFactor + state.pendingTokens + node.peerLoad.PrefillTokens
+	promptsMs := pendingTokens / tokensPerThousand * state.predictor.PrefillMsPerThousand()
 	return scoredPair{
 		weight:         m.value(request, state.predictor.SuccessRate(), predictedMs) - cost,
 		features:       features,
@@ -85,7 +88,7 @@
 		cachedTokens:   cachedTokens,
 		uncachedTokens: uncachedTokens,
 		prefillFactor:  row.prefillFactor,
-		inTime:         m.completesInTime(request, node, predictedMs, now),
+		inTime:         m.completesInTime(request, node, promptsMs, now),
 	}
 }
 
--- a/internal/routing/work.go
+++ b/internal/routing/work.go
@@ -10,8 +10,8 @@
 	// paceGain and paceDeviationGain are the weights of a new sample in a learned pace and its deviation (RFC 6298).
 	paceGain          = 1.0 / 8
 	paceDeviationGain = 1.0 / 4
-	// paceDeviations is the number of deviations above the mean within which nearly all answers stay (RFC 6298).
-	paceDeviations = 4
+	// paceDeviations is the number of mean deviations above the mean within which about nineteen of twenty answers stay.
+	paceDeviations = 2
 )
 
 // answerPace is the learned time that the answers of a model take for each token that their requests allow, in ms.
@@ -77,24 +77,31 @@
 
 // servingTime returns how long a request is likely to take from its send to the end of its answer.
 func (m *Matcher) servingTime(request *Request) time.Duration {
-	return fromMs(m.firstEventMs(request) + m.answers.likelyMs(request))
+	return fromMs(m.promptMs(request) + m.answers.likelyMs(request))
 }
 
-// firstEventMs returns the predicted time from a request's send to its first event at the best of the idle replicas that have its
-// model, with none of its prompt cached.
-func (m *Matcher) firstEventMs(request *Request) float64 {
+// expectedMs returns the expected time from a request's send to the end of its answer at an idle replica.
+func (m *Matcher) expectedMs(request *Request) float64 {
+	return m.promptMs(request) + m.answers.expectedMs(request)
+}
+
+// promptMs returns the expected time to read a request's prompt, none of which is cached, at the best of the replicas that have its
+// model. It uses the learned time for each token, which is limited, and not the predictions of a whole first event: these are learned
+// under load, and say little of an idle replica.
+func (m *Matcher) promptMs(request *Request) float64 {
 	if request.CompletedPrefill != nil {
 		return m.decodeMs(request)
 	}
+	tokens := m.scaledTokens(request) / tokensPerThousand
 	if len(request.prefillHostsIn(m.index)) > 0 && !request.NoPrefillStep {
 		key := stepKey{backend: request.Backend, phase: discovery.PhasePrefill, step: stepPrefill}
-		return m.models.at(key).latency(m.idleFeatures(request)) + m.decodeMs(request)
+		return tokens*m.models.at(key).prefillMsPerThousand() + m.decodeMs(request)
 	}
 	bestMs := 0.0
 	for at, position := range request.hostsIn(m.index) {
-		predictedMs := m.replicas.at(m.index, position).predictor.Latency(m.idleFeatures(request))
-		if at == 0 || predictedMs < bestMs {
-			bestMs = predictedMs
+		promptMs := tokens * m.replicas.at(m.index, position).predictor.PrefillMsPerThousand()
+		if at == 0 || promptMs < bestMs {
+			bestMs = promptMs
 		}
 	}
 	return bestMs
@@ -106,10 +113,9 @@
 	return m.models.at(key).latency(Features{featureIntercept: 1})
 }
 
-// idleFeatures are the inputs of a prediction at a replica that runs nothing and has cached nothing of the prompt.
-func (m *Matcher) idleFeatures(request *Request) Features {
-	uncached := request.PromptTokens / tokensPerThousand * m.prefillFactors.factor(request.Model)
-	return Features{featureIntercept: 1, featureUncached: uncached}
+// scaledTokens returns the tokens of a request's prompt, scaled by its model's prefill factor.
+func (m *Matcher) scaledTokens(request *Request) float64 {
+	return request.PromptTokens * m.prefillFactors.factor(request.Model)
 }
 
 // missingModels remembers since when the models that requests need are loaded nowhere.
