Proxy: let a waiting request use a replica again that lost its model and has it back

What callers saw: a request that reached the only replica of its model just after that had restarted empty got a 421, waited on, and was never served although the model was loaded there again after 9 s: it got 503 after its 20 s, while a new request was served at once.

Cause: after a 421 the replica stayed excluded for the life of the request.

Change: only a replica that another one has replaced stays excluded. The matcher already sends nothing for the model there for 400 ms after such an answer, and the list says when it is back.

Evidence: that test, which now also demands that the waiting request itself is served, passes.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -34,8 +34,8 @@
 	retryGranted bool
 	// mayHaveExecuted is set once an attempt may have been executed: the client must then not be told that none was.
 	mayHaveExecuted bool
-	// notLoaded is set if the last replica did not have the model loaded.
-	notLoaded bool
+	// replaced is set if another replica answered at the address of the last one.
+	replaced bool
 
 	// headerSent is set once the response header was sent to the client: the response can then only be continued or aborted.
 	headerSent bool
@@ -127,7 +127,7 @@
 	} else {
 		e.attempts++
 	}
-	e.notLoaded = verdict == replica.VerdictNotLoaded || verdict == replica.VerdictReplaced
+	e.replaced = verdict == replica.VerdictReplaced
 	if verdict == replica.VerdictAnswered {
 		return e.copyResponse(ctx, response)
 	}
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -54,7 +54,8 @@
 	return apierror.New(apierror.ReplicaTimeout, "")
 }
 
-// exclude excludes the replica from further attempts, unless it has the model loaded and no other replica serves the request.
+// exclude excludes the replica from further attempts, unless it still exists and no other replica serves the request. If it did not
+// have the model loaded, it may have it later: the matcher sends nothing there for a while after such an answer.
 func (e *exchange) exclude(id string) {
 	request, snapshot := &e.parsed.request, e.handler.snapshot.Load()
 	request.ExcludedReplicas[id] = true
@@ -63,7 +64,7 @@
 			return
 		}
 	}
-	if !e.notLoaded {
+	if !e.replaced {
 		delete(request.ExcludedReplicas, id)
 	}
 }
--- a/internal/test/integration/replica_order_faults_test.go
+++ b/internal/test/integration/replica_order_faults_test.go
@@ -151,6 +151,8 @@
 				standIn.waitLeaseHolder(t)
 				time.Sleep(moment)
 				standIn.restart()
+				waited := f.request(1, "waits-for-reload", "/patient/", "swift")
+				assert.Equal(t, waited.status, http.StatusOK, "a request that found the model gone is served later: %s", waited.body)
 				f.waitServed(t, "swift", "swift/a1", "rare", "other", "swift/a2")
 				assert.Assert(t, standIn.withinCapacity(), "%+v", standIn.receivedOrders())
 				assert.Equal(t, len(standIn.rejectedOverCapacity()), 0, "%+v", standIn.receivedOrders())
