Routing: deliver to the matcher by one function, ledger changes included

Matcher.UpdateLedger had the fault that Submit and Report had: once Run has returned, it blocks as soon as its buffer is full. One function now serves the three. No other change.

--- a/internal/routing/inbox.go
+++ b/internal/routing/inbox.go
@@ -62,18 +62,20 @@
 
 // withdraw tells Run that nobody waits for the request any more.
 func (m *Matcher) withdraw(request *Request) {
+	deliver(m.inbox.cancellations, request, m.inbox.stopped)
+}
+
+// deliver sends a value to Run. It does nothing once Run has returned, since nothing is received any more.
+func deliver[Value any](channel chan<- Value, value Value, stopped <-chan struct{}) {
 	select {
-	case m.inbox.cancellations <- request:
-	case <-m.inbox.stopped:
+	case channel <- value:
+	case <-stopped:
 	}
 }
 
 // Report reports an outcome of a request that was sent. Any goroutine may call it. It does nothing once Run has returned.
 func (m *Matcher) Report(ticket *Ticket, outcome Outcome) {
-	select {
-	case m.inbox.reports <- Report{Ticket: ticket, Outcome: outcome, At: m.clock()}:
-	case <-m.inbox.stopped:
-	}
+	deliver(m.inbox.reports, Report{Ticket: ticket, Outcome: outcome, At: m.clock()}, m.inbox.stopped)
 }
 
 // SnapshotChanged signals that a new snapshot was stored, so that waiting requests are retried. Any
@@ -106,4 +108,6 @@
 
 // UpdateLedger runs a function on the ledger in the matcher's goroutine, without waiting for it to finish.
 // Any goroutine may call it.
-func (m *Matcher) UpdateLedger(change func(*PrefixLedger)) { m.inbox.ledgerChanges <- change }
+func (m *Matcher) UpdateLedger(change func(*PrefixLedger)) {
+	deliver(m.inbox.ledgerChanges, change, m.inbox.stopped)
+}
