Routing: send a batch in its order, and state the bounds of Retry-After once

Since a batch is decided in the order of the queue, sorting it by priority again before sending changes nothing: its callers pass it in that order, which the random batches of a test now have as well. retryAfter nested its bounds twice; the constant that it uses is needed in its package only. No behaviour changes.

--- a/internal/routing/assign.go
+++ b/internal/routing/assign.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"slices"
 	"time"
 )
 
@@ -113,22 +112,14 @@
 	}
 }
 
-// sendChosen sends the assigned requests, the highest priority first. The flow has capacities for slots only
-// (IEMAS eq. 2), so a request that no longer fits into the replica's KV memory after those sent before it
-// stays undecided.
+// sendChosen sends the assigned requests in their order. The flow has capacities for slots only (IEMAS eq. 2), so a request that no
+// longer fits into the replica's KV memory after those sent before it stays undecided.
 func (m *Matcher) sendChosen(requests []*Request, chosen []int, now time.Time) {
 	graph := &m.graph
-	graph.byPriority = graph.byPriority[:0]
-	for row, at := range chosen {
-		if at >= 0 {
-			graph.byPriority = append(graph.byPriority, row)
+	for row, request := range requests {
+		if chosen[row] < 0 {
+			continue
 		}
-	}
-	slices.SortStableFunc(graph.byPriority, func(left, right int) int {
-		return requests[left].Priority - requests[right].Priority
-	})
-	for _, row := range graph.byPriority {
-		request := requests[row]
 		at := graph.rowStarts[row] + chosen[row]
 		node := &graph.nodes[graph.arcs[at].node]
 		if request.TotalTokens() > node.freeMemory {
--- a/internal/routing/assign_test.go
+++ b/internal/routing/assign_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -48,7 +49,7 @@
 	}
 }
 
-// randomBatch returns a batch of requests with random sizes and restrictions.
+// randomBatch returns a batch of requests with random sizes and restrictions, in the order of the queue.
 func randomBatch(random *rand.Rand, fixture *testFleet) []*Request {
 	var requests []*Request
 	for range 1 + random.IntN(16) {
@@ -64,6 +65,7 @@
 		}
 		requests = append(requests, request)
 	}
+	slices.SortStableFunc(requests, compareRank)
 	return requests
 }
 
--- a/internal/routing/expire.go
+++ b/internal/routing/expire.go
@@ -9,8 +9,8 @@
 const (
 	// minRetryAfter is the shortest wait that a rejected client is asked for: its next attempt needs a new connection anyway.
 	minRetryAfter = 50 * time.Millisecond
-	// MaxRetryAfterDivisor divides a client's remaining time into the longest Retry-After that it honours (protocol, "Answers").
-	MaxRetryAfterDivisor = 3
+	// maxRetryAfterDivisor divides a client's remaining time into the longest Retry-After that it honours (protocol, "Answers").
+	maxRetryAfterDivisor = 3
 )
 
 // latestStart returns until when a request may wait: from then on its remaining time is too short for its remaining work.
@@ -40,8 +40,8 @@
 
 // retryAfter returns when a rejected request is expected to find a slot, within what clients honour.
 func (m *Matcher) retryAfter(request *Request, now time.Time) time.Duration {
-	longest := request.Deadline.Sub(now) / MaxRetryAfterDivisor
-	return min(max(m.slotExpectedAfter(request, now), minRetryAfter), max(longest, minRetryAfter))
+	longest := request.Deadline.Sub(now) / maxRetryAfterDivisor
+	return max(min(m.slotExpectedAfter(request, now), longest), minRetryAfter)
 }
 
 // slotExpectedAfter returns the time until a slot for the request is expected: once its model is loaded, once those ahead of it are
--- a/internal/routing/expire_test.go
+++ b/internal/routing/expire_test.go
@@ -140,7 +140,7 @@
 			assert.Equal(t, decision.Error.Kind, apierror.ModelNotLoaded)
 			assert.Assert(t, wait >= test.refused && wait <= test.refused+waitRound, "refused after %v", wait)
 			if test.refused == 0 {
-				assert.Equal(t, decision.Error.RetryAfter, test.remaining/MaxRetryAfterDivisor, "the load takes longer than clients wait")
+				assert.Equal(t, decision.Error.RetryAfter, test.remaining/maxRetryAfterDivisor, "the load takes longer than clients wait")
 			}
 		})
 	}
--- a/internal/routing/graph.go
+++ b/internal/routing/graph.go
@@ -54,9 +54,7 @@
 	arcs      []arc        // all requests' arcs, one row after the other
 	scored    []scoredPair // parallel to arcs
 	rowStarts []int        // where each request's arcs begin
-	// byPriority lists the rows that were assigned a replica, in the order of sending.
-	byPriority []int
-	solver     flowSolver
+	solver    flowSolver
 
 	// prefills are the nodes of prefill replicas, and prefillPositions their positions in the index, ascending. They are not
 	// part of the flow. nodeAt maps to them as well, since no replica has both phases in a disaggregated backend.
