Routing: leave work off the path of requests that don't wait, and record missing models where they are found

The remaining work of a request was computed at its arrival although it is decided at once when nothing else waits, and the backlog of all replicas was cleared without anything waiting. A query of the remaining load also recorded that the model was needed; that is now done where a model is found loaded nowhere. The tokens that a replica has still to read were added up in three places. No behaviour changes.

--- a/internal/routing/backlog.go
+++ b/internal/routing/backlog.go
@@ -49,6 +49,9 @@
 // rejectHopeless rejects the waiting requests whose turn is expected after their latest start, in the order of the queue: a
 // rejected request is no longer ahead of the next ones. The first at its replicas is never rejected.
 func (m *Matcher) rejectHopeless(now time.Time) {
+	if m.queue.len() == 0 {
+		return
+	}
 	m.backlog.reset(len(m.index.replicas))
 	for _, request := range m.queue.requests {
 		hosts := request.hostsIn(m.index)
--- a/internal/routing/loadreport.go
+++ b/internal/routing/loadreport.go
@@ -86,7 +86,7 @@
 // begins now takes longer.
 func (m *Matcher) loadDueMs(request *Request, now time.Time) float64 {
 	due := request.Deadline.Sub(now) - m.servingTime(request)
-	if due < m.loadTime(modelKey{request.Backend, BaseModel(request.Model)}) {
+	if due < m.loadTime(request.baseModelKey()) {
 		return 0
 	}
 	return float64(due.Milliseconds())
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -17,8 +17,10 @@
 	if m.snapshot.Drill != nil {
 		m.snapshot.Drill.admit(request, m.clock())
 	}
-	wasIdle := m.queue.len() == 0
-	request.remainingWork = m.remainingWork(request, m.clock())
+	decidedAlone := m.queue.len() == 0 && len(m.inbox.requests) == 0
+	if !decidedAlone {
+		request.remainingWork = m.remainingWork(request, m.clock())
+	}
 	m.queue.insert(request)
 	m.queue.unbatched++
 	if m.queue.len() > m.parameters.QueueLimit {
@@ -27,7 +29,7 @@
 	if m.queue.unbatched == 1 {
 		m.queue.batchDueAt = m.clock().Add(m.parameters.BatchWait)
 	}
-	if wasIdle && len(m.inbox.requests) == 0 || m.queue.unbatched >= m.parameters.BatchSize {
+	if decidedAlone || m.queue.unbatched >= m.parameters.BatchSize {
 		m.decideWaiting()
 	}
 }
@@ -112,16 +114,21 @@
 	}
 	for _, request := range requests {
 		if !request.decided {
-			m.signalModelNotLoaded(request)
+			m.recordModelNotLoaded(request, now)
 			m.rejectIfExpired(request, now)
 		}
 	}
 	m.queue.removeDecided()
 }
 
-// signalModelNotLoaded requests a load report the first time that a request's model is found loaded nowhere.
-func (m *Matcher) signalModelNotLoaded(request *Request) {
-	if !request.modelNotLoaded || request.modelNotLoadedSignalled {
+// recordModelNotLoaded records that a request's model was found loaded nowhere, and requests a load report the first time.
+func (m *Matcher) recordModelNotLoaded(request *Request, now time.Time) {
+	if !request.modelNotLoaded {
+		return
+	}
+	key := request.baseModelKey()
+	m.missing.record(key, m.loadTime(key), now)
+	if request.modelNotLoadedSignalled {
 		return
 	}
 	request.modelNotLoadedSignalled = true
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -68,6 +68,9 @@
 
 func (r *Request) modelKey() modelKey { return modelKey{r.Backend, r.Model} }
 
+// baseModelKey returns the key of the request's model without its adapter.
+func (r *Request) baseModelKey() modelKey { return modelKey{r.Backend, BaseModel(r.Model)} }
+
 // prompt returns the request's prompt for the ledger.
 func (r *Request) prompt() Prompt {
 	return Prompt{Model: r.Model, Parts: r.Parts, PrefixHashes: r.PrefixHashes}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -79,8 +79,7 @@
 	features := node.features(*row, cachedTokens, uncachedTokens)
 	predictedMs := state.predictor.Latency(features)
 	cost := m.parameters.TokenCost*uncachedTokens*row.prefillFactor + m.crossZoneCost(replica)
-	pendingTokens := uncachedTokens*row.prefillFactor + state.pendingTokens + node.peerLoad.PrefillTokens
-	promptsMs := pendingTokens / tokensPerThousand * state.predictor.PrefillMsPerThousand()
+	promptsMs := (uncachedTokens*row.prefillFactor + node.pendingTokens()) / tokensPerThousand * state.predictor.PrefillMsPerThousand()
 	return scoredPair{
 		weight:         m.value(request, state.predictor.SuccessRate(), predictedMs) - cost,
 		features:       features,
@@ -124,7 +123,7 @@
 		return 0
 	}
 	msPerThousand := node.models[stepFull].prefillMsPerThousand()
-	prefillMs := (uncached + node.state.pendingTokens + node.peerLoad.PrefillTokens) / tokensPerThousand * msPerThousand
+	prefillMs := (uncached + node.pendingTokens()) / tokensPerThousand * msPerThousand
 	return m.parameters.InterferenceCost * min(running, maxInterferedStreams) * min(prefillMs/gapMs, 1)
 }
 
@@ -140,6 +139,11 @@
 	return m.parameters.QualityWeight*successRate - (1-m.parameters.QualityWeight)*predictedMs/scaleMs
 }
 
+// pendingTokens returns the uncached prompt tokens of all data planes' requests that the replica has not read yet.
+func (n *replicaNode) pendingTokens() float64 {
+	return n.state.pendingTokens + n.peerLoad.PrefillTokens
+}
+
 // features returns the predictor's inputs for one pair (IEMAS §4.1 eq. 4 and 5); see Features.
 func (n *replicaNode) features(row requestRow, cachedTokens, uncachedTokens float64) Features {
 	running := float64(n.state.running + n.peerLoad.Running)
@@ -148,7 +152,7 @@
 		featureIntercept:         1,
 		featureUncached:          uncachedTokens / tokensPerThousand * row.prefillFactor,
 		featureUtilization:       utilization,
-		featurePending:           (n.state.pendingTokens + n.peerLoad.PrefillTokens) / tokensPerThousand,
+		featurePending:           n.pendingTokens() / tokensPerThousand,
 		featureUtilizationFactor: utilization * row.prefillFactor,
 		featureAffinity:          cachedTokens / max(1, row.request.PromptTokens),
 	}
--- a/internal/routing/work.go
+++ b/internal/routing/work.go
@@ -127,14 +127,13 @@
 
 // record notes that a request needs a model that is loaded nowhere. A model that nothing has needed for longer than its load takes
 // counts as needed from now on.
-func (m missingModels) record(key modelKey, loadTime time.Duration, now time.Time) time.Time {
+func (m missingModels) record(key modelKey, loadTime time.Duration, now time.Time) {
 	found := m[key]
 	if found == nil || now.Sub(found.lastNeededAt) > loadTime {
 		found = &missingModel{since: now}
 		m[key] = found
 	}
 	found.lastNeededAt = now
-	return found.since
 }
 
 // forgetUnneeded drops the models that nothing has needed since a time.
@@ -149,14 +148,12 @@
 // remainingLoad returns how long the load that a request waits for still takes if it began when the model was first needed here, 0 if
 // the model is loaded somewhere. A missing adapter of a loaded model counts as 0: it is loaded in milliseconds.
 func (m *Matcher) remainingLoad(request *Request, now time.Time) time.Duration {
-	model := BaseModel(request.Model)
-	key := modelKey{request.Backend, model}
-	if !request.modelNotLoaded || len(m.index.Hosts(request.Backend, model)) > 0 {
+	key := request.baseModelKey()
+	missing := m.missing[key]
+	if !request.modelNotLoaded || missing == nil || len(m.index.Hosts(key.backend, key.model)) > 0 {
 		return 0
 	}
-	loadTime := m.loadTime(key)
-	since := m.missing.record(key, loadTime, now)
-	return max(loadTime-now.Sub(since), 0)
+	return max(m.loadTime(key)-now.Sub(missing.since), 0)
 }
 
 // loadTime returns the configured time to load a model, 0 if the model is not configured.
