Proxy tests: leave the framing checks time on a machine that stalls

Trace: its server allowed a request 300 ms and a connection a second of real time; with the test process stopped for 1.5 s (SIGSTOP) while its cases ran, 3 and 4 of them failed in the same way in two of two runs. No assertion changed.

--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -44,11 +45,14 @@
 	}
 }
 
+// patientOptions leave ample time for each message, so that a machine that stalls changes no answer.
+var patientOptions = serverOptions{head: 30 * time.Second, idle: 30 * time.Second, timeoutMs: 20000}
+
 // checkForm sends a message in the form with a further request behind it, and compares the ids that ran with those that were sent
 // as requests.
 func checkForm(t *testing.T, form httpforms.Request, kept bool) {
 	upstream := startReplica(t, "i-1", respondWith("200 OK", "seal-1", "words"))
-	clientConn := startServer(t, upstream).connect(t)
+	clientConn := startServerWith(t, patientOptions, upstream).connect(t)
 	var sent []string
 	if kept {
 		assert.Equal(t, clientConn.exchange(http.MethodPost, post("/once/", "before")).status, http.StatusOK)
