Proxy: wait for a configuration as long as callers wait to be read

What callers saw: a request that came before a first or a newer configuration got 503 after 1.5 or 0.4 s, also one with 0.6 s left, and was asked to come back after 0.2 s though another data plane could serve it at once.

Cause: clocks of our own. Change: both waits last a second, or a third of the time left if that is less: by the protocol's page callers then abandon a data plane that has not read their request.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -147,6 +147,13 @@
 	return &Error{Kind: kind, Detail: fmt.Sprintf(format, arguments...)}
 }
 
+// MinRetryAfter is the shortest Retry-After: the caller's next attempt needs a new connection anyway.
+const MinRetryAfter = 50 * time.Millisecond
+
+// NewRetryAtOnce returns an error that asks the caller to retry as soon as it has a new connection, since another node, or a new request,
+// may be served.
+func NewRetryAtOnce(kind Kind) *Error { return NewRetryable(kind, MinRetryAfter) }
+
 // NewRetryable returns an error that asks the caller to retry after the delay.
 func NewRetryable(kind Kind, retryAfter time.Duration) *Error {
 	return &Error{Kind: kind, RetryAfter: retryAfter}
--- a/internal/dataplane/quotaadmission.go
+++ b/internal/dataplane/quotaadmission.go
@@ -15,8 +15,6 @@
 	homeRetryInterval = 50 * time.Millisecond
 	// borrowTimeout limits a call to a home shard, not counting the time for which the home shard may hold it.
 	borrowTimeout = 250 * time.Millisecond
-	// unknownRetryAfter is the Retry-After of a request whose tenant's home shards did not respond: another data plane may reach them.
-	unknownRetryAfter = 50 * time.Millisecond
 )
 
 // Take spends a token of the tenant. If none is left here, it borrows tokens from a home shard of the tenant. Requests of a
@@ -48,7 +46,7 @@
 		awaitReply(ctx, replied)
 		q.lock.Lock()
 	}
-	return apierror.NewRetryable(apierror.QuotaUnknown, unknownRetryAfter)
+	return apierror.NewRetryAtOnce(apierror.QuotaUnknown)
 }
 
 // awaitReply waits for the pending call, or for homeRetryInterval if there is none.
--- a/internal/proxy/authorization.go
+++ b/internal/proxy/authorization.go
@@ -22,13 +22,6 @@
 	KeysValid(now time.Time) bool
 }
 
-const (
-	// newerConfigurationTimeout is how long a request waits for a newer configuration that is known to exist and may allow it.
-	newerConfigurationTimeout = 400 * time.Millisecond
-	// staleRetryAfter is the Retry-After of requests that were rejected while the configuration may be out of date.
-	staleRetryAfter = 200 * time.Millisecond
-)
-
 // credential holds the hash of the API key that a request carries. The key itself is not kept.
 type credential struct {
 	hash    configuration.KeyHash
@@ -78,7 +71,7 @@
 }
 
 // authorize looks up the route and the tenant of the request. While a newer configuration that may allow the request is known
-// to exist, the request waits for it briefly. It is rejected for good only if the configuration is up to date; otherwise the
+// to exist, the request waits for it (unreadWait). It is rejected for good only if the configuration is up to date; otherwise the
 // client is asked to retry.
 func (h *Handler) authorize(request *http.Request, arrived time.Time) (*routing.Snapshot, authorization, error) {
 	presented := credentialFrom(request.Header)
@@ -87,12 +80,12 @@
 		snapshot := h.snapshot.Load()
 		allowed, rejection := resolveAccess(snapshot.Table, request.Host, request.RequestURI, presented)
 		if rejection == nil && allowed.tenant != configuration.NoTenant && !keysValid {
-			return nil, authorization{}, apierror.NewRetryable(apierror.StaleAPIKeys, staleRetryAfter)
+			return nil, authorization{}, apierror.NewRetryAtOnce(apierror.StaleAPIKeys)
 		}
 		if rejection == nil {
 			return snapshot, allowed, nil
 		}
-		if !h.behind() || h.clock().Sub(arrived) > newerConfigurationTimeout || !awaitPollInterval(request.Context()) {
+		if !h.behind() || h.clock().Sub(arrived) > unreadWait(request.Header) || !awaitPollInterval(request.Context()) {
 			return nil, authorization{}, h.confirmRejection(rejection)
 		}
 	}
@@ -103,7 +96,7 @@
 	if h.Freshness == nil || !h.behind() && h.Freshness.Current(h.clock()) {
 		return rejection
 	}
-	return apierror.NewRetryable(apierror.StaleConfiguration, staleRetryAfter)
+	return apierror.NewRetryAtOnce(apierror.StaleConfiguration)
 }
 
 // behind reports whether a newer configuration is known to exist.
@@ -134,7 +127,7 @@
 		parsed.assignTenant(table, tenant)
 	}
 	if parsed.authorization.tenant != configuration.NoTenant && !keysValid {
-		return apierror.NewRetryable(apierror.StaleAPIKeys, staleRetryAfter)
+		return apierror.NewRetryAtOnce(apierror.StaleAPIKeys)
 	}
 	return nil
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -106,7 +106,7 @@
 	}
 	if e.attempts > 0 && !e.retryGranted && !e.takeRetry() {
 		e.report(routing.OutcomeCancelled)
-		return assignment, apierror.NewRetryable(apierror.NotExecuted, notExecutedRetryAfter)
+		return assignment, apierror.NewRetryAtOnce(apierror.NotExecuted)
 	}
 	e.retryGranted = e.attempts > 0
 	return assignment, nil
--- a/internal/proxy/prefill.go
+++ b/internal/proxy/prefill.go
@@ -144,7 +144,7 @@
 	}
 	if e.hasPrefilled && !e.takeRetry() {
 		report(routing.OutcomeCancelled)
-		return nil, apierror.NewRetryable(apierror.NotExecuted, notExecutedRetryAfter)
+		return nil, apierror.NewRetryAtOnce(apierror.NotExecuted)
 	}
 	bounded, cancel := prefillContext(ctx, max(step.Timeout, minPrefillTime))
 	defer cancel()
@@ -186,7 +186,7 @@
 // longer prompt would delay all streams of the decode replica.
 func (e *exchange) handlePrefillTimeout() error {
 	if e.parsed.request.PromptTokens > routing.MaxColocatedPrefillTokens || !e.takeRetry() {
-		return apierror.NewRetryable(apierror.Overloaded, notExecutedRetryAfter)
+		return apierror.NewRetryAtOnce(apierror.Overloaded)
 	}
 	e.parsed.request.NoPrefillStep = true
 	return errReassign
@@ -195,7 +195,7 @@
 // handlePrefillFailure makes the request try another prefill replica, or none after maxPrefillFailures failures.
 func (e *exchange) handlePrefillFailure(step *routing.PrefillStep, verdict replica.Verdict) error {
 	if verdict != replica.VerdictNotSent && !e.takeRetry() {
-		return apierror.NewRetryable(apierror.NotExecuted, notExecutedRetryAfter)
+		return apierror.NewRetryAtOnce(apierror.NotExecuted)
 	}
 	e.prefillFailures++
 	e.parsed.request.ExcludedReplicas[step.Replica.ID] = true
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -21,11 +21,12 @@
 	// maxUrgency is the highest urgency class that replicas accept.
 	maxUrgency = 9
 
-	// configurationTimeout is how long a request waits for the first configuration, polling at configurationPollInterval.
-	configurationTimeout      = 1500 * time.Millisecond
+	// configurationPollInterval is how often a request that waits for a configuration looks for it.
 	configurationPollInterval = 15 * time.Millisecond
-	// noConfigurationRetryAfter is the Retry-After of requests that were rejected before the first configuration arrived.
-	noConfigurationRetryAfter = 200 * time.Millisecond
+	// Clients abandon a data plane that has not read their request after maxUnreadWait, or after their remaining time divided by
+	// unreadWaitDivisor (protocol, "Answers").
+	maxUnreadWait     = time.Second
+	unreadWaitDivisor = 3
 )
 
 // parsedRequest is a client request with the route and tenant that the configuration assigns to it.
@@ -55,7 +56,7 @@
 	}
 	snapshot := h.awaitConfiguration(request, arrived)
 	if snapshot.Table == nil {
-		return nil, apierror.NewRetryable(apierror.NoConfiguration, noConfigurationRetryAfter)
+		return nil, apierror.NewRetryAtOnce(apierror.NoConfiguration)
 	}
 	snapshot, allowed, err := h.authorize(request, arrived)
 	if err != nil {
@@ -171,11 +172,20 @@
 	return time.Duration(value * float64(time.Millisecond))
 }
 
-// awaitConfiguration returns the first snapshot with a configuration, or one without if none arrives in configurationTimeout.
+// unreadWait returns how long a request with the header may wait for a configuration before it is read.
+func unreadWait(header http.Header) time.Duration {
+	remaining, err := remainingTime(header, maxUnreadWait*unreadWaitDivisor)
+	if err != nil {
+		return maxUnreadWait
+	}
+	return min(maxUnreadWait, remaining/unreadWaitDivisor)
+}
+
+// awaitConfiguration returns the first snapshot with a configuration, or one without if none arrives within unreadWait.
 func (h *Handler) awaitConfiguration(request *http.Request, arrived time.Time) *routing.Snapshot {
 	for {
 		snapshot := h.snapshot.Load()
-		if snapshot.Table != nil || h.clock().Sub(arrived) > configurationTimeout || h.Draining() {
+		if snapshot.Table != nil || h.clock().Sub(arrived) > unreadWait(request.Header) || h.Draining() {
 			return snapshot
 		}
 		if !awaitPollInterval(request.Context()) {
--- a/internal/proxy/retries.go
+++ b/internal/proxy/retries.go
@@ -1,20 +1,13 @@
 package proxy
 
 import (
-	"time"
-
 	"ferryspar/internal/apierror"
 	"ferryspar/internal/replica"
 	"ferryspar/internal/routing"
 )
 
-const (
-	// maxUnsentAttempts is how many attempts of one request may fail before a byte is written. They do not use up its retryCount.
-	maxUnsentAttempts = 4
-	// notExecutedRetryAfter is the Retry-After of requests that no replica has executed: the client may try again as soon as it has a
-	// new connection, since its next attempt is a new request, which needs no retry budget.
-	notExecutedRetryAfter = 50 * time.Millisecond
-)
+// maxUnsentAttempts is how many attempts of one request may fail before a byte is written. They do not use up its retryCount.
+const maxUnsentAttempts = 4
 
 // outcomeByVerdict maps the verdict on an attempt without a valid response to the outcome that is reported to the matcher.
 var outcomeByVerdict = map[replica.Verdict]routing.Outcome{
@@ -36,7 +29,7 @@
 		return errRetry
 	}
 	if notExecuted && !e.mayHaveExecuted {
-		return apierror.NewRetryable(apierror.NotExecuted, notExecutedRetryAfter)
+		return apierror.NewRetryAtOnce(apierror.NotExecuted)
 	}
 	return apierror.New(apierror.ReplicaFailed, "")
 }
@@ -49,7 +42,7 @@
 // deadlineError returns the error for a request whose deadline has passed: NotExecuted only if no attempt may have been executed.
 func (e *exchange) deadlineError(notExecuted bool) *apierror.Error {
 	if notExecuted && !e.mayHaveExecuted {
-		return apierror.NewRetryable(apierror.NotExecuted, notExecutedRetryAfter)
+		return apierror.NewRetryAtOnce(apierror.NotExecuted)
 	}
 	return apierror.New(apierror.ReplicaTimeout, "")
 }
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -49,5 +49,5 @@
 	if !e.mayHaveExecuted {
 		e.writer.Header().Set(replica.HeaderNotExecuted, "1")
 	}
-	return apierror.NewRetryable(apierror.ShuttingDown, notExecutedRetryAfter)
+	return apierror.NewRetryAtOnce(apierror.ShuttingDown)
 }
--- a/internal/routing/expire.go
+++ b/internal/routing/expire.go
@@ -6,12 +6,8 @@
 	"ferryspar/internal/apierror"
 )
 
-const (
-	// minRetryAfter is the shortest wait that a rejected client is asked for: its next attempt needs a new connection anyway.
-	minRetryAfter = 50 * time.Millisecond
-	// maxRetryAfterDivisor divides a client's remaining time into the longest Retry-After that it honours (protocol, "Answers").
-	maxRetryAfterDivisor = 3
-)
+// maxRetryAfterDivisor divides a client's remaining time into the longest Retry-After that it honours (protocol, "Answers").
+const maxRetryAfterDivisor = 3
 
 // latestStart returns until when a request may wait: from then on its remaining time is too short for its remaining work.
 func (r *Request) latestStart() time.Time { return r.Deadline.Add(-r.remainingWork) }
@@ -41,7 +37,7 @@
 // retryAfter returns when a rejected request is expected to find a slot, within what clients honour.
 func (m *Matcher) retryAfter(request *Request, now time.Time) time.Duration {
 	longest := request.Deadline.Sub(now) / maxRetryAfterDivisor
-	return max(min(m.slotExpectedAfter(request, now), longest), minRetryAfter)
+	return max(min(m.slotExpectedAfter(request, now), longest), apierror.MinRetryAfter)
 }
 
 // slotExpectedAfter returns the time until a slot for the request is expected: once its model is loaded, once those ahead of it are
--- a/internal/routing/expire_test.go
+++ b/internal/routing/expire_test.go
@@ -201,7 +201,7 @@
 		{remaining: 30 * time.Second, answer: 2 * time.Second, expected: 2 * time.Second},
 		{remaining: 30 * time.Second, answer: 4 * time.Second, expected: 4 * time.Second},
 		{remaining: 3 * time.Second, answer: 4 * time.Second, expected: time.Second},
-		{remaining: 30 * time.Second, answer: 0, expected: minRetryAfter},
+		{remaining: 30 * time.Second, answer: 0, expected: apierror.MinRetryAfter},
 	} {
 		fixture := fullFleet()
 		fixture.answerIn(test.answer)
